Serve a request from caller to layered model and back

Cause: there was nothing; the users ask for the whole path first.

Conclusion: the shell stands; decisions are thin and come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Everything a fresh machine needs: `make demo` and `make test`.
+
+.PHONY: build demo test lint setup fuzz-long measure
+
+setup:
+	@scripts/setup
+
+build: setup
+	cargo build --workspace --all-targets
+
+demo: setup
+	cargo build --workspace --bins
+	target/debug/demo
+
+lint: setup
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets -- -D warnings
+
+test: lint
+	scripts/test
+
+# The same fuzz tests as `make test` with many more cases.
+fuzz-long: setup
+	ARBUTUSFOLD_FUZZ_CASES=20000 cargo test --release -p arbutusfold-fuzz
+
+# The measured decisions, as a table.
+measure: setup
+	cargo run --release -p arbutusfold-bench --bin arbutusfold-bench
--- /dev/null
+++ b/arbutusfold/src/caller.rs
@@ -0,0 +1,524 @@
+//! The listener that callers reach: addresses, models, completions, services.
+
+use std::convert;
+use std::sync;
+use std::time as std_time;
+
+use bytes::Bytes;
+use futures_util::stream as futures_stream;
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators};
+use hyper::body;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::complete;
+use crate::config;
+use crate::document;
+use crate::event;
+use crate::id;
+use crate::node;
+use crate::service;
+
+/// Header that carries a request id in and out.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Longest request id that a caller may choose, in characters.
+const REQUEST_ID_LIMIT: usize = 128;
+
+/// Tokens of an answer for which the caller named no number.
+const DEFAULT_MAX_TOKENS: id::TokenIndex = 16;
+
+/// Most tokens that a caller may ask for.
+const MAX_TOKENS_LIMIT: id::TokenIndex = 32_768;
+
+/// Body of an answer.
+pub type AnswerBody = combinators::UnsyncBoxBody<Bytes, convert::Infallible>;
+
+/// Answer to a caller.
+pub type CallerAnswer = http::Response<AnswerBody>;
+
+/// Whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunOutcome {
+    /// It did not run and will not.
+    No,
+    /// It ran, in whole or in part.
+    Yes,
+    /// It may have run.
+    Unknown,
+}
+
+/// An error as callers see it.
+#[derive(Clone, Debug)]
+pub struct CallerError {
+    /// HTTP status.
+    pub status: http::StatusCode,
+    /// Stable code.
+    pub code: &'static str,
+    /// Message for people.
+    pub message: String,
+    /// Whether the request ran.
+    pub ran: RunOutcome,
+    /// Time after which to come back.
+    pub pause: Option<std_time::Duration>,
+}
+
+impl CallerError {
+    /// Creates an error for a request that did not run.
+    pub fn new(status: http::StatusCode, code: &'static str, message: &str) -> Self {
+        Self {
+            status,
+            code,
+            message: message.to_owned(),
+            ran: RunOutcome::No,
+            pause: None,
+        }
+    }
+
+    /// Sets whether the request ran.
+    pub fn with_ran(mut self, ran: RunOutcome) -> Self {
+        self.ran = ran;
+        self
+    }
+
+    /// Sets the time after which to come back.
+    pub fn with_pause(mut self, pause: std_time::Duration) -> Self {
+        self.pause = Some(pause);
+        self
+    }
+
+    /// Returns the error as JSON.
+    pub fn to_json(&self) -> serde_json::Value {
+        let mut error = serde_json::json!({
+            "code": self.code,
+            "message": self.message,
+            "type": "arbutusfold_error",
+            "ran": self.ran,
+        });
+        if let Some(pause) = self.pause {
+            error["retry_after_ms"] = serde_json::json!(pause.as_millis() as u64);
+        }
+        serde_json::json!({ "error": error })
+    }
+
+    fn to_answer(&self) -> CallerAnswer {
+        let mut answer = json_answer(self.status, &self.to_json());
+        if let Some(pause) = self.pause {
+            // The header counts whole seconds; rounding up never calls back early.
+            let seconds = pause.as_millis().div_ceil(1_000) as u64;
+            answer
+                .headers_mut()
+                .insert(http::header::RETRY_AFTER, http::HeaderValue::from(seconds));
+        }
+        answer
+    }
+}
+
+/// Body of a completion request; fields that other servers know are passed over.
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    prompt: String,
+    max_tokens: Option<id::TokenIndex>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Answers one request of a caller.
+pub async fn answer(
+    core: sync::Arc<node::NodeCore>,
+    request: http::Request<body::Incoming>,
+) -> Result<CallerAnswer, convert::Infallible> {
+    core.metrics.requests.inc();
+    let request_id = request
+        .headers()
+        .get(REQUEST_ID_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .filter(|value| !value.is_empty() && value.len() <= REQUEST_ID_LIMIT)
+        .map_or_else(id::fresh_request, str::to_owned);
+    let flight = node::FlightCount::new(&core);
+    let outcome = dispatch(&core, &request_id, request, flight).await;
+    let mut answer = outcome.unwrap_or_else(|error| {
+        refuse(&core, &request_id, &error);
+        error.to_answer()
+    });
+    if let Ok(value) = http::HeaderValue::from_str(&request_id) {
+        answer.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    Ok(answer)
+}
+
+fn refuse(core: &node::NodeCore, request: &str, error: &CallerError) {
+    core.metrics.refused.inc();
+    core.recorder.record(
+        event::EventCode::RequestRefused,
+        request,
+        format!("{}: {}", error.code, error.message),
+    );
+}
+
+async fn dispatch(
+    core: &sync::Arc<node::NodeCore>,
+    request_id: &str,
+    request: http::Request<body::Incoming>,
+    flight: node::FlightCount,
+) -> Result<CallerAnswer, CallerError> {
+    let path = request.uri().path().to_owned();
+    if path == "/v1/addresses" {
+        let query = request.uri().query().unwrap_or_default();
+        return Ok(json_answer(http::StatusCode::OK, &addresses(core, query)));
+    }
+    let Some(config) = core.config.current() else {
+        return Err(CallerError::new(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            "no_configuration",
+            "this host has no configuration yet",
+        )
+        .with_pause(std_time::Duration::from_secs(1)));
+    };
+    let organisation = authenticate(&config, request.headers())?.clone();
+    match (request.method().as_str(), path.as_str()) {
+        ("GET", "/v1/models") => Ok(json_answer(http::StatusCode::OK, &models(&config.document))),
+        ("POST", "/v1/completions") => {
+            completions(core, &config, &organisation, request_id, request, flight).await
+        }
+        (_, path) if path.starts_with("/v1/services/") => {
+            services(core, &config, &organisation, request_id, request).await
+        }
+        _ => Err(CallerError::new(
+            http::StatusCode::NOT_FOUND,
+            "not_found",
+            "no such path",
+        )),
+    }
+}
+
+fn authenticate<'a>(
+    config: &'a config::ForceDocument,
+    headers: &http::HeaderMap,
+) -> Result<&'a document::OrganisationSpec, CallerError> {
+    headers
+        .get(http::header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .and_then(|key| config.document.organisation_of_key(key))
+        .ok_or_else(|| {
+            CallerError::new(
+                http::StatusCode::UNAUTHORIZED,
+                "key_refused",
+                "the key is missing or unknown",
+            )
+        })
+}
+
+fn addresses(core: &node::NodeCore, query: &str) -> serde_json::Value {
+    let caller = query.strip_prefix("caller=").unwrap_or_default();
+    serde_json::json!({
+        "addresses": core.members.answer(caller),
+        "keep_ms": core.settings.answer_keep_ms.as_millis() as u64,
+    })
+}
+
+fn models(document: &document::ConfigDocument) -> serde_json::Value {
+    let models: Vec<_> = document
+        .models
+        .iter()
+        .map(|model| {
+            serde_json::json!({
+                "id": model.name, "object": "model", "created": 0, "owned_by": "arbutusfold",
+            })
+        })
+        .collect();
+    serde_json::json!({ "object": "list", "data": models })
+}
+
+async fn read_body(
+    core: &node::NodeCore,
+    request: http::Request<body::Incoming>,
+) -> Result<Bytes, CallerError> {
+    let limit = core.settings.body_limit_bytes;
+    let body = Limited::new(request.into_body(), limit).collect();
+    let body = time::timeout(node::BODY_TIME_LIMIT, body)
+        .await
+        .map_err(|_| {
+            CallerError::new(
+                http::StatusCode::REQUEST_TIMEOUT,
+                "body_slow",
+                "the body did not arrive in time",
+            )
+        })?;
+    let body = body.map_err(
+        |error| match error.is::<http_body_util::LengthLimitError>() {
+            true => CallerError::new(
+                http::StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                &format!("the body is longer than {limit} bytes"),
+            ),
+            false => CallerError::new(
+                http::StatusCode::BAD_REQUEST,
+                "body_broken",
+                "the body broke off",
+            ),
+        },
+    )?;
+    Ok(body.to_bytes())
+}
+
+async fn completions(
+    core: &sync::Arc<node::NodeCore>,
+    config: &config::ForceDocument,
+    organisation: &document::OrganisationSpec,
+    request_id: &str,
+    request: http::Request<body::Incoming>,
+    flight: node::FlightCount,
+) -> Result<CallerAnswer, CallerError> {
+    let body = read_body(core, request).await?;
+    let asked: CompletionBody = serde_json::from_slice(&body).map_err(|error| {
+        CallerError::new(
+            http::StatusCode::BAD_REQUEST,
+            "body_invalid",
+            &error.to_string(),
+        )
+    })?;
+    let model = config.document.model(&asked.model).ok_or_else(|| {
+        CallerError::new(
+            http::StatusCode::NOT_FOUND,
+            "model_not_found",
+            &format!("there is no model {:?}", asked.model),
+        )
+    })?;
+    let max_tokens = asked.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if !(1..=MAX_TOKENS_LIMIT).contains(&max_tokens) {
+        return Err(CallerError::new(
+            http::StatusCode::BAD_REQUEST,
+            "max_tokens_invalid",
+            &format!("max_tokens is {max_tokens}; 1 to {MAX_TOKENS_LIMIT} are allowed"),
+        ));
+    }
+    let order = complete::CompletionOrder {
+        request: request_id.to_owned(),
+        model: model.clone(),
+        prompt: asked.prompt,
+        max_tokens,
+        deadline: time::Instant::now() + organisation.deadline_ms,
+    };
+    let frame = AnswerFrame {
+        id: format!("cmpl-{request_id}"),
+        created: event::wall_millis() / 1_000,
+        model: model.name.clone(),
+    };
+    let mut driver = complete::CompletionDriver::new(sync::Arc::clone(core), order);
+    if asked.stream {
+        // The first piece is awaited so that a refusal keeps its HTTP status.
+        let first = driver.next().await?;
+        return Ok(stream_answer(core, driver, frame, first, flight));
+    }
+    let mut text = String::new();
+    let mut finish = None;
+    let mut tokens: u64 = 0;
+    while let Some(piece) = driver.next().await? {
+        text.push_str(&piece.text);
+        finish = piece.finish;
+        tokens += 1;
+    }
+    finished(core, request_id, tokens);
+    let mut answer = frame.to_json(&text, finish.map(|reason| reason.as_str()));
+    answer["usage"] = serde_json::json!({
+        "prompt_tokens": 0, "completion_tokens": tokens, "total_tokens": tokens,
+    });
+    Ok(json_answer(http::StatusCode::OK, &answer))
+}
+
+fn finished(core: &node::NodeCore, request: &str, tokens: u64) {
+    core.metrics.answered.inc();
+    core.recorder.record(
+        event::EventCode::RequestAnswered,
+        request,
+        format!("{tokens} tokens"),
+    );
+}
+
+/// What every piece of one answer repeats.
+struct AnswerFrame {
+    id: String,
+    created: u64,
+    model: id::ModelName,
+}
+
+impl AnswerFrame {
+    fn to_json(&self, text: &str, finish: Option<&str>) -> serde_json::Value {
+        serde_json::json!({
+            "id": self.id,
+            "object": "text_completion",
+            "created": self.created,
+            "model": self.model,
+            "choices": [{
+                "text": text, "index": 0, "logprobs": null, "finish_reason": finish,
+            }],
+        })
+    }
+
+    fn to_event(&self, piece: &complete::AnswerPiece) -> Bytes {
+        let finish = piece.finish.map(|reason| reason.as_str());
+        let event = self.to_json(&piece.text, finish);
+        Bytes::from(format!("data: {event}\n\n"))
+    }
+}
+
+struct StreamState {
+    core: sync::Arc<node::NodeCore>,
+    driver: complete::CompletionDriver,
+    frame: AnswerFrame,
+    first: Option<complete::AnswerPiece>,
+    tokens: u64,
+    phase: StreamPhase,
+    request: id::RequestId,
+    _flight: node::FlightCount,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StreamPhase {
+    Pieces,
+    Done,
+    Closed,
+}
+
+fn stream_answer(
+    core: &sync::Arc<node::NodeCore>,
+    driver: complete::CompletionDriver,
+    frame: AnswerFrame,
+    first: Option<complete::AnswerPiece>,
+    flight: node::FlightCount,
+) -> CallerAnswer {
+    let state = StreamState {
+        core: sync::Arc::clone(core),
+        driver,
+        request: frame.id.trim_start_matches("cmpl-").to_owned(),
+        frame,
+        first,
+        tokens: 0,
+        phase: StreamPhase::Pieces,
+        _flight: flight,
+    };
+    let frames = futures_stream::unfold(state, |mut state| async move {
+        let data = next_event(&mut state).await?;
+        Some((Ok(body::Frame::data(data)), state))
+    });
+    let mut answer = http::Response::new(StreamBody::new(frames).boxed_unsync());
+    answer.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("text/event-stream"),
+    );
+    answer.headers_mut().insert(
+        http::header::CACHE_CONTROL,
+        http::HeaderValue::from_static("no-cache"),
+    );
+    answer
+}
+
+async fn next_event(state: &mut StreamState) -> Option<Bytes> {
+    match state.phase {
+        StreamPhase::Closed => return None,
+        StreamPhase::Done => {
+            state.phase = StreamPhase::Closed;
+            finished(&state.core, &state.request, state.tokens);
+            return Some(Bytes::from_static(b"data: [DONE]\n\n"));
+        }
+        StreamPhase::Pieces => {}
+    }
+    let piece = match state.first.take() {
+        Some(piece) => Ok(Some(piece)),
+        None => state.driver.next().await,
+    };
+    match piece {
+        Ok(Some(piece)) => {
+            state.tokens += 1;
+            if piece.finish.is_some() {
+                state.phase = StreamPhase::Done;
+            }
+            Some(state.frame.to_event(&piece))
+        }
+        Ok(None) => None,
+        Err(error) => {
+            state.phase = StreamPhase::Closed;
+            refuse(&state.core, &state.request, &error);
+            Some(Bytes::from(format!("data: {}\n\n", error.to_json())))
+        }
+    }
+}
+
+async fn services(
+    core: &sync::Arc<node::NodeCore>,
+    config: &config::ForceDocument,
+    organisation: &document::OrganisationSpec,
+    request_id: &str,
+    request: http::Request<body::Incoming>,
+) -> Result<CallerAnswer, CallerError> {
+    let path = request.uri().path().to_owned();
+    let rest = path.strip_prefix("/v1/services/").unwrap_or_default();
+    let (name, below) = rest.split_once('/').unwrap_or((rest, ""));
+    let spec = config.document.service(name).ok_or_else(|| {
+        CallerError::new(
+            http::StatusCode::NOT_FOUND,
+            "service_not_found",
+            &format!("there is no service {name:?}"),
+        )
+    })?;
+    let header = |name: &str| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned)
+    };
+    let mut call = service::ServiceCall {
+        request: request_id.to_owned(),
+        organisation: organisation.name.clone(),
+        method: request.method().clone(),
+        path: format!("/{below}"),
+        content_type: header("content-type").unwrap_or_else(|| "application/json".to_owned()),
+        idempotency: header("idempotency-key"),
+        body: Bytes::new(),
+    };
+    call.body = read_body(core, request).await?;
+    // The call goes on when the caller leaves: its outcome must be recorded.
+    let core_held = sync::Arc::clone(core);
+    let document = config.document.clone();
+    let spec = spec.clone();
+    let task = tokio::spawn(async move { service::run(&core_held, &document, &spec, &call).await });
+    let answer = task.await.map_err(|error| {
+        CallerError::new(
+            http::StatusCode::INTERNAL_SERVER_ERROR,
+            "internal",
+            &error.to_string(),
+        )
+        .with_ran(RunOutcome::Unknown)
+    })??;
+    core.metrics.answered.inc();
+    let mut response = http::Response::new(full(Bytes::from(answer.body)));
+    *response.status_mut() =
+        http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    if let Ok(value) = http::HeaderValue::from_str(&answer.content_type) {
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, value);
+    }
+    Ok(response)
+}
+
+/// Returns a body that holds `bytes`.
+pub fn full(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).boxed_unsync()
+}
+
+/// Returns an answer that holds `value` as JSON.
+pub fn json_answer(status: http::StatusCode, value: &serde_json::Value) -> CallerAnswer {
+    let mut answer = http::Response::new(full(Bytes::from(value.to_string())));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    answer
+}
--- /dev/null
+++ b/arbutusfold/src/document.rs
@@ -0,0 +1,242 @@
+//! The configuration document: the whole intent in one validated text.
+
+use std::net;
+use std::time;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use crate::id;
+
+/// The whole intended configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigDocument {
+    /// Models and their layers.
+    pub models: Vec<ModelSpec>,
+    /// Pipelines that serve models.
+    pub pipelines: Vec<PipelineSpec>,
+    /// Model runners and instances of plain services.
+    pub upstreams: Vec<UpstreamSpec>,
+    /// Plain services beside the models.
+    #[serde(default)]
+    pub services: Vec<ServiceSpec>,
+    /// Organisations whose callers are served.
+    pub organisations: Vec<OrganisationSpec>,
+    /// Links between failure domains; a pair that is not named has no delay.
+    #[serde(default)]
+    pub links: Vec<LinkSpec>,
+}
+
+/// A model.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelSpec {
+    /// Name that callers use.
+    pub name: id::ModelName,
+    /// Number of layers.
+    pub layers: id::LayerIndex,
+    /// Version that runners load.
+    pub version: String,
+}
+
+/// A pipeline: the upstreams that together hold a model's layers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PipelineSpec {
+    /// Name of the pipeline.
+    pub name: String,
+    /// Model that the pipeline serves.
+    pub model: id::ModelName,
+    /// Upstreams that may hold its layers.
+    pub upstreams: Vec<id::UpstreamName>,
+    /// Number of runners that each layer should have.
+    #[serde(default = "default_replicas")]
+    pub replicas: u32,
+}
+
+fn default_replicas() -> u32 {
+    1
+}
+
+/// An upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamSpec {
+    /// Name of the upstream.
+    pub name: id::UpstreamName,
+    /// Address at which it listens.
+    pub address: net::SocketAddr,
+    /// Failure domain in which it runs.
+    pub domain: id::DomainName,
+    /// Kind of its accelerator; empty for a plain service.
+    #[serde(default)]
+    pub accelerator: String,
+    /// Number of layers that fit its memory; 0 for a plain service.
+    #[serde(default)]
+    pub capacity_layers: id::LayerIndex,
+    /// Whether it refuses an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+/// A plain service.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Name in the path `/v1/services/NAME/`.
+    pub name: id::ServiceName,
+    /// Upstreams that run it.
+    pub upstreams: Vec<id::UpstreamName>,
+    /// Calls that may not be repeated.
+    #[serde(default)]
+    pub non_idempotent: Vec<CallSpec>,
+    /// Longest time for one call.
+    #[serde(default = "default_call_deadline")]
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    pub deadline_ms: time::Duration,
+}
+
+/// A call of a plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallSpec {
+    /// HTTP method.
+    pub method: String,
+    /// Path below the service, with its leading slash.
+    pub path: String,
+}
+
+/// An organisation.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationSpec {
+    /// Name of the organisation.
+    pub name: id::OrganisationName,
+    /// Digests of its callers' keys in hexadecimal.
+    pub key_digests: Vec<String>,
+    /// Weight in fair queues.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Priority of its requests.
+    #[serde(default)]
+    pub priority: RequestPriority,
+    /// Limit of generated tokens a second over the whole fleet; 0 for none.
+    #[serde(default)]
+    pub tokens_per_second: u64,
+    /// Limit of requests a second over the whole fleet; 0 for none.
+    #[serde(default)]
+    pub requests_per_second: u64,
+    /// Longest time for one completion.
+    #[serde(default = "default_completion_deadline")]
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    pub deadline_ms: time::Duration,
+}
+
+/// Priority of a request, most urgent first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestPriority {
+    /// Someone waits where waiting is dangerous or costly.
+    Urgent,
+    /// Someone waits.
+    #[default]
+    Interactive,
+    /// Nobody waits.
+    Background,
+}
+
+/// A link between two failure domains, the same both ways.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSpec {
+    /// One failure domain.
+    pub from: id::DomainName,
+    /// The other failure domain.
+    pub to: id::DomainName,
+    /// Delay one way.
+    #[serde_as(as = "serde_with::DurationMicroSeconds<u64>")]
+    pub delay_us: time::Duration,
+    /// Bytes a second; 0 for no bound.
+    #[serde(default)]
+    pub bytes_per_second: u64,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+fn default_call_deadline() -> time::Duration {
+    time::Duration::from_secs(10)
+}
+
+fn default_completion_deadline() -> time::Duration {
+    time::Duration::from_secs(120)
+}
+
+/// Why a document was refused.
+#[derive(Clone, Debug, Display, Error)]
+#[display("configuration document refused: {reason}")]
+pub struct DocumentError {
+    /// What was found and what is allowed.
+    pub reason: String,
+}
+
+/// Parses and validates a document from JSON with comments.
+///
+/// # Errors
+///
+/// [`DocumentError`] names what was found and what is allowed.
+pub fn parse(text: &str) -> Result<ConfigDocument, DocumentError> {
+    let refuse = |reason: String| DocumentError { reason };
+    let value: serde_json::Value = jsonc_parser::parse_to_serde_value(text, &Default::default())
+        .map_err(|error| refuse(error.to_string()))?;
+    serde_json::from_value(value).map_err(|error| refuse(error.to_string()))
+}
+
+/// Returns the digest of a key or token as documents and settings hold it.
+pub fn digest_key(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
+
+impl ConfigDocument {
+    /// Returns the upstream of that name.
+    pub fn upstream(&self, name: &str) -> Option<&UpstreamSpec> {
+        self.upstreams.iter().find(|spec| spec.name == name)
+    }
+
+    /// Returns the model of that name.
+    pub fn model(&self, name: &str) -> Option<&ModelSpec> {
+        self.models.iter().find(|spec| spec.name == name)
+    }
+
+    /// Returns the plain service of that name.
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.services.iter().find(|spec| spec.name == name)
+    }
+
+    /// Returns the organisation that holds `key`.
+    ///
+    /// Only digests are compared, so the time taken tells nothing of a key.
+    pub fn organisation_of_key(&self, key: &str) -> Option<&OrganisationSpec> {
+        let digest = digest_key(key);
+        self.organisations
+            .iter()
+            .find(|spec| spec.key_digests.contains(&digest))
+    }
+}
+
+impl ServiceSpec {
+    /// Tells whether a call may not be repeated.
+    pub fn is_marked(&self, method: &str, path: &str) -> bool {
+        self.non_idempotent
+            .iter()
+            .any(|call| call.method.eq_ignore_ascii_case(method) && call.path == path)
+    }
+}
--- /dev/null
+++ b/arbutusfold/src/lib.rs
@@ -0,0 +1,42 @@
+//! A router of pipelines over mixed accelerators.
+//!
+//! Entry hosts stand between callers and upstreams. Every request gets one
+//! complete answer whose tokens each passed every layer once, or a refusal
+//! that says whether anything ran.
+//!
+//! ```
+//! use arbutusfold::settings;
+//!
+//! let text = r#"{
+//!     // Comments are allowed.
+//!     "name": "entry-1", "region": "peru-central", "domain": "pe-a",
+//!     "callers": "127.0.0.1:8080", "operators": "127.0.0.1:8081",
+//!     "peers": "127.0.0.1:8082", "seeds": [],
+//!     "platform": "127.0.0.1:9000",
+//!     "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"],
+//!     "operator_tokens": [],
+//! }"#;
+//! let settings = settings::parse(text)?;
+//! assert_eq!(settings.name, "entry-1");
+//! # Ok::<(), arbutusfold::settings::SettingsError>(())
+//! ```
+
+pub mod caller;
+pub mod client;
+pub mod complete;
+pub mod config;
+pub mod document;
+pub mod event;
+pub mod id;
+pub mod member;
+pub mod metric;
+pub mod node;
+pub mod operate;
+pub mod peer;
+pub mod platform;
+pub mod record;
+pub mod route;
+pub mod service;
+pub mod settings;
+pub mod stream;
+pub mod upstream;
--- /dev/null
+++ b/arbutusfold/src/node.rs
@@ -0,0 +1,390 @@
+//! One node: its state, its listeners and its loops.
+
+use std::future;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time as std_time;
+
+use derive_more::{Display, Error};
+use hyper::body;
+use hyper_util::rt;
+use hyper_util::server::{conn, graceful};
+use tokio::sync::{mpsc, watch};
+use tokio::time;
+
+use crate::caller;
+use crate::client;
+use crate::config;
+use crate::event;
+use crate::id;
+use crate::member;
+use crate::metric;
+use crate::operate;
+use crate::peer;
+use crate::platform;
+use crate::record;
+use crate::settings;
+use crate::upstream;
+
+/// Longest time that the body of a request may take.
+pub const BODY_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
+
+/// Longest time that the head of a request may take.
+const HEAD_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
+
+/// Time between two looks for a newer configuration.
+const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Time between two reports asked of one upstream.
+const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Longest time that a report may take.
+const REPORT_TIME_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// Why a node could not start.
+#[derive(Debug, Display, Error)]
+pub enum NodeError {
+    /// A listener could not be opened.
+    #[display("cannot listen on {address}: {reason}")]
+    Listen {
+        /// Address that was to be opened.
+        address: net::SocketAddr,
+        /// Cause.
+        reason: String,
+    },
+    /// The peer transport could not be opened.
+    #[display("{_0}")]
+    Peer(peer::PeerError),
+}
+
+/// What the slices of one node share.
+pub struct NodeCore {
+    /// Settings of the process.
+    pub settings: settings::NodeSettings,
+    /// Incarnation of the process.
+    pub incarnation: id::IncarnationNumber,
+    /// Events.
+    pub recorder: sync::Arc<event::EventRecorder>,
+    /// Metrics.
+    pub metrics: metric::MetricSet,
+    /// Configuration in force.
+    pub config: config::ConfigKeeper,
+    /// Record of marked requests.
+    pub records: record::RecordKeeper,
+    /// Upstreams as this node knows them.
+    pub upstreams: upstream::UpstreamView,
+    /// Peers as this node knows them.
+    pub members: member::MemberView,
+    /// Client of model engines.
+    pub engines: client::HttpClient,
+    /// Client of plain services.
+    pub services: client::HttpClient,
+    stopping: atomic::AtomicBool,
+    turn: atomic::AtomicUsize,
+}
+
+impl NodeCore {
+    /// Creates the state of a node that has heard nothing yet.
+    pub fn new(
+        settings: settings::NodeSettings,
+        recorder: sync::Arc<event::EventRecorder>,
+        table: sync::Arc<dyn platform::TableClient>,
+    ) -> Self {
+        Self {
+            incarnation: id::fresh_incarnation(),
+            metrics: metric::MetricSet::default(),
+            config: config::ConfigKeeper::new(
+                sync::Arc::clone(&table),
+                sync::Arc::clone(&recorder),
+            ),
+            records: record::RecordKeeper::new(
+                table,
+                sync::Arc::clone(&recorder),
+                settings.name.clone(),
+            ),
+            recorder,
+            upstreams: upstream::UpstreamView::default(),
+            members: member::MemberView::default(),
+            engines: client::HttpClient::for_engines(),
+            services: client::HttpClient::for_services(),
+            stopping: atomic::AtomicBool::new(false),
+            turn: atomic::AtomicUsize::new(0),
+            settings,
+        }
+    }
+
+    /// Tells whether callers may be sent to this node.
+    pub fn is_serving(&self) -> bool {
+        self.config.version() > 0 && !self.stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns a number that grows with each call.
+    pub fn next_turn(&self) -> usize {
+        self.turn.fetch_add(1, atomic::Ordering::Relaxed)
+    }
+
+    fn heartbeat(&self) -> member::PeerHeartbeat {
+        member::PeerHeartbeat {
+            name: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            region: self.settings.region.clone(),
+            domain: self.settings.domain.clone(),
+            callers: self.settings.callers,
+            peers: self.settings.peers,
+            version: self.config.version(),
+            serving: self.is_serving(),
+        }
+    }
+}
+
+/// Counts a request as in flight while it lives.
+pub struct FlightCount {
+    core: sync::Arc<NodeCore>,
+}
+
+impl FlightCount {
+    /// Counts a request.
+    pub fn new(core: &sync::Arc<NodeCore>) -> Self {
+        core.metrics.in_flight.inc();
+        Self {
+            core: sync::Arc::clone(core),
+        }
+    }
+}
+
+impl Drop for FlightCount {
+    fn drop(&mut self) {
+        self.core.metrics.in_flight.dec();
+    }
+}
+
+/// Runs a node until `stop` changes, then stops gracefully.
+///
+/// # Errors
+///
+/// [`NodeError`] when a listener cannot be opened.
+pub async fn run(
+    settings: settings::NodeSettings,
+    logger: slog::Logger,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), NodeError> {
+    let recorder = sync::Arc::new(event::EventRecorder::new(logger));
+    let table = sync::Arc::new(platform::HttpPlatform::new(settings.platform));
+    let core = sync::Arc::new(NodeCore::new(settings, recorder, table));
+    let (transport, received) =
+        peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
+    let callers = listen(core.settings.callers).await?;
+    let operators = listen(core.settings.operators).await?;
+    let (closing, closed) = watch::channel(false);
+    let name = core.settings.name.clone();
+    core.recorder.record(
+        event::EventCode::NodeStarted,
+        &name,
+        core.settings.callers.to_string(),
+    );
+
+    let loops = [
+        tokio::spawn(keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(keep_reports(sync::Arc::clone(&core))),
+        tokio::spawn(keep_members(sync::Arc::clone(&core), transport, received)),
+    ];
+    let serve_callers = tokio::spawn(serve(
+        callers,
+        sync::Arc::clone(&core),
+        closed.clone(),
+        caller::answer,
+    ));
+    let serve_operators = tokio::spawn(serve(
+        operators,
+        sync::Arc::clone(&core),
+        closed,
+        operate::answer,
+    ));
+
+    // An error means that the sender is gone, which also ends the node.
+    let _ = stop.wait_for(|stop| *stop).await;
+    core.stopping.store(true, atomic::Ordering::Relaxed);
+    core.recorder.record(event::EventCode::StopBegan, &name, "");
+    // Callers may hold an answer that names this node until it runs out.
+    time::sleep(core.settings.answer_keep_ms).await;
+    let _ = closing.send(true);
+    let _ = time::timeout(core.settings.stop_limit_ms, serve_callers).await;
+    core.recorder
+        .record(event::EventCode::StopFinished, &name, "");
+    serve_operators.abort();
+    for task in loops {
+        task.abort();
+    }
+    Ok(())
+}
+
+async fn listen(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
+    tokio::net::TcpListener::bind(address)
+        .await
+        .map_err(|error| NodeError::Listen {
+            address,
+            reason: error.to_string(),
+        })
+}
+
+/// Serves connections until `closed`, then lets each finish by its own rules.
+async fn serve<A, F>(
+    listener: tokio::net::TcpListener,
+    core: sync::Arc<NodeCore>,
+    mut closed: watch::Receiver<bool>,
+    answer: A,
+) where
+    A: Fn(sync::Arc<NodeCore>, http::Request<body::Incoming>) -> F + Copy + Send + 'static,
+    F: future::Future<Output = Result<caller::CallerAnswer, std::convert::Infallible>>
+        + Send
+        + 'static,
+{
+    let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(HEAD_TIME_LIMIT);
+    builder.http2().timer(rt::TokioTimer::new());
+    let watcher = graceful::GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.wait_for(|closed| *closed) => break,
+        };
+        let Ok((socket, _)) = accepted else {
+            // Too many open files: wait for some to close.
+            time::sleep(std_time::Duration::from_millis(20)).await;
+            continue;
+        };
+        // Without it small writes would wait for acknowledgements.
+        let _ = socket.set_nodelay(true);
+        let core = sync::Arc::clone(&core);
+        let service = tower::service_fn(move |request| answer(sync::Arc::clone(&core), request));
+        let service = hyper_util::service::TowerToHyperService::new(service);
+        let connection = builder
+            .serve_connection(rt::TokioIo::new(socket), service)
+            .into_owned();
+        let connection = watcher.watch(connection);
+        // A broken connection concerns its caller alone.
+        tokio::spawn(async move { drop(connection.await) });
+    }
+    watcher.shutdown().await;
+}
+
+async fn keep_config(core: sync::Arc<NodeCore>) {
+    let mut ticks = time::interval(CONFIG_PERIOD);
+    let mut ready = false;
+    loop {
+        ticks.tick().await;
+        // During an outage the last document stays in force.
+        let _ = core.config.refresh().await;
+        if !ready && core.is_serving() {
+            ready = true;
+            core.recorder
+                .record(event::EventCode::NodeReady, &core.settings.name, "");
+        }
+    }
+}
+
+async fn keep_reports(core: sync::Arc<NodeCore>) {
+    let mut ticks = time::interval(REPORT_PERIOD);
+    loop {
+        ticks.tick().await;
+        let Some(config) = core.config.current() else {
+            continue;
+        };
+        let runners = config
+            .document
+            .upstreams
+            .iter()
+            .filter(|spec| spec.capacity_layers > 0);
+        for spec in runners {
+            let core = sync::Arc::clone(&core);
+            let name = spec.name.clone();
+            let address = spec.address;
+            tokio::spawn(async move { ask_report(&core, &name, address).await });
+        }
+    }
+}
+
+async fn ask_report(core: &NodeCore, name: &str, address: net::SocketAddr) {
+    let asked = core
+        .engines
+        .get_json::<upstream::EngineReport>(address, upstream::REPORT_PATH);
+    let report = match time::timeout(REPORT_TIME_LIMIT, asked).await {
+        Ok(Ok(report)) => Some(report),
+        Ok(Err(_)) | Err(_) => None,
+    };
+    let now = time::Instant::now();
+    let found = core.upstreams.change(name, address, |state| {
+        let had = state.report.is_some();
+        let has = report.is_some();
+        state.report = report.map(|report| (report, now));
+        (had != has).then_some(has)
+    });
+    let code = match found {
+        Some(true) => event::EventCode::UpstreamFound,
+        Some(false) => event::EventCode::UpstreamLost,
+        None => return,
+    };
+    core.recorder.record(code, name, address.to_string());
+}
+
+async fn keep_members(
+    core: sync::Arc<NodeCore>,
+    transport: peer::NngTransport,
+    mut received: mpsc::Receiver<Vec<u8>>,
+) {
+    let keys = core
+        .settings
+        .peer_keys
+        .iter()
+        .filter_map(|key| settings::decode_key(key));
+    let signer = peer::MessageSigner::new(keys.collect());
+    let mut ticks = time::interval(member::HEARTBEAT_PERIOD);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => beat(&core, &signer, &transport),
+            message = received.recv() => {
+                let Some(message) = message else { return };
+                hear(&core, &signer, &message);
+            }
+        }
+    }
+}
+
+fn beat(core: &NodeCore, signer: &peer::MessageSigner, transport: &dyn peer::PeerTransport) {
+    let now = time::Instant::now();
+    let heartbeat = core.heartbeat();
+    core.members.hear(heartbeat.clone(), now);
+    for name in core.members.expire(now) {
+        core.recorder
+            .record(event::EventCode::PeerGone, &name, "silent");
+    }
+    let sealed = postcard::to_stdvec(&heartbeat)
+        .ok()
+        .and_then(|message| signer.seal(&message));
+    let Some(sealed) = sealed else { return };
+    let mut targets = core.settings.seeds.clone();
+    targets.extend(core.members.alive().iter().map(|member| member.peers));
+    targets.sort_unstable();
+    targets.dedup();
+    for target in targets {
+        if target != core.settings.peers {
+            transport.send(target, &sealed);
+        }
+    }
+}
+
+fn hear(core: &NodeCore, signer: &peer::MessageSigner, message: &[u8]) {
+    let heartbeat = signer
+        .open(message)
+        .and_then(|message| postcard::from_bytes::<member::PeerHeartbeat>(message).ok());
+    let Some(heartbeat) = heartbeat else { return };
+    let name = heartbeat.name.clone();
+    if core.members.hear(heartbeat, time::Instant::now()) {
+        core.recorder
+            .record(event::EventCode::PeerAlive, &name, "heard");
+    }
+}
--- /dev/null
+++ b/arbutusfold/tests/events.rs
@@ -0,0 +1,25 @@
+//! The catalogue of events in the docs lists just the events of the code.
+
+#![allow(clippy::unwrap_used)]
+
+use arbutusfold::event;
+
+#[test]
+fn catalogue_lists_every_event() {
+    let catalogue = include_str!("../../docs/EVENTS.md");
+    let listed: Vec<_> = catalogue
+        .lines()
+        .filter_map(|line| line.strip_prefix("| "))
+        .filter(|line| line.starts_with(|first: char| first.is_ascii_digit()))
+        .map(|line| {
+            let mut cells = line.split('|').map(str::trim);
+            let number: u16 = cells.next().unwrap().parse().unwrap();
+            (number, cells.next().unwrap().to_owned())
+        })
+        .collect();
+    let coded: Vec<_> = event::EventCode::ALL
+        .iter()
+        .map(|code| (code.number(), code.name().to_owned()))
+        .collect();
+    assert_eq!(listed, coded);
+}
--- /dev/null
+++ b/arbutusfold/tests/stream.rs
@@ -0,0 +1,91 @@
+//! A token reaches the caller only with proof of its passage.
+
+#![allow(clippy::unwrap_used)]
+
+use arbutusfold::{stream, upstream};
+
+const LAYERS: u32 = 8;
+
+fn range(from: u32, to: u32) -> upstream::LayerRange {
+    upstream::LayerRange { from, to }
+}
+
+fn stage(incarnation: u64, from: u32, to: u32) -> upstream::RouteStage {
+    upstream::RouteStage {
+        upstream: format!("runner-{incarnation}"),
+        incarnation,
+        address: "127.0.0.1:1".parse().unwrap(),
+        layers: range(from, to),
+    }
+}
+
+fn token(attempt: u32, index: u32, proof: &[(u64, u32, u32)]) -> upstream::StageToken {
+    upstream::StageToken {
+        request: "r".to_owned(),
+        attempt,
+        index,
+        text: " veil".to_owned(),
+        proof: proof
+            .iter()
+            .map(|&(incarnation, from, to)| upstream::StageStamp {
+                incarnation,
+                layers: range(from, to),
+            })
+            .collect(),
+        finish: None,
+    }
+}
+
+fn answer() -> stream::AnswerState {
+    let mut answer = stream::AnswerState::new("r".to_owned(), LAYERS);
+    answer.begin(vec![stage(1, 0, 4), stage(2, 4, 8)]);
+    answer
+}
+
+#[test]
+fn whole_passage_is_accepted() {
+    let mut answer = answer();
+    assert_eq!(answer.accept(&token(1, 0, &[(1, 0, 4), (2, 4, 8)])), Ok(()));
+    assert_eq!(answer.delivered().len(), 1);
+}
+
+#[test]
+fn broken_passages_are_refused() {
+    let broken: [&[(u64, u32, u32)]; 6] = [
+        &[],
+        &[(1, 0, 4)],
+        &[(1, 0, 4), (2, 5, 8)],
+        &[(2, 4, 8), (1, 0, 4)],
+        &[(1, 0, 4), (1, 0, 4), (2, 4, 8)],
+        &[(1, 0, 4), (3, 4, 8)],
+    ];
+    for proof in broken {
+        let refused = answer().accept(&token(1, 0, proof));
+        assert_eq!(refused, Err(stream::ProofError::Passage), "{proof:?}");
+    }
+}
+
+#[test]
+fn late_crossed_and_doubled_tokens_are_refused() {
+    let whole: &[(u64, u32, u32)] = &[(1, 0, 4), (2, 4, 8)];
+    let mut answer = answer();
+    assert_eq!(answer.accept(&token(1, 0, whole)), Ok(()));
+    assert_eq!(
+        answer.accept(&token(1, 0, whole)),
+        Err(stream::ProofError::Index {
+            found: 0,
+            expected: 1
+        })
+    );
+    let mut crossed = token(1, 1, whole);
+    crossed.request = "other".to_owned();
+    assert!(matches!(
+        answer.accept(&crossed),
+        Err(stream::ProofError::Crossed { .. })
+    ));
+    answer.begin(vec![stage(1, 0, 4), stage(2, 4, 8)]);
+    assert_eq!(
+        answer.accept(&token(1, 1, whole)),
+        Err(stream::ProofError::Late { found: 1 })
+    );
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Small stand-ins for the platform, model engines and plain services.
+
+pub mod engine;
+pub mod fault;
+pub mod fleet;
+pub mod model;
+pub mod platform;
+pub mod server;
+pub mod service;
