Decide admission, shared limits, retries, breakers and permits

Cause: every request ran at once, in any number, as often as its caller and the upstreams' failures made it; one request could crash upstream after upstream.

Change: plain state machines, not yet called by the node. A gate with start-time fair queues over organisations inside three priorities, refusals at once by expected finish, a bounded queue that turns away the heaviest. Limits over the fleet by shares that one keeper lends for a time. Retry budgets, breakers with a cap, a concurrency limit with two policies to measure. Two permits a fingerprint, kept by two nodes: a crash burns the permit of its run, so one request crashes at most two upstreams.

Ruled out: permits in the table service (every first run would be a write; the store takes several hundred a second) and asking only after the first crash (several nodes may run a request at its first sight).

--- a/arbutusfold/src/id.rs
+++ b/arbutusfold/src/id.rs
@@ -42,6 +42,9 @@
 /// Version of the configuration document, from 1; 0 stands for none.
 pub type DocumentVersion = u64;
 
+/// Number of a request inside its node, from 1.
+pub type TicketNumber = u64;
+
 /// Returns a fresh request id of 128 random bits in hexadecimal.
 pub fn fresh_request() -> RequestId {
     format!("{:032x}", rand::random::<u128>())
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -21,22 +21,29 @@
 //! # Ok::<(), arbutusfold::settings::SettingsError>(())
 //! ```
 
+pub mod admission;
+pub mod breaker;
 pub mod caller;
 pub mod client;
 pub mod complete;
+pub mod concurrency;
 pub mod config;
 pub mod document;
 pub mod event;
 pub mod id;
+pub mod limit;
 pub mod member;
 pub mod metric;
 pub mod node;
 pub mod operate;
 pub mod peer;
 pub mod platform;
+pub mod queue;
 pub mod record;
+pub mod retry;
 pub mod route;
 pub mod service;
 pub mod settings;
 pub mod stream;
+pub mod suspect;
 pub mod upstream;
--- /dev/null
+++ b/arbutusfold/src/suspect.rs
@@ -0,0 +1,185 @@
+//! Requests that crash upstreams: permits bound how many one request can crash.
+//!
+//! A request that has not been answered before runs only under a permit for
+//! its fingerprint. Two permits exist in the fleet, kept by two nodes; a
+//! crash burns the permit of the run for good. So one request with all its
+//! resends crashes at most two upstreams, whichever nodes run it and whatever
+//! messages are lost.
+
+pub mod claim;
+pub mod host;
+pub mod isolation;
+pub mod permit;
+
+use std::time as std_time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// Permits for one fingerprint in the fleet: the most upstreams it can crash.
+pub const PERMITS: usize = 2;
+
+/// Time for which a burnt permit is remembered after its last use.
+pub const BURNT_LIFE: std_time::Duration = std_time::Duration::from_secs(3_600);
+
+/// Time for which a request that was answered needs no permit.
+pub const PROVEN_LIFE: std_time::Duration = std_time::Duration::from_secs(600);
+
+/// Length of a fingerprint in bytes.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// Digest of what a request asks, the same for each of its resends.
+pub type RequestFingerprint = [u8; FINGERPRINT_BYTES];
+
+/// Number of a run inside its node.
+pub type RunNumber = u64;
+
+/// An upstream's process that died.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// Upstream.
+    pub upstream: id::UpstreamName,
+    /// Incarnation that died.
+    pub incarnation: id::IncarnationNumber,
+}
+
+/// A permit that a crash used up.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct BurntPermit {
+    /// Node that kept the permit; empty for a run that needed none.
+    pub keeper: id::HostName,
+    /// What the run crashed.
+    pub mark: CrashMark,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunEnd {
+    /// Its answer is complete.
+    Answered,
+    /// It ended otherwise, and no upstream died under it.
+    Harmless,
+    /// An upstream died under it.
+    Crashed(CrashMark),
+}
+
+/// A keeper's answer to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitVerdict {
+    /// The run may start.
+    Granted,
+    /// Another run holds the permit.
+    Busy,
+    /// This node has no permit to give for the request.
+    Elsewhere,
+    /// Every permit is burnt.
+    Quarantined,
+}
+
+/// Message between nodes about permits and suspects.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SuspectMessage {
+    /// To a keeper: a run asks for a permit.
+    Claim(PermitClaim),
+    /// From a keeper.
+    Verdict {
+        /// Run that asked.
+        run: RunNumber,
+        /// Answer.
+        verdict: PermitVerdict,
+        /// Burnt permits that the keeper knows of.
+        burnt: Vec<BurntPermit>,
+    },
+    /// To a keeper: a run ended.
+    End {
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
+        /// Run that ended.
+        run: RunNumber,
+        /// How.
+        end: RunEnd,
+    },
+    /// To the nodes of an organisation: a permit was burnt.
+    Burnt {
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
+        /// Organisation that sent it.
+        organisation: id::OrganisationName,
+        /// Run that ended, for the answer; 0 when none is awaited.
+        run: RunNumber,
+        /// The permit.
+        permit: BurntPermit,
+    },
+    /// Answer to an end, which need not be sent again.
+    Noted(RunNumber),
+    /// Answer to a burnt permit, which need not be sent again.
+    BurntNoted(RunNumber),
+    /// To the nodes of an organisation: the upstream had not died after all.
+    Withdrawn {
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
+        /// What was thought to have died.
+        mark: CrashMark,
+    },
+    /// To the node that isolates suspects.
+    Isolate(isolation::IsolationCall),
+    /// From the node that isolates suspects.
+    Isolated(isolation::IsolationAnswer),
+}
+
+/// A run that asks for a permit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitClaim {
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
+    /// Organisation that sent the request.
+    pub organisation: id::OrganisationName,
+    /// Run that asks.
+    pub run: RunNumber,
+    /// Longest time that the run can last.
+    pub lasts: std_time::Duration,
+    /// Burnt permits that the asking node knows of.
+    pub burnt: Vec<BurntPermit>,
+}
+
+/// Returns the fingerprint of a request to a model or service.
+pub fn fingerprint(organisation: &str, target: &str, body: &[u8]) -> RequestFingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for part in [organisation.as_bytes(), target.as_bytes()] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.update(body);
+    let mut fingerprint = RequestFingerprint::default();
+    hasher.finalize_xof().fill(&mut fingerprint);
+    fingerprint
+}
+
+/// Returns the nodes that keep the permits of a fingerprint, first one first.
+///
+/// A lone node keeps both.
+pub fn keepers(
+    fingerprint: &RequestFingerprint,
+    assigned: &[id::HostName],
+) -> [id::HostName; PERMITS] {
+    let mut ranked: Vec<_> = assigned
+        .iter()
+        .map(|host| (rank(fingerprint, host), host))
+        .collect();
+    ranked.sort_unstable();
+    let keeper = |place: usize| {
+        ranked
+            .get(place)
+            .or(ranked.first())
+            .map_or_else(id::HostName::new, |(_, host)| (*host).clone())
+    };
+    [keeper(0), keeper(1)]
+}
+
+fn rank(fingerprint: &RequestFingerprint, host: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(fingerprint);
+    hasher.update(host.as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/arbutusfold/tests/limit.rs
@@ -0,0 +1,202 @@
+//! Shares of a limit never add up to more than the limit.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time as std_time;
+
+use arbutusfold::limit::{self, ShareRate, holder, keeper, pacer};
+use tokio::time;
+
+const LIMIT: ShareRate = ShareRate {
+    requests: 100,
+    tokens: 0,
+};
+
+fn ask(organisation: &str, nodes: usize) -> holder::ShareRequest<'_> {
+    holder::ShareRequest {
+        organisation,
+        limit: LIMIT,
+        nodes,
+        tokens: 10,
+        waited: std_time::Duration::ZERO,
+    }
+}
+
+fn entry(requests: u64, held: u64, applied: u64) -> limit::DemandEntry {
+    limit::DemandEntry {
+        organisation: "a".to_owned(),
+        wanted: ShareRate {
+            requests,
+            tokens: 0,
+        },
+        held: ShareRate {
+            requests: held,
+            tokens: 0,
+        },
+        applied,
+        released: false,
+    }
+}
+
+fn hosts(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_pacer_lets_no_more_than_its_rate_pass_in_any_second() {
+    for (rate, allowed) in [(1, 1), (5, 5), (19, 19), (20, 21), (1_000, 1_051)] {
+        let mut now = time::Instant::now();
+        let mut pacer = pacer::RatePacer::new(rate as f64, now);
+        let mut passed = Vec::new();
+        for step in 0..5_000 {
+            now += std_time::Duration::from_millis(1);
+            let idle = (1_000..1_700).contains(&step);
+            while !idle && pacer.wait(now) == Some(std_time::Duration::ZERO) {
+                pacer.take(1.0, now);
+                passed.push(step);
+            }
+        }
+        let most = passed
+            .iter()
+            .map(|from| {
+                passed
+                    .iter()
+                    .filter(|at| (*from..from + 1_000).contains(*at))
+                    .count()
+            })
+            .max()
+            .unwrap();
+        assert!(most <= allowed, "{most} at rate {rate}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_hears_no_keeper_falls_to_its_floor() {
+    let mut now = time::Instant::now();
+    let mut holder = holder::ShareHolder::default();
+    holder.ask(&ask("a", 3), now);
+    let report = holder.report(now);
+    let rate = ShareRate {
+        requests: 60,
+        tokens: 0,
+    };
+    let entries = vec![limit::GrantEntry {
+        organisation: "a".to_owned(),
+        rate,
+    }];
+    let grant = limit::GrantReport {
+        number: report.number,
+        entries,
+    };
+    holder.hear(&grant, now + std_time::Duration::from_secs(1));
+    now += limit::SHARE_LEASE - std_time::Duration::from_millis(1);
+    assert_eq!(holder.report(now).entries[0].held.requests, 60);
+    now += std_time::Duration::from_millis(1);
+    assert_eq!(holder.report(now).entries[0].held.requests, 0);
+    now += std_time::Duration::from_secs(1);
+    let passed = (0..1_000)
+        .filter(|step| {
+            let at = now + std_time::Duration::from_millis(*step);
+            let verdict = holder.ask(&ask("a", 3), at);
+            if matches!(verdict, holder::ShareVerdict::Wait(_)) {
+                holder.withdraw("a", 10);
+            }
+            verdict == holder::ShareVerdict::Pass
+        })
+        .count();
+    assert!(passed <= 3, "{passed} passed at a floor of 3");
+    // The same answer, come again, is of no use after its time.
+    holder.hear(&grant, now);
+    assert_eq!(holder.report(now).entries[0].held.requests, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_share_is_not_lent_again_before_its_holder_let_it_go() {
+    let began = time::Instant::now();
+    let now = began + std_time::Duration::from_secs(60);
+    let names = hosts(&["n1", "n2", "n3"]);
+    let view = keeper::KeeperView {
+        limit: LIMIT,
+        assigned: &names,
+        alive: &names,
+        settled: began,
+    };
+    let pool = limit::pool_of(LIMIT, 3).requests;
+    let mut keeper = keeper::ShareKeeper::default();
+    let first = keeper.hear("n1", 1, &entry(500, 0, 0), &view, now);
+    assert_eq!(first.rate.requests, pool);
+    let second = keeper.hear("n2", 1, &entry(500, 0, 0), &view, now);
+    assert_eq!(second.rate.requests, 0);
+    let first = keeper.hear("n1", 2, &entry(500, pool, 1), &view, now);
+    assert_eq!(first.rate.requests, pool / 2);
+    // The first node has not said that it took the smaller share.
+    let second = keeper.hear("n2", 2, &entry(500, 0, 1), &view, now);
+    assert_eq!(second.rate.requests, 0);
+    keeper.hear("n1", 3, &entry(500, pool / 2, 2), &view, now);
+    let second = keeper.hear("n2", 3, &entry(500, 0, 2), &view, now);
+    assert_eq!(second.rate.requests, pool / 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_keeper_lends_no_more_than_was_lent_before() {
+    let began = time::Instant::now();
+    let names = hosts(&["n1", "n2"]);
+    let view = keeper::KeeperView {
+        limit: LIMIT,
+        assigned: &names,
+        alive: &names,
+        settled: began,
+    };
+    let mut keeper = keeper::ShareKeeper::default();
+    let grant = keeper.hear("n1", 7, &entry(500, 30, 6), &view, began);
+    assert_eq!(grant.rate.requests, 30);
+    let later = began + limit::SHARE_LEASE;
+    let grant = keeper.hear("n1", 11, &entry(500, 30, 10), &view, later);
+    assert_eq!(grant.rate.requests, limit::pool_of(LIMIT, 2).requests);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_keeper_cut_off_from_most_nodes_lends_nothing() {
+    let began = time::Instant::now();
+    let now = began + std_time::Duration::from_secs(60);
+    let names = hosts(&["n1", "n2", "n3"]);
+    let mut keeper = keeper::ShareKeeper::default();
+    let whole = keeper::KeeperView {
+        limit: LIMIT,
+        assigned: &names,
+        alive: &names,
+        settled: began,
+    };
+    keeper.hear("n1", 1, &entry(50, 0, 0), &whole, now);
+    let left = hosts(&["n1"]);
+    let alone = keeper::KeeperView {
+        assigned: &left,
+        alive: &left,
+        ..whole
+    };
+    let grant = keeper.hear("n1", 2, &entry(50, 0, 1), &alone, now);
+    assert_eq!(grant.rate.requests, 0);
+    let grant = keeper.hear("n1", 3, &entry(50, 0, 2), &whole, now);
+    assert!(grant.rate.requests > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_burst_waits_in_order_and_a_flood_is_refused_at_once() {
+    let now = time::Instant::now();
+    let mut holder = holder::ShareHolder::default();
+    let request = holder::ShareRequest {
+        limit: ShareRate {
+            requests: 1_000,
+            tokens: 0,
+        },
+        ..ask("a", 10)
+    };
+    assert_eq!(holder.ask(&request, now), holder::ShareVerdict::Pass);
+    let waits: Vec<_> = (0..12).map(|_| holder.ask(&request, now)).collect();
+    let millis = |millis| holder::ShareVerdict::Wait(std_time::Duration::from_millis(millis));
+    assert_eq!(waits[0], millis(100));
+    assert_eq!(waits[9], millis(1_000));
+    assert!(matches!(waits[10], holder::ShareVerdict::Refuse(_)));
+    holder.withdraw("a", 10);
+    assert_eq!(holder.ask(&request, now), millis(1_000));
+}
--- /dev/null
+++ b/arbutusfold/tests/suspect.rs
@@ -0,0 +1,207 @@
+//! Permits bound how many upstreams one request crashes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time as std_time;
+
+use arbutusfold::suspect::{self, claim, host, isolation, permit};
+use tokio::time;
+
+const LASTS: std_time::Duration = std_time::Duration::from_secs(60);
+
+struct Assigned(Vec<String>);
+
+impl host::AssignedNodes for Assigned {
+    fn assigned(&self, _organisation: &str) -> Vec<String> {
+        self.0.clone()
+    }
+}
+
+fn hosts(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn print() -> suspect::RequestFingerprint {
+    suspect::fingerprint("novia-lima", "assistant", b"airbrush")
+}
+
+fn mark(upstream: &str) -> suspect::CrashMark {
+    suspect::CrashMark {
+        upstream: upstream.to_owned(),
+        incarnation: 1,
+    }
+}
+
+fn ask(run: u64, burnt: &[suspect::BurntPermit]) -> suspect::PermitClaim {
+    suspect::PermitClaim {
+        fingerprint: print(),
+        organisation: "novia-lima".to_owned(),
+        run,
+        lasts: LASTS,
+        burnt: burnt.to_vec(),
+    }
+}
+
+#[test]
+fn fingerprints_follow_what_is_asked() {
+    let same = suspect::fingerprint("novia-lima", "assistant", b"airbrush");
+    assert_eq!(print(), same);
+    let others = [
+        suspect::fingerprint("te-ara", "assistant", b"airbrush"),
+        suspect::fingerprint("novia-lima", "other", b"airbrush"),
+        suspect::fingerprint("novia-lima", "assistant", b"traditional"),
+        suspect::fingerprint("novia-limaa", "ssistant", b"airbrush"),
+    ];
+    assert!(others.iter().all(|other| *other != print()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_permit_is_held_by_one_run_and_burnt_by_a_crash() {
+    let now = time::Instant::now();
+    let keepers = hosts(&["n1", "n2"]);
+    let mut keeper = permit::PermitKeeper::new("n1".to_owned());
+    let claim = |keeper: &mut permit::PermitKeeper, from: &str, run| {
+        keeper.claim(from, &ask(run, &[]), &keepers, now)
+    };
+    assert_eq!(claim(&mut keeper, "n3", 1), suspect::PermitVerdict::Granted);
+    // The same run asks again because the answer was lost.
+    assert_eq!(claim(&mut keeper, "n3", 1), suspect::PermitVerdict::Granted);
+    assert_eq!(claim(&mut keeper, "n4", 1), suspect::PermitVerdict::Busy);
+    let crashed = suspect::RunEnd::Crashed(mark("u1"));
+    keeper.end("n3", &print(), 1, &crashed, now);
+    keeper.end("n3", &print(), 1, &crashed, now);
+    assert_eq!(keeper.burnt(&print()).len(), 1);
+    assert_eq!(
+        claim(&mut keeper, "n4", 1),
+        suspect::PermitVerdict::Elsewhere
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_clears_a_request_and_a_run_never_ended_burns() {
+    let mut now = time::Instant::now();
+    let keepers = hosts(&["n1", "n2"]);
+    let mut keeper = permit::PermitKeeper::new("n1".to_owned());
+    keeper.claim("n3", &ask(1, &[]), &keepers, now);
+    now += LASTS;
+    keeper.tick(now);
+    assert_eq!(keeper.burnt(&print()).len(), 1);
+    keeper.note_answered(&print(), now);
+    assert_eq!(
+        keeper.claim("n3", &ask(2, &[]), &keepers, now),
+        suspect::PermitVerdict::Granted
+    );
+    // What was answered lately runs as often as it is asked for.
+    assert_eq!(
+        keeper.claim("n4", &ask(3, &[]), &keepers, now),
+        suspect::PermitVerdict::Granted
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_keeper_in_a_dead_ones_place_adds_no_permit() {
+    let now = time::Instant::now();
+    let burnt = [suspect::BurntPermit {
+        keeper: "dead".to_owned(),
+        mark: mark("u1"),
+    }];
+    let keepers = hosts(&["n2", "n3"]);
+    let mut second = permit::PermitKeeper::new("n2".to_owned());
+    let mut fresh = permit::PermitKeeper::new("n3".to_owned());
+    assert_eq!(
+        fresh.claim("n4", &ask(1, &burnt), &keepers, now),
+        suspect::PermitVerdict::Elsewhere
+    );
+    assert_eq!(
+        second.claim("n4", &ask(1, &burnt), &keepers, now),
+        suspect::PermitVerdict::Granted
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lone_node_gives_two_permits_and_then_none() {
+    let now = time::Instant::now();
+    let nodes = Assigned(hosts(&["n1"]));
+    let mut node = host::SuspectHost::new("n1".to_owned(), 1);
+    let mut verdicts = Vec::new();
+    for upstream in ["u1", "u2", "u3"] {
+        let run = node.number();
+        let request = claim::RunRequest {
+            fingerprint: print(),
+            organisation: "novia-lima".to_owned(),
+            assigned: nodes.0.clone(),
+            lasts: LASTS,
+        };
+        let event = host::SuspectEvent::Begin(run, request);
+        verdicts.extend(node.handle(event, &nodes, now));
+        let end = suspect::RunEnd::Crashed(mark(upstream));
+        node.handle(host::SuspectEvent::End(run, end), &nodes, now);
+    }
+    assert_eq!(
+        verdicts,
+        [
+            claim::ClaimAction::Start(2),
+            claim::ClaimAction::Start(3),
+            claim::ClaimAction::Refuse(4, claim::RunRefusal::Quarantined),
+        ]
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_crash_that_was_none_gives_the_permit_back() {
+    let now = time::Instant::now();
+    let nodes = Assigned(hosts(&["n1"]));
+    let mut node = host::SuspectHost::new("n1".to_owned(), 1);
+    let permit = suspect::BurntPermit {
+        keeper: "n1".to_owned(),
+        mark: mark("u1"),
+    };
+    let message = suspect::SuspectMessage::Burnt {
+        fingerprint: print(),
+        organisation: "novia-lima".to_owned(),
+        run: 0,
+        permit,
+    };
+    node.handle(
+        host::SuspectEvent::Hear("n1".to_owned(), message),
+        &nodes,
+        now,
+    );
+    assert!(node.is_suspect(&print()));
+    let event = host::SuspectEvent::Withdraw {
+        fingerprint: print(),
+        organisation: "novia-lima".to_owned(),
+        mark: mark("u1"),
+    };
+    node.handle(event, &nodes, now);
+    assert!(!node.is_suspect(&print()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn suspects_take_turns_and_avoid_those_that_went_on() {
+    let mut now = time::Instant::now();
+    let mut desk = isolation::IsolationDesk::default();
+    let turn = |run| isolation::IsolationCall::Turn { run, lasts: LASTS };
+    desk.hear("n1", turn(1), now);
+    let resume = isolation::IsolationCall::Resume {
+        run: 9,
+        upstreams: hosts(&["u2", "u5"]),
+        lasts: LASTS,
+    };
+    desk.hear("n2", resume, now);
+    now += std_time::Duration::from_millis(300);
+    let granted = isolation::IsolationAnswer::Turn {
+        run: 1,
+        avoid: hosts(&["u2", "u5"]),
+    };
+    assert_eq!(desk.hear("n1", turn(1), now), Some(granted));
+    let wait = isolation::IsolationAnswer::Wait(2);
+    assert_eq!(desk.hear("n2", turn(2), now), Some(wait));
+    desk.hear("n1", isolation::IsolationCall::End(1), now);
+    now += std_time::Duration::from_millis(300);
+    let answer = desk.hear("n2", turn(2), now);
+    assert!(matches!(
+        answer,
+        Some(isolation::IsolationAnswer::Turn { run: 2, .. })
+    ));
+}
