Post versioned, signed messages between nodes by kind

Cause: each slice that tells peers something needs one way to post it, and a recorded message could be sent again or to another host and be taken.

Change: an envelope with format, kind, sender, incarnation of sender and receiver and sequence; the receiver's address is part of what is signed. `post` to one host, `post_all` to every host by passing on to 8 at a time. A later format or an unknown kind is skipped.

Ruled out: a broadcast to all from one node, which at 400 nodes is 400 messages from one small host.

Conclusion: other slices can post; liveness is still all-to-all heartbeats.

--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -75,7 +75,9 @@
     /// Upstreams as this node knows them.
     pub upstreams: upstream::UpstreamView,
     /// Peers as this node knows them.
-    pub members: member::MemberView,
+    pub members: sync::Arc<member::MemberView>,
+    /// Messages to and from peers.
+    pub post: sync::Arc<peer::PeerPost>,
     /// Client of model engines.
     pub engines: client::HttpClient,
     /// Client of plain services.
@@ -91,8 +93,21 @@
         recorder: sync::Arc<event::EventRecorder>,
         table: sync::Arc<dyn platform::TableClient>,
     ) -> Self {
+        let incarnation = id::fresh_incarnation();
+        let members = sync::Arc::new(member::MemberView::default());
+        let keys = settings
+            .peer_keys
+            .iter()
+            .filter_map(|key| settings::decode_key(key));
+        let post = peer::PeerPost::new(
+            settings.name.clone(),
+            settings.peers,
+            incarnation,
+            peer::MessageSigner::new(keys.collect()),
+            sync::Arc::clone(&members),
+        );
         Self {
-            incarnation: id::fresh_incarnation(),
+            incarnation,
             metrics: metric::MetricSet::default(),
             config: config::ConfigKeeper::new(
                 sync::Arc::clone(&table),
@@ -105,7 +120,8 @@
             ),
             recorder,
             upstreams: upstream::UpstreamView::default(),
-            members: member::MemberView::default(),
+            members,
+            post: sync::Arc::new(post),
             engines: client::HttpClient::for_engines(),
             services: client::HttpClient::for_services(),
             stopping: atomic::AtomicBool::new(false),
@@ -174,6 +190,7 @@
     let core = sync::Arc::new(NodeCore::new(settings, recorder, table));
     let (transport, received) =
         peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
+    core.post.attach(sync::Arc::new(transport));
     let callers = listen(core.settings.callers).await?;
     let operators = listen(core.settings.operators).await?;
     let (closing, closed) = watch::channel(false);
@@ -187,7 +204,7 @@
     let loops = [
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
-        tokio::spawn(keep_members(sync::Arc::clone(&core), transport, received)),
+        tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
     ];
     let serve_callers = tokio::spawn(serve(
         callers,
@@ -275,10 +292,15 @@
 async fn keep_config(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(CONFIG_PERIOD);
     let mut ready = false;
+    let mut shared = 0;
     loop {
         ticks.tick().await;
         // During an outage the last document stays in force.
         let _ = core.config.refresh().await;
+        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
+            shared = config.version;
+            core.members.set_shares(member::shares(&config.document));
+        }
         if !ready && core.is_serving() {
             ready = true;
             core.recorder
@@ -331,30 +353,26 @@
     core.recorder.record(code, name, address.to_string());
 }
 
-async fn keep_members(
-    core: sync::Arc<NodeCore>,
-    transport: peer::NngTransport,
-    mut received: mpsc::Receiver<Vec<u8>>,
-) {
-    let keys = core
-        .settings
-        .peer_keys
-        .iter()
-        .filter_map(|key| settings::decode_key(key));
-    let signer = peer::MessageSigner::new(keys.collect());
+async fn keep_members(core: sync::Arc<NodeCore>, mut received: mpsc::Receiver<Vec<u8>>) {
+    let handler = HeartbeatHandler {
+        core: sync::Arc::downgrade(&core),
+    };
+    core.post
+        .register(peer::MessageKind::Membership, sync::Arc::new(handler));
     let mut ticks = time::interval(member::HEARTBEAT_PERIOD);
     loop {
         tokio::select! {
-            _ = ticks.tick() => beat(&core, &signer, &transport),
+            _ = ticks.tick() => beat(&core),
             message = received.recv() => {
                 let Some(message) = message else { return };
-                hear(&core, &signer, &message);
+                // What cannot be opened is dropped, as if lost.
+                let _ = core.post.receive(&message);
             }
         }
     }
 }
 
-fn beat(core: &NodeCore, signer: &peer::MessageSigner, transport: &dyn peer::PeerTransport) {
+fn beat(core: &NodeCore) {
     let now = time::Instant::now();
     let heartbeat = core.heartbeat();
     core.members.hear(heartbeat.clone(), now);
@@ -362,29 +380,41 @@
         core.recorder
             .record(event::EventCode::PeerGone, &name, "silent");
     }
-    let sealed = postcard::to_stdvec(&heartbeat)
-        .ok()
-        .and_then(|message| signer.seal(&message));
-    let Some(sealed) = sealed else { return };
-    let mut targets = core.settings.seeds.clone();
-    targets.extend(core.members.alive().iter().map(|member| member.peers));
-    targets.sort_unstable();
-    targets.dedup();
-    for target in targets {
-        if target != core.settings.peers {
-            transport.send(target, &sealed);
-        }
+    let Ok(body) = postcard::to_stdvec(&heartbeat) else {
+        return;
+    };
+    let kind = peer::MessageKind::Membership;
+    let contacts = core.members.contacts();
+    for contact in &contacts {
+        core.post.post(&contact.host, kind, &body);
+    }
+    let unmet = core
+        .settings
+        .seeds
+        .iter()
+        .filter(|seed| contacts.iter().all(|contact| contact.address != **seed));
+    for seed in unmet {
+        core.post.post_to(*seed, 0, kind, &body);
     }
 }
 
-fn hear(core: &NodeCore, signer: &peer::MessageSigner, message: &[u8]) {
-    let heartbeat = signer
-        .open(message)
-        .and_then(|message| postcard::from_bytes::<member::PeerHeartbeat>(message).ok());
-    let Some(heartbeat) = heartbeat else { return };
-    let name = heartbeat.name.clone();
-    if core.members.hear(heartbeat, time::Instant::now()) {
-        core.recorder
-            .record(event::EventCode::PeerAlive, &name, "heard");
+/// Takes heartbeats of peers.
+struct HeartbeatHandler {
+    core: sync::Weak<NodeCore>,
+}
+
+impl peer::MessageHandler for HeartbeatHandler {
+    fn handle(&self, _sender: &str, body: &[u8]) {
+        let Some(core) = self.core.upgrade() else {
+            return;
+        };
+        let Ok(heartbeat) = postcard::from_bytes::<member::PeerHeartbeat>(body) else {
+            return;
+        };
+        let name = heartbeat.name.clone();
+        if core.members.hear(heartbeat, time::Instant::now()) {
+            core.recorder
+                .record(event::EventCode::PeerAlive, &name, "heard");
+        }
     }
 }
--- a/arbutusfold/src/peer.rs
+++ b/arbutusfold/src/peer.rs
@@ -1,138 +1,238 @@
-//! Signed messages between nodes over nng.
+//! Messages between nodes: how slices post them and take them.
 
 use std::collections;
 use std::net;
 use std::sync;
-use std::thread;
+use std::sync::atomic;
 
-use derive_more::{Display, Error};
-use nng::options::Options;
-use tokio::sync::mpsc;
+use rand::seq::IndexedRandom;
 
-/// Length of the code that ends each message, in bytes.
-const CODE_BYTES: usize = 32;
+use crate::id;
+use crate::member;
 
-/// Messages that may wait for one peer before more are dropped.
-const SEND_BUFFER_MESSAGES: i32 = 64;
+pub mod envelope;
+pub mod transport;
 
-/// Messages that may wait for the node's own loop before more are dropped.
-const RECEIVE_BUFFER_MESSAGES: usize = 4_096;
+pub use envelope::{MessageKind, MessageSigner, OpenError, PeerEnvelope, ReplayGuard, SpreadTag};
+pub use transport::{NngTransport, PeerError, PeerTransport};
 
-/// Why the transport could not start.
-#[derive(Debug, Display, Error)]
-#[display("peer transport on {address}: {reason}")]
-pub struct PeerError {
-    /// Address that was to be opened.
-    pub address: net::SocketAddr,
-    /// Cause.
-    pub reason: String,
-}
+/// Hosts to which one node passes a message that is meant for all.
+const SPREAD_HOSTS: usize = 8;
+
+/// How often a message that is meant for all is passed on.
+const SPREAD_HOPS: u8 = 6;
+
+/// Spread messages that are remembered so as not to take them twice.
+const SPREAD_MEMORY: usize = 4_096;
 
-/// Carries messages between nodes; a message may be lost.
-pub trait PeerTransport: Send + Sync {
-    /// Sends a message without waiting.
-    fn send(&self, to: net::SocketAddr, message: &[u8]);
+/// Takes messages of one kind.
+pub trait MessageHandler: Send + Sync {
+    /// Takes a message that `sender` began, without waiting.
+    fn handle(&self, sender: &str, body: &[u8]);
 }
 
-/// Signs messages and refuses those without a valid code.
-#[derive(Clone)]
-pub struct MessageSigner {
-    keys: Vec<[u8; 32]>,
+/// Where messages of this node are posted and those of peers arrive.
+pub struct PeerPost {
+    host: id::HostName,
+    address: net::SocketAddr,
+    incarnation: atomic::AtomicU64,
+    sequence: atomic::AtomicU64,
+    signer: MessageSigner,
+    members: sync::Arc<member::MemberView>,
+    transport: sync::OnceLock<sync::Arc<dyn PeerTransport>>,
+    guard: sync::Mutex<ReplayGuard>,
+    recent: sync::Mutex<collections::VecDeque<SpreadTag>>,
+    handlers: sync::Mutex<Vec<(MessageKind, sync::Arc<dyn MessageHandler>)>>,
 }
 
-impl MessageSigner {
-    /// Creates a signer; the first key signs, every key verifies.
-    pub fn new(keys: Vec<[u8; 32]>) -> Self {
-        Self { keys }
+impl PeerPost {
+    /// Creates the post of a host; messages are dropped until a transport is attached.
+    pub fn new(
+        host: id::HostName,
+        address: net::SocketAddr,
+        incarnation: id::IncarnationNumber,
+        signer: MessageSigner,
+        members: sync::Arc<member::MemberView>,
+    ) -> Self {
+        Self {
+            host,
+            address,
+            incarnation: atomic::AtomicU64::new(incarnation),
+            sequence: atomic::AtomicU64::new(0),
+            signer,
+            members,
+            transport: sync::OnceLock::new(),
+            guard: sync::Mutex::default(),
+            recent: sync::Mutex::default(),
+            handlers: sync::Mutex::default(),
+        }
     }
 
-    /// Returns the message with its code at the end.
-    pub fn seal(&self, message: &[u8]) -> Option<Vec<u8>> {
-        let key = self.keys.first()?;
-        let mut sealed = message.to_vec();
-        sealed.extend_from_slice(blake3::keyed_hash(key, message).as_bytes());
-        Some(sealed)
+    /// Attaches the transport; a second one is passed over.
+    pub fn attach(&self, transport: sync::Arc<dyn PeerTransport>) {
+        let _ = self.transport.set(transport);
     }
 
-    /// Returns the message without its code, if a key made that code.
-    pub fn open<'a>(&self, sealed: &'a [u8]) -> Option<&'a [u8]> {
-        let (message, code) = sealed.split_at_checked(sealed.len().checked_sub(CODE_BYTES)?)?;
-        let code: [u8; CODE_BYTES] = code.try_into().ok()?;
-        // Comparison of two hashes takes the same time whatever they hold.
-        self.keys
-            .iter()
-            .any(|key| blake3::keyed_hash(key, message) == blake3::Hash::from(code))
-            .then_some(message)
+    /// Registers the handler of a kind in place of an earlier one.
+    pub fn register(&self, kind: MessageKind, handler: sync::Arc<dyn MessageHandler>) {
+        let mut handlers = lock(&self.handlers);
+        handlers.retain(|(held, _)| *held != kind);
+        handlers.push((kind, handler));
     }
-}
 
-/// The transport over nng: one listening socket, one dialled socket a peer.
-pub struct NngTransport {
-    sockets: sync::Mutex<collections::HashMap<net::SocketAddr, nng::Socket>>,
-    _listener: nng::Socket,
-}
+    /// Posts a message to a member; it may be lost, and is when the host is unknown.
+    pub fn post(&self, to: &str, kind: MessageKind, body: &[u8]) {
+        if let Some(contact) = self.members.contact(to) {
+            self.send(contact.address, contact.incarnation, kind, None, body);
+        }
+    }
+
+    /// Posts a message to an address; only membership may be posted to a
+    /// host that was not met, whose incarnation is then 0.
+    pub fn post_to(
+        &self,
+        to: net::SocketAddr,
+        receiver: id::IncarnationNumber,
+        kind: MessageKind,
+        body: &[u8],
+    ) {
+        self.send(to, receiver, kind, None, body);
+    }
 
-impl NngTransport {
-    /// Listens on `address` and returns the transport with what it receives.
+    /// Posts a message to every member: each node passes it on to a few.
+    ///
+    /// A host may miss it, so its sender repeats what must be known.
+    pub fn post_all(&self, kind: MessageKind, body: &[u8]) {
+        let tag = SpreadTag {
+            origin: self.host.clone(),
+            incarnation: self.incarnation.load(atomic::Ordering::Relaxed),
+            number: self.next_sequence(),
+            hops: SPREAD_HOPS,
+        };
+        self.note_spread(&tag);
+        self.spread(&tag, kind, body);
+    }
+
+    /// Takes a message that arrived and hands it to the handler of its kind.
     ///
     /// # Errors
     ///
-    /// [`PeerError`] when the address cannot be opened.
-    pub fn open(address: net::SocketAddr) -> Result<(Self, mpsc::Receiver<Vec<u8>>), PeerError> {
-        let refuse = |error: nng::Error| PeerError {
-            address,
-            reason: error.to_string(),
-        };
-        let listener = nng::Socket::new(nng::Protocol::Pull0).map_err(refuse)?;
-        listener
-            .listen(&format!("tcp://{address}"))
-            .map_err(refuse)?;
-        let (sender, receiver) = mpsc::channel(RECEIVE_BUFFER_MESSAGES);
-        let socket = listener.clone();
-        thread::Builder::new()
-            .name("peer-receive".to_owned())
-            .spawn(move || receive(&socket, &sender))
-            .map_err(|error| PeerError {
-                address,
-                reason: error.to_string(),
-            })?;
-        let transport = Self {
-            sockets: sync::Mutex::default(),
-            _listener: listener,
-        };
-        Ok((transport, receiver))
+    /// [`OpenError`] tells why the message was not taken.
+    pub fn receive(&self, sealed: &[u8]) -> Result<(), OpenError> {
+        let envelope = self.signer.open(self.address, sealed)?;
+        let own = self.incarnation.load(atomic::Ordering::Relaxed);
+        let unmet = envelope.receiver == 0;
+        let first_meeting = unmet && envelope.kind == MessageKind::Membership.number();
+        if envelope.receiver != own && !first_meeting {
+            return Err(OpenError::Receiver);
+        }
+        let fresh =
+            lock(&self.guard).accept(&envelope.sender, envelope.incarnation, envelope.sequence);
+        if !fresh || envelope.sender == self.host {
+            return Err(OpenError::Replay);
+        }
+        let kind = MessageKind::of(envelope.kind).ok_or(OpenError::Kind)?;
+        if let Some(tag) = &envelope.spread {
+            if !self.note_spread(tag) {
+                return Ok(());
+            }
+            self.pass_on(tag, kind, &envelope.body);
+            self.hand_over(kind, &tag.origin, &envelope.body);
+            return Ok(());
+        }
+        self.hand_over(kind, &envelope.sender, &envelope.body);
+        Ok(())
     }
-}
 
-fn receive(socket: &nng::Socket, sender: &mpsc::Sender<Vec<u8>>) {
-    while let Ok(message) = socket.recv() {
-        let full = sender.try_send(message.as_slice().to_vec());
-        if matches!(full, Err(mpsc::error::TrySendError::Closed(_))) {
-            return;
+    /// Replaces the incarnation under which this host sends.
+    pub fn raise(&self, incarnation: id::IncarnationNumber) {
+        self.incarnation
+            .fetch_max(incarnation, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the incarnation under which this host sends.
+    pub fn incarnation(&self) -> id::IncarnationNumber {
+        self.incarnation.load(atomic::Ordering::Relaxed)
+    }
+
+    fn hand_over(&self, kind: MessageKind, sender: &str, body: &[u8]) {
+        let handler = lock(&self.handlers)
+            .iter()
+            .find(|(held, _)| *held == kind)
+            .map(|(_, handler)| sync::Arc::clone(handler));
+        if let Some(handler) = handler {
+            handler.handle(sender, body);
         }
     }
-}
 
-fn dial(to: net::SocketAddr) -> Result<nng::Socket, nng::Error> {
-    let socket = nng::Socket::new(nng::Protocol::Push0)?;
-    socket.set_opt::<nng::options::SendBufferSize>(SEND_BUFFER_MESSAGES)?;
-    socket.dial_async(&format!("tcp://{to}"))?;
-    Ok(socket)
-}
+    fn pass_on(&self, tag: &SpreadTag, kind: MessageKind, body: &[u8]) {
+        if tag.hops > 0 {
+            let mut tag = tag.clone();
+            tag.hops -= 1;
+            self.spread(&tag, kind, body);
+        }
+    }
 
-impl PeerTransport for NngTransport {
-    fn send(&self, to: net::SocketAddr, message: &[u8]) {
-        let mut sockets = self
-            .sockets
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        if let collections::hash_map::Entry::Vacant(entry) = sockets.entry(to) {
-            let Ok(socket) = dial(to) else { return };
-            entry.insert(socket);
+    fn spread(&self, tag: &SpreadTag, kind: MessageKind, body: &[u8]) {
+        let contacts = self.members.contacts();
+        let others: Vec<_> = contacts
+            .iter()
+            .filter(|contact| contact.host != self.host && contact.host != tag.origin)
+            .collect();
+        for contact in others.sample(&mut rand::rng(), SPREAD_HOSTS) {
+            let spread = Some(tag.clone());
+            self.send(contact.address, contact.incarnation, kind, spread, body);
         }
-        if let Some(socket) = sockets.get(&to) {
-            // A full buffer drops the message, as a network may.
-            let _ = socket.try_send(nng::Message::from(message));
+    }
+
+    /// Remembers a spread message and tells whether it is new.
+    fn note_spread(&self, tag: &SpreadTag) -> bool {
+        let mut recent = lock(&self.recent);
+        let known = recent.iter().any(|held| {
+            held.number == tag.number
+                && held.incarnation == tag.incarnation
+                && held.origin == tag.origin
+        });
+        if known || (tag.origin == self.host && tag.incarnation != self.incarnation()) {
+            return false;
         }
+        if recent.len() == SPREAD_MEMORY {
+            recent.pop_front();
+        }
+        recent.push_back(tag.clone());
+        true
     }
+
+    fn send(
+        &self,
+        to: net::SocketAddr,
+        receiver: id::IncarnationNumber,
+        kind: MessageKind,
+        spread: Option<SpreadTag>,
+        body: &[u8],
+    ) {
+        let Some(transport) = self.transport.get().filter(|_| to != self.address) else {
+            return;
+        };
+        let envelope = PeerEnvelope {
+            kind: kind.number(),
+            sender: self.host.clone(),
+            incarnation: self.incarnation(),
+            receiver,
+            sequence: self.next_sequence(),
+            spread,
+            body: body.to_vec(),
+        };
+        if let Some(sealed) = self.signer.seal(to, &envelope) {
+            transport.send(to, &sealed);
+        }
+    }
+
+    fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, atomic::Ordering::Relaxed) + 1
+    }
+}
+
+fn lock<T>(held: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    held.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
