Check settings and documents whole, with the place of every error

Cause: serde stops at the first error and knows no place in the text; a document could name an upstream that does not exist.

Checks between fields (names, references, digests, addresses, capacity, links) read the same tree, so they run even where a field is wrong. Operator tokens have names. Domains without upstreams can be declared, so links may name them.

Ruled out: serde paths with positions looked up afterwards, since serde gives one error at a time.

--- a/arbutusfold/src/document.rs
+++ b/arbutusfold/src/document.rs
@@ -3,11 +3,13 @@
 use std::net;
 use std::time;
 
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use crate::check;
 use crate::id;
+use crate::schema;
 
 /// The whole intended configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -27,6 +29,9 @@
     /// Links between failure domains; a pair that is not named has no delay.
     #[serde(default)]
     pub links: Vec<LinkSpec>,
+    /// Failure domains without upstreams, such as those of entry hosts alone.
+    #[serde(default)]
+    pub domains: Vec<id::DomainName>,
 }
 
 /// A model.
@@ -181,23 +186,34 @@
 }
 
 /// Why a document was refused.
-#[derive(Clone, Debug, Display, Error)]
-#[display("configuration document refused: {reason}")]
+#[derive(Clone, Debug, Display, Error, From)]
+#[display("{report}")]
 pub struct DocumentError {
-    /// What was found and what is allowed.
-    pub reason: String,
+    /// Every error, each with its place.
+    #[error(source)]
+    pub report: check::CheckReport,
 }
 
 /// Parses and validates a document from JSON with comments.
 ///
 /// # Errors
 ///
-/// [`DocumentError`] names what was found and what is allowed.
+/// [`DocumentError`] names every place with what was found and what is allowed.
 pub fn parse(text: &str) -> Result<ConfigDocument, DocumentError> {
-    let refuse = |reason: String| DocumentError { reason };
-    let value: serde_json::Value = jsonc_parser::parse_to_serde_value(text, &Default::default())
-        .map_err(|error| refuse(error.to_string()))?;
-    serde_json::from_value(value).map_err(|error| refuse(error.to_string()))
+    parse_file("document", text)
+}
+
+/// Parses and validates a document; errors name `file`.
+///
+/// # Errors
+///
+/// [`DocumentError`] names every place with what was found and what is allowed.
+pub fn parse_file(file: &str, text: &str) -> Result<ConfigDocument, DocumentError> {
+    let value = check::parse(file, text, schema::DOCUMENT, schema::check_references)?;
+    serde_json::from_value(value).map_err(|error| {
+        let found = error.to_string();
+        check::report_whole(file, found, "a configuration document").into()
+    })
 }
 
 /// Returns the digest of a key or token as documents and settings hold it.
--- a/arbutusfold/src/id.rs
+++ b/arbutusfold/src/id.rs
@@ -18,6 +18,9 @@
 /// Name of a model.
 pub type ModelName = String;
 
+/// Name of an operator in the audit trail.
+pub type OperatorName = String;
+
 /// Name of a plain service.
 pub type ServiceName = String;
 
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 pub mod caller;
+pub mod check;
 pub mod client;
 pub mod complete;
 pub mod config;
@@ -33,9 +34,11 @@
 pub mod node;
 pub mod operate;
 pub mod peer;
+pub mod place;
 pub mod platform;
 pub mod record;
 pub mod route;
+pub mod schema;
 pub mod service;
 pub mod settings;
 pub mod stream;
--- a/arbutusfold/src/main.rs
+++ b/arbutusfold/src/main.rs
@@ -51,7 +51,7 @@
     match command {
         CliCommand::Node { settings } => run_node(&settings),
         CliCommand::Check { document } => {
-            document::parse(&read(&document)?)?;
+            document::parse_file(&document.display().to_string(), &read(&document)?)?;
             Ok(())
         }
         CliCommand::Digest { key } => {
@@ -66,7 +66,7 @@
 }
 
 fn run_node(path: &path::Path) -> anyhow::Result<()> {
-    let settings = settings::parse(&read(path)?).with_context(|| path.display().to_string())?;
+    let settings = settings::parse_file(&path.display().to_string(), &read(path)?)?;
     let logger = open_log(settings.log_json, &settings.name);
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(async {
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -67,14 +67,14 @@
         .ok()?
         .strip_prefix("Bearer ")?;
     let digest = document::digest_key(token);
-    let known = core
-        .settings
+    // Every token is compared, so the time taken tells nothing of a digest.
+    core.settings
         .operator_tokens
         .iter()
-        .fold(false, |known, held| {
-            known | bool::from(held.as_bytes().ct_eq(digest.as_bytes()))
-        });
-    known.then(|| digest[..12].to_owned())
+        .fold(None, |known, held| {
+            let same = bool::from(held.digest.as_bytes().ct_eq(digest.as_bytes()));
+            if same { Some(held.name.clone()) } else { known }
+        })
 }
 
 fn show(core: &node::NodeCore) -> caller::CallerAnswer {
--- /dev/null
+++ b/arbutusfold/src/schema.rs
@@ -0,0 +1,271 @@
+//! Fields of the configuration document and the checks between them.
+
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+
+use crate::check::{self, FieldKind, FieldSpec};
+use crate::place;
+
+/// Most layers that a model may have.
+const LAYERS_LIMIT: u64 = 10_000;
+
+/// Most runners that each layer may be given.
+const REPLICAS_LIMIT: u64 = 10_000;
+
+/// Largest weight in fair queues.
+const WEIGHT_LIMIT: u64 = 1_000_000;
+
+/// Longest deadline in milliseconds.
+const DEADLINE_LIMIT_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Longest delay of a link in microseconds.
+const DELAY_LIMIT_US: u64 = 60 * 1_000_000;
+
+/// Largest rate, which keeps sums of rates within their type.
+const RATE_LIMIT: u64 = 1 << 48;
+
+/// Fields of [`crate::document::ModelSpec`].
+pub const MODEL: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::PathName),
+    FieldSpec::required("layers", FieldKind::Number(1, LAYERS_LIMIT)),
+    FieldSpec::required("version", FieldKind::PathName),
+];
+
+/// Fields of [`crate::document::PipelineSpec`].
+pub const PIPELINE: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::Name),
+    FieldSpec::required("model", FieldKind::PathName),
+    FieldSpec::required("upstreams", FieldKind::List(1, &FieldKind::Name)),
+    FieldSpec::optional("replicas", FieldKind::Number(1, REPLICAS_LIMIT)),
+];
+
+/// Fields of [`crate::document::UpstreamSpec`].
+pub const UPSTREAM: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::Name),
+    FieldSpec::required("address", FieldKind::Address),
+    FieldSpec::required("domain", FieldKind::Name),
+    FieldSpec::optional("accelerator", FieldKind::Text),
+    FieldSpec::optional("capacity_layers", FieldKind::Number(0, LAYERS_LIMIT)),
+    FieldSpec::optional("checks_fencing", FieldKind::Flag),
+];
+
+/// Fields of [`crate::document::ServiceSpec`].
+pub const SERVICE: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::Name),
+    FieldSpec::required("upstreams", FieldKind::List(1, &FieldKind::Name)),
+    FieldSpec::optional(
+        "non_idempotent",
+        FieldKind::List(0, &FieldKind::Record(CALL)),
+    ),
+    FieldSpec::optional("deadline_ms", FieldKind::Number(1, DEADLINE_LIMIT_MS)),
+];
+
+/// Fields of [`crate::document::CallSpec`].
+pub const CALL: &[FieldSpec] = &[
+    FieldSpec::required("method", FieldKind::Method),
+    FieldSpec::required("path", FieldKind::Path),
+];
+
+/// Fields of [`crate::document::OrganisationSpec`].
+pub const ORGANISATION: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::Name),
+    FieldSpec::required("key_digests", FieldKind::List(0, &FieldKind::Hex)),
+    FieldSpec::optional("weight", FieldKind::Number(1, WEIGHT_LIMIT)),
+    FieldSpec::optional(
+        "priority",
+        FieldKind::Choice(&["urgent", "interactive", "background"]),
+    ),
+    FieldSpec::optional("tokens_per_second", FieldKind::Number(0, RATE_LIMIT)),
+    FieldSpec::optional("requests_per_second", FieldKind::Number(0, RATE_LIMIT)),
+    FieldSpec::optional("deadline_ms", FieldKind::Number(1, DEADLINE_LIMIT_MS)),
+];
+
+/// Fields of [`crate::document::LinkSpec`].
+pub const LINK: &[FieldSpec] = &[
+    FieldSpec::required("from", FieldKind::Name),
+    FieldSpec::required("to", FieldKind::Name),
+    FieldSpec::required("delay_us", FieldKind::Number(0, DELAY_LIMIT_US)),
+    FieldSpec::optional("bytes_per_second", FieldKind::Number(0, RATE_LIMIT)),
+];
+
+/// Fields of [`crate::document::ConfigDocument`].
+pub const DOCUMENT: &[FieldSpec] = &[
+    FieldSpec::required("models", FieldKind::List(0, &FieldKind::Record(MODEL))),
+    FieldSpec::required(
+        "pipelines",
+        FieldKind::List(0, &FieldKind::Record(PIPELINE)),
+    ),
+    FieldSpec::required(
+        "upstreams",
+        FieldKind::List(0, &FieldKind::Record(UPSTREAM)),
+    ),
+    FieldSpec::optional("services", FieldKind::List(0, &FieldKind::Record(SERVICE))),
+    FieldSpec::required(
+        "organisations",
+        FieldKind::List(0, &FieldKind::Record(ORGANISATION)),
+    ),
+    FieldSpec::optional("links", FieldKind::List(0, &FieldKind::Record(LINK))),
+    FieldSpec::optional("domains", FieldKind::List(0, &FieldKind::Name)),
+];
+
+/// Sections of a document, with their entries and cross references.
+struct DocumentTree<'a> {
+    models: Vec<place::PlacedObject<'a>>,
+    pipelines: Vec<place::PlacedObject<'a>>,
+    upstreams: Vec<place::PlacedObject<'a>>,
+    services: Vec<place::PlacedObject<'a>>,
+    organisations: Vec<place::PlacedObject<'a>>,
+    links: Vec<place::PlacedObject<'a>>,
+    domains: Vec<place::PlacedText<'a>>,
+}
+
+/// Checks what one entry of a document says of another.
+pub fn check_references(object: &ast::Object<'_>, context: &mut check::CheckContext<'_>) {
+    let root = place::PlacedObject {
+        object,
+        path: String::new(),
+    };
+    let tree = DocumentTree {
+        models: root.objects("models"),
+        pipelines: root.objects("pipelines"),
+        upstreams: root.objects("upstreams"),
+        services: root.objects("services"),
+        organisations: root.objects("organisations"),
+        links: root.objects("links"),
+        domains: root.texts("domains"),
+    };
+    check_names(&tree, context);
+    check_upstreams(&tree, context);
+    check_pipelines(&tree, context);
+    check_services(&tree, context);
+    check_organisations(&tree, context);
+    check_links(&tree, context);
+}
+
+fn check_names(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let sections = [
+        &tree.models,
+        &tree.pipelines,
+        &tree.upstreams,
+        &tree.services,
+        &tree.organisations,
+    ];
+    for section in sections {
+        let names = place::texts_of(section, "name");
+        place::require_unique(context, &names, "each name once");
+    }
+    place::require_unique(context, &tree.domains, "each failure domain once");
+}
+
+fn check_upstreams(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let addresses = place::texts_of(&tree.upstreams, "address");
+    place::require_unique(context, &addresses, "an address of its own");
+}
+
+fn check_pipelines(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let models = place::sorted(&place::texts_of(&tree.models, "name"));
+    let upstreams = place::sorted(&place::texts_of(&tree.upstreams, "name"));
+    let named = place::texts_of(&tree.pipelines, "model");
+    place::require_known(context, &named, &models, "a model");
+    for pipeline in &tree.pipelines {
+        let members = pipeline.texts("upstreams");
+        place::require_known(context, &members, &upstreams, "an upstream");
+        place::require_unique(context, &members, "each upstream once");
+    }
+    check_capacity(tree, context);
+}
+
+fn check_capacity(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let mut capacities: Vec<_> = tree
+        .upstreams
+        .iter()
+        .filter_map(|upstream| {
+            let name = upstream.text("name")?.text;
+            Some((name, upstream.number("capacity_layers").unwrap_or(0)))
+        })
+        .collect();
+    capacities.sort_unstable();
+    let capacity_of = |name: &str| {
+        let place = capacities.binary_search_by_key(&name, |(name, _)| *name);
+        place.ok().map(|place| capacities[place].1)
+    };
+    for pipeline in &tree.pipelines {
+        let members = pipeline.texts("upstreams");
+        for member in &members {
+            if capacity_of(member.text) == Some(0) {
+                let found = format!("{} with no capacity", check::quote(member.text));
+                let allowed = "an upstream with capacity_layers of at least 1".to_owned();
+                context.add(&member.range, &member.path, found, allowed);
+            }
+        }
+        let layers = pipeline.text("model").and_then(|named| {
+            let mut models = tree.models.iter();
+            let model = models.find(|model| {
+                model
+                    .text("name")
+                    .is_some_and(|name| name.text == named.text)
+            });
+            model.and_then(|model| model.number("layers"))
+        });
+        let Some(layers) = layers else { continue };
+        let capacities: Option<Vec<_>> = members
+            .iter()
+            .map(|member| capacity_of(member.text))
+            .collect();
+        // A member that is not known has its own error.
+        let Some(capacities) = capacities else {
+            continue;
+        };
+        let held: u64 = capacities
+            .into_iter()
+            .fold(0, |sum, capacity| sum.saturating_add(capacity));
+        let replicas = pipeline.number("replicas").unwrap_or(1);
+        let needed = layers.saturating_mul(replicas);
+        if held < needed {
+            let found = format!("room for {held} layers");
+            let allowed =
+                format!("at least {needed}, which is {layers} layers for {replicas} replicas");
+            let path = format!("{}.upstreams", pipeline.path);
+            context.add(&pipeline.object.range(), &path, found, allowed);
+        }
+    }
+}
+
+fn check_services(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let upstreams = place::sorted(&place::texts_of(&tree.upstreams, "name"));
+    for service in &tree.services {
+        let members = service.texts("upstreams");
+        place::require_known(context, &members, &upstreams, "an upstream");
+        place::require_unique(context, &members, "each upstream once");
+    }
+}
+
+fn check_organisations(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let digests: Vec<_> = tree
+        .organisations
+        .iter()
+        .flat_map(|organisation| organisation.texts("key_digests"))
+        .collect();
+    place::require_unique(context, &digests, "a key of one organisation only");
+}
+
+fn check_links(tree: &DocumentTree<'_>, context: &mut check::CheckContext<'_>) {
+    let mut domains = place::texts_of(&tree.upstreams, "domain");
+    domains.extend(tree.domains.iter().cloned());
+    let domains = place::sorted(&domains);
+    let mut ends: Vec<_> = Vec::new();
+    for link in &tree.links {
+        let (Some(from), Some(to)) = (link.text("from"), link.text("to")) else {
+            continue;
+        };
+        let what = "a failure domain of an upstream or in domains";
+        place::require_known(context, &[from.clone(), to.clone()], &domains, what);
+        let pair = (from.text.min(to.text), from.text.max(to.text));
+        if ends.contains(&pair) {
+            let found = format!("{} to {} again", pair.0, pair.1);
+            let allowed = "each pair of failure domains once".to_owned();
+            context.add(&link.object.range(), &link.path, found, allowed);
+        }
+        ends.push(pair);
+    }
+}
--- a/arbutusfold/src/settings.rs
+++ b/arbutusfold/src/settings.rs
@@ -3,11 +3,14 @@
 use std::net;
 use std::time;
 
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
+use jsonc_parser::ast;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
+use crate::check::{self, FieldKind, FieldSpec};
 use crate::id;
+use crate::place;
 
 /// Length of a peer key in bytes.
 pub const PEER_KEY_BYTES: usize = 32;
@@ -36,9 +39,9 @@
     pub platform: net::SocketAddr,
     /// Keys for messages between peers in hexadecimal; the first one signs.
     pub peer_keys: Vec<String>,
-    /// Digests of operator tokens in hexadecimal.
+    /// Operators that may use this node's listener for operators.
     #[serde(default)]
-    pub operator_tokens: Vec<String>,
+    pub operator_tokens: Vec<OperatorToken>,
     /// How long callers may keep an address answer.
     #[serde(default = "default_answer_keep")]
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
@@ -55,6 +58,55 @@
     pub log_json: bool,
 }
 
+/// An operator's name and the digest of the operator's token.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorToken {
+    /// Name in the audit trail.
+    pub name: id::OperatorName,
+    /// Digest of the token in hexadecimal.
+    pub digest: String,
+}
+
+/// Longest time that settings may name, in milliseconds.
+const TIME_LIMIT_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Shortest body limit in bytes; a longer prompt must still fit.
+const BODY_LIMIT_LEAST_BYTES: u64 = 1 << 10;
+
+/// Longest body limit in bytes, which keeps one caller from filling a small host.
+const BODY_LIMIT_MOST_BYTES: u64 = 64 << 20;
+
+/// Fields of [`OperatorToken`].
+pub const OPERATOR_TOKEN: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::Name),
+    FieldSpec::required("digest", FieldKind::Hex),
+];
+
+/// Fields of [`NodeSettings`].
+pub const NODE_SETTINGS: &[FieldSpec] = &[
+    FieldSpec::required("name", FieldKind::Name),
+    FieldSpec::required("region", FieldKind::Name),
+    FieldSpec::required("domain", FieldKind::Name),
+    FieldSpec::required("callers", FieldKind::Address),
+    FieldSpec::required("operators", FieldKind::Address),
+    FieldSpec::required("peers", FieldKind::Address),
+    FieldSpec::optional("seeds", FieldKind::List(0, &FieldKind::Address)),
+    FieldSpec::required("platform", FieldKind::Address),
+    FieldSpec::required("peer_keys", FieldKind::List(1, &FieldKind::Hex)),
+    FieldSpec::optional(
+        "operator_tokens",
+        FieldKind::List(0, &FieldKind::Record(OPERATOR_TOKEN)),
+    ),
+    FieldSpec::optional("answer_keep_ms", FieldKind::Number(1, TIME_LIMIT_MS)),
+    FieldSpec::optional("stop_limit_ms", FieldKind::Number(1, TIME_LIMIT_MS)),
+    FieldSpec::optional(
+        "body_limit_bytes",
+        FieldKind::Number(BODY_LIMIT_LEAST_BYTES, BODY_LIMIT_MOST_BYTES),
+    ),
+    FieldSpec::optional("log_json", FieldKind::Flag),
+];
+
 fn default_answer_keep() -> time::Duration {
     time::Duration::from_secs(10)
 }
@@ -68,37 +120,54 @@
 }
 
 /// Why settings were refused.
-#[derive(Debug, Display, Error)]
-pub enum SettingsError {
-    /// The text is not JSON with comments.
-    #[display("settings are not valid JSON: {reason}")]
-    Syntax {
-        /// What the parser found, with its place.
-        reason: String,
-    },
-    /// A field is missing, unknown or of another type.
-    #[display("settings do not fit: {reason}")]
-    Shape {
-        /// What was found and what is allowed.
-        reason: String,
-    },
+#[derive(Clone, Debug, Display, Error, From)]
+#[display("{report}")]
+pub struct SettingsError {
+    /// Every error, each with its place.
+    #[error(source)]
+    pub report: check::CheckReport,
 }
 
 /// Parses settings from JSON with comments.
 ///
 /// # Errors
 ///
-/// [`SettingsError`] names what was found and what is allowed.
+/// [`SettingsError`] names every place with what was found and what is allowed.
 pub fn parse(text: &str) -> Result<NodeSettings, SettingsError> {
-    let value: serde_json::Value = jsonc_parser::parse_to_serde_value(text, &Default::default())
-        .map_err(|error| SettingsError::Syntax {
-            reason: error.to_string(),
-        })?;
-    serde_json::from_value(value).map_err(|error| SettingsError::Shape {
-        reason: error.to_string(),
+    parse_file("settings", text)
+}
+
+/// Parses settings; errors name `file`.
+///
+/// # Errors
+///
+/// [`SettingsError`] names every place with what was found and what is allowed.
+pub fn parse_file(file: &str, text: &str) -> Result<NodeSettings, SettingsError> {
+    let value = check::parse(file, text, NODE_SETTINGS, check_settings)?;
+    serde_json::from_value(value).map_err(|error| {
+        let found = error.to_string();
+        check::report_whole(file, found, "settings of a node").into()
     })
 }
 
+fn check_settings(object: &ast::Object<'_>, context: &mut check::CheckContext<'_>) {
+    let root = place::PlacedObject {
+        object,
+        path: String::new(),
+    };
+    let listeners: Vec<_> = ["callers", "operators", "peers"]
+        .into_iter()
+        .filter_map(|name| root.text(name))
+        .collect();
+    place::require_unique(context, &listeners, "an address of its own");
+    let operators = root.objects("operator_tokens");
+    let names = place::texts_of(&operators, "name");
+    place::require_unique(context, &names, "each operator once");
+    let digests = place::texts_of(&operators, "digest");
+    place::require_unique(context, &digests, "a token of its own");
+    place::require_unique(context, &root.texts("peer_keys"), "each key once");
+}
+
 /// Decodes a peer key from hexadecimal.
 pub fn decode_key(text: &str) -> Option<[u8; PEER_KEY_BYTES]> {
     blake3::Hash::from_hex(text)
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -215,7 +215,10 @@
             "seeds": seeds,
             "platform": self.platform,
             "peer_keys": [PEER_KEY],
-            "operator_tokens": [document::digest_key(OPERATOR_TOKEN)],
+            "operator_tokens": [{
+                "name": "fleet",
+                "digest": document::digest_key(OPERATOR_TOKEN),
+            }],
             "answer_keep_ms": self.options.answer_keep.as_millis() as u64,
             "log_json": true,
         });
