Give the record a state machine, group commit and honest 'not run'

Cause: a resend with the caller's own request id was taken for the attempt itself and could run twice; a refused write was answered with "not run" although an earlier attempt under the key might have run; an absent row on read-back ended in "unknown" for good; bodies were cut to UTF-8.

Change: an attempt draws its own id. StartMachine takes one attempt from its receipt to a decision; a released row, written only if the row is as seen, forecloses late starts before "not run" is said. Finishes and releases go on in the background until they take effect. Writes of a node go in one transaction at its share of the store's rate. Rows are removed after 24 h by lists written with each group. The table client keeps to rate shares and has a breaker; a 503 is a definite refusal only when it says so.

One write before dispatch was chosen over two: a claimed state would add a write and a window, and a start cannot be taken over either way.

--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -478,6 +478,7 @@
         method: request.method().clone(),
         path: format!("/{below}"),
         content_type: header("content-type").unwrap_or_else(|| "application/json".to_owned()),
+        received: time::Instant::now(),
         idempotency: header("idempotency-key"),
         body: Bytes::new(),
     };
--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -64,6 +64,10 @@
     RecordUnknown = 402, Warning;
     /// A recorded answer was given again.
     RecordReplayed = 403, Info;
+    /// A marked request was recorded as not run.
+    RecordReleased = 404, Info;
+    /// An idempotency key was used with another call.
+    RecordReused = 405, Warning;
     /// A configuration document came into force.
     ConfigInForce = 600, Info;
     /// A configuration document was accepted.
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -39,6 +39,12 @@
 /// Time between two reports asked of one upstream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Longest time that a stop waits for records to be settled.
+const SETTLE_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
+
+/// Time between two looks at the number of nodes that share the store's rate.
+const SHARE_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
 /// Longest time that a report may take.
 const REPORT_TIME_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
@@ -70,6 +76,8 @@
     pub metrics: metric::MetricSet,
     /// Configuration in force.
     pub config: config::ConfigKeeper,
+    /// The node's share of the table service.
+    pub table: sync::Arc<platform::GuardedTable>,
     /// Record of marked requests.
     pub records: record::RecordKeeper,
     /// Upstreams as this node knows them.
@@ -91,18 +99,20 @@
         recorder: sync::Arc<event::EventRecorder>,
         table: sync::Arc<dyn platform::TableClient>,
     ) -> Self {
+        let table = sync::Arc::new(platform::GuardedTable::new(table));
         Self {
             incarnation: id::fresh_incarnation(),
             metrics: metric::MetricSet::default(),
             config: config::ConfigKeeper::new(
-                sync::Arc::clone(&table),
+                sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
             ),
             records: record::RecordKeeper::new(
-                table,
+                sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
                 settings.name.clone(),
             ),
+            table,
             recorder,
             upstreams: upstream::UpstreamView::default(),
             members: member::MemberView::default(),
@@ -186,6 +196,7 @@
 
     let loops = [
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
         tokio::spawn(keep_members(sync::Arc::clone(&core), transport, received)),
     ];
@@ -210,6 +221,7 @@
     time::sleep(core.settings.answer_keep_ms).await;
     let _ = closing.send(true);
     let _ = time::timeout(core.settings.stop_limit_ms, serve_callers).await;
+    let _ = time::timeout(SETTLE_TIME_LIMIT, core.records.settled()).await;
     core.recorder
         .record(event::EventCode::StopFinished, &name, "");
     serve_operators.abort();
@@ -287,6 +299,22 @@
     }
 }
 
+async fn keep_records(core: sync::Arc<NodeCore>) {
+    let share = async {
+        let mut ticks = time::interval(SHARE_PERIOD);
+        loop {
+            ticks.tick().await;
+            let nodes = core.members.alive().len();
+            core.records.set_nodes(nodes);
+            core.table.set_nodes(nodes);
+        }
+    };
+    tokio::select! {
+        () = core.records.run() => {}
+        () = share => {}
+    }
+}
+
 async fn keep_reports(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(REPORT_PERIOD);
     loop {
--- a/arbutusfold/src/platform.rs
+++ b/arbutusfold/src/platform.rs
@@ -1,5 +1,8 @@
 //! Clients of the platform's services, as trait objects at the border.
 
+mod guard;
+mod http;
+
 use std::net;
 use std::time;
 
@@ -7,9 +10,11 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::client;
 use crate::id;
 
+pub use guard::{CallBreaker, GuardedTable, RateShare};
+pub use http::HttpPlatform;
+
 /// Longest time for one call of the table service.
 pub const TABLE_DEADLINE: time::Duration = time::Duration::from_millis(1_500);
 
@@ -160,79 +165,3 @@
     /// Longest answer in rows.
     pub limit: usize,
 }
-
-/// The platform over HTTP.
-pub struct HttpPlatform {
-    address: net::SocketAddr,
-    client: client::HttpClient,
-}
-
-impl HttpPlatform {
-    /// Creates a client of the platform at `address`.
-    pub fn new(address: net::SocketAddr) -> Self {
-        Self {
-            address,
-            client: client::HttpClient::for_services(),
-        }
-    }
-
-    async fn call<Q, A>(&self, path: &str, query: &Q) -> Result<A, PlatformError>
-    where
-        Q: Serialize + Sync,
-        A: serde::de::DeserializeOwned,
-    {
-        let call = self.client.post_json(self.address, path, query);
-        let answer = tokio::time::timeout(TABLE_DEADLINE, call)
-            .await
-            .map_err(|_| PlatformError::Unknown {
-                reason: "no answer within the deadline".to_owned(),
-            })?;
-        answer.map_err(|error| match error {
-            client::ClientError::NotSent { .. }
-            | client::ClientError::Status { status: 429, .. } => PlatformError::Failed {
-                reason: error.to_string(),
-            },
-            _ => PlatformError::Unknown {
-                reason: error.to_string(),
-            },
-        })
-    }
-}
-
-#[async_trait]
-impl TableClient for HttpPlatform {
-    async fn read(&self, table: &str, key: &str) -> Result<Option<TableRow>, PlatformError> {
-        let query = ReadQuery {
-            table: table.to_owned(),
-            key: key.to_owned(),
-        };
-        self.call("/tables/read", &query).await
-    }
-
-    async fn scan(
-        &self,
-        table: &str,
-        prefix: &str,
-        after: &str,
-        limit: usize,
-    ) -> Result<Vec<TableRow>, PlatformError> {
-        let query = ScanQuery {
-            table: table.to_owned(),
-            prefix: prefix.to_owned(),
-            after: after.to_owned(),
-            limit,
-        };
-        self.call("/tables/scan", &query).await
-    }
-
-    async fn commit(&self, transaction: TableTransaction) -> Result<CommitOutcome, PlatformError> {
-        self.call("/tables/commit", &transaction).await
-    }
-}
-
-#[async_trait]
-impl HostList for HttpPlatform {
-    async fn hosts(&self) -> Result<Vec<ListedHost>, PlatformError> {
-        self.call("/hosts", &()).await
-    }
-}
--- /dev/null
+++ b/arbutusfold/src/record/group.rs
@@ -0,0 +1,198 @@
+//! Group commit: several row writes in one transaction.
+
+use std::collections;
+use std::sync;
+use std::time as std_time;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time;
+
+use crate::platform;
+use crate::record;
+
+/// Most writes in one transaction.
+const GROUP_LIMIT: usize = 64;
+
+/// A write of one row.
+#[derive(Debug)]
+pub(crate) struct GroupWrite {
+    /// Key of the row.
+    pub(crate) row_key: String,
+    /// Version that the row must have; `None` for any.
+    pub(crate) version: Option<u64>,
+    /// Content.
+    pub(crate) row: record::RecordRow,
+    /// Where the outcome goes.
+    pub(crate) reply: oneshot::Sender<GroupOutcome>,
+}
+
+/// What became of a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum GroupOutcome {
+    /// It took effect.
+    Committed,
+    /// The row had another version; the row if it is known.
+    Conflict(Option<record::SeenRow>),
+    /// It had no effect and will have none.
+    Failed(String),
+    /// It may have taken effect or may yet do so.
+    Unknown(String),
+}
+
+/// Sends writes to the table service in groups, one transaction at a time.
+pub(crate) struct GroupWriter {
+    table: sync::Arc<dyn platform::TableClient>,
+    received: mpsc::UnboundedReceiver<GroupWrite>,
+    waiting: collections::VecDeque<GroupWrite>,
+    expiry: record::sweep::ExpiryWriter,
+}
+
+impl GroupWriter {
+    pub(crate) fn new(
+        table: sync::Arc<dyn platform::TableClient>,
+        received: mpsc::UnboundedReceiver<GroupWrite>,
+        expiry: record::sweep::ExpiryWriter,
+    ) -> Self {
+        Self {
+            table,
+            received,
+            waiting: collections::VecDeque::new(),
+            expiry,
+        }
+    }
+
+    /// Writes groups until every sender is gone.
+    ///
+    /// `period` is the shortest time between two transactions, which is the
+    /// node's share of the store's rate.
+    pub(crate) async fn run(mut self, period: impl Fn() -> std_time::Duration) {
+        let mut next = time::Instant::now();
+        while self.gather(next).await {
+            next = time::Instant::now() + period();
+            let group = self.take_group();
+            self.commit(group).await;
+        }
+    }
+
+    /// Waits until a group is due; tells whether there is one.
+    async fn gather(&mut self, next: time::Instant) -> bool {
+        if self.waiting.is_empty() {
+            let Some(write) = self.received.recv().await else {
+                return false;
+            };
+            self.waiting.push_back(write);
+        }
+        time::sleep_until(next).await;
+        while let Ok(write) = self.received.try_recv() {
+            self.waiting.push_back(write);
+        }
+        true
+    }
+
+    /// Takes the writes of one transaction, each row once.
+    fn take_group(&mut self) -> Vec<GroupWrite> {
+        let mut group: Vec<GroupWrite> = Vec::new();
+        let mut later = collections::VecDeque::new();
+        while let Some(write) = self.waiting.pop_front() {
+            let twice = group.iter().any(|other| other.row_key == write.row_key);
+            if twice || group.len() >= GROUP_LIMIT {
+                later.push_back(write);
+            } else {
+                group.push(write);
+            }
+        }
+        self.waiting = later;
+        group
+    }
+
+    /// Commits a group; a conflict of one write does not fail the others.
+    async fn commit(&mut self, mut group: Vec<GroupWrite>) {
+        while !group.is_empty() {
+            let transaction = self.transaction(&group);
+            let rows = match self.table.commit(transaction).await {
+                Ok(platform::CommitOutcome::Committed) => {
+                    return answer_all(group, &GroupOutcome::Committed);
+                }
+                Err(platform::PlatformError::Failed { reason }) => {
+                    return answer_all(group, &GroupOutcome::Failed(reason));
+                }
+                Err(platform::PlatformError::Unknown { reason }) => {
+                    return answer_all(group, &GroupOutcome::Unknown(reason));
+                }
+                Ok(platform::CommitOutcome::Conflict(rows)) => rows,
+            };
+            let before = group.len();
+            group = answer_conflicts(group, &rows);
+            if group.len() == before {
+                // A checked row is absent, and the answer cannot name it.
+                return self.commit_apart(group).await;
+            }
+        }
+    }
+
+    async fn commit_apart(&mut self, group: Vec<GroupWrite>) {
+        for write in group {
+            let single = vec![write];
+            let transaction = self.transaction(&single);
+            let outcome = match self.table.commit(transaction).await {
+                Ok(platform::CommitOutcome::Committed) => GroupOutcome::Committed,
+                Ok(platform::CommitOutcome::Conflict(rows)) => {
+                    let seen = rows.into_iter().find_map(decode);
+                    GroupOutcome::Conflict(seen)
+                }
+                Err(platform::PlatformError::Failed { reason }) => GroupOutcome::Failed(reason),
+                Err(platform::PlatformError::Unknown { reason }) => GroupOutcome::Unknown(reason),
+            };
+            answer_all(single, &outcome);
+        }
+    }
+
+    fn transaction(&mut self, group: &[GroupWrite]) -> platform::TableTransaction {
+        let checks = group.iter().filter_map(|write| {
+            Some(platform::RowCheck {
+                table: record::RECORD_TABLE.to_owned(),
+                key: write.row_key.clone(),
+                version: write.version?,
+            })
+        });
+        let writes = group.iter().map(|write| platform::RowWrite {
+            table: record::RECORD_TABLE.to_owned(),
+            key: write.row_key.clone(),
+            value: Some(serde_json::json!(write.row)),
+        });
+        let mut transaction = platform::TableTransaction {
+            checks: checks.collect(),
+            writes: writes.collect(),
+        };
+        transaction.writes.extend(self.expiry.entry(group));
+        transaction
+    }
+}
+
+fn answer_all(group: Vec<GroupWrite>, outcome: &GroupOutcome) {
+    for write in group {
+        // An attempt that gave up does not listen any more.
+        let _ = write.reply.send(outcome.clone());
+    }
+}
+
+/// Answers the writes whose rows conflict and returns the others.
+fn answer_conflicts(group: Vec<GroupWrite>, rows: &[platform::TableRow]) -> Vec<GroupWrite> {
+    let mut kept = Vec::new();
+    for write in group {
+        let row = rows.iter().find(|row| row.key == write.row_key);
+        match row {
+            Some(row) => answer_all(vec![write], &GroupOutcome::Conflict(decode(row.clone()))),
+            None => kept.push(write),
+        }
+    }
+    kept
+}
+
+/// Decodes a row of the table.
+pub(crate) fn decode(row: platform::TableRow) -> Option<record::SeenRow> {
+    Some(record::SeenRow {
+        version: row.version,
+        row: serde_json::from_value(row.value).ok()?,
+    })
+}
--- a/arbutusfold/src/service.rs
+++ b/arbutusfold/src/service.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::Full;
 use tokio::time;
@@ -13,6 +14,9 @@
 use crate::node;
 use crate::record;
 
+/// Time after which a caller may ask again.
+const COME_BACK: std::time::Duration = std::time::Duration::from_secs(1);
+
 /// A call of a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceCall {
@@ -28,6 +32,8 @@
     pub content_type: String,
     /// Body.
     pub body: Bytes,
+    /// When the call was received.
+    pub received: time::Instant,
     /// Key that names the call if it is sent again.
     pub idempotency: Option<String>,
 }
@@ -58,32 +64,80 @@
         service: spec.name.clone(),
         idempotency,
     };
-    let digest = digest_call(call);
-    let decision = core.records.start(&key, &call.request, &digest).await;
-    match decision {
-        Ok(record::RecordDecision::Run) => {
-            let upstream = pick(core, config, spec, 0);
-            let outcome = dispatch(core, spec, upstream, call).await;
-            let answer = outcome.map_err(|_| unknown_outcome())?;
-            core.records
-                .finish(&key, &call.request, &digest, answer.clone())
-                .await;
-            Ok(answer)
-        }
-        Ok(record::RecordDecision::Replay(answer)) => Ok(answer),
-        Ok(record::RecordDecision::Reused) => Err(caller::CallerError::new(
-            http::StatusCode::UNPROCESSABLE_ENTITY,
+    let dispatcher = ServiceDispatch {
+        core,
+        config,
+        spec,
+        call,
+        first: core.next_turn(),
+    };
+    let marked = record::MarkedCall {
+        key,
+        digest: digest_call(call),
+        received: call.received,
+        turns: spec.upstreams.len(),
+        deadline: spec.deadline_ms,
+        dispatcher: &dispatcher,
+    };
+    record::run_marked(&core.records, &marked)
+        .await
+        .map_err(|error| marked_failed(&error))
+}
+
+/// Sends a marked call to the upstreams of its service in turn.
+struct ServiceDispatch<'a> {
+    core: &'a node::NodeCore,
+    config: &'a document::ConfigDocument,
+    spec: &'a document::ServiceSpec,
+    call: &'a ServiceCall,
+    first: usize,
+}
+
+#[async_trait]
+impl record::CallDispatch for ServiceDispatch<'_> {
+    async fn dispatch(&self, turn: usize) -> Result<record::RecordedAnswer, record::DispatchError> {
+        let upstream = pick(self.config, self.spec, self.first + turn);
+        dispatch(self.core, self.spec, upstream, self.call)
+            .await
+            .map_err(|error| match error {
+                client::ClientError::NotSent { reason } => {
+                    record::DispatchError::NotSent { reason }
+                }
+                error => record::DispatchError::Lost {
+                    reason: error.to_string(),
+                },
+            })
+    }
+}
+
+fn marked_failed(error: &record::MarkedError) -> caller::CallerError {
+    use caller::RunOutcome;
+    use http::StatusCode;
+    let (status, code, ran) = match error {
+        record::MarkedError::NotRun { .. } => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "call_not_run",
+            RunOutcome::No,
+        ),
+        record::MarkedError::Reused => (
+            StatusCode::UNPROCESSABLE_ENTITY,
             "idempotency_key_reused",
-            "this key was used with another request",
-        )),
-        Ok(record::RecordDecision::Pending) => Err(unknown_outcome()),
-        Err(record::RecordError::NotRun { reason }) => Err(caller::CallerError::new(
-            http::StatusCode::SERVICE_UNAVAILABLE,
+            RunOutcome::No,
+        ),
+        record::MarkedError::Pending { .. } => {
+            (StatusCode::CONFLICT, "outcome_unknown", RunOutcome::Unknown)
+        }
+        record::MarkedError::Unreachable { .. } => (
+            StatusCode::SERVICE_UNAVAILABLE,
             "record_unavailable",
-            &reason,
-        )
-        .with_pause(std::time::Duration::from_secs(1))),
-        Err(record::RecordError::Unknown { .. }) => Err(unknown_outcome()),
+            RunOutcome::Unknown,
+        ),
+    };
+    let failed = caller::CallerError::new(status, code, &error.to_string()).with_ran(ran);
+    match error {
+        record::MarkedError::Reused => failed,
+        // Asking again with the same key is safe and gets the first answer.
+        _ => failed.with_pause(COME_BACK),
     }
 }
 
@@ -93,8 +147,9 @@
     spec: &document::ServiceSpec,
     call: &ServiceCall,
 ) -> Result<record::RecordedAnswer, caller::CallerError> {
+    let first = core.next_turn();
     for turn in 0..spec.upstreams.len() {
-        let upstream = pick(core, config, spec, turn);
+        let upstream = pick(config, spec, first + turn);
         if let Ok(answer) = dispatch(core, spec, upstream, call).await {
             return Ok(answer);
         }
@@ -105,18 +160,16 @@
         "no upstream answered",
     )
     .with_ran(caller::RunOutcome::Unknown)
-    .with_pause(std::time::Duration::from_secs(1)))
+    .with_pause(COME_BACK))
 }
 
 fn pick<'a>(
-    core: &node::NodeCore,
     config: &'a document::ConfigDocument,
     spec: &document::ServiceSpec,
     turn: usize,
 ) -> Option<&'a document::UpstreamSpec> {
     let count = spec.upstreams.len().max(1);
-    let turn = (core.next_turn() + turn) % count;
-    config.upstream(spec.upstreams.get(turn)?)
+    config.upstream(spec.upstreams.get(turn % count)?)
 }
 
 async fn dispatch(
@@ -147,7 +200,7 @@
         Ok(record::RecordedAnswer {
             status,
             content_type,
-            body: String::from_utf8_lossy(&body).into_owned(),
+            body: body.to_vec(),
         })
     };
     time::timeout(spec.deadline_ms, exchange)
@@ -168,13 +221,3 @@
     hasher.update(&call.body);
     hasher.finalize().to_hex().to_string()
 }
-
-fn unknown_outcome() -> caller::CallerError {
-    caller::CallerError::new(
-        http::StatusCode::CONFLICT,
-        "outcome_unknown",
-        "the call was started and its outcome is not known yet; ask again with the same key",
-    )
-    .with_ran(caller::RunOutcome::Unknown)
-    .with_pause(std::time::Duration::from_secs(1))
-}
