Ask a gate before an attempt is repeated, and say truly what ran

Cause: retries, budgets and suspects need two points in the driver of completions, and a request whose attempt was never sent was said to have run.

Change: `RetryGate` with `OpenGate` as the default in `NodeCore`; the order names its organisation and priority; the outcome rises from no over unknown to yes as an attempt is sent and a token is proved.

--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -299,6 +299,8 @@
     let order = complete::CompletionOrder {
         request: request_id.to_owned(),
         model: model.clone(),
+        organisation: organisation.name.clone(),
+        priority: organisation.priority,
         prompt: asked.prompt,
         max_tokens,
         deadline: time::Instant::now() + organisation.deadline_ms,
--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -39,6 +39,10 @@
     pub request: id::RequestId,
     /// Model to run.
     pub model: document::ModelSpec,
+    /// Organisation that the caller belongs to.
+    pub organisation: id::OrganisationName,
+    /// Priority of the request.
+    pub priority: document::RequestPriority,
     /// Prompt.
     pub prompt: String,
     /// Number of tokens in the whole answer.
@@ -47,6 +51,51 @@
     pub deadline: time::Instant,
 }
 
+/// What is known when an attempt ended before its answer was complete.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptNotice<'a> {
+    /// Completion that the attempt belongs to.
+    pub order: &'a CompletionOrder,
+    /// Ordinal of the attempt.
+    pub attempt: id::AttemptNumber,
+    /// Whether the completion ran in any attempt so far.
+    pub ran: caller::RunOutcome,
+    /// Stages of the attempt.
+    pub route: &'a [upstream::RouteStage],
+    /// Stage that is to blame, where it is known.
+    pub blamed: Option<&'a upstream::RouteStage>,
+}
+
+/// Whether a further attempt may be made.
+#[derive(Clone, Debug)]
+pub enum RetryVerdict {
+    /// It may be made.
+    Retry,
+    /// The caller gets this answer instead.
+    Refuse(caller::CallerError),
+}
+
+/// Decides about attempts after the first, and hears of deaths.
+pub trait RetryGate: Send + Sync {
+    /// Tells whether the completion may be attempted again.
+    fn may_retry(&self, notice: &AttemptNotice<'_>, now: time::Instant) -> RetryVerdict;
+
+    /// Notes that the completion was running on an upstream that died.
+    fn note_death(&self, order: &CompletionOrder, upstream: &str, now: time::Instant);
+}
+
+/// A gate that allows every attempt.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OpenGate;
+
+impl RetryGate for OpenGate {
+    fn may_retry(&self, _notice: &AttemptNotice<'_>, _now: time::Instant) -> RetryVerdict {
+        RetryVerdict::Retry
+    }
+
+    fn note_death(&self, _order: &CompletionOrder, _upstream: &str, _now: time::Instant) {}
+}
+
 /// A piece of an answer for the caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerPiece {
@@ -64,6 +113,7 @@
     order: CompletionOrder,
     answer: stream::AnswerState,
     open: Option<OpenAttempt>,
+    ran: caller::RunOutcome,
     ended: bool,
 }
 
@@ -118,6 +168,7 @@
             order,
             answer,
             open: None,
+            ran: caller::RunOutcome::No,
             ended: false,
         }
     }
@@ -172,6 +223,7 @@
         let opened = time::timeout(STALL_LIMIT, self.open_stream(route)).await;
         Ok(match opened {
             Ok(Ok(body)) => {
+                self.note_ran(caller::RunOutcome::Unknown);
                 self.open = Some(OpenAttempt {
                     body,
                     buffer: BytesMut::new(),
@@ -179,12 +231,18 @@
                 });
                 Ok(None)
             }
-            Ok(Err(error)) => Err(AttemptFailure {
-                reason: error.to_string(),
-            }),
-            Err(_) => Err(AttemptFailure {
-                reason: "the first stage did not answer".to_owned(),
-            }),
+            Ok(Err(error)) => {
+                self.note_sent(&error);
+                Err(AttemptFailure {
+                    reason: error.to_string(),
+                })
+            }
+            Err(_) => {
+                self.note_ran(caller::RunOutcome::Unknown);
+                Err(AttemptFailure {
+                    reason: "the first stage did not answer".to_owned(),
+                })
+            }
         })
     }
 
@@ -276,6 +334,7 @@
             });
         match checked {
             Ok(token) => {
+                self.note_ran(caller::RunOutcome::Yes);
                 self.core.metrics.tokens.inc();
                 Some(AnswerPiece {
                     text: token.text,
@@ -308,17 +367,39 @@
         if attempt >= ATTEMPT_LIMIT {
             return Err(self.give_up("every attempt failed"));
         }
+        let notice = AttemptNotice {
+            order: &self.order,
+            attempt,
+            ran: self.ran,
+            route: self.answer.route(),
+            blamed: self.answer.route().first(),
+        };
+        let verdict = self.core.gate.may_retry(&notice, time::Instant::now());
+        if let RetryVerdict::Refuse(error) = verdict {
+            return Err(error);
+        }
         self.core.metrics.retries.inc();
         Ok(())
     }
 
+    fn note_sent(&mut self, error: &client::ClientError) {
+        match error {
+            // An error status comes before anything runs.
+            client::ClientError::NotSent { .. } | client::ClientError::Status { .. } => {}
+            client::ClientError::Lost { .. } => self.note_ran(caller::RunOutcome::Unknown),
+        }
+    }
+
+    /// Raises the outcome; what once ran cannot become undone.
+    fn note_ran(&mut self, ran: caller::RunOutcome) {
+        if self.ran != caller::RunOutcome::Yes {
+            self.ran = ran;
+        }
+    }
+
     fn give_up(&self, message: &str) -> caller::CallerError {
-        let ran = match self.answer.attempt() {
-            0 => caller::RunOutcome::No,
-            _ => caller::RunOutcome::Yes,
-        };
         caller::CallerError::new(http::StatusCode::SERVICE_UNAVAILABLE, "no_answer", message)
-            .with_ran(ran)
+            .with_ran(self.ran)
             .with_pause(REFUSAL_PAUSE)
     }
 }
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::caller;
 use crate::client;
+use crate::complete;
 use crate::config;
 use crate::event;
 use crate::id;
@@ -76,6 +77,8 @@
     pub upstreams: upstream::UpstreamView,
     /// Peers as this node knows them.
     pub members: member::MemberView,
+    /// Decides about attempts after the first.
+    pub gate: Box<dyn complete::RetryGate>,
     /// Client of model engines.
     pub engines: client::HttpClient,
     /// Client of plain services.
@@ -106,6 +109,7 @@
             recorder,
             upstreams: upstream::UpstreamView::default(),
             members: member::MemberView::default(),
+            gate: Box::new(complete::OpenGate),
             engines: client::HttpClient::for_engines(),
             services: client::HttpClient::for_services(),
             stopping: atomic::AtomicBool::new(false),
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Measures the decisions of arbutusfold with small fakes on a paused clock.
+
+pub mod report;
+pub mod scenario;
--- /dev/null
+++ b/bench/src/scenario.rs
@@ -0,0 +1,47 @@
+//! The scenarios by name.
+
+use anyhow::Context;
+
+use crate::report;
+
+/// A measurement that can be run by name.
+pub struct BenchScenario {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Measures with a seed.
+    measure: fn(u64) -> anyhow::Result<report::ScenarioReport>,
+}
+
+/// Every scenario, in the order of the output.
+const SCENARIOS: &[BenchScenario] = &[];
+
+impl BenchScenario {
+    /// Runs the scenario.
+    ///
+    /// # Errors
+    ///
+    /// When the fleet cannot be set up.
+    pub fn run(&self, seed: u64) -> anyhow::Result<report::ScenarioReport> {
+        (self.measure)(seed)
+    }
+}
+
+/// Returns the scenarios of these names, or all when none is given.
+///
+/// # Errors
+///
+/// When a name is unknown.
+pub fn select(names: &[String]) -> anyhow::Result<Vec<&'static BenchScenario>> {
+    if names.is_empty() {
+        return Ok(SCENARIOS.iter().collect());
+    }
+    names
+        .iter()
+        .map(|name| {
+            SCENARIOS
+                .iter()
+                .find(|scenario| scenario.name == name)
+                .with_context(|| format!("there is no scenario {name:?}"))
+        })
+        .collect()
+}
