Plan routes by maximum flow and judge stalls by a route's own gaps

Cause: a route was put together layer by layer from the fewest requests of this node; a fixed silence of 400 ms counted as a stall; the first stage was blamed for every fault; a refusal of a stale stage cost an attempt.

Change: `flow` (Dinic), `plan` (layer boundaries by failure domain, quickest links first, split into weighted routes), `load` (late report, own attempts since, peers' expected share), `route` (what is known, when a plan is due), `choose` (draw by weight, best of two, prefix by weighted rendezvous, mending of a broken route). The driver of completions judges silence by `GapMeter`, blames the stage that the engine names, suspects all stages where nobody is named, and retries a refusal at no cost. One timer for each attempt is only moved later, so no lock is taken for a token.

--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -1,13 +1,16 @@
 //! Completions: attempts over routes until the answer is complete.
 
+use std::pin;
 use std::sync;
 use std::time as std_time;
 
 use bytes::{Buf, Bytes, BytesMut};
+use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use tokio::time;
 
 use crate::caller;
+use crate::choose;
 use crate::client;
 use crate::document;
 use crate::event;
@@ -17,18 +20,33 @@
 use crate::stream;
 use crate::upstream;
 
-/// Attempts after which an answer is given up.
-const ATTEMPT_LIMIT: id::AttemptNumber = 6;
+/// Attempts without a new token after which an answer is given up.
+const ATTEMPT_LIMIT: u32 = 6;
 
-/// Silence of a route after which it counts as stalled.
-const STALL_LIMIT: std_time::Duration = std_time::Duration::from_millis(400);
+/// Refusals of stale stages in a row after which an answer is given up.
+const REFUSAL_LIMIT: u32 = 32;
+
+/// Pause before the second attempt without a new token; it doubles from there.
+const BACKOFF_START: std_time::Duration = std_time::Duration::from_millis(10);
+
+/// Longest pause between two attempts.
+const BACKOFF_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
 
 /// Time between two looks for a route while none exists.
-const ROUTE_WAIT: std_time::Duration = std_time::Duration::from_millis(50);
+const ROUTE_WAIT: std_time::Duration = std_time::Duration::from_millis(20);
 
 /// Longest time to wait for a route while none exists.
 const ROUTE_WAIT_LIMIT: std_time::Duration = std_time::Duration::from_millis(2_000);
 
+/// Longest such time for an answer that has begun.
+const RESUME_WAIT_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
+
+/// Bytes of text for one token of a prompt.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// How much sooner than its timer a stall may be due before the timer is set anew.
+const WATCH_SLACK: std_time::Duration = std_time::Duration::from_millis(50);
+
 /// Time after which a caller that was refused for want of a route may come back.
 const REFUSAL_PAUSE: std_time::Duration = std_time::Duration::from_secs(1);
 
@@ -113,6 +131,12 @@
     order: CompletionOrder,
     answer: stream::AnswerState,
     open: Option<OpenAttempt>,
+    /// Upstreams that failed since the last token.
+    avoid: Vec<id::UpstreamName>,
+    /// Failed attempts since the last token.
+    failures: u32,
+    /// Refused attempts since the last token.
+    refusals: u32,
     ran: caller::RunOutcome,
     ended: bool,
 }
@@ -120,45 +144,106 @@
 struct OpenAttempt {
     body: hyper::body::Incoming,
     buffer: BytesMut,
-    _guard: FlightGuard,
+    /// Fires no earlier than `due`; moving it later takes no lock.
+    watch: pin::Pin<Box<time::Sleep>>,
+    due: time::Instant,
+    meter: stream::GapMeter,
+    guard: FlightGuard,
+}
+
+impl OpenAttempt {
+    fn set_due(&mut self, due: time::Instant) {
+        self.due = due;
+        let deadline = self.watch.deadline();
+        if due > deadline || due + WATCH_SLACK < deadline {
+            self.watch.as_mut().reset(due);
+        }
+    }
+
+    /// Returns the next frame, or `None` once the route is silent for too long.
+    async fn next_frame(&mut self) -> Option<FrameResult> {
+        loop {
+            tokio::select! {
+                biased;
+                frame = self.body.frame() => return Some(frame),
+                () = &mut self.watch => {}
+            }
+            if time::Instant::now() >= self.due {
+                return None;
+            }
+            self.watch.as_mut().reset(self.due);
+        }
+    }
 }
 
+type FrameResult = Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>;
+
 /// Counts an attempt against its upstreams while it lives.
 struct FlightGuard {
     core: sync::Arc<node::NodeCore>,
     route: Vec<upstream::RouteStage>,
+    outcome: route::AttemptOutcome,
 }
 
 impl FlightGuard {
     fn new(core: &sync::Arc<node::NodeCore>, route: &[upstream::RouteStage]) -> Self {
-        for stage in route {
-            core.upstreams
-                .change(&stage.upstream, stage.address, |state| state.in_flight += 1);
-        }
+        core.routes.lock().begin(route, time::Instant::now());
         Self {
             core: sync::Arc::clone(core),
             route: route.to_vec(),
+            outcome: route::AttemptOutcome::default(),
         }
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        for stage in &self.route {
-            self.core
-                .upstreams
-                .change(&stage.upstream, stage.address, |state| {
-                    state.in_flight = state.in_flight.saturating_sub(1);
-                });
-        }
+        let now = time::Instant::now();
+        self.core.routes.lock().end(&self.route, self.outcome, now);
     }
 }
 
 /// Why an attempt ended before its answer was complete.
-struct AttemptFailure {
-    reason: String,
+#[derive(Debug, Display)]
+enum AttemptFailure {
+    /// The first stage refused before anything ran.
+    #[display("the first stage refused")]
+    Refused,
+    /// The first stage cannot take work now.
+    #[display("the first stage answered {status}")]
+    Busy { status: u16 },
+    /// The first stage was not reached.
+    #[display("{reason}")]
+    NotSent { reason: String },
+    /// The first stage did not answer in time.
+    #[display("the first stage did not answer")]
+    Unanswered,
+    /// The connection to the first stage broke.
+    #[display("{reason}")]
+    Broken { reason: String },
+    /// An engine said which stage broke.
+    #[display("stage {hop} broke, refused: {refused}")]
+    Stage { hop: usize, refused: bool },
+    /// No token came in time.
+    #[display("the route stalled")]
+    Stalled,
+    /// The stream ended before the answer did.
+    #[display("the stream ended early")]
+    EndedEarly,
+    /// A token had no proof of its passage.
+    #[display("{_0}")]
+    Unproved(stream::ProofError),
 }
 
+/// What one line of a stream comes to.
+enum LineOutcome {
+    Piece(AnswerPiece),
+    Dropped,
+    Failed(AttemptFailure),
+}
+
+type AttemptStep = Result<Option<AnswerPiece>, AttemptFailure>;
+
 impl CompletionDriver {
     /// Creates a driver that has not begun.
     pub fn new(core: sync::Arc<node::NodeCore>, order: CompletionOrder) -> Self {
@@ -168,6 +253,9 @@
             order,
             answer,
             open: None,
+            avoid: Vec::new(),
+            failures: 0,
+            refusals: 0,
             ran: caller::RunOutcome::No,
             ended: false,
         }
@@ -180,9 +268,6 @@
     /// [`caller::CallerError`] when the answer cannot be completed.
     pub async fn next(&mut self) -> Result<Option<AnswerPiece>, caller::CallerError> {
         while !self.ended {
-            if time::Instant::now() >= self.order.deadline {
-                return Err(self.give_up("the deadline has passed"));
-            }
             let step = match &self.open {
                 None => self.begin().await?,
                 Some(_) => self.read_piece().await,
@@ -190,71 +275,109 @@
             match step {
                 Ok(None) => {}
                 Ok(Some(piece)) => {
-                    self.ended = piece.finish.is_some();
+                    if piece.finish.is_some() {
+                        self.finish();
+                    }
                     return Ok(Some(piece));
                 }
-                Err(failure) => self.fail_attempt(&failure)?,
+                Err(failure) => self.fail_attempt(&failure).await?,
             }
         }
         Ok(None)
     }
 
-    async fn begin(
-        &mut self,
-    ) -> Result<Result<Option<AnswerPiece>, AttemptFailure>, caller::CallerError> {
+    fn finish(&mut self) {
+        self.ended = true;
+        if let Some(mut open) = self.open.take() {
+            open.guard.outcome.complete = true;
+            open.guard.outcome.gap = open.meter.average();
+        }
+    }
+
+    async fn begin(&mut self) -> Result<AttemptStep, caller::CallerError> {
         let route = self.find_route().await?;
         let attempt = self.answer.begin(route.clone());
-        let detail = route
-            .iter()
-            .map(|stage| {
-                format!(
-                    "{}[{}..{}]",
-                    stage.upstream, stage.layers.from, stage.layers.to
-                )
-            })
-            .collect::<Vec<_>>()
-            .join(" ");
         self.core.recorder.record(
             event::EventCode::RouteChosen,
             &self.order.request,
-            format!("attempt {attempt}: {detail}"),
+            format!("attempt {attempt}: {}", describe(&route)),
         );
         let guard = FlightGuard::new(&self.core, &route);
-        let opened = time::timeout(STALL_LIMIT, self.open_stream(route)).await;
+        let recent = self.core.routes.lock().recent_gap(&route);
+        let meter = stream::GapMeter::new(recent);
+        let limit = meter.first_limit(self.prompt_tokens()) * self.patience();
+        let due = (time::Instant::now() + limit).min(self.order.deadline);
+        let opened = time::timeout_at(due, self.open_stream(route)).await;
         Ok(match opened {
             Ok(Ok(body)) => {
                 self.note_ran(caller::RunOutcome::Unknown);
                 self.open = Some(OpenAttempt {
                     body,
                     buffer: BytesMut::new(),
-                    _guard: guard,
+                    watch: Box::pin(time::sleep_until(due)),
+                    due,
+                    meter,
+                    guard,
                 });
                 Ok(None)
             }
-            Ok(Err(error)) => {
-                self.note_sent(&error);
-                Err(AttemptFailure {
-                    reason: error.to_string(),
-                })
-            }
+            Ok(Err(error)) => Err(self.judge(error)),
             Err(_) => {
                 self.note_ran(caller::RunOutcome::Unknown);
-                Err(AttemptFailure {
-                    reason: "the first stage did not answer".to_owned(),
-                })
+                Err(AttemptFailure::Unanswered)
             }
         })
     }
 
+    /// Turns a failed call of the first stage into a failure of the attempt.
+    fn judge(&mut self, error: client::ClientError) -> AttemptFailure {
+        match error {
+            client::ClientError::NotSent { reason } => AttemptFailure::NotSent { reason },
+            client::ClientError::Status { status: 409, .. } => AttemptFailure::Refused,
+            client::ClientError::Status { status, .. } => AttemptFailure::Busy { status },
+            client::ClientError::Lost { reason } => {
+                self.note_ran(caller::RunOutcome::Unknown);
+                AttemptFailure::Broken { reason }
+            }
+        }
+    }
+
+    /// Returns how many times longer than usual a route may be silent.
+    fn patience(&self) -> u32 {
+        1 << self.failures.min(3)
+    }
+
+    /// Returns the tokens that the next attempt must compute before its first.
+    fn prompt_tokens(&self) -> usize {
+        self.order.prompt.len() / BYTES_PER_TOKEN + self.answer.delivered().len()
+    }
+
     async fn find_route(&self) -> Result<Vec<upstream::RouteStage>, caller::CallerError> {
-        let limit = time::Instant::now() + ROUTE_WAIT_LIMIT;
+        let wait = match self.answer.delivered().is_empty() {
+            true => ROUTE_WAIT_LIMIT,
+            false => RESUME_WAIT_LIMIT,
+        };
+        let limit = (time::Instant::now() + wait).min(self.order.deadline);
+        let query = choose::ChoiceQuery {
+            model: &self.order.model.name,
+            prompt: &self.order.prompt,
+            previous: self.answer.route(),
+            avoid: &self.avoid,
+        };
         loop {
             let now = time::Instant::now();
-            let states = self.core.upstreams.snapshot();
-            if let Some(route) = route::choose(&self.order.model, &states, now) {
+            if now >= self.order.deadline {
+                return Err(self.give_up("the deadline has passed"));
+            }
+            let route = self
+                .core
+                .routes
+                .lock()
+                .choose(&query, now, &mut rand::rng());
+            if let Some(route) = route {
                 return Ok(route);
             }
-            if now >= limit || now >= self.order.deadline {
+            if now >= limit {
                 return Err(self.give_up("no route covers every layer"));
             }
             time::sleep(ROUTE_WAIT).await;
@@ -270,6 +393,7 @@
             request: self.order.request.clone(),
             attempt: self.answer.attempt(),
             model: self.order.model.name.clone(),
+            priority: self.order.priority,
             prompt: self.order.prompt.clone(),
             delivered: self.answer.delivered().to_vec(),
             max_tokens: self.order.max_tokens,
@@ -297,97 +421,180 @@
         Ok(response.into_body())
     }
 
-    async fn read_piece(&mut self) -> Result<Option<AnswerPiece>, AttemptFailure> {
+    async fn read_piece(&mut self) -> AttemptStep {
         let Some(open) = &mut self.open else {
             return Ok(None);
         };
         if let Some(line) = split_line(&mut open.buffer) {
-            return Ok(self.take_line(&line));
+            return match self.take_line(&line) {
+                LineOutcome::Piece(piece) => Ok(Some(piece)),
+                LineOutcome::Dropped => Ok(None),
+                LineOutcome::Failed(failure) => Err(failure),
+            };
         }
-        let frame = time::timeout(STALL_LIMIT, open.body.frame())
-            .await
-            .map_err(|_| AttemptFailure {
-                reason: "the route stalled".to_owned(),
-            })?;
-        match frame {
-            Some(Ok(frame)) => {
+        match open.next_frame().await {
+            Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     open.buffer.extend_from_slice(&data);
                 }
                 Ok(None)
             }
-            Some(Err(error)) => Err(AttemptFailure {
+            Some(Some(Err(error))) => Err(AttemptFailure::Broken {
                 reason: error.to_string(),
             }),
-            None => Err(AttemptFailure {
-                reason: "the stream ended early".to_owned(),
-            }),
+            Some(None) => Err(AttemptFailure::EndedEarly),
+            None => Err(AttemptFailure::Stalled),
         }
     }
 
-    fn take_line(&mut self, line: &[u8]) -> Option<AnswerPiece> {
-        let checked = serde_json::from_slice::<upstream::StageToken>(line)
-            .map_err(|error| error.to_string())
-            .and_then(|token| match self.answer.accept(&token) {
-                Ok(()) => Ok(token),
-                Err(error) => Err(error.to_string()),
-            });
-        match checked {
-            Ok(token) => {
-                self.note_ran(caller::RunOutcome::Yes);
-                self.core.metrics.tokens.inc();
-                Some(AnswerPiece {
-                    text: token.text,
-                    finish: token.finish,
-                })
-            }
-            Err(reason) => {
-                self.core.metrics.dropped.inc();
-                let subject = &self.order.request;
-                self.core
-                    .recorder
-                    .record(event::EventCode::TokenDropped, subject, reason);
-                None
-            }
+    fn take_line(&mut self, line: &[u8]) -> LineOutcome {
+        let token = match serde_json::from_slice::<upstream::StageToken>(line) {
+            Ok(token) => token,
+            Err(error) => return self.take_fault(line, &error),
+        };
+        if let Err(error) = self.answer.accept(&token) {
+            self.note_dropped(error.to_string());
+            return match error.breaks_stream() {
+                true => LineOutcome::Failed(AttemptFailure::Unproved(error)),
+                false => LineOutcome::Dropped,
+            };
         }
+        self.note_token();
+        LineOutcome::Piece(AnswerPiece {
+            text: token.text,
+            finish: token.finish,
+        })
+    }
+
+    fn take_fault(&mut self, line: &[u8], error: &serde_json::Error) -> LineOutcome {
+        let fault = serde_json::from_slice::<upstream::StageFault>(line)
+            .ok()
+            .filter(|fault| self.answer.is_current(&fault.request, fault.attempt));
+        let Some(fault) = fault else {
+            self.note_dropped(error.to_string());
+            return LineOutcome::Dropped;
+        };
+        LineOutcome::Failed(AttemptFailure::Stage {
+            hop: fault.fault_hop,
+            refused: fault.refused,
+        })
+    }
+
+    fn note_dropped(&self, reason: String) {
+        self.core.metrics.dropped.inc();
+        let subject = &self.order.request;
+        self.core
+            .recorder
+            .record(event::EventCode::TokenDropped, subject, reason);
     }
 
-    fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
-        self.open = None;
-        let attempt = self.answer.attempt();
-        // The first stage is blamed: the node has no evidence of the others.
-        if let Some(stage) = self.answer.route().first() {
-            self.core.upstreams.note_failure(&stage.upstream);
+    fn note_token(&mut self) {
+        self.note_ran(caller::RunOutcome::Yes);
+        self.failures = 0;
+        self.refusals = 0;
+        self.core.metrics.tokens.inc();
+        let now = time::Instant::now();
+        if let Some(open) = &mut self.open {
+            open.meter.note(now);
+            let due = now + open.meter.limit();
+            open.set_due(due.min(self.order.deadline));
         }
+    }
+
+    async fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
+        let meter = self.open.take().map(|open| open.meter);
+        let progressed = meter.is_some_and(|meter| meter.average().is_some());
+        if progressed {
+            self.avoid.clear();
+        }
+        let blamed = self.blame(failure);
         self.core.recorder.record(
             event::EventCode::AttemptFailed,
             &self.order.request,
-            format!("attempt {attempt}: {}", failure.reason),
+            format!("attempt {}: {failure}", self.answer.attempt()),
         );
-        if attempt >= ATTEMPT_LIMIT {
+        let now = time::Instant::now();
+        if now >= self.order.deadline {
+            return Err(self.give_up("the deadline has passed"));
+        }
+        if matches!(failure, AttemptFailure::Refused) {
+            return self.allow_refusal().await;
+        }
+        self.failures += 1;
+        if self.failures >= ATTEMPT_LIMIT {
             return Err(self.give_up("every attempt failed"));
         }
         let notice = AttemptNotice {
             order: &self.order,
-            attempt,
+            attempt: self.answer.attempt(),
             ran: self.ran,
             route: self.answer.route(),
-            blamed: self.answer.route().first(),
+            blamed: blamed.and_then(|hop| self.answer.route().get(hop)),
         };
-        let verdict = self.core.gate.may_retry(&notice, time::Instant::now());
-        if let RetryVerdict::Refuse(error) = verdict {
+        if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now) {
             return Err(error);
         }
         self.core.metrics.retries.inc();
+        self.back_off(self.failures).await;
         Ok(())
     }
 
-    fn note_sent(&mut self, error: &client::ClientError) {
-        match error {
-            // An error status comes before anything runs.
-            client::ClientError::NotSent { .. } | client::ClientError::Status { .. } => {}
-            client::ClientError::Lost { .. } => self.note_ran(caller::RunOutcome::Unknown),
+    /// A refused attempt ran nowhere, so it costs no retry.
+    async fn allow_refusal(&mut self) -> Result<(), caller::CallerError> {
+        self.refusals += 1;
+        if self.refusals >= REFUSAL_LIMIT {
+            return Err(self.give_up("every route was stale"));
         }
+        self.back_off(self.refusals).await;
+        Ok(())
+    }
+
+    async fn back_off(&self, failures: u32) {
+        // The first failure in a row is answered at once.
+        let Some(doublings) = failures.checked_sub(2) else {
+            return;
+        };
+        let longest = (BACKOFF_START * (1 << doublings.min(8))).min(BACKOFF_LIMIT);
+        let pause = longest.mul_f64(rand::random_range(0.5..1.0));
+        time::sleep_until((time::Instant::now() + pause).min(self.order.deadline)).await;
+    }
+
+    /// Notes who failed and returns the stage where it is known.
+    fn blame(&mut self, failure: &AttemptFailure) -> Option<usize> {
+        let now = time::Instant::now();
+        let route = self.answer.route();
+        let mut keeper = self.core.routes.lock();
+        let (hop, died) = match failure {
+            AttemptFailure::Refused => {
+                keeper.note_refusal(&route.first()?.upstream, now);
+                self.avoid.push(route.first()?.upstream.clone());
+                return Some(0);
+            }
+            AttemptFailure::Stage { hop, refused: true } => {
+                keeper.note_refusal(&route.get(*hop)?.upstream, now);
+                self.avoid.push(route.get(*hop)?.upstream.clone());
+                return Some(*hop);
+            }
+            AttemptFailure::Busy { .. }
+            | AttemptFailure::NotSent { .. }
+            | AttemptFailure::Unanswered => (0, false),
+            AttemptFailure::Broken { .. } => (0, true),
+            AttemptFailure::Stage { hop, .. } => (*hop, true),
+            AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
+                keeper.note_suspicion(route, now);
+                let names = route.iter().map(|stage| stage.upstream.clone());
+                self.avoid.extend(names);
+                return None;
+            }
+        };
+        let name = &route.get(hop)?.upstream;
+        keeper.note_failure(name, now);
+        drop(keeper);
+        if died {
+            self.core.gate.note_death(&self.order, name, now);
+        }
+        self.avoid.push(name.clone());
+        Some(hop)
     }
 
     /// Raises the outcome; what once ran cannot become undone.
@@ -404,6 +611,19 @@
     }
 }
 
+fn describe(route: &[upstream::RouteStage]) -> String {
+    route
+        .iter()
+        .map(|stage| {
+            format!(
+                "{}[{}..{}]",
+                stage.upstream, stage.layers.from, stage.layers.to
+            )
+        })
+        .collect::<Vec<_>>()
+        .join(" ")
+}
+
 /// Takes the first whole line off a buffer.
 fn split_line(buffer: &mut BytesMut) -> Option<BytesMut> {
     let end = buffer.iter().position(|byte| *byte == b'\n')?;
--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -52,6 +52,8 @@
     AttemptFailed = 201, Warning;
     /// A token was dropped because its proof did not hold.
     TokenDropped = 202, Warning;
+    /// The routes of a model were planned anew.
+    RoutesPlanned = 203, Info;
     /// An upstream began to report.
     UpstreamFound = 210, Info;
     /// An upstream stopped answering.
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -22,17 +22,21 @@
 //! ```
 
 pub mod caller;
+pub mod choose;
 pub mod client;
 pub mod complete;
 pub mod config;
 pub mod document;
 pub mod event;
+mod flow;
 pub mod id;
+pub mod load;
 pub mod member;
 pub mod metric;
 pub mod node;
 pub mod operate;
 pub mod peer;
+pub mod plan;
 pub mod platform;
 pub mod record;
 pub mod route;
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -25,6 +25,7 @@
 use crate::peer;
 use crate::platform;
 use crate::record;
+use crate::route;
 use crate::settings;
 use crate::upstream;
 
@@ -40,6 +41,9 @@
 /// Time between two reports asked of one upstream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Time between two looks whether routes must be planned anew.
+const PLAN_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
+
 /// Longest time that a report may take.
 const REPORT_TIME_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
@@ -75,6 +79,8 @@
     pub records: record::RecordKeeper,
     /// Upstreams as this node knows them.
     pub upstreams: upstream::UpstreamView,
+    /// Routes over the upstreams that hold layers.
+    pub routes: route::RouteDesk,
     /// Peers as this node knows them.
     pub members: member::MemberView,
     /// Decides about attempts after the first.
@@ -108,6 +114,7 @@
             ),
             recorder,
             upstreams: upstream::UpstreamView::default(),
+            routes: route::RouteDesk::default(),
             members: member::MemberView::default(),
             gate: Box::new(complete::OpenGate),
             engines: client::HttpClient::for_engines(),
@@ -191,6 +198,7 @@
     let loops = [
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
+        tokio::spawn(keep_routes(sync::Arc::clone(&core))),
         tokio::spawn(keep_members(sync::Arc::clone(&core), transport, received)),
     ];
     let serve_callers = tokio::spawn(serve(
@@ -316,11 +324,15 @@
     let asked = core
         .engines
         .get_json::<upstream::EngineReport>(address, upstream::REPORT_PATH);
-    let report = match time::timeout(REPORT_TIME_LIMIT, asked).await {
-        Ok(Ok(report)) => Some(report),
-        Ok(Err(_)) | Err(_) => None,
-    };
+    let answer = time::timeout(REPORT_TIME_LIMIT, asked).await;
     let now = time::Instant::now();
+    match &answer {
+        Ok(Ok(report)) => core.routes.lock().hear(name, report, now),
+        // Nothing listens there any more; other gaps end with the report's life.
+        Ok(Err(client::ClientError::NotSent { .. })) => core.routes.lock().lose(name),
+        Ok(Err(_)) | Err(_) => {}
+    }
+    let report = answer.ok().and_then(Result::ok);
     let found = core.upstreams.change(name, address, |state| {
         let had = state.report.is_some();
         let has = report.is_some();
@@ -335,6 +347,42 @@
     core.recorder.record(code, name, address.to_string());
 }
 
+/// Keeps the planned routes current; a plan is made outside of the lock.
+async fn keep_routes(core: sync::Arc<NodeCore>) {
+    let mut ticks = time::interval(PLAN_PERIOD);
+    let mut version = 0;
+    loop {
+        ticks.tick().await;
+        let Some(config) = core.config.current() else {
+            continue;
+        };
+        if config.version != version {
+            version = config.version;
+            core.routes.lock().configure(&config.document);
+        }
+        let peers = core.members.alive().len().saturating_sub(1);
+        let now = time::Instant::now();
+        let due = {
+            let mut keeper = core.routes.lock();
+            keeper.set_peers(u32::try_from(peers).unwrap_or(u32::MAX));
+            keeper.due(now)
+        };
+        for task in due {
+            let plan = task.run();
+            let model = task.model().to_owned();
+            core.routes.lock().install(task, &plan, now);
+            let detail = format!(
+                "{} routes, {} of {} tokens a second",
+                plan.routes.len(),
+                plan.planned(),
+                plan.bound
+            );
+            core.recorder
+                .record(event::EventCode::RoutesPlanned, &model, detail);
+        }
+    }
+}
+
 async fn keep_members(
     core: sync::Arc<NodeCore>,
     transport: peer::NngTransport,
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -1,10 +1,40 @@
-//! The state of one answer: which token comes next and what proves it.
+//! The state of one answer: which token comes next, what proves it, when it stalls.
+
+use std::time as std_time;
 
 use derive_more::{Display, Error};
+use tokio::time;
 
 use crate::id;
 use crate::upstream;
 
+/// Shortest silence between tokens that counts as a stall.
+const STALL_FLOOR: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Silence between tokens that always counts as a stall.
+const STALL_CEILING: std_time::Duration = std_time::Duration::from_secs(2);
+
+/// Shortest silence before the first token that counts as a stall.
+const FIRST_FLOOR: std_time::Duration = std_time::Duration::from_millis(400);
+
+/// Silence before the first token that counts as a stall, besides the prefill.
+const FIRST_CEILING: std_time::Duration = std_time::Duration::from_secs(4);
+
+/// Time allowed for the prefill of one token over all stages.
+const PREFILL_ALLOWANCE: std_time::Duration = std_time::Duration::from_micros(200);
+
+/// Gaps within which the next token must come.
+const GAP_MULTIPLE: f64 = 4.0;
+
+/// Gaps within which the first token must come.
+const FIRST_MULTIPLE: f64 = 16.0;
+
+/// Mean deviations that are allowed above the average gap.
+const DEVIATION_MULTIPLE: f64 = 8.0;
+
+/// Weight of the newest gap in the averages.
+const GAP_WEIGHT: f64 = 0.125;
+
 /// Why a token was not delivered.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum ProofError {
@@ -33,6 +63,17 @@
     Passage,
 }
 
+impl ProofError {
+    /// Tells whether no later token of the stream can be the next one.
+    pub fn breaks_stream(&self) -> bool {
+        match self {
+            ProofError::Crossed { .. } | ProofError::Late { .. } => false,
+            ProofError::Index { found, expected } => found > expected,
+            ProofError::Passage => true,
+        }
+    }
+}
+
 /// The state of one answer over all its attempts.
 #[derive(Clone, Debug)]
 pub struct AnswerState {
@@ -72,6 +113,11 @@
         self.attempt
     }
 
+    /// Tells whether a message belongs to the current attempt.
+    pub fn is_current(&self, request: &str, attempt: id::AttemptNumber) -> bool {
+        request == self.request && attempt == self.attempt
+    }
+
     /// Returns the route of the current attempt.
     pub fn route(&self) -> &[upstream::RouteStage] {
         &self.route
@@ -127,3 +173,57 @@
     }
     next == layers
 }
+
+/// Judges how long a route may be silent, by the gaps between its tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct GapMeter {
+    recent: Option<std_time::Duration>,
+    mean: Option<f64>,
+    deviation: f64,
+    last: Option<time::Instant>,
+}
+
+impl GapMeter {
+    /// Creates a meter for a route that had this gap of late.
+    pub fn new(recent: Option<std_time::Duration>) -> Self {
+        Self {
+            recent,
+            mean: None,
+            deviation: 0.0,
+            last: None,
+        }
+    }
+
+    /// Notes that a token came.
+    pub fn note(&mut self, now: time::Instant) {
+        if let Some(last) = self.last {
+            let gap = now.duration_since(last).as_secs_f64();
+            let mean = self.mean.unwrap_or(gap);
+            self.deviation += GAP_WEIGHT * ((gap - mean).abs() - self.deviation);
+            self.mean = Some(mean + GAP_WEIGHT * (gap - mean));
+        }
+        self.last = Some(now);
+    }
+
+    /// Returns the average gap, once there were two tokens.
+    pub fn average(&self) -> Option<std_time::Duration> {
+        self.mean.map(std_time::Duration::from_secs_f64)
+    }
+
+    /// Returns the silence after a token that counts as a stall.
+    pub fn limit(&self) -> std_time::Duration {
+        let recent = self.recent.map_or(0.0, |gap| gap.as_secs_f64());
+        let mean = self.mean.unwrap_or(0.0);
+        let spread = mean + DEVIATION_MULTIPLE * self.deviation;
+        let limit = spread.max(GAP_MULTIPLE * mean.max(recent));
+        std_time::Duration::from_secs_f64(limit).clamp(STALL_FLOOR, STALL_CEILING)
+    }
+
+    /// Returns the silence before the first token that counts as a stall,
+    /// where `prompt_tokens` must be computed before it.
+    pub fn first_limit(&self, prompt_tokens: usize) -> std_time::Duration {
+        let recent = self.recent.unwrap_or_default().mul_f64(FIRST_MULTIPLE);
+        let prefill = PREFILL_ALLOWANCE * u32::try_from(prompt_tokens).unwrap_or(u32::MAX);
+        recent.clamp(FIRST_FLOOR, FIRST_CEILING) + prefill
+    }
+}
--- a/arbutusfold/src/upstream.rs
+++ b/arbutusfold/src/upstream.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
+use crate::document;
 use crate::id;
 
 /// Path at which an engine runs the stages of a request.
@@ -58,6 +59,9 @@
     pub delivered: Vec<String>,
     /// Number of tokens in the whole answer.
     pub max_tokens: id::TokenIndex,
+    /// Priority among the attempts that wait for the engine.
+    #[serde(default)]
+    pub priority: document::RequestPriority,
     /// Whole route, first stage first.
     pub route: Vec<RouteStage>,
     /// Position in the route of the engine addressed.
@@ -110,6 +114,19 @@
     pub finish: Option<FinishReason>,
 }
 
+/// The last line of a stream that broke off, where an engine can tell why.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StageFault {
+    /// Request that the fault belongs to.
+    pub request: id::RequestId,
+    /// Attempt that broke off.
+    pub attempt: id::AttemptNumber,
+    /// Position in the route of the stage that broke.
+    pub fault_hop: usize,
+    /// Whether that stage refused before it ran anything.
+    pub refused: bool,
+}
+
 /// A range of layers that an engine holds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HeldLayers {
@@ -138,6 +155,9 @@
     pub leaving: bool,
     /// Highest fencing number seen, 0 where none was.
     pub fencing: id::FencingNumber,
+    /// Age of the figures in milliseconds.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// What a node knows of one upstream.
@@ -149,10 +169,6 @@
     pub address: net::SocketAddr,
     /// Last report and when it came.
     pub report: Option<(EngineReport, time::Instant)>,
-    /// When the last call to it failed.
-    pub failed: Option<time::Instant>,
-    /// Requests of this node that run on it.
-    pub in_flight: u32,
 }
 
 /// What a node knows of all upstreams.
@@ -176,8 +192,6 @@
                 name: name.to_owned(),
                 address,
                 report: None,
-                failed: None,
-                in_flight: 0,
             });
         if state.address != address {
             state.address = address;
@@ -191,13 +205,6 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Notes that an upstream failed a call.
-    pub fn note_failure(&self, name: &str) {
-        if let Some(state) = self.lock().get_mut(name) {
-            state.failed = Some(time::Instant::now());
-        }
-    }
-
     fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<id::UpstreamName, UpstreamState>> {
         self.states
             .lock()
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -119,6 +119,7 @@
         tokens_per_second: 0,
         leaving: state.faults.plan().leaving,
         fencing: 0,
+        age_ms: 0,
     }
 }
 
