--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -82,6 +82,10 @@
     pub route: &'a [upstream::RouteStage],
     /// Stage that is to blame, where it is known.
     pub blamed: Option<&'a upstream::RouteStage>,
+    /// False only when nothing of this attempt reached its first stage.
+    pub sent: bool,
+    /// Whether this attempt delivered a token.
+    pub progress: bool,
 }
 
 /// Whether a further attempt may be made.
@@ -94,11 +98,14 @@
 }
 
 /// Decides about attempts after the first, and hears of deaths.
+#[async_trait::async_trait]
 pub trait RetryGate: Send + Sync {
     /// Tells whether the completion may be attempted again.
-    fn may_retry(&self, notice: &AttemptNotice<'_>, now: time::Instant) -> RetryVerdict;
+    async fn may_retry(&self, notice: &AttemptNotice<'_>, now: time::Instant) -> RetryVerdict;
 
     /// Notes that the completion was running on an upstream that died.
+    ///
+    /// It is called before [`Self::may_retry`], once for each such attempt.
     fn note_death(&self, order: &CompletionOrder, upstream: &str, now: time::Instant);
 }
 
@@ -106,8 +113,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OpenGate;
 
+#[async_trait::async_trait]
 impl RetryGate for OpenGate {
-    fn may_retry(&self, _notice: &AttemptNotice<'_>, _now: time::Instant) -> RetryVerdict {
+    async fn may_retry(&self, _notice: &AttemptNotice<'_>, _now: time::Instant) -> RetryVerdict {
         RetryVerdict::Retry
     }
 
@@ -503,8 +511,8 @@
 
     async fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
         let meter = self.open.take().map(|open| open.meter);
-        let progressed = meter.is_some_and(|meter| meter.average().is_some());
-        if progressed {
+        let progress = meter.is_some_and(|meter| meter.has_begun());
+        if progress {
             self.avoid.clear();
         }
         let blamed = self.blame(failure);
@@ -530,8 +538,10 @@
             ran: self.ran,
             route: self.answer.route(),
             blamed: blamed.and_then(|hop| self.answer.route().get(hop)),
+            sent: !matches!(failure, AttemptFailure::NotSent { .. }),
+            progress,
         };
-        if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now) {
+        if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now).await {
             return Err(error);
         }
         self.core.metrics.retries.inc();
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -205,6 +205,11 @@
         self.last = Some(now);
     }
 
+    /// Tells whether a token came.
+    pub fn has_begun(&self) -> bool {
+        self.last.is_some()
+    }
+
     /// Returns the average gap, once there were two tokens.
     pub fn average(&self) -> Option<std_time::Duration> {
         self.mean.map(std_time::Duration::from_secs_f64)
