--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -52,6 +52,8 @@
     AttemptFailed = 201, Warning;
     /// A token was dropped because its proof did not hold.
     TokenDropped = 202, Warning;
+    /// The routes of a model were planned anew.
+    RoutesPlanned = 203, Info;
     /// An upstream began to report.
     UpstreamFound = 210, Info;
     /// An upstream stopped answering.
@@ -64,6 +66,10 @@
     RecordUnknown = 402, Warning;
     /// A recorded answer was given again.
     RecordReplayed = 403, Info;
+    /// A marked request was recorded as not run.
+    RecordReleased = 404, Info;
+    /// An idempotency key was used with another call.
+    RecordReused = 405, Warning;
     /// A configuration document came into force.
     ConfigInForce = 600, Info;
     /// A configuration document was accepted.
