Pardon one crash once the answer got past its place

Cause: a stream whose stage dies twice must go on twice, but two burnt permits end a request.

Change: a crash whose place the same answer has since got past does not count, once a request. What crashes its upstreams before the first token or at one place is never pardoned, so two stays its bound; what gives tokens before each crash can crash three.

Ruled out: to count no crash after progress (a request that crashes after some time would have no bound at all); to refuse the second resume (the stream of an innocent caller would be lost with two hosts).

--- a/arbutusfold/src/suspect.rs
+++ b/arbutusfold/src/suspect.rs
@@ -141,6 +141,8 @@
     pub lasts: std_time::Duration,
     /// Burnt permits that the asking node knows of.
     pub burnt: Vec<BurntPermit>,
+    /// Crash whose place the answer has since got past.
+    pub pardoned: Option<CrashMark>,
 }
 
 /// Returns the fingerprint of a request to a model or service.
--- a/arbutusfold/src/suspect/claim.rs
+++ b/arbutusfold/src/suspect/claim.rs
@@ -58,6 +58,8 @@
     pub assigned: Vec<id::HostName>,
     /// Longest time that the run can last.
     pub lasts: std_time::Duration,
+    /// Crash whose place the answer has since got past.
+    pub pardoned: Option<suspect::CrashMark>,
 }
 
 /// The runs of one node.
@@ -315,6 +317,7 @@
             run: self.run,
             lasts: self.request.lasts,
             burnt: burnt.to_vec(),
+            pardoned: self.request.pardoned.clone(),
         };
         let message = suspect::SuspectMessage::Claim(claim);
         actions.push(ClaimAction::Send(keeper, message));
--- a/arbutusfold/src/suspect/host.rs
+++ b/arbutusfold/src/suspect/host.rs
@@ -103,7 +103,14 @@
         actions: &mut Vec<claim::ClaimAction>,
     ) {
         match event {
-            SuspectEvent::Begin(run, request) => {
+            SuspectEvent::Begin(run, mut request) => {
+                if let Some(mark) = &request.pardoned {
+                    let organisation = &request.organisation;
+                    self.keeper
+                        .pardon(&request.fingerprint, organisation, mark, now);
+                }
+                // Another request's pardon is passed on as well.
+                request.pardoned = self.keeper.pardoned(&request.fingerprint).cloned();
                 if self.keeper.is_proven(&request.fingerprint, now) {
                     self.desk.begin_free(run, request, now);
                     actions.push(claim::ClaimAction::Start(run));
--- a/arbutusfold/src/suspect/permit.rs
+++ b/arbutusfold/src/suspect/permit.rs
@@ -26,6 +26,8 @@
     fingerprint: suspect::RequestFingerprint,
     organisation: id::OrganisationName,
     burnt: Vec<suspect::BurntPermit>,
+    /// Crash that does not count; a request is pardoned once.
+    pardoned: Option<suspect::CrashMark>,
     runs: Vec<PermitRun>,
     forget: time::Instant,
 }
@@ -74,6 +76,9 @@
         for permit in &claim.burnt {
             self.note_burnt(&claim.fingerprint, &claim.organisation, permit, now);
         }
+        if let Some(mark) = &claim.pardoned {
+            self.pardon(&claim.fingerprint, &claim.organisation, mark, now);
+        }
         if self.is_proven(&claim.fingerprint, now) {
             return suspect::PermitVerdict::Granted;
         }
@@ -162,6 +167,9 @@
     ) -> bool {
         let place = self.case(fingerprint, organisation, now);
         let case = &mut self.cases[place];
+        if case.pardoned.as_ref() == Some(&permit.mark) {
+            return false;
+        }
         case.forget = now + suspect::BURNT_LIFE;
         match case.burnt.binary_search(permit) {
             Ok(_) => false,
@@ -172,6 +180,33 @@
         }
     }
 
+    /// Passes over a crash whose place the answer has since got past.
+    ///
+    /// What crashes its upstreams at one place is never pardoned, and what
+    /// does so at changing places is pardoned once.
+    pub fn pardon(
+        &mut self,
+        fingerprint: &suspect::RequestFingerprint,
+        organisation: &str,
+        mark: &suspect::CrashMark,
+        now: time::Instant,
+    ) {
+        let place = self.case(fingerprint, organisation, now);
+        let case = &mut self.cases[place];
+        if case.pardoned.is_none() {
+            case.burnt.retain(|permit| permit.mark != *mark);
+            case.pardoned = Some(mark.clone());
+        }
+    }
+
+    /// Returns the crash that was pardoned.
+    pub fn pardoned(
+        &self,
+        fingerprint: &suspect::RequestFingerprint,
+    ) -> Option<&suspect::CrashMark> {
+        self.cases[self.find(fingerprint)?].pardoned.as_ref()
+    }
+
     /// Takes back a crash that was none.
     pub fn withdraw(
         &mut self,
@@ -215,7 +250,8 @@
         let host = self.host.clone();
         self.cases.retain_mut(|case| {
             case.expire(&host, now);
-            !case.runs.is_empty() || (!case.burnt.is_empty() && now < case.forget)
+            let marked = !case.burnt.is_empty() || case.pardoned.is_some();
+            !case.runs.is_empty() || (marked && now < case.forget)
         });
         self.proven.retain(|(_, until)| now < *until);
     }
@@ -246,6 +282,7 @@
                     fingerprint: *fingerprint,
                     organisation: organisation.to_owned(),
                     burnt: Vec::new(),
+                    pardoned: None,
                     runs: Vec::new(),
                     forget: now + suspect::BURNT_LIFE,
                 };
--- a/arbutusfold/tests/suspect.rs
+++ b/arbutusfold/tests/suspect.rs
@@ -39,6 +39,7 @@
         run,
         lasts: LASTS,
         burnt: burnt.to_vec(),
+        pardoned: None,
     }
 }
 
@@ -131,6 +132,7 @@
             organisation: "novia-lima".to_owned(),
             assigned: nodes.0.clone(),
             lasts: LASTS,
+            pardoned: None,
         };
         let event = host::SuspectEvent::Begin(run, request);
         verdicts.extend(node.handle(event, &nodes, now));
@@ -147,6 +149,32 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_gets_past_its_crash_is_pardoned_once() {
+    let now = time::Instant::now();
+    let nodes = Assigned(hosts(&["n1"]));
+    let mut node = host::SuspectHost::new("n1".to_owned(), 1);
+    let mut pardoned = None;
+    let mut started = 0;
+    for upstream in ["u1", "u2", "u3", "u4", "u5"] {
+        let run = node.number();
+        let request = claim::RunRequest {
+            fingerprint: print(),
+            organisation: "novia-lima".to_owned(),
+            assigned: nodes.0.clone(),
+            lasts: LASTS,
+            pardoned: pardoned.take(),
+        };
+        let event = host::SuspectEvent::Begin(run, request);
+        let actions = node.handle(event, &nodes, now);
+        started += usize::from(actions == [claim::ClaimAction::Start(run)]);
+        let end = suspect::RunEnd::Crashed(mark(upstream));
+        node.handle(host::SuspectEvent::End(run, end), &nodes, now);
+        pardoned = Some(mark(upstream));
+    }
+    assert_eq!(started, 3);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_crash_that_was_none_gives_the_permit_back() {
     let now = time::Instant::now();
--- a/fuzz/tests/admission.rs
+++ b/fuzz/tests/admission.rs
@@ -192,6 +192,7 @@
             organisation: "a".to_owned(),
             assigned: self.names.0.clone(),
             lasts: RUN_LIMIT,
+            pardoned: None,
         };
         self.handle(node, host::SuspectEvent::Begin(run, request));
     }
