Admit, limit and permit every request of callers

Change: a shell, traffic, through which every completion and call of a plain service enters: its organisation's share, its permit, its place in the queue; the pass that it gets frees all three when dropped. Retries ask it for budget, permit and turn (RetryGate). An upstream's report under the incarnation thought dead gives the permit back. Calls of plain services skip ejected upstreams and pay for retries.

Hooks in files of others: complete.rs (ticket in the order, note_route, upstreams to avoid in RetryVerdict::Retry), caller.rs (enter, pass), service.rs (pass, breaker, retry), node.rs (desk, loop, report).

A marked call that is refused at entry says 'unknown', not 'no': a call under the same key may have run before.

--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -18,6 +18,8 @@
 use crate::id;
 use crate::node;
 use crate::service;
+use crate::suspect;
+use crate::traffic;
 use crate::upstream;
 
 /// Header that carries a request id in and out.
@@ -300,14 +302,26 @@
             &format!("max_tokens is {max_tokens}; 1 to {MAX_TOKENS_LIMIT} are allowed"),
         ));
     }
+    let deadline = time::Instant::now() + organisation.deadline_ms;
+    let entry = traffic::EntryRequest {
+        request: request_id,
+        kind: traffic::EntryKind::Completion,
+        organisation,
+        fingerprint: suspect::fingerprint(&organisation.name, &model.name, asked.prompt.as_bytes()),
+        permit: true,
+        max_tokens: u64::from(max_tokens),
+        deadline,
+    };
+    let mut pass = core.traffic.enter(&entry).await?;
     let order = complete::CompletionOrder {
         request: request_id.to_owned(),
+        ticket: pass.ticket(),
         model: model.clone(),
         organisation: organisation.name.clone(),
         priority: organisation.priority,
         prompt: asked.prompt,
         max_tokens,
-        deadline: time::Instant::now() + organisation.deadline_ms,
+        deadline,
     };
     let frame = AnswerFrame {
         id: format!("cmpl-{request_id}"),
@@ -318,7 +332,7 @@
     if asked.stream {
         // The first piece is awaited so that a refusal keeps its HTTP status.
         let first = driver.next().await?;
-        return Ok(stream_answer(core, driver, frame, first, flight));
+        return Ok(stream_answer(core, driver, frame, first, flight, pass));
     }
     let mut text = String::new();
     let mut finish = None;
@@ -327,7 +341,9 @@
         text.push_str(&piece.text);
         finish = piece.finish;
         tokens += 1;
+        pass.note_token();
     }
+    pass.note_answered();
     finished(core, request_id, tokens);
     let usage = TokenUsage {
         prompt_tokens: 0,
@@ -422,6 +438,8 @@
     tokens: u64,
     phase: StreamPhase,
     request: id::RequestId,
+    /// Given up as soon as the answer is complete or failed.
+    pass: Option<traffic::EntryPass>,
     _flight: node::FlightCount,
 }
 
@@ -438,6 +456,7 @@
     frame: AnswerFrame,
     first: Option<complete::AnswerPiece>,
     flight: node::FlightCount,
+    pass: traffic::EntryPass,
 ) -> CallerAnswer {
     // A box keeps the stream from moving the whole state at each token.
     let state = Box::new(StreamState {
@@ -448,6 +467,7 @@
         first,
         tokens: 0,
         phase: StreamPhase::Pieces,
+        pass: Some(pass),
         _flight: flight,
     });
     let frames = futures_stream::unfold(state, |mut state| async move {
@@ -483,14 +503,21 @@
     match piece {
         Ok(Some(piece)) => {
             state.tokens += 1;
+            if let Some(pass) = &mut state.pass {
+                pass.note_token();
+            }
             if piece.finish.is_some() {
                 state.phase = StreamPhase::Done;
+                if let Some(mut pass) = state.pass.take() {
+                    pass.note_answered();
+                }
             }
             Some(state.frame.to_event(&piece))
         }
         Ok(None) => None,
         Err(error) => {
             state.phase = StreamPhase::Closed;
+            state.pass = None;
             refuse(&state.core, &state.request, &error);
             Some(Bytes::from(format!("data: {}\n\n", error.to_json())))
         }
@@ -532,11 +559,38 @@
         body: Bytes::new(),
     };
     call.body = read_body(core, request).await?;
+    let marked = spec.is_marked(call.method.as_str(), &call.path);
+    let entry = traffic::EntryRequest {
+        request: request_id,
+        kind: traffic::EntryKind::Service,
+        organisation,
+        fingerprint: suspect::fingerprint(
+            &organisation.name,
+            &format!("{} {path}", call.method),
+            &call.body,
+        ),
+        permit: !marked,
+        max_tokens: 1,
+        deadline: call.received + spec.deadline_ms,
+    };
+    let entered = core.traffic.enter(&entry).await;
+    let mut pass = entered.map_err(|error| match marked {
+        // A call under the same key may have run before.
+        true => error.with_ran(RunOutcome::Unknown),
+        false => error,
+    })?;
     // The call goes on when the caller leaves: its outcome must be recorded.
     let core_held = sync::Arc::clone(core);
     let document = config.document.clone();
     let spec = spec.clone();
-    let task = tokio::spawn(async move { service::run(&core_held, &document, &spec, &call).await });
+    let task = tokio::spawn(async move {
+        let answer = service::run(&core_held, &document, &spec, &call, &pass).await;
+        if answer.is_ok() {
+            pass.note_token();
+            pass.note_answered();
+        }
+        answer
+    });
     let answer = task.await.map_err(|error| {
         CallerError::new(
             http::StatusCode::INTERNAL_SERVER_ERROR,
--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -57,6 +57,8 @@
     pub request: id::RequestId,
     /// Model to run.
     pub model: document::ModelSpec,
+    /// Ticket that names the request inside its node.
+    pub ticket: id::TicketNumber,
     /// Organisation that the caller belongs to.
     pub organisation: id::OrganisationName,
     /// Priority of the request.
@@ -92,7 +94,10 @@
 #[derive(Clone, Debug)]
 pub enum RetryVerdict {
     /// It may be made.
-    Retry,
+    Retry {
+        /// Upstreams that it must not use.
+        avoid: Vec<id::UpstreamName>,
+    },
     /// The caller gets this answer instead.
     Refuse(caller::CallerError),
 }
@@ -107,6 +112,9 @@
     ///
     /// It is called before [`Self::may_retry`], once for each such attempt.
     fn note_death(&self, order: &CompletionOrder, upstream: &str, now: time::Instant);
+
+    /// Notes the route of an attempt that begins.
+    fn note_route(&self, _order: &CompletionOrder, _route: &[upstream::RouteStage]) {}
 }
 
 /// A gate that allows every attempt.
@@ -116,7 +124,7 @@
 #[async_trait::async_trait]
 impl RetryGate for OpenGate {
     async fn may_retry(&self, _notice: &AttemptNotice<'_>, _now: time::Instant) -> RetryVerdict {
-        RetryVerdict::Retry
+        RetryVerdict::Retry { avoid: Vec::new() }
     }
 
     fn note_death(&self, _order: &CompletionOrder, _upstream: &str, _now: time::Instant) {}
@@ -310,6 +318,7 @@
             &self.order.request,
             format!("attempt {attempt}: {}", describe(&route)),
         );
+        self.core.gate.note_route(&self.order, &route);
         let guard = FlightGuard::new(&self.core, &route);
         let recent = self.core.routes.lock().recent_gap(&route);
         let meter = stream::GapMeter::new(recent);
@@ -541,8 +550,9 @@
             sent: !matches!(failure, AttemptFailure::NotSent { .. }),
             progress,
         };
-        if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now).await {
-            return Err(error);
+        match self.core.gate.may_retry(&notice, now).await {
+            RetryVerdict::Refuse(error) => return Err(error),
+            RetryVerdict::Retry { avoid } => self.avoid.extend(avoid),
         }
         self.core.metrics.retries.inc();
         self.back_off(self.failures).await;
--- a/arbutusfold/src/concurrency.rs
+++ b/arbutusfold/src/concurrency.rs
@@ -10,9 +10,6 @@
 /// Greatest limit.
 const LIMIT_MAX: f64 = 4_096.0;
 
-/// Limit before anything was observed.
-const LIMIT_START: f64 = 32.0;
-
 /// Time between two changes of a limit.
 const CHANGE_PERIOD: std_time::Duration = std_time::Duration::from_millis(200);
 
@@ -60,11 +57,11 @@
 }
 
 impl ConcurrencyLimit {
-    /// Creates a limit that has observed nothing.
-    pub fn new(policy: LimitPolicy, now: time::Instant) -> Self {
+    /// Creates a limit that begins at `start` and has observed nothing.
+    pub fn new(policy: LimitPolicy, start: usize, now: time::Instant) -> Self {
         Self {
             policy,
-            limit: LIMIT_START,
+            limit: (start as f64).clamp(LIMIT_MIN, LIMIT_MAX),
             base: None,
             next_base: None,
             base_began: now,
--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -58,6 +58,24 @@
     UpstreamFound = 210, Info;
     /// An upstream stopped answering.
     UpstreamLost = 211, Warning;
+    /// A request was refused because its organisation's limit was reached.
+    LimitReached = 300, Info;
+    /// A request was refused because it could not be served in time.
+    AdmissionRefused = 301, Info;
+    /// A further attempt was not made.
+    RetryRefused = 302, Warning;
+    /// An upstream died under a request.
+    SuspectNoted = 310, Warning;
+    /// A request was refused because upstreams died under it.
+    SuspectQuarantined = 311, Warning;
+    /// An upstream thought dead lives; the request under it is cleared.
+    SuspectCleared = 312, Info;
+    /// An upstream of a plain service was ejected.
+    UpstreamEjected = 320, Warning;
+    /// An ejected upstream takes requests again.
+    UpstreamRestored = 321, Info;
+    /// An upstream was not ejected, since too many of its pool are.
+    EjectionCapped = 322, Warning;
     /// A marked request was recorded as started.
     RecordStarted = 400, Info;
     /// A marked request was recorded as finished.
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -54,4 +54,5 @@
 pub mod settings;
 pub mod stream;
 pub mod suspect;
+pub mod traffic;
 pub mod upstream;
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -28,6 +28,7 @@
 use crate::record;
 use crate::route;
 use crate::settings;
+use crate::traffic;
 use crate::upstream;
 
 /// Longest time that the body of a request may take.
@@ -94,7 +95,9 @@
     /// Messages to and from peers.
     pub post: sync::Arc<peer::PeerPost>,
     /// Decides about attempts after the first.
-    pub gate: Box<dyn complete::RetryGate>,
+    pub gate: sync::Arc<dyn complete::RetryGate>,
+    /// Admission, limits, retries and permits.
+    pub traffic: sync::Arc<traffic::TrafficDesk>,
     /// Client of model engines.
     pub engines: client::HttpClient,
     /// Client of plain services.
@@ -124,6 +127,14 @@
             sync::Arc::clone(&members),
         );
         let table = sync::Arc::new(platform::GuardedTable::new(table));
+        let post = sync::Arc::new(post);
+        let traffic = sync::Arc::new(traffic::TrafficDesk::new(
+            settings.name.clone(),
+            incarnation,
+            sync::Arc::clone(&recorder),
+            sync::Arc::clone(&members),
+            sync::Arc::clone(&post),
+        ));
         Self {
             incarnation,
             metrics: metric::MetricSet::default(),
@@ -140,9 +151,10 @@
             recorder,
             upstreams: upstream::UpstreamView::default(),
             members,
-            post: sync::Arc::new(post),
+            post,
             routes: route::RouteDesk::default(),
-            gate: Box::new(complete::OpenGate),
+            gate: sync::Arc::<traffic::TrafficDesk>::clone(&traffic),
+            traffic,
             engines: client::HttpClient::for_engines(),
             services: client::HttpClient::for_services(),
             stopping: atomic::AtomicBool::new(false),
@@ -222,7 +234,9 @@
         core.settings.callers.to_string(),
     );
 
+    traffic::register(&core);
     let loops = [
+        tokio::spawn(traffic::keep(sync::Arc::clone(&core))),
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
         tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
@@ -375,7 +389,10 @@
     let answer = time::timeout(REPORT_TIME_LIMIT, asked).await;
     let now = time::Instant::now();
     match &answer {
-        Ok(Ok(report)) => core.routes.lock().hear(name, report, now),
+        Ok(Ok(report)) => {
+            core.routes.lock().hear(name, report, now);
+            core.traffic.note_report(name, report.incarnation);
+        }
         // Nothing listens there any more; other gaps end with the report's life.
         Ok(Err(client::ClientError::NotSent { .. })) => core.routes.lock().lose(name),
         Ok(Err(_)) | Err(_) => {}
--- a/arbutusfold/src/service.rs
+++ b/arbutusfold/src/service.rs
@@ -13,6 +13,7 @@
 use crate::id;
 use crate::node;
 use crate::record;
+use crate::traffic;
 
 /// Time after which a caller may ask again.
 const COME_BACK: std::time::Duration = std::time::Duration::from_secs(1);
@@ -48,9 +49,10 @@
     config: &document::ConfigDocument,
     spec: &document::ServiceSpec,
     call: &ServiceCall,
+    pass: &traffic::EntryPass,
 ) -> Result<record::RecordedAnswer, caller::CallerError> {
     if !spec.is_marked(call.method.as_str(), &call.path) {
-        return run_repeatable(core, config, spec, call).await;
+        return run_repeatable(core, config, spec, call, pass).await;
     }
     let Some(idempotency) = call.idempotency.clone() else {
         return Err(caller::CallerError::new(
@@ -146,12 +148,37 @@
     config: &document::ConfigDocument,
     spec: &document::ServiceSpec,
     call: &ServiceCall,
+    pass: &traffic::EntryPass,
 ) -> Result<record::RecordedAnswer, caller::CallerError> {
     let first = core.next_turn();
     for turn in 0..spec.upstreams.len() {
-        let upstream = pick(config, spec, first + turn);
-        if let Ok(answer) = dispatch(core, spec, upstream, call).await {
-            return Ok(answer);
+        let Some(upstream) = pick(config, spec, first + turn) else {
+            continue;
+        };
+        let name = &upstream.name;
+        if !core.traffic.may_call(&spec.name, &spec.upstreams, name) {
+            continue;
+        }
+        let deadline = call.received + spec.deadline_ms;
+        match dispatch(core, spec, Some(upstream), call).await {
+            Ok(answer) => {
+                core.traffic.note_call(&spec.name, name);
+                return Ok(answer);
+            }
+            Err(error) => {
+                let sent = !matches!(error, client::ClientError::NotSent { .. });
+                let failed = traffic::FailedCall {
+                    service: &spec.name,
+                    upstream: name,
+                    sent,
+                    // A call that ran out of time broke no connection.
+                    died: sent && time::Instant::now() < deadline,
+                    deadline,
+                };
+                core.traffic
+                    .retry_call(pass, &call.organisation, &call.request, &failed)
+                    .await?;
+            }
         }
     }
     Err(caller::CallerError::new(
