Measure fairness, limits, outages, permits, concurrency and their cost

Cause: the promises of admission had no figures.

Change: six scenarios of the bench tool over the same state machines, with the baselines one line, each node alone, six attempts, fixed bounds. The fleet of the fuzz test moved to the fuzz crate's library so that the bench runs it too, now with suspects taking turns. The concurrency limit never forgets its best latency within five minutes and holds at least 16, and small latencies are no sign of a crowd.

--- a/arbutusfold/src/concurrency.rs
+++ b/arbutusfold/src/concurrency.rs
@@ -5,7 +5,7 @@
 use tokio::time;
 
 /// Least limit.
-const LIMIT_MIN: f64 = 4.0;
+const LIMIT_MIN: f64 = 16.0;
 
 /// Greatest limit.
 const LIMIT_MAX: f64 = 4_096.0;
@@ -19,6 +19,9 @@
 /// Latency over the best one from which an upstream counts as crowded.
 const TOLERANCE: f64 = 2.0;
 
+/// Latency over the best one that is no sign of a crowd, in seconds.
+const SLACK_SECONDS: f64 = 0.1;
+
 /// Factor by which a crowded upstream's limit shrinks.
 const BACKOFF: f64 = 0.85;
 
@@ -29,7 +32,7 @@
 const SMOOTHING: f64 = 0.3;
 
 /// Time after which the best latency is looked for anew.
-const BASE_LIFE: std_time::Duration = std_time::Duration::from_secs(30);
+const BASE_LIFE: std_time::Duration = std_time::Duration::from_secs(300);
 
 /// How a limit follows latency.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,7 +124,7 @@
     }
 
     fn change_aimd(&mut self, mean: f64, base: f64, busy: bool) {
-        if mean > base * TOLERANCE {
+        if mean > crowded_from(base) {
             self.set(self.limit * BACKOFF);
         } else if busy {
             self.set(self.limit + 1.0);
@@ -129,7 +132,7 @@
     }
 
     fn change_gradient(&mut self, mean: f64, base: f64, busy: bool) {
-        let gradient = (base * TOLERANCE / mean).clamp(0.5, 1.0);
+        let gradient = (crowded_from(base) / mean).clamp(0.5, 1.0);
         // The root leaves room for a queue that keeps the upstream busy.
         let target = self.limit * gradient + self.limit.sqrt();
         if gradient < 1.0 || busy {
@@ -141,3 +144,8 @@
         self.limit = limit.clamp(LIMIT_MIN, LIMIT_MAX);
     }
 }
+
+/// Returns the mean latency from which an upstream counts as crowded.
+fn crowded_from(base: f64) -> f64 {
+    (base * TOLERANCE).max(base + SLACK_SECONDS)
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,10 @@
 //! Measures the decisions of arbutusfold with small fakes on a paused clock.
 
+pub mod admission_cost;
+pub mod concurrency;
+pub mod crashing_request;
+pub mod fairness;
+pub mod fleet_limit;
+pub mod full_outage;
 pub mod report;
 pub mod scenario;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -2,6 +2,12 @@
 
 use anyhow::Context;
 
+use crate::admission_cost;
+use crate::concurrency;
+use crate::crashing_request;
+use crate::fairness;
+use crate::fleet_limit;
+use crate::full_outage;
 use crate::report;
 
 /// A measurement that can be run by name.
@@ -13,7 +19,32 @@
 }
 
 /// Every scenario, in the order of the output.
-const SCENARIOS: &[BenchScenario] = &[];
+const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "fairness",
+        measure: fairness::measure,
+    },
+    BenchScenario {
+        name: "fleet-limit",
+        measure: fleet_limit::measure,
+    },
+    BenchScenario {
+        name: "concurrency",
+        measure: concurrency::measure,
+    },
+    BenchScenario {
+        name: "full-outage",
+        measure: full_outage::measure,
+    },
+    BenchScenario {
+        name: "crashing-request",
+        measure: crashing_request::measure,
+    },
+    BenchScenario {
+        name: "admission-cost",
+        measure: admission_cost::measure,
+    },
+];
 
 impl BenchScenario {
     /// Runs the scenario.
--- a/fuzz/src/lib.rs
+++ b/fuzz/src/lib.rs
@@ -1,1 +1,3 @@
-//! x
+//! Fakes and fleets that the fuzz tests share.
+
+pub mod crash;
