--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a fresh machine needs: `make demo` and `make test`.
 
-.PHONY: build demo test lint setup fuzz-long measure
+.PHONY: build demo test lint setup fuzz-long measure client-test
 
 setup:
 	@scripts/setup
@@ -26,3 +26,10 @@
 # The measured decisions, as a table.
 measure: setup
 	cargo run --release -p arbutusfold-bench --bin arbutusfold-bench
+
+# An ordinary client library against a fleet of processes; needs Python.
+client-test: setup
+	cargo build --workspace --bins
+	python3 -m venv target/client
+	target/client/bin/pip install --quiet openai
+	CLIENT_PYTHON=$(CURDIR)/target/client/bin/python cargo test -p arbutusfold-standin --test fleet_client -- --ignored --nocapture
