Bound what one client may take of a node

Cause: a caller that left its answer unread held its stream, and the upstream's work, for ever; heads and connections had the library's bounds only.

Change: `serve.rs` (out of node.rs) with limits on the head's time and length, on how long an answer may stay unread, on connections and on streams of one HTTP/2 connection. On a stop the listening socket closes first.

Ruled out: a watchdog task for each stream; a timeout on the socket's writes does the same without a timer touched at each token.

--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod record;
 pub mod route;
 pub mod schema;
+pub mod serve;
 pub mod service;
 pub mod settings;
 pub mod stream;
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -1,15 +1,11 @@
 //! One node: its state, its listeners and its loops.
 
-use std::future;
 use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time as std_time;
 
 use derive_more::{Display, Error};
-use hyper::body;
-use hyper_util::rt;
-use hyper_util::server::{conn, graceful};
 use tokio::sync::{mpsc, watch};
 use tokio::time;
 
@@ -27,15 +23,13 @@
 use crate::platform;
 use crate::record;
 use crate::route;
+use crate::serve;
 use crate::settings;
 use crate::upstream;
 
 /// Longest time that the body of a request may take.
 pub const BODY_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
 
-/// Longest time that the head of a request may take.
-const HEAD_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
-
 /// Time between two looks for a newer configuration.
 const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -229,17 +223,19 @@
         tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
         tokio::spawn(keep_routes(sync::Arc::clone(&core))),
     ];
-    let serve_callers = tokio::spawn(serve(
+    let caller_core = sync::Arc::clone(&core);
+    let serve_callers = tokio::spawn(serve::serve(
         callers,
-        sync::Arc::clone(&core),
+        serve::ServeLimits::default(),
         closed.clone(),
-        caller::answer,
+        move |request| caller::answer(sync::Arc::clone(&caller_core), request),
     ));
-    let serve_operators = tokio::spawn(serve(
+    let operator_core = sync::Arc::clone(&core);
+    let serve_operators = tokio::spawn(serve::serve(
         operators,
-        sync::Arc::clone(&core),
+        serve::ServeLimits::default(),
         closed,
-        operate::answer,
+        move |request| operate::answer(sync::Arc::clone(&operator_core), request),
     ));
 
     // An error means that the sender is gone, which also ends the node.
@@ -267,50 +263,6 @@
     })
 }
 
-/// Serves connections until `closed`, then lets each finish by its own rules.
-async fn serve<A, F>(
-    listener: tokio::net::TcpListener,
-    core: sync::Arc<NodeCore>,
-    mut closed: watch::Receiver<bool>,
-    answer: A,
-) where
-    A: Fn(sync::Arc<NodeCore>, http::Request<body::Incoming>) -> F + Copy + Send + 'static,
-    F: future::Future<Output = Result<caller::CallerAnswer, std::convert::Infallible>>
-        + Send
-        + 'static,
-{
-    let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
-    builder
-        .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(HEAD_TIME_LIMIT);
-    builder.http2().timer(rt::TokioTimer::new());
-    let watcher = graceful::GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|closed| *closed) => break,
-        };
-        let Ok((socket, _)) = accepted else {
-            // Too many open files: wait for some to close.
-            time::sleep(std_time::Duration::from_millis(20)).await;
-            continue;
-        };
-        // Without it small writes would wait for acknowledgements.
-        let _ = socket.set_nodelay(true);
-        let core = sync::Arc::clone(&core);
-        let service = tower::service_fn(move |request| answer(sync::Arc::clone(&core), request));
-        let service = hyper_util::service::TowerToHyperService::new(service);
-        let connection = builder
-            .serve_connection(rt::TokioIo::new(socket), service)
-            .into_owned();
-        let connection = watcher.watch(connection);
-        // A broken connection concerns its caller alone.
-        tokio::spawn(async move { drop(connection.await) });
-    }
-    watcher.shutdown().await;
-}
-
 async fn keep_config(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(CONFIG_PERIOD);
     let mut ready = false;
--- /dev/null
+++ b/arbutusfold/src/serve.rs
@@ -0,0 +1,113 @@
+//! The HTTP server of a node, in which a slow or broken client harms only itself.
+
+use std::convert;
+use std::future;
+use std::sync;
+use std::time as std_time;
+
+use hyper::body;
+use hyper_util::rt;
+use hyper_util::server::{conn, graceful};
+use tokio::net;
+use tokio::sync as tokio_sync;
+use tokio::sync::watch;
+use tokio::time;
+use tokio_io_timeout::TimeoutStream;
+
+use crate::caller;
+
+/// Time to wait before accepting again after the system refused.
+const ACCEPT_PAUSE: std_time::Duration = std_time::Duration::from_millis(20);
+
+/// What one client may take of a node.
+#[derive(Clone, Debug)]
+pub struct ServeLimits {
+    /// Longest time that the head of a request may take.
+    pub head_time: std_time::Duration,
+    /// Longest head of a request in bytes.
+    pub head_bytes: usize,
+    /// Longest time that a client may leave an answer unread.
+    pub write_time: std_time::Duration,
+    /// Connections at the same time; more are closed at once.
+    pub connections: usize,
+    /// Requests at the same time on one HTTP/2 connection.
+    pub streams: u32,
+}
+
+impl Default for ServeLimits {
+    fn default() -> Self {
+        Self {
+            head_time: std_time::Duration::from_secs(10),
+            head_bytes: 64 << 10,
+            write_time: std_time::Duration::from_secs(30),
+            connections: 10_000,
+            streams: 256,
+        }
+    }
+}
+
+/// Serves connections until `closed`, then lets each finish by its own rules.
+pub async fn serve<A, F>(
+    listener: net::TcpListener,
+    limits: ServeLimits,
+    mut closed: watch::Receiver<bool>,
+    answer: A,
+) where
+    A: Fn(http::Request<body::Incoming>) -> F + Clone + Send + 'static,
+    F: future::Future<Output = Result<caller::CallerAnswer, convert::Infallible>> + Send + 'static,
+{
+    let builder = builder(&limits);
+    let watcher = graceful::GracefulShutdown::new();
+    let places = sync::Arc::new(tokio_sync::Semaphore::new(limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.wait_for(|closed| *closed) => break,
+        };
+        let Ok((socket, _)) = accepted else {
+            // Too many open files: wait for some to close.
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = sync::Arc::clone(&places).try_acquire_owned() else {
+            continue;
+        };
+        // Without it small writes would wait for acknowledgements.
+        let _ = socket.set_nodelay(true);
+        let service =
+            hyper_util::service::TowerToHyperService::new(tower::service_fn(answer.clone()));
+        let mut stream = Box::pin(TimeoutStream::new(socket));
+        stream
+            .as_mut()
+            .set_write_timeout_pinned(Some(limits.write_time));
+        let connection = builder
+            .serve_connection(rt::TokioIo::new(stream), service)
+            .into_owned();
+        let connection = watcher.watch(connection);
+        tokio::spawn(async move {
+            // A broken connection concerns its client alone.
+            let _ = connection.await;
+            drop(place);
+        });
+    }
+    // New connections are refused while the old ones finish.
+    drop(listener);
+    watcher.shutdown().await;
+}
+
+fn builder(limits: &ServeLimits) -> conn::auto::Builder<rt::TokioExecutor> {
+    let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(limits.head_bytes);
+    builder
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .max_header_list_size(limits.head_bytes as u32)
+        .max_concurrent_streams(limits.streams)
+        .keep_alive_interval(limits.head_time)
+        .keep_alive_timeout(limits.head_time);
+    builder
+}
