Let the stand-in engine batch, cache prefixes, name broken stages and report late

Cause: streams were proved against an engine that ran tokens one by one, said nothing when a later stage broke, and noticed a cancelled attempt only when it next sent a token.

Change: steps of a fixed time with at most a batch of tokens, the most urgent first; a bounded cache of prefixes; a last line that names the broken stage; faults for late reports, cut links and stray tokens; an attempt ends as soon as the node drops its stream.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a model engine that holds a range of layers.
 
 use std::convert;
+use std::future;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -17,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use crate::batch;
 use crate::fault;
 use crate::model;
 use crate::server;
@@ -24,6 +26,9 @@
 /// Path at which an engine takes activations from the engine before it.
 const PASS_PATH: &str = "/v1/stages/pass";
 
+/// Bytes of text for one token of a prompt.
+const BYTES_PER_TOKEN: usize = 4;
+
 /// Lines that may wait between two stages.
 const LINE_BUFFER: usize = 16;
 
@@ -40,6 +45,10 @@
     pub model_layers: id::LayerIndex,
     /// Time of one step.
     pub step: std_time::Duration,
+    /// Tokens that pass in one step.
+    pub batch: usize,
+    /// Time to compute one token of a prompt.
+    pub prefill: std_time::Duration,
     /// Whether it refuses an order with an old fencing number.
     pub checks_fencing: bool,
 }
@@ -59,6 +68,9 @@
     incarnation: id::IncarnationNumber,
     faults: fault::FaultSwitch,
     running: atomic::AtomicU32,
+    batcher: batch::StepBatcher,
+    prefixes: batch::PrefixCache,
+    reports: batch::ReportDelay,
     client: legacy::Client<connect::HttpConnector, LineBody>,
 }
 
@@ -72,6 +84,9 @@
     let mut connector = connect::HttpConnector::new();
     connector.set_nodelay(true);
     let state = sync::Arc::new(EngineState {
+        batcher: batch::StepBatcher::start(options.step, options.batch),
+        prefixes: batch::PrefixCache::default(),
+        reports: batch::ReportDelay::default(),
         options,
         incarnation: id::fresh_incarnation(),
         faults: faults.clone(),
@@ -107,6 +122,10 @@
 
 fn report(state: &EngineState) -> upstream::EngineReport {
     let options = &state.options;
+    let plan = state.faults.plan();
+    let running = state.running.load(atomic::Ordering::Relaxed);
+    let delay = std_time::Duration::from_millis(plan.report_late_ms);
+    let count = state.reports.delay(running, delay);
     upstream::EngineReport {
         incarnation: state.incarnation,
         held: vec![upstream::HeldLayers {
@@ -114,12 +133,13 @@
             version: options.version.clone(),
             layers: options.layers,
         }],
-        running: state.running.load(atomic::Ordering::Relaxed),
+        running: count.running,
+        // Attempts are taken in at once; only their tokens wait.
         waiting: 0,
-        tokens_per_second: 0,
-        leaving: state.faults.plan().leaving,
+        tokens_per_second: state.batcher.rate(),
+        leaving: plan.leaving,
         fencing: 0,
-        age_ms: 0,
+        age_ms: count.age.as_millis() as u64,
     }
 }
 
@@ -141,11 +161,12 @@
 }
 
 /// Runs the layers of one stage and leaves its stamp.
-async fn run_stage(state: &EngineState, stage: &upstream::RouteStage, pass: &mut StagePass) {
+async fn run_stage(state: &EngineState, order: &upstream::StageRequest, pass: &mut StagePass) {
+    let Some(stage) = order.route.get(order.hop) else {
+        return;
+    };
     state.faults.wait().await;
-    if !state.options.step.is_zero() {
-        tokio::time::sleep(state.options.step).await;
-    }
+    state.batcher.pass(order.priority).await;
     pass.activation = (stage.layers.from..stage.layers.to).fold(pass.activation, model::run_layer);
     pass.proof.push(upstream::StageStamp {
         incarnation: state.incarnation,
@@ -153,6 +174,17 @@
     });
 }
 
+/// Computes the prompt, but for the prefix that the cache still holds.
+async fn prefill(state: &EngineState, order: &upstream::StageRequest) {
+    let known = state.prefixes.touch(&order.model, &order.prompt);
+    let fresh = order.prompt.len().saturating_sub(known) / BYTES_PER_TOKEN;
+    let tokens = u32::try_from(fresh + order.delivered.len()).unwrap_or(u32::MAX);
+    let pause = state.options.prefill * tokens;
+    if !pause.is_zero() {
+        tokio::time::sleep(pause).await;
+    }
+}
+
 fn start_run(
     state: sync::Arc<EngineState>,
     order: upstream::StageRequest,
@@ -160,22 +192,40 @@
     let (sender, receiver) = mpsc::channel(LINE_BUFFER);
     tokio::spawn(async move {
         state.running.fetch_add(1, atomic::Ordering::Relaxed);
-        // A closed channel means that the node cancelled the attempt.
-        let _ = run_tokens(&state, &order, &sender).await;
+        tokio::select! {
+            outcome = run_tokens(&state, &order, &sender) => {
+                if let Err(fault) = outcome {
+                    tell_fault(&order, fault, &sender).await;
+                }
+            }
+            // A closed channel means that the node cancelled the attempt.
+            () = sender.closed() => {}
+        }
         state.running.fetch_sub(1, atomic::Ordering::Relaxed);
     });
     http::Response::new(line_body(receiver))
 }
 
+async fn tell_fault(order: &upstream::StageRequest, fault: HopFault, sender: &mpsc::Sender<Bytes>) {
+    let fault = upstream::StageFault {
+        request: order.request.clone(),
+        attempt: order.attempt,
+        fault_hop: fault.hop,
+        refused: fault.refused,
+    };
+    if let Some(line) = to_line(&fault) {
+        // A node that went away needs no word of it.
+        let _ = sender.send(line).await;
+    }
+}
+
 async fn run_tokens(
     state: &EngineState,
     order: &upstream::StageRequest,
     sender: &mpsc::Sender<Bytes>,
-) -> Option<()> {
-    let mut next = match order.route.len() {
-        1 => None,
-        _ => Some(NextStage::open(state, order).await?),
-    };
+) -> Result<(), HopFault> {
+    let mut next = NextStage::open(state, order).await?;
+    prefill(state, order).await;
     let mut delivered = order.delivered.clone();
     while (delivered.len() as id::TokenIndex) < order.max_tokens {
         let index = delivered.len() as id::TokenIndex;
@@ -184,7 +234,7 @@
             activation: model::enter(&order.model, &order.prompt, &delivered),
             proof: Vec::with_capacity(order.route.len()),
         };
-        run_stage(state, &order.route[0], &mut pass).await;
+        run_stage(state, order, &mut pass).await;
         if let Some(next) = &mut next {
             pass = next.exchange(&pass).await?;
         }
@@ -199,37 +249,114 @@
             proof: pass.proof,
             finish: last.then_some(upstream::FinishReason::Length),
         };
-        sender.send(to_line(&token)?).await.ok()?;
+        if state.faults.plan().stray_tokens {
+            send_strays(&token, sender).await;
+        }
+        let line = to_line(&token).ok_or(HopFault::at(order.hop))?;
+        sender
+            .send(line)
+            .await
+            .map_err(|_| HopFault::at(order.hop))?;
+    }
+    Ok(())
+}
+
+/// Sends tokens that belong to another request, to no attempt, or came before.
+async fn send_strays(token: &upstream::StageToken, sender: &mpsc::Sender<Bytes>) {
+    let mut crossed = token.clone();
+    crossed.request.push('x');
+    let mut late = token.clone();
+    late.attempt -= 1;
+    let mut doubled = token.clone();
+    doubled.index = token.index.saturating_sub(1);
+    let strays = [crossed, late, doubled];
+    for line in strays
+        .iter()
+        .take(if token.index == 0 { 2 } else { 3 })
+        .filter_map(to_line)
+    {
+        // A node that went away needs no strays.
+        let _ = sender.send(line).await;
+    }
+}
+
+/// Says which stage of a route broke, as engines tell each other.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct HopFault {
+    hop: usize,
+    refused: bool,
+}
+
+impl HopFault {
+    fn at(hop: usize) -> Self {
+        Self {
+            hop,
+            refused: false,
+        }
     }
-    Some(())
 }
 
 /// The stream towards the engine of the next stage.
 struct NextStage {
+    hop: usize,
+    port: u16,
+    faults: fault::FaultSwitch,
     sender: mpsc::Sender<Bytes>,
     lines: LineReader,
 }
 
 impl NextStage {
-    async fn open(state: &EngineState, order: &upstream::StageRequest) -> Option<Self> {
+    /// Opens the stream, where there is a next stage.
+    async fn open(
+        state: &EngineState,
+        order: &upstream::StageRequest,
+    ) -> Result<Option<Self>, HopFault> {
         let mut order = order.clone();
         order.hop += 1;
-        let address = order.route.get(order.hop)?.address;
+        let hop = order.hop;
+        let Some(stage) = order.route.get(hop) else {
+            return Ok(None);
+        };
+        let address = stage.address;
+        if state.faults.plan().cut_links.contains(&address.port()) {
+            return Err(HopFault::at(hop));
+        }
+        let broken = || HopFault::at(hop);
         let (sender, receiver) = mpsc::channel(LINE_BUFFER);
-        sender.send(to_line(&order)?).await.ok()?;
+        let line = to_line(&order).ok_or_else(broken)?;
+        sender.send(line).await.map_err(|_| broken())?;
         let request = http::Request::post(format!("http://{address}{PASS_PATH}"))
             .body(line_body(receiver))
-            .ok()?;
-        let response = state.client.request(request).await.ok()?;
-        (response.status() == 200).then(|| Self {
-            sender,
-            lines: LineReader::new(response.into_body()),
-        })
+            .map_err(|_| broken())?;
+        let response = state.client.request(request).await.map_err(|_| broken())?;
+        match response.status().as_u16() {
+            200 => Ok(Some(Self {
+                hop,
+                port: address.port(),
+                faults: state.faults.clone(),
+                sender,
+                lines: LineReader::new(response.into_body()),
+            })),
+            status => Err(HopFault {
+                hop,
+                refused: status == 409,
+            }),
+        }
     }
 
-    async fn exchange(&mut self, pass: &StagePass) -> Option<StagePass> {
-        self.sender.send(to_line(pass)?).await.ok()?;
-        serde_json::from_slice(&self.lines.next().await?).ok()
+    async fn exchange(&mut self, pass: &StagePass) -> Result<StagePass, HopFault> {
+        let broken = HopFault::at(self.hop);
+        if self.faults.plan().cut_links.contains(&self.port) {
+            // Nothing comes back over a cut link, not even an error.
+            future::pending::<()>().await;
+        }
+        let line = to_line(pass).ok_or(broken)?;
+        self.sender.send(line).await.map_err(|_| broken)?;
+        let line = self.lines.next().await.ok_or(broken)?;
+        if let Ok(fault) = serde_json::from_slice::<HopFault>(&line) {
+            return Err(fault);
+        }
+        serde_json::from_slice(&line).map_err(|_| broken)
     }
 }
 
@@ -246,7 +373,15 @@
     let (sender, receiver) = mpsc::channel(LINE_BUFFER);
     tokio::spawn(async move {
         state.running.fetch_add(1, atomic::Ordering::Relaxed);
-        let _ = pass_tokens(&state, &order, &mut lines, &sender).await;
+        tokio::select! {
+            outcome = pass_tokens(&state, &order, &mut lines, &sender) => {
+                if let Some(line) = outcome.err().and_then(|fault| to_line(&fault)) {
+                    // An engine that went away needs no word of it.
+                    let _ = sender.send(line).await;
+                }
+            }
+            () = sender.closed() => {}
+        }
         state.running.fetch_sub(1, atomic::Ordering::Relaxed);
     });
     Some(http::Response::new(line_body(receiver)))
@@ -257,21 +392,20 @@
     order: &upstream::StageRequest,
     lines: &mut LineReader,
     sender: &mpsc::Sender<Bytes>,
-) -> Option<()> {
-    let last = order.hop + 1 == order.route.len();
-    let mut next = match last {
-        true => None,
-        false => Some(NextStage::open(state, order).await?),
-    };
+) -> Result<(), HopFault> {
+    let broken = HopFault::at(order.hop);
+    let mut next = NextStage::open(state, order).await?;
+    prefill(state, order).await;
     while let Some(line) = lines.next().await {
-        let mut pass: StagePass = serde_json::from_slice(&line).ok()?;
-        run_stage(state, &order.route[order.hop], &mut pass).await;
+        let mut pass: StagePass = serde_json::from_slice(&line).map_err(|_| broken)?;
+        run_stage(state, order, &mut pass).await;
         if let Some(next) = &mut next {
             pass = next.exchange(&pass).await?;
         }
-        sender.send(to_line(&pass)?).await.ok()?;
+        let line = to_line(&pass).ok_or(broken)?;
+        sender.send(line).await.map_err(|_| broken)?;
     }
-    Some(())
+    Ok(())
 }
 
 /// Reads a body line by line.
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -24,6 +24,12 @@
     pub crash_on: Option<String>,
     /// Report that the upstream is leaving.
     pub leaving: bool,
+    /// Age of the load that is reported, in milliseconds.
+    pub report_late_ms: u64,
+    /// Ports of engines to which the link is cut.
+    pub cut_links: Vec<u16>,
+    /// Send crossed, late and doubled tokens beside each true one.
+    pub stray_tokens: bool,
 }
 
 /// Shared faults of one stand-in.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform, model engines and plain services.
 
+pub mod batch;
 pub mod engine;
 pub mod fault;
 pub mod fleet;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -40,6 +40,12 @@
         /// Time of one step in microseconds.
         #[bpaf(long, fallback(2_000))]
         step_us: u64,
+        /// Tokens that pass in one step.
+        #[bpaf(long, fallback(64))]
+        batch: usize,
+        /// Time to compute one token of a prompt, in microseconds.
+        #[bpaf(long, fallback(0))]
+        prefill_us: u64,
         /// Refuse orders with an old fencing number.
         #[bpaf(long, switch)]
         checks_fencing: bool,
@@ -65,6 +71,8 @@
             to,
             layers,
             step_us,
+            batch,
+            prefill_us,
             checks_fencing,
         } => {
             let options = engine::EngineOptions {
@@ -73,6 +81,8 @@
                 layers: arbutusfold::upstream::LayerRange { from, to },
                 model_layers: layers,
                 step: std::time::Duration::from_micros(step_us),
+                batch,
+                prefill: std::time::Duration::from_micros(prefill_us),
                 checks_fencing,
             };
             engine::run(listen, options).await
