Clear upstreams that pass other tokens when a route stalls

Cause: a stall blamed every stage alike, so one dead failure domain would have taken its innocent partners out of use; and a failed upstream came back by time alone.

Change: each attempt tells its upstreams' progress through relaxed atomics; a stall lays evidence only on stages that passed nothing meanwhile. A failed upstream must report again before it is used.

--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -139,6 +139,8 @@
     order: CompletionOrder,
     answer: stream::AnswerState,
     open: Option<OpenAttempt>,
+    /// When the current attempt began.
+    begun: time::Instant,
     /// Upstreams that failed since the last token.
     avoid: Vec<id::UpstreamName>,
     /// Failed attempts since the last token.
@@ -190,13 +192,15 @@
 struct FlightGuard {
     core: sync::Arc<node::NodeCore>,
     route: Vec<upstream::RouteStage>,
+    progress: route::ProgressMark,
     outcome: route::AttemptOutcome,
 }
 
 impl FlightGuard {
     fn new(core: &sync::Arc<node::NodeCore>, route: &[upstream::RouteStage]) -> Self {
-        core.routes.lock().begin(route, time::Instant::now());
+        let progress = core.routes.lock().begin(route, time::Instant::now());
         Self {
+            progress,
             core: sync::Arc::clone(core),
             route: route.to_vec(),
             outcome: route::AttemptOutcome::default(),
@@ -261,6 +265,7 @@
             order,
             answer,
             open: None,
+            begun: time::Instant::now(),
             avoid: Vec::new(),
             failures: 0,
             refusals: 0,
@@ -312,9 +317,10 @@
         );
         let guard = FlightGuard::new(&self.core, &route);
         let recent = self.core.routes.lock().recent_gap(&route);
+        self.begun = time::Instant::now();
         let meter = stream::GapMeter::new(recent);
         let limit = meter.first_limit(self.prompt_tokens()) * self.patience();
-        let due = (time::Instant::now() + limit).min(self.order.deadline);
+        let due = (self.begun + limit).min(self.order.deadline);
         let opened = time::timeout_at(due, self.open_stream(route)).await;
         Ok(match opened {
             Ok(Ok(body)) => {
@@ -504,18 +510,19 @@
         let now = time::Instant::now();
         if let Some(open) = &mut self.open {
             open.meter.note(now);
+            open.guard.progress.note(now);
             let due = now + open.meter.limit();
             open.set_due(due.min(self.order.deadline));
         }
     }
 
     async fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
-        let meter = self.open.take().map(|open| open.meter);
-        let progress = meter.is_some_and(|meter| meter.has_begun());
+        let last = self.open.take().and_then(|open| open.meter.last());
+        let progress = last.is_some();
         if progress {
             self.avoid.clear();
         }
-        let blamed = self.blame(failure);
+        let blamed = self.blame(failure, last.unwrap_or(self.begun));
         self.core.recorder.record(
             event::EventCode::AttemptFailed,
             &self.order.request,
@@ -570,7 +577,9 @@
     }
 
     /// Notes who failed and returns the stage where it is known.
-    fn blame(&mut self, failure: &AttemptFailure) -> Option<usize> {
+    ///
+    /// Nothing has passed the route since `since`.
+    fn blame(&mut self, failure: &AttemptFailure, since: time::Instant) -> Option<usize> {
         let now = time::Instant::now();
         let route = self.answer.route();
         let mut keeper = self.core.routes.lock();
@@ -591,7 +600,7 @@
             AttemptFailure::Broken { .. } => (0, true),
             AttemptFailure::Stage { hop, .. } => (*hop, true),
             AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
-                keeper.note_suspicion(route, now);
+                keeper.note_suspicion(route, since, now);
                 let names = route.iter().map(|stage| stage.upstream.clone());
                 self.avoid.extend(names);
                 return None;
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -328,9 +328,9 @@
     let now = time::Instant::now();
     match &answer {
         Ok(Ok(report)) => core.routes.lock().hear(name, report, now),
-        // Nothing listens there any more; other gaps end with the report's life.
+        // Nothing listens there any more.
         Ok(Err(client::ClientError::NotSent { .. })) => core.routes.lock().lose(name),
-        Ok(Err(_)) | Err(_) => {}
+        Ok(Err(_)) | Err(_) => core.routes.lock().note_silence(name, now),
     }
     let report = answer.ok().and_then(Result::ok);
     let found = core.upstreams.change(name, address, |state| {
--- a/arbutusfold/src/route.rs
+++ b/arbutusfold/src/route.rs
@@ -5,6 +5,7 @@
 //! installed, so that no choice waits for one. `choose` picks routes.
 
 use std::sync;
+use std::sync::atomic;
 use std::time as std_time;
 
 use tokio::time;
@@ -24,6 +25,9 @@
 /// Evidence at which an upstream counts as failed.
 const EVIDENCE_LIMIT: f64 = 1.0;
 
+/// Evidence of one report that did not come.
+const SILENCE_EVIDENCE: f64 = 0.5;
+
 /// Time in which evidence halves.
 const EVIDENCE_HALF_LIFE: std_time::Duration = std_time::Duration::from_secs(2);
 
@@ -63,12 +67,32 @@
     }
 }
 
-/// Why an upstream is passed over for a while.
+/// Since when an upstream is passed over: until a time and until it reports again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct DownMark {
+    since: time::Instant,
     until: time::Instant,
-    /// A later report ends it.
-    until_report: bool,
+}
+
+/// When the upstreams of an attempt last passed a token, told without a lock.
+#[derive(Clone, Debug)]
+pub struct ProgressMark {
+    origin: time::Instant,
+    marks: Vec<sync::Arc<atomic::AtomicU64>>,
+}
+
+impl ProgressMark {
+    /// Notes that a token passed every upstream of the attempt.
+    pub fn note(&self, now: time::Instant) {
+        let micros = micros_since(self.origin, now);
+        for mark in &self.marks {
+            mark.store(micros, atomic::Ordering::Relaxed);
+        }
+    }
+}
+
+fn micros_since(origin: time::Instant, now: time::Instant) -> u64 {
+    now.duration_since(origin).as_micros() as u64
 }
 
 /// What a node knows of one upstream that holds layers.
@@ -85,6 +109,8 @@
     evidence: f64,
     evidence_at: Option<time::Instant>,
     gap: Option<std_time::Duration>,
+    /// Microseconds from the keeper's origin to the last token that passed.
+    progress: sync::Arc<atomic::AtomicU64>,
 }
 
 impl UpstreamSlot {
@@ -101,6 +127,7 @@
             evidence: 0.0,
             evidence_at: None,
             gap: None,
+            progress: sync::Arc::default(),
         }
     }
 
@@ -109,7 +136,9 @@
         let fresh = self
             .heard
             .is_some_and(|heard| now.duration_since(heard) <= REPORT_LIFE);
-        let down = self.down.is_some_and(|down| now < down.until);
+        let down = self
+            .down
+            .is_some_and(|down| now < down.until || self.heard <= Some(down.since));
         fresh && !down && !self.leaving
     }
 
@@ -137,9 +166,6 @@
             self.down = None;
             self.evidence_at = None;
         }
-        if self.down.is_some_and(|down| down.until_report) {
-            self.down = None;
-        }
         let age = std_time::Duration::from_millis(report.age_ms);
         let taken = now.checked_sub(age).unwrap_or(now);
         self.load
@@ -201,13 +227,14 @@
 }
 
 /// Upstreams, their load and the routes over them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RouteKeeper {
     pub(crate) options: ChoiceOptions,
     pub(crate) slots: Vec<UpstreamSlot>,
     pub(crate) models: Vec<ModelRoutes>,
     pub(crate) links: sync::Arc<plan::LinkTable>,
     pub(crate) peers: u32,
+    origin: time::Instant,
     epoch: u64,
 }
 
@@ -216,7 +243,12 @@
     pub fn new(options: ChoiceOptions) -> Self {
         Self {
             options,
-            ..Self::default()
+            slots: Vec::new(),
+            models: Vec::new(),
+            links: sync::Arc::default(),
+            peers: 0,
+            origin: time::Instant::now(),
+            epoch: 0,
         }
     }
 
@@ -298,8 +330,8 @@
     pub fn note_failure(&mut self, name: &str, now: time::Instant) {
         if let Some(slot) = self.slot_mut(name) {
             slot.down = Some(DownMark {
+                since: now,
                 until: now + FAILURE_PAUSE,
-                until_report: false,
             });
         }
     }
@@ -308,37 +340,70 @@
     pub fn note_refusal(&mut self, name: &str, now: time::Instant) {
         if let Some(slot) = self.slot_mut(name) {
             slot.down = Some(DownMark {
-                until: now + FAILURE_PAUSE,
-                until_report: true,
+                since: now,
+                until: now,
             });
         }
     }
 
-    /// Notes that one of several upstreams failed, nobody knows which.
-    pub fn note_suspicion(&mut self, stages: &[upstream::RouteStage], now: time::Instant) {
-        let share = 1.0 / stages.len().max(1) as f64;
-        for stage in stages {
-            let Some(slot) = self.slot_mut(&stage.upstream) else {
-                continue;
-            };
-            slot.evidence = slot.evidence(now) + share;
-            slot.evidence_at = Some(now);
-            if slot.evidence >= EVIDENCE_LIMIT {
-                slot.down = Some(DownMark {
-                    until: now + FAILURE_PAUSE,
-                    until_report: false,
-                });
-            }
+    /// Notes that an upstream did not answer when asked for a report.
+    pub fn note_silence(&mut self, name: &str, now: time::Instant) {
+        self.add_evidence(name, SILENCE_EVIDENCE, now);
+    }
+
+    /// Notes that a route has passed nothing since `since`, nobody knows why.
+    ///
+    /// An upstream that passed tokens of other attempts meanwhile is cleared;
+    /// the evidence is shared by the others.
+    pub fn note_suspicion(
+        &mut self,
+        stages: &[upstream::RouteStage],
+        since: time::Instant,
+        now: time::Instant,
+    ) {
+        let since = micros_since(self.origin, since);
+        let silent: Vec<_> = stages
+            .iter()
+            .filter(|stage| self.passed_at(&stage.upstream) <= since)
+            .collect();
+        let share = 1.0 / silent.len().max(1) as f64;
+        for stage in silent {
+            self.add_evidence(&stage.upstream, share, now);
         }
     }
 
-    /// Counts an attempt that begins.
-    pub fn begin(&mut self, stages: &[upstream::RouteStage], now: time::Instant) {
+    fn passed_at(&self, name: &str) -> u64 {
+        self.slot(name)
+            .map_or(0, |slot| slot.progress.load(atomic::Ordering::Relaxed))
+    }
+
+    fn add_evidence(&mut self, name: &str, share: f64, now: time::Instant) {
+        let Some(slot) = self.slot_mut(name) else {
+            return;
+        };
+        slot.evidence = slot.evidence(now) + share;
+        slot.evidence_at = Some(now);
+        if slot.evidence >= EVIDENCE_LIMIT {
+            slot.down = Some(DownMark {
+                since: now,
+                until: now + FAILURE_PAUSE,
+            });
+        }
+    }
+
+    /// Counts an attempt that begins and returns where its progress is told.
+    pub fn begin(&mut self, stages: &[upstream::RouteStage], now: time::Instant) -> ProgressMark {
+        let mut mark = ProgressMark {
+            origin: self.origin,
+            marks: Vec::with_capacity(stages.len()),
+        };
         for stage in stages {
             if let Some(slot) = self.slot_mut(&stage.upstream) {
                 slot.load.begin(now);
+                mark.marks.push(sync::Arc::clone(&slot.progress));
             }
         }
+        mark
     }
 
     /// Counts an attempt that ended, with its average gap where it had one.
@@ -452,6 +517,28 @@
             .collect()
     }
 
+    /// Returns every upstream that may take new work for a model, by name.
+    pub fn usable(&self, model: &str, now: time::Instant) -> Vec<UsableUpstream> {
+        let Some(model) = self.model(model) else {
+            return Vec::new();
+        };
+        self.offers(model, now)
+            .iter()
+            .map(|offer| {
+                let slot = &self.slots[offer.slot];
+                UsableUpstream {
+                    stage: upstream::RouteStage {
+                        upstream: slot.spec.name.clone(),
+                        incarnation: slot.incarnation,
+                        address: slot.spec.address,
+                        layers: offer.layers,
+                    },
+                    reported: slot.load.total(load::LoadSource::Reported, 0, now),
+                }
+            })
+            .collect()
+    }
+
     /// Returns the bound of a model's plan in tokens a second.
     pub fn bound(&self, model: &str) -> Option<u64> {
         self.model(model).map(|model| model.bound)
@@ -497,6 +584,15 @@
     }
 }
 
+/// An upstream that may take new work.
+#[derive(Clone, Debug)]
+pub struct UsableUpstream {
+    /// The layers that it holds as one stage.
+    pub stage: upstream::RouteStage,
+    /// Attempts that it last reported.
+    pub reported: f64,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AttemptOutcome {
@@ -552,11 +648,19 @@
 }
 
 /// A keeper that tasks share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RouteDesk {
     keeper: sync::Mutex<RouteKeeper>,
 }
 
+impl Default for RouteDesk {
+    fn default() -> Self {
+        Self {
+            keeper: sync::Mutex::new(RouteKeeper::new(ChoiceOptions::default())),
+        }
+    }
+}
+
 impl RouteDesk {
     /// Returns the keeper, locked.
     pub fn lock(&self) -> sync::MutexGuard<'_, RouteKeeper> {
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -205,9 +205,9 @@
         self.last = Some(now);
     }
 
-    /// Tells whether a token came.
-    pub fn has_begun(&self) -> bool {
-        self.last.is_some()
+    /// Returns when the last token came.
+    pub fn last(&self) -> Option<time::Instant> {
+        self.last
     }
 
     /// Returns the average gap, once there were two tokens.
--- a/arbutusfold/tests/route.rs
+++ b/arbutusfold/tests/route.rs
@@ -126,6 +126,9 @@
     keeper.note_failure("runner-0-1", Instant::now());
     assert!(!ever_chosen(&keeper, "runner-0-1"));
     tokio::time::advance(time::Duration::from_millis(1_100)).await;
+    // Time alone proves nothing: it must report again.
+    assert!(!ever_chosen(&keeper, "runner-0-1"));
+    keeper.hear("runner-0-1", &report(0, 1), Instant::now());
     assert!(ever_chosen(&keeper, "runner-0-1"));
 }
 
@@ -146,6 +149,7 @@
     let mut keeper = keeper(2);
     keeper.note_refusal("runner-0-0", Instant::now());
     assert!(!ever_chosen(&keeper, "runner-0-0"));
+    tokio::time::advance(time::Duration::from_millis(10)).await;
     keeper.hear("runner-0-0", &report(0, 1), Instant::now());
     assert!(ever_chosen(&keeper, "runner-0-0"));
 }
@@ -191,12 +195,26 @@
         [stage(0, 0), stage(1, 2)],
     ];
     for route in &routes {
-        keeper.note_suspicion(route, now);
+        keeper.note_suspicion(route, now, now);
     }
     assert!(!ever_chosen(&keeper, "runner-0-0"));
     assert!(ever_chosen(&keeper, "runner-1-1"));
 }
 
+#[tokio::test(start_paused = true)]
+async fn upstream_that_passes_other_tokens_is_cleared() {
+    let mut keeper = keeper(4);
+    let stalled = choose(&keeper, 1).unwrap();
+    let progress = keeper.begin(&stalled[1..], Instant::now());
+    let since = Instant::now();
+    tokio::time::advance(time::Duration::from_millis(200)).await;
+    progress.note(Instant::now());
+    keeper.note_suspicion(&stalled, since, Instant::now());
+    keeper.refresh(Instant::now());
+    assert!(!ever_chosen(&keeper, &stalled[0].upstream));
+    assert!(ever_chosen(&keeper, &stalled[1].upstream));
+}
+
 #[tokio::test(start_paused = true)]
 async fn plan_follows_a_loss_soon_and_a_slight_change_never() {
     let mut keeper = keeper(2);
