--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 pub mod caller;
+pub mod check;
 pub mod choose;
 pub mod client;
 pub mod complete;
@@ -30,16 +31,19 @@
 pub mod event;
 mod flow;
 pub mod id;
+pub mod listen;
 pub mod load;
 pub mod member;
 pub mod metric;
 pub mod node;
 pub mod operate;
 pub mod peer;
+pub mod place;
 pub mod plan;
 pub mod platform;
 pub mod record;
 pub mod route;
+pub mod schema;
 pub mod service;
 pub mod settings;
 pub mod stream;
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -19,6 +19,7 @@
 use crate::config;
 use crate::event;
 use crate::id;
+use crate::listen;
 use crate::member;
 use crate::metric;
 use crate::operate;
@@ -41,6 +42,11 @@
 /// Time between two reports asked of one upstream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Longest time that a stop waits for records to be settled.
+const SETTLE_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
+
+/// Time between two looks at the number of nodes that share the store's rate.
+const SHARE_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 /// Time between two looks whether routes must be planned anew.
 const PLAN_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
 
@@ -75,6 +81,8 @@
     pub metrics: metric::MetricSet,
     /// Configuration in force.
     pub config: config::ConfigKeeper,
+    /// The node's share of the table service.
+    pub table: sync::Arc<platform::GuardedTable>,
     /// Record of marked requests.
     pub records: record::RecordKeeper,
     /// Upstreams as this node knows them.
@@ -82,7 +90,9 @@
     /// Routes over the upstreams that hold layers.
     pub routes: route::RouteDesk,
     /// Peers as this node knows them.
-    pub members: member::MemberView,
+    pub members: sync::Arc<member::MemberView>,
+    /// Messages to and from peers.
+    pub post: sync::Arc<peer::PeerPost>,
     /// Decides about attempts after the first.
     pub gate: Box<dyn complete::RetryGate>,
     /// Client of model engines.
@@ -100,22 +110,38 @@
         recorder: sync::Arc<event::EventRecorder>,
         table: sync::Arc<dyn platform::TableClient>,
     ) -> Self {
+        let incarnation = id::fresh_incarnation();
+        let members = sync::Arc::new(member::MemberView::default());
+        let keys = settings
+            .peer_keys
+            .iter()
+            .filter_map(|key| settings::decode_key(key));
+        let post = peer::PeerPost::new(
+            settings.name.clone(),
+            settings.peers,
+            incarnation,
+            peer::MessageSigner::new(keys.collect()),
+            sync::Arc::clone(&members),
+        );
+        let table = sync::Arc::new(platform::GuardedTable::new(table));
         Self {
-            incarnation: id::fresh_incarnation(),
+            incarnation,
             metrics: metric::MetricSet::default(),
             config: config::ConfigKeeper::new(
-                sync::Arc::clone(&table),
+                sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
             ),
             records: record::RecordKeeper::new(
-                table,
+                sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
                 settings.name.clone(),
             ),
+            table,
             recorder,
             upstreams: upstream::UpstreamView::default(),
+            members,
+            post: sync::Arc::new(post),
             routes: route::RouteDesk::default(),
-            members: member::MemberView::default(),
             gate: Box::new(complete::OpenGate),
             engines: client::HttpClient::for_engines(),
             services: client::HttpClient::for_services(),
@@ -185,8 +211,9 @@
     let core = sync::Arc::new(NodeCore::new(settings, recorder, table));
     let (transport, received) =
         peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
-    let callers = listen(core.settings.callers).await?;
-    let operators = listen(core.settings.operators).await?;
+    core.post.attach(sync::Arc::new(transport));
+    let callers = open_listener(core.settings.callers)?;
+    let operators = open_listener(core.settings.operators)?;
     let (closing, closed) = watch::channel(false);
     let name = core.settings.name.clone();
     core.recorder.record(
@@ -197,9 +224,10 @@
 
     let loops = [
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
+        tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
         tokio::spawn(keep_routes(sync::Arc::clone(&core))),
-        tokio::spawn(keep_members(sync::Arc::clone(&core), transport, received)),
     ];
     let serve_callers = tokio::spawn(serve(
         callers,
@@ -222,6 +250,7 @@
     time::sleep(core.settings.answer_keep_ms).await;
     let _ = closing.send(true);
     let _ = time::timeout(core.settings.stop_limit_ms, serve_callers).await;
+    let _ = time::timeout(SETTLE_TIME_LIMIT, core.records.settled()).await;
     core.recorder
         .record(event::EventCode::StopFinished, &name, "");
     serve_operators.abort();
@@ -231,13 +260,11 @@
     Ok(())
 }
 
-async fn listen(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
-    tokio::net::TcpListener::bind(address)
-        .await
-        .map_err(|error| NodeError::Listen {
-            address,
-            reason: error.to_string(),
-        })
+fn open_listener(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
+    listen::open(address).map_err(|error| NodeError::Listen {
+        address,
+        reason: error.to_string(),
+    })
 }
 
 /// Serves connections until `closed`, then lets each finish by its own rules.
@@ -287,10 +314,15 @@
 async fn keep_config(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(CONFIG_PERIOD);
     let mut ready = false;
+    let mut shared = 0;
     loop {
         ticks.tick().await;
         // During an outage the last document stays in force.
         let _ = core.config.refresh().await;
+        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
+            shared = config.version;
+            core.members.set_shares(member::shares(&config.document));
+        }
         if !ready && core.is_serving() {
             ready = true;
             core.recorder
@@ -299,6 +331,22 @@
     }
 }
 
+async fn keep_records(core: sync::Arc<NodeCore>) {
+    let share = async {
+        let mut ticks = time::interval(SHARE_PERIOD);
+        loop {
+            ticks.tick().await;
+            let nodes = core.members.alive().len();
+            core.records.set_nodes(nodes);
+            core.table.set_nodes(nodes);
+        }
+    };
+    tokio::select! {
+        () = core.records.run() => {}
+        () = share => {}
+    }
+}
+
 async fn keep_reports(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(REPORT_PERIOD);
     loop {
@@ -383,30 +431,26 @@
     }
 }
 
-async fn keep_members(
-    core: sync::Arc<NodeCore>,
-    transport: peer::NngTransport,
-    mut received: mpsc::Receiver<Vec<u8>>,
-) {
-    let keys = core
-        .settings
-        .peer_keys
-        .iter()
-        .filter_map(|key| settings::decode_key(key));
-    let signer = peer::MessageSigner::new(keys.collect());
+async fn keep_members(core: sync::Arc<NodeCore>, mut received: mpsc::Receiver<Vec<u8>>) {
+    let handler = HeartbeatHandler {
+        core: sync::Arc::downgrade(&core),
+    };
+    core.post
+        .register(peer::MessageKind::Membership, sync::Arc::new(handler));
     let mut ticks = time::interval(member::HEARTBEAT_PERIOD);
     loop {
         tokio::select! {
-            _ = ticks.tick() => beat(&core, &signer, &transport),
+            _ = ticks.tick() => beat(&core),
             message = received.recv() => {
                 let Some(message) = message else { return };
-                hear(&core, &signer, &message);
+                // What cannot be opened is dropped, as if lost.
+                let _ = core.post.receive(&message);
             }
         }
     }
 }
 
-fn beat(core: &NodeCore, signer: &peer::MessageSigner, transport: &dyn peer::PeerTransport) {
+fn beat(core: &NodeCore) {
     let now = time::Instant::now();
     let heartbeat = core.heartbeat();
     core.members.hear(heartbeat.clone(), now);
@@ -414,29 +458,41 @@
         core.recorder
             .record(event::EventCode::PeerGone, &name, "silent");
     }
-    let sealed = postcard::to_stdvec(&heartbeat)
-        .ok()
-        .and_then(|message| signer.seal(&message));
-    let Some(sealed) = sealed else { return };
-    let mut targets = core.settings.seeds.clone();
-    targets.extend(core.members.alive().iter().map(|member| member.peers));
-    targets.sort_unstable();
-    targets.dedup();
-    for target in targets {
-        if target != core.settings.peers {
-            transport.send(target, &sealed);
-        }
+    let Ok(body) = postcard::to_stdvec(&heartbeat) else {
+        return;
+    };
+    let kind = peer::MessageKind::Membership;
+    let contacts = core.members.contacts();
+    for contact in &contacts {
+        core.post.post(&contact.host, kind, &body);
+    }
+    let unmet = core
+        .settings
+        .seeds
+        .iter()
+        .filter(|seed| contacts.iter().all(|contact| contact.address != **seed));
+    for seed in unmet {
+        core.post.post_to(*seed, 0, kind, &body);
     }
 }
 
-fn hear(core: &NodeCore, signer: &peer::MessageSigner, message: &[u8]) {
-    let heartbeat = signer
-        .open(message)
-        .and_then(|message| postcard::from_bytes::<member::PeerHeartbeat>(message).ok());
-    let Some(heartbeat) = heartbeat else { return };
-    let name = heartbeat.name.clone();
-    if core.members.hear(heartbeat, time::Instant::now()) {
-        core.recorder
-            .record(event::EventCode::PeerAlive, &name, "heard");
+/// Takes heartbeats of peers.
+struct HeartbeatHandler {
+    core: sync::Weak<NodeCore>,
+}
+
+impl peer::MessageHandler for HeartbeatHandler {
+    fn handle(&self, _sender: &str, body: &[u8]) {
+        let Some(core) = self.core.upgrade() else {
+            return;
+        };
+        let Ok(heartbeat) = postcard::from_bytes::<member::PeerHeartbeat>(body) else {
+            return;
+        };
+        let name = heartbeat.name.clone();
+        if core.members.hear(heartbeat, time::Instant::now()) {
+            core.recorder
+                .record(event::EventCode::PeerAlive, &name, "heard");
+        }
     }
 }
