--- a/arbutusfold/src/record/group.rs
+++ b/arbutusfold/src/record/group.rs
@@ -22,6 +22,8 @@
     pub(crate) version: Option<u64>,
     /// Content.
     pub(crate) row: record::RecordRow,
+    /// Time from which the write must not be sent any more.
+    pub(crate) until: Option<time::Instant>,
     /// Where the outcome goes.
     pub(crate) reply: oneshot::Sender<GroupOutcome>,
 }
@@ -70,7 +72,9 @@
         while self.gather(next).await {
             next = time::Instant::now() + period();
             let group = self.take_group();
-            self.commit(group).await;
+            if !group.is_empty() {
+                self.commit(group).await;
+            }
         }
     }
 
@@ -91,9 +95,15 @@
 
     /// Takes the writes of one transaction, each row once.
     fn take_group(&mut self) -> Vec<GroupWrite> {
+        let now = time::Instant::now();
         let mut group: Vec<GroupWrite> = Vec::new();
         let mut later = collections::VecDeque::new();
         while let Some(write) = self.waiting.pop_front() {
+            if write.until.is_some_and(|until| now >= until) {
+                let outcome = GroupOutcome::Failed("the write came too late".to_owned());
+                answer_all(vec![write], &outcome);
+                continue;
+            }
             let twice = group.iter().any(|other| other.row_key == write.row_key);
             if twice || group.len() >= GROUP_LIMIT {
                 later.push_back(write);
--- a/arbutusfold/src/record/keeper.rs
+++ b/arbutusfold/src/record/keeper.rs
@@ -49,6 +49,14 @@
     Release(start::StartMachine),
 }
 
+/// Where and under which conditions a row is written.
+#[derive(Clone, Copy, Debug)]
+struct WriteOrder<'a> {
+    row_key: &'a str,
+    version: Option<u64>,
+    until: Option<time::Instant>,
+}
+
 /// The ends of the keeper's queues that its loop takes.
 struct KeeperLoop {
     writer: group::GroupWriter,
@@ -311,7 +319,13 @@
             digest: machine.digest().to_owned(),
             state,
         };
-        match self.submit(machine.row_key(), Some(version), row).await {
+        let until = (row.state == record::RecordState::Started).then(|| machine.until());
+        let write = WriteOrder {
+            row_key: machine.row_key(),
+            version: Some(version),
+            until,
+        };
+        match self.submit(write, row).await {
             group::GroupOutcome::Committed => start::StartEvent::Committed,
             group::GroupOutcome::Conflict(seen) => start::StartEvent::Conflict(seen),
             group::GroupOutcome::Failed(reason) => start::StartEvent::Failed(reason),
@@ -330,17 +344,13 @@
         }
     }
 
-    async fn submit(
-        &self,
-        row_key: &str,
-        version: Option<u64>,
-        row: record::RecordRow,
-    ) -> group::GroupOutcome {
+    async fn submit(&self, order: WriteOrder<'_>, row: record::RecordRow) -> group::GroupOutcome {
         let (reply, outcome) = oneshot::channel();
         let write = group::GroupWrite {
-            row_key: row_key.to_owned(),
-            version,
+            row_key: order.row_key.to_owned(),
+            version: order.version,
             row,
+            until: order.until,
             reply,
         };
         if self.writes.send(write).is_err() {
@@ -396,17 +406,26 @@
             state: record::RecordState::Finished(answer),
         };
         let mut pause = SETTLE_PAUSE;
-        // No other attempt changes a started row, so its version is not checked.
-        while self.submit(&permit.row_key, None, row.clone()).await
-            != group::GroupOutcome::Committed
-        {
+        // No other attempt changes a started row while it is kept, so its
+        // version is not checked.
+        let until = permit.until + record::RETENTION / 2;
+        let order = WriteOrder {
+            row_key: &permit.row_key,
+            version: None,
+            until: Some(until),
+        };
+        let mut code = event::EventCode::RecordFinished;
+        while self.submit(order, row.clone()).await != group::GroupOutcome::Committed {
+            if time::Instant::now() >= until {
+                code = event::EventCode::RecordUnknown;
+                break;
+            }
             time::sleep(pause).await;
             pause = SETTLE_PAUSE_LIMIT.min(pause * 2);
         }
         lock(&self.answers).remove(&permit.row_key);
-        let attempt = permit.attempt.as_str();
         self.recorder
-            .record(event::EventCode::RecordFinished, &permit.row_key, attempt);
+            .record(code, &permit.row_key, permit.attempt.as_str());
     }
 
     async fn settle_release(&self, mut machine: start::StartMachine) {
--- a/arbutusfold/src/record/start.rs
+++ b/arbutusfold/src/record/start.rs
@@ -130,6 +130,11 @@
         &self.digest
     }
 
+    /// Returns the time from which the attempt must not be dispatched.
+    pub fn until(&self) -> time::Instant {
+        self.until
+    }
+
     /// Tells whether a write of this attempt may leave a row behind.
     pub fn needs_settling(&self) -> bool {
         !self.outstanding.is_empty() || self.phase == StartPhase::Releasing
@@ -148,6 +153,16 @@
             self.phase = StartPhase::Releasing;
             self.reason = "the record took longer than the call may wait".to_owned();
         }
+        let action = self.take(event);
+        // After so long a sleep the row may have been removed.
+        let stale = now >= self.until + record::RETENTION / 2;
+        match action {
+            StartAction::NotRun(_) if stale => StartAction::Decide(record::RecordDecision::Pending),
+            action => action,
+        }
+    }
+
+    fn take(&mut self, event: StartEvent) -> StartAction {
         match event {
             StartEvent::Committed => self.committed(),
             StartEvent::Conflict(Some(seen)) | StartEvent::Seen(Some(seen)) => self.judge(seen),
