--- /dev/null
+++ b/arbutusfold/src/config/change.rs
@@ -0,0 +1,135 @@
+//! What differs between two documents, entry by entry.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::document;
+
+/// Changes that an audit entry lists; later ones are only counted.
+const CHANGE_LIMIT: usize = 256;
+
+/// What happened to an entry.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeKind {
+    /// Only the newer document has it.
+    #[display("added")]
+    Added,
+    /// Only the older document has it.
+    #[display("removed")]
+    Removed,
+    /// Both have it, with other content.
+    #[display("changed")]
+    Changed,
+}
+
+/// A change of one entry of a section.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryChange {
+    /// Section of the document, such as `organisations`.
+    pub section: String,
+    /// Name of the entry.
+    pub entry: String,
+    /// What happened to it.
+    pub kind: ChangeKind,
+    /// Fields that differ, for a changed entry.
+    pub fields: Vec<String>,
+}
+
+/// The difference between two documents.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentChanges {
+    /// Changed entries, by section and name.
+    pub entries: Vec<EntryChange>,
+    /// Changed entries beyond those.
+    pub omitted: usize,
+}
+
+/// Returns how `new` differs from `old`.
+pub fn compare(old: &document::ConfigDocument, new: &document::ConfigDocument) -> DocumentChanges {
+    let old = sections(old);
+    let new = sections(new);
+    let mut entries: Vec<_> = old
+        .into_iter()
+        .zip(new)
+        .flat_map(|(old, new)| compare_section(&old, &new))
+        .collect();
+    let omitted = entries.len().saturating_sub(CHANGE_LIMIT);
+    entries.truncate(CHANGE_LIMIT);
+    DocumentChanges { entries, omitted }
+}
+
+struct DocumentSection {
+    name: &'static str,
+    entries: Vec<(String, serde_json::Value)>,
+}
+
+fn sections(document: &document::ConfigDocument) -> [DocumentSection; 7] {
+    [
+        section("models", &document.models, |spec| spec.name.clone()),
+        section("pipelines", &document.pipelines, |spec| spec.name.clone()),
+        section("upstreams", &document.upstreams, |spec| spec.name.clone()),
+        section("services", &document.services, |spec| spec.name.clone()),
+        section("organisations", &document.organisations, |spec| {
+            spec.name.clone()
+        }),
+        section("links", &document.links, |spec| {
+            format!("{} to {}", spec.from, spec.to)
+        }),
+        section("domains", &document.domains, Clone::clone),
+    ]
+}
+
+fn section<T: Serialize>(
+    name: &'static str,
+    specs: &[T],
+    name_of: impl Fn(&T) -> String,
+) -> DocumentSection {
+    let mut entries: Vec<_> = specs
+        .iter()
+        .map(|spec| (name_of(spec), serde_json::json!(spec)))
+        .collect();
+    entries.sort_by(|left, right| left.0.cmp(&right.0));
+    DocumentSection { name, entries }
+}
+
+fn compare_section(old: &DocumentSection, new: &DocumentSection) -> Vec<EntryChange> {
+    let change = |entry: &str, kind, fields| EntryChange {
+        section: old.name.to_owned(),
+        entry: entry.to_owned(),
+        kind,
+        fields,
+    };
+    let find = |entries: &[(String, serde_json::Value)], name: &str| {
+        entries
+            .binary_search_by(|(known, _)| known.as_str().cmp(name))
+            .ok()
+    };
+    let removed = old
+        .entries
+        .iter()
+        .filter(|(name, _)| find(&new.entries, name).is_none())
+        .map(|(name, _)| change(name, ChangeKind::Removed, Vec::new()));
+    let kept = new.entries.iter().filter_map(|(name, value)| {
+        let Some(place) = find(&old.entries, name) else {
+            return Some(change(name, ChangeKind::Added, Vec::new()));
+        };
+        let before = &old.entries[place].1;
+        (before != value).then(|| change(name, ChangeKind::Changed, fields_of(before, value)))
+    });
+    let mut changes: Vec<_> = removed.chain(kept).collect();
+    changes.sort_by(|left, right| left.entry.cmp(&right.entry));
+    changes
+}
+
+fn fields_of(before: &serde_json::Value, after: &serde_json::Value) -> Vec<String> {
+    let (Some(before), Some(after)) = (before.as_object(), after.as_object()) else {
+        return Vec::new();
+    };
+    // Both come of one struct, so they have the same fields.
+    after
+        .iter()
+        .filter(|(name, value)| before.get(*name) != Some(*value))
+        .map(|(name, _)| name.clone())
+        .collect()
+}
--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -70,6 +70,10 @@
     ConfigAccepted = 601, Info;
     /// A configuration document was refused.
     ConfigRefused = 602, Warning;
+    /// The table service names an older configuration than the one in force.
+    ConfigBehind = 603, Warning;
+    /// It could not be found out whether a configuration document was accepted.
+    ConfigUnknown = 604, Warning;
     /// A peer became known as alive.
     PeerAlive = 700, Info;
     /// A peer became known as dead or gone.
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -97,6 +97,7 @@
             config: config::ConfigKeeper::new(
                 sync::Arc::clone(&table),
                 sync::Arc::clone(&recorder),
+                settings.name.clone(),
             ),
             records: record::RecordKeeper::new(
                 table,
