--- a/arbutusfold/src/config.rs
+++ b/arbutusfold/src/config.rs
@@ -14,6 +14,7 @@
 use crate::platform;
 
 pub mod change;
+pub mod keep;
 pub mod section;
 pub mod spread;
 mod submit;
--- a/arbutusfold/src/config/change.rs
+++ b/arbutusfold/src/config/change.rs
@@ -24,7 +24,8 @@
 }
 
 /// A change of one entry of a section.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{section} {entry}: {kind}{}", list_fields(fields))]
 pub struct EntryChange {
     /// Section of the document, such as `organisations`.
     pub section: String,
@@ -36,6 +37,13 @@
     pub fields: Vec<String>,
 }
 
+fn list_fields(fields: &[String]) -> String {
+    match fields.is_empty() {
+        true => String::new(),
+        false => format!(" in {}", fields.join(", ")),
+    }
+}
+
 /// The difference between two documents.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentChanges {
--- a/arbutusfold/src/config/section.rs
+++ b/arbutusfold/src/config/section.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 
 /// Shortest section but the last, in bytes.
-const SECTION_LEAST_BYTES: usize = 2 << 10;
+const SECTION_LEAST_BYTES: usize = 1_280;
 
 /// Usual length of a section in bytes.
-const SECTION_USUAL_BYTES: usize = 4 << 10;
+const SECTION_USUAL_BYTES: usize = 2 << 10;
 
 /// Longest section in bytes.
-pub(crate) const SECTION_MOST_BYTES: usize = 16 << 10;
+const SECTION_MOST_BYTES: usize = 8 << 10;
 
 /// Longest document in bytes.
 pub const DOCUMENT_LIMIT_BYTES: usize = 4 << 20;
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -33,9 +33,6 @@
 /// Longest time that the head of a request may take.
 const HEAD_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
 
-/// Time between two looks for a newer configuration.
-const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
-
 /// Time between two reports asked of one upstream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -203,7 +200,7 @@
     );
 
     let loops = [
-        tokio::spawn(keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(config::keep::run(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
         tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
     ];
@@ -290,26 +287,6 @@
     watcher.shutdown().await;
 }
 
-async fn keep_config(core: sync::Arc<NodeCore>) {
-    let mut ticks = time::interval(CONFIG_PERIOD);
-    let mut ready = false;
-    let mut shared = 0;
-    loop {
-        ticks.tick().await;
-        // During an outage the last document stays in force.
-        let _ = core.config.refresh().await;
-        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
-            shared = config.version;
-            core.members.set_shares(member::shares(&config.document));
-        }
-        if !ready && core.is_serving() {
-            ready = true;
-            core.recorder
-                .record(event::EventCode::NodeReady, &core.settings.name, "");
-        }
-    }
-}
-
 async fn keep_reports(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(REPORT_PERIOD);
     loop {
