--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -18,6 +18,7 @@
 use crate::config;
 use crate::event;
 use crate::id;
+use crate::listen;
 use crate::member;
 use crate::metric;
 use crate::operate;
@@ -36,6 +37,12 @@
 /// Time between two reports asked of one upstream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Longest time that a stop waits for records to be settled.
+const SETTLE_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
+
+/// Time between two looks at the number of nodes that share the store's rate.
+const SHARE_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
 /// Longest time that a report may take.
 const REPORT_TIME_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
@@ -67,6 +74,8 @@
     pub metrics: metric::MetricSet,
     /// Configuration in force.
     pub config: config::ConfigKeeper,
+    /// The node's share of the table service.
+    pub table: sync::Arc<platform::GuardedTable>,
     /// Record of marked requests.
     pub records: record::RecordKeeper,
     /// Upstreams as this node knows them.
@@ -103,19 +112,21 @@
             peer::MessageSigner::new(keys.collect()),
             sync::Arc::clone(&members),
         );
+        let table = sync::Arc::new(platform::GuardedTable::new(table));
         Self {
             incarnation,
             metrics: metric::MetricSet::default(),
             config: config::ConfigKeeper::new(
-                sync::Arc::clone(&table),
+                sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
                 settings.name.clone(),
             ),
             records: record::RecordKeeper::new(
-                table,
+                sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
                 settings.name.clone(),
             ),
+            table,
             recorder,
             upstreams: upstream::UpstreamView::default(),
             members,
@@ -189,8 +200,8 @@
     let (transport, received) =
         peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
     core.post.attach(sync::Arc::new(transport));
-    let callers = listen(core.settings.callers).await?;
-    let operators = listen(core.settings.operators).await?;
+    let callers = open_listener(core.settings.callers)?;
+    let operators = open_listener(core.settings.operators)?;
     let (closing, closed) = watch::channel(false);
     let name = core.settings.name.clone();
     core.recorder.record(
@@ -201,6 +212,7 @@
 
     let loops = [
         tokio::spawn(config::keep::run(sync::Arc::clone(&core))),
+        tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
         tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
     ];
@@ -225,6 +237,7 @@
     time::sleep(core.settings.answer_keep_ms).await;
     let _ = closing.send(true);
     let _ = time::timeout(core.settings.stop_limit_ms, serve_callers).await;
+    let _ = time::timeout(SETTLE_TIME_LIMIT, core.records.settled()).await;
     core.recorder
         .record(event::EventCode::StopFinished, &name, "");
     serve_operators.abort();
@@ -234,13 +247,11 @@
     Ok(())
 }
 
-async fn listen(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
-    tokio::net::TcpListener::bind(address)
-        .await
-        .map_err(|error| NodeError::Listen {
-            address,
-            reason: error.to_string(),
-        })
+fn open_listener(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
+    listen::open(address).map_err(|error| NodeError::Listen {
+        address,
+        reason: error.to_string(),
+    })
 }
 
 /// Serves connections until `closed`, then lets each finish by its own rules.
@@ -287,6 +298,22 @@
     watcher.shutdown().await;
 }
 
+async fn keep_records(core: sync::Arc<NodeCore>) {
+    let share = async {
+        let mut ticks = time::interval(SHARE_PERIOD);
+        loop {
+            ticks.tick().await;
+            let nodes = core.members.alive().len();
+            core.records.set_nodes(nodes);
+            core.table.set_nodes(nodes);
+        }
+    };
+    tokio::select! {
+        () = core.records.run() => {}
+        () = share => {}
+    }
+}
+
 async fn keep_reports(core: sync::Arc<NodeCore>) {
     let mut ticks = time::interval(REPORT_PERIOD);
     loop {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -117,6 +117,9 @@
         "/tables/commit" => {
             let transaction = server::read_json(request).await?;
             let outcome = lock().commit(transaction);
+            if outcome == CommitOutcome::Committed {
+                faults.note_commit();
+            }
             if faults.take_lost() {
                 return None;
             }
