--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -23,19 +23,23 @@
 
 pub mod caller;
 pub mod check;
+pub mod choose;
 pub mod client;
 pub mod complete;
 pub mod config;
 pub mod document;
 pub mod event;
+mod flow;
 pub mod id;
 pub mod listen;
+pub mod load;
 pub mod member;
 pub mod metric;
 pub mod node;
 pub mod operate;
 pub mod peer;
 pub mod place;
+pub mod plan;
 pub mod platform;
 pub mod record;
 pub mod route;
--- a/bench/src/bin/path.rs
+++ b/bench/src/bin/path.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use anyhow::Context;
-use arbutusfold::{client, id, upstream};
+use arbutusfold::{client, document, id, upstream};
 use arbutusfold_standin::fleet;
 use bpaf::Bpaf;
 use bytes::Bytes;
@@ -222,6 +222,7 @@
         model: "assistant".to_owned(),
         prompt: prompt.to_owned(),
         delivered: Vec::new(),
+        priority: document::RequestPriority::default(),
         max_tokens: tokens,
         route: vec![upstream::RouteStage {
             upstream: "direct".to_owned(),
