--- a/arbutusfold/src/check.rs
+++ b/arbutusfold/src/check.rs
@@ -242,7 +242,7 @@
         Err(error) => {
             let mut report = report_whole(file, format!("\"{}\"", error.kind()), allowed);
             let issue = &mut report.issues[0];
-            let start = text.floor_char_boundary(error.range().start);
+            let start = error.range().start.min(text.len());
             (issue.line, issue.column) = position(text, &line_starts(text), start);
             Err(report)
         }
@@ -464,6 +464,7 @@
 fn position(text: &str, lines: &[usize], start: usize) -> (usize, usize) {
     let line = lines.partition_point(|begin| *begin <= start);
     let begin = lines[line - 1];
-    let column = text[begin..start].chars().count() + 1;
+    let before = text.get(begin..start).unwrap_or_default();
+    let column = before.chars().count() + 1;
     (line, column)
 }
