--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -30,9 +30,6 @@
 /// Longest time that the body of a request may take.
 pub const BODY_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
 
-/// Time between two looks for a newer configuration.
-const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
-
 /// Time between two reports asked of one upstream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -124,6 +121,7 @@
             config: config::ConfigKeeper::new(
                 sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
+                settings.name.clone(),
             ),
             records: record::RecordKeeper::new(
                 sync::Arc::<platform::GuardedTable>::clone(&table),
@@ -217,7 +215,7 @@
     );
 
     let loops = [
-        tokio::spawn(keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(config::keep::run(sync::Arc::clone(&core))),
         tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
         tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
@@ -263,26 +261,6 @@
     })
 }
 
-async fn keep_config(core: sync::Arc<NodeCore>) {
-    let mut ticks = time::interval(CONFIG_PERIOD);
-    let mut ready = false;
-    let mut shared = 0;
-    loop {
-        ticks.tick().await;
-        // During an outage the last document stays in force.
-        let _ = core.config.refresh().await;
-        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
-            shared = config.version;
-            core.members.set_shares(member::shares(&config.document));
-        }
-        if !ready && core.is_serving() {
-            ready = true;
-            core.recorder
-                .record(event::EventCode::NodeReady, &core.settings.name, "");
-        }
-    }
-}
-
 async fn keep_records(core: sync::Arc<NodeCore>) {
     let share = async {
         let mut ticks = time::interval(SHARE_PERIOD);
--- a/fuzz/src/fake.rs
+++ b/fuzz/src/fake.rs
@@ -77,6 +77,11 @@
         })
     }
 
+    /// Lets a hand from outside change the rows.
+    pub fn with_store<T>(&self, change: impl FnOnce(&mut standin::TableStore) -> T) -> T {
+        change(&mut self.lock().store)
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, FakeState> {
         self.state
             .lock()
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -13,7 +13,7 @@
 use crate::server;
 
 /// Rows and hosts in memory.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TableStore {
     rows: collections::BTreeMap<(String, String), TableRow>,
     hosts: Vec<ListedHost>,
@@ -117,6 +117,9 @@
         "/tables/commit" => {
             let transaction = server::read_json(request).await?;
             let outcome = lock().commit(transaction);
+            if outcome == CommitOutcome::Committed {
+                faults.note_commit();
+            }
             if faults.take_lost() {
                 return None;
             }
