--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -147,6 +147,8 @@
     order: CompletionOrder,
     answer: stream::AnswerState,
     open: Option<OpenAttempt>,
+    /// When the current attempt began.
+    begun: time::Instant,
     /// Upstreams that failed since the last token.
     avoid: Vec<id::UpstreamName>,
     /// Failed attempts since the last token.
@@ -198,13 +200,15 @@
 struct FlightGuard {
     core: sync::Arc<node::NodeCore>,
     route: Vec<upstream::RouteStage>,
+    progress: route::ProgressMark,
     outcome: route::AttemptOutcome,
 }
 
 impl FlightGuard {
     fn new(core: &sync::Arc<node::NodeCore>, route: &[upstream::RouteStage]) -> Self {
-        core.routes.lock().begin(route, time::Instant::now());
+        let progress = core.routes.lock().begin(route, time::Instant::now());
         Self {
+            progress,
             core: sync::Arc::clone(core),
             route: route.to_vec(),
             outcome: route::AttemptOutcome::default(),
@@ -239,7 +243,11 @@
     Broken { reason: String },
     /// An engine said which stage broke.
     #[display("stage {hop} broke, refused: {refused}")]
-    Stage { hop: usize, refused: bool },
+    Stage {
+        hop: usize,
+        refused: bool,
+        unreached: bool,
+    },
     /// No token came in time.
     #[display("the route stalled")]
     Stalled,
@@ -269,6 +277,7 @@
             order,
             answer,
             open: None,
+            begun: time::Instant::now(),
             avoid: Vec::new(),
             failures: 0,
             refusals: 0,
@@ -321,9 +330,10 @@
         self.core.gate.note_route(&self.order, &route);
         let guard = FlightGuard::new(&self.core, &route);
         let recent = self.core.routes.lock().recent_gap(&route);
+        self.begun = time::Instant::now();
         let meter = stream::GapMeter::new(recent);
         let limit = meter.first_limit(self.prompt_tokens()) * self.patience();
-        let due = (time::Instant::now() + limit).min(self.order.deadline);
+        let due = (self.begun + limit).min(self.order.deadline);
         let opened = time::timeout_at(due, self.open_stream(route)).await;
         Ok(match opened {
             Ok(Ok(body)) => {
@@ -494,6 +504,7 @@
         LineOutcome::Failed(AttemptFailure::Stage {
             hop: fault.fault_hop,
             refused: fault.refused,
+            unreached: fault.unreached,
         })
     }
 
@@ -513,18 +524,19 @@
         let now = time::Instant::now();
         if let Some(open) = &mut self.open {
             open.meter.note(now);
+            open.guard.progress.note(now);
             let due = now + open.meter.limit();
             open.set_due(due.min(self.order.deadline));
         }
     }
 
     async fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
-        let meter = self.open.take().map(|open| open.meter);
-        let progress = meter.is_some_and(|meter| meter.has_begun());
+        let last = self.open.take().and_then(|open| open.meter.last());
+        let progress = last.is_some();
         if progress {
             self.avoid.clear();
         }
-        let blamed = self.blame(failure);
+        let blamed = self.blame(failure, last.unwrap_or(self.begun));
         self.core.recorder.record(
             event::EventCode::AttemptFailed,
             &self.order.request,
@@ -580,7 +592,9 @@
     }
 
     /// Notes who failed and returns the stage where it is known.
-    fn blame(&mut self, failure: &AttemptFailure) -> Option<usize> {
+    ///
+    /// Nothing has passed the route since `since`.
+    fn blame(&mut self, failure: &AttemptFailure, since: time::Instant) -> Option<usize> {
         let now = time::Instant::now();
         let route = self.answer.route();
         let mut keeper = self.core.routes.lock();
@@ -590,7 +604,9 @@
                 self.avoid.push(route.first()?.upstream.clone());
                 return Some(0);
             }
-            AttemptFailure::Stage { hop, refused: true } => {
+            AttemptFailure::Stage {
+                hop, refused: true, ..
+            } => {
                 keeper.note_refusal(&route.get(*hop)?.upstream, now);
                 self.avoid.push(route.get(*hop)?.upstream.clone());
                 return Some(*hop);
@@ -599,9 +615,9 @@
             | AttemptFailure::NotSent { .. }
             | AttemptFailure::Unanswered => (0, false),
             AttemptFailure::Broken { .. } => (0, true),
-            AttemptFailure::Stage { hop, .. } => (*hop, true),
+            AttemptFailure::Stage { hop, unreached, .. } => (*hop, !unreached),
             AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
-                keeper.note_suspicion(route, now);
+                keeper.note_suspicion(route, since, now);
                 let names = route.iter().map(|stage| stage.upstream.clone());
                 self.avoid.extend(names);
                 return None;
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod retry;
 pub mod route;
 pub mod schema;
+pub mod serve;
 pub mod service;
 pub mod settings;
 pub mod stream;
--- a/arbutusfold/src/suspect.rs
+++ b/arbutusfold/src/suspect.rs
@@ -5,6 +5,10 @@
 //! crash burns the permit of the run for good. So one request with all its
 //! resends crashes at most two upstreams, whichever nodes run it and whatever
 //! messages are lost.
+//!
+//! A run that gave new tokens before its upstream died is pardoned twice, so
+//! that streams outlive hosts: three is the bound of a request that crashes
+//! its upstreams at one later token, six of one that does so at any places.
 
 pub mod claim;
 pub mod host;
@@ -20,6 +24,9 @@
 /// Permits for one fingerprint in the fleet: the most upstreams it can crash.
 pub const PERMITS: usize = 2;
 
+/// Pardons of one request: crashes after new tokens that do not count.
+pub const PARDONS: u8 = 2;
+
 /// Time for which a burnt permit is remembered after its last use.
 pub const BURNT_LIFE: std_time::Duration = std_time::Duration::from_secs(3_600);
 
@@ -141,8 +148,17 @@
     pub lasts: std_time::Duration,
     /// Burnt permits that the asking node knows of.
     pub burnt: Vec<BurntPermit>,
-    /// Crash whose place the answer has since got past.
-    pub pardoned: Option<CrashMark>,
+    /// Crashes that no longer count.
+    pub pardon: Option<RequestPardon>,
+}
+
+/// Crashes that no longer count, since the answer got past their places.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestPardon {
+    /// Ordinal of the pardon of this request, from 1 to [`PARDONS`].
+    pub ordinal: u8,
+    /// The crashes.
+    pub marks: Vec<CrashMark>,
 }
 
 /// Returns the fingerprint of a request to a model or service.
--- a/arbutusfold/src/suspect/claim.rs
+++ b/arbutusfold/src/suspect/claim.rs
@@ -58,8 +58,8 @@
     pub assigned: Vec<id::HostName>,
     /// Longest time that the run can last.
     pub lasts: std_time::Duration,
-    /// Crash whose place the answer has since got past.
-    pub pardoned: Option<suspect::CrashMark>,
+    /// Crashes that no longer count.
+    pub pardon: Option<suspect::RequestPardon>,
 }
 
 /// The runs of one node.
@@ -317,7 +317,7 @@
             run: self.run,
             lasts: self.request.lasts,
             burnt: burnt.to_vec(),
-            pardoned: self.request.pardoned.clone(),
+            pardon: self.request.pardon.clone(),
         };
         let message = suspect::SuspectMessage::Claim(claim);
         actions.push(ClaimAction::Send(keeper, message));
--- a/arbutusfold/src/suspect/permit.rs
+++ b/arbutusfold/src/suspect/permit.rs
@@ -26,8 +26,8 @@
     fingerprint: suspect::RequestFingerprint,
     organisation: id::OrganisationName,
     burnt: Vec<suspect::BurntPermit>,
-    /// Crash that does not count; a request is pardoned once.
-    pardoned: Option<suspect::CrashMark>,
+    /// Crashes that no longer count.
+    pardon: Option<suspect::RequestPardon>,
     runs: Vec<PermitRun>,
     forget: time::Instant,
 }
@@ -76,8 +76,8 @@
         for permit in &claim.burnt {
             self.note_burnt(&claim.fingerprint, &claim.organisation, permit, now);
         }
-        if let Some(mark) = &claim.pardoned {
-            self.pardon(&claim.fingerprint, &claim.organisation, mark, now);
+        if let Some(pardon) = &claim.pardon {
+            self.note_pardon(&claim.fingerprint, &claim.organisation, pardon, now);
         }
         if self.is_proven(&claim.fingerprint, now) {
             return suspect::PermitVerdict::Granted;
@@ -167,7 +167,7 @@
     ) -> bool {
         let place = self.case(fingerprint, organisation, now);
         let case = &mut self.cases[place];
-        if case.pardoned.as_ref() == Some(&permit.mark) {
+        if case.is_pardoned(&permit.mark) {
             return false;
         }
         case.forget = now + suspect::BURNT_LIFE;
@@ -180,31 +180,52 @@
         }
     }
 
-    /// Passes over a crash whose place the answer has since got past.
+    /// Pardons a crash after new tokens, and those before it, if it may be.
     ///
-    /// What crashes its upstreams at one place is never pardoned, and what
-    /// does so at changing places is pardoned once.
+    /// The answer got past the places of the earlier crashes. What crashes
+    /// its upstreams before its first token is never pardoned.
     pub fn pardon(
         &mut self,
         fingerprint: &suspect::RequestFingerprint,
         organisation: &str,
         mark: &suspect::CrashMark,
         now: time::Instant,
+    ) {
+        let place = self.case(fingerprint, organisation, now);
+        let case = &self.cases[place];
+        let known = case.pardon.as_ref();
+        let ordinal = known.map_or(0, |pardon| pardon.ordinal) + 1;
+        let mut marks = known.map_or_else(Vec::new, |pardon| pardon.marks.clone());
+        marks.extend(case.burnt.iter().map(|permit| permit.mark.clone()));
+        marks.push(mark.clone());
+        let pardon = suspect::RequestPardon { ordinal, marks };
+        self.note_pardon(fingerprint, organisation, &pardon, now);
+    }
+
+    /// Notes a pardon; a later one of the same request holds the earlier ones.
+    fn note_pardon(
+        &mut self,
+        fingerprint: &suspect::RequestFingerprint,
+        organisation: &str,
+        pardon: &suspect::RequestPardon,
+        now: time::Instant,
     ) {
         let place = self.case(fingerprint, organisation, now);
         let case = &mut self.cases[place];
-        if case.pardoned.is_none() {
-            case.burnt.retain(|permit| permit.mark != *mark);
-            case.pardoned = Some(mark.clone());
+        let known = case.pardon.as_ref().map_or(0, |known| known.ordinal);
+        if pardon.ordinal > known && pardon.ordinal <= suspect::PARDONS {
+            case.pardon = Some(pardon.clone());
+            case.burnt
+                .retain(|permit| !pardon.marks.contains(&permit.mark));
         }
     }
 
-    /// Returns the crash that was pardoned.
-    pub fn pardoned(
+    /// Returns the pardon of a request.
+    pub fn pardon_of(
         &self,
         fingerprint: &suspect::RequestFingerprint,
-    ) -> Option<&suspect::CrashMark> {
-        self.cases[self.find(fingerprint)?].pardoned.as_ref()
+    ) -> Option<&suspect::RequestPardon> {
+        self.cases[self.find(fingerprint)?].pardon.as_ref()
     }
 
     /// Takes back a crash that was none.
@@ -250,7 +271,7 @@
         let host = self.host.clone();
         self.cases.retain_mut(|case| {
             case.expire(&host, now);
-            let marked = !case.burnt.is_empty() || case.pardoned.is_some();
+            let marked = !case.burnt.is_empty() || case.pardon.is_some();
             !case.runs.is_empty() || (marked && now < case.forget)
         });
         self.proven.retain(|(_, until)| now < *until);
@@ -282,7 +303,7 @@
                     fingerprint: *fingerprint,
                     organisation: organisation.to_owned(),
                     burnt: Vec::new(),
-                    pardoned: None,
+                    pardon: None,
                     runs: Vec::new(),
                     forget: now + suspect::BURNT_LIFE,
                 };
@@ -306,6 +327,12 @@
 }
 
 impl RequestCase {
+    fn is_pardoned(&self, mark: &suspect::CrashMark) -> bool {
+        self.pardon
+            .as_ref()
+            .is_some_and(|pardon| pardon.marks.contains(mark))
+    }
+
     fn holds(&self, host: &str, run: suspect::RunNumber) -> bool {
         self.runs
             .iter()
--- a/arbutusfold/src/traffic/attempt.rs
+++ b/arbutusfold/src/traffic/attempt.rs
@@ -150,7 +150,7 @@
         subject: &str,
     ) -> Result<Vec<id::UpstreamName>, suspect::claim::RunRefusal> {
         let now = time::Instant::now();
-        let pardoned = {
+        {
             let mut state = self.lock();
             let Some(flight) = state.flight(ticket) else {
                 return Ok(Vec::new());
@@ -163,18 +163,23 @@
                 incarnation: incarnation.unwrap_or(run),
             };
             flight.isolated = false;
-            let pardoned = flight.mark.replace(mark.clone()).filter(|_| progress);
+            flight.mark = Some(mark.clone());
             let noted = traffic::NotedCrash {
                 mark: mark.clone(),
                 fingerprint: flight.fingerprint,
                 organisation: flight.organisation.clone(),
                 noted: now,
             };
+            if progress {
+                let organisation = &noted.organisation;
+                state
+                    .suspects
+                    .pardon(&noted.fingerprint, organisation, &mark, now);
+            }
             state.crashes.push(noted);
             self.end_run(&mut state, run, suspect::RunEnd::Crashed(mark), now);
-            pardoned
-        };
-        self.await_permit(ticket, subject, pardoned).await?;
+        }
+        self.await_permit(ticket, subject).await?;
         match progress {
             true => Ok(Vec::new()),
             false => self.await_turn(ticket).await,
--- a/arbutusfold/src/traffic/entry.rs
+++ b/arbutusfold/src/traffic/entry.rs
@@ -126,7 +126,7 @@
         self.await_share(request, expected).await?;
         let pass = self.open_flight(request, expected);
         if request.permit {
-            self.await_permit(pass.ticket, request.request, None)
+            self.await_permit(pass.ticket, request.request)
                 .await
                 .map_err(|refusal| permit_refused(refusal, caller::RunOutcome::No))?;
         }
@@ -221,7 +221,6 @@
         &self,
         ticket: id::TicketNumber,
         subject: &str,
-        pardoned: Option<suspect::CrashMark>,
     ) -> Result<(), claim::RunRefusal> {
         let now = time::Instant::now();
         let receiver = {
@@ -236,7 +235,7 @@
                 organisation: flight.organisation.clone(),
                 assigned: self.nodes().assigned(&flight.organisation),
                 lasts: flight.deadline.saturating_duration_since(now) + PERMIT_MARGIN,
-                pardoned,
+                pardon: None,
             };
             let (sender, receiver) = oneshot::channel();
             state.permits.push(traffic::PermitWaiter { run, sender });
--- a/bench/src/admission_cost.rs
+++ b/bench/src/admission_cost.rs
@@ -160,7 +160,7 @@
             organisation: organisation.clone(),
             assigned: nodes.0.clone(),
             lasts: std_time::Duration::from_secs(120),
-            pardoned: None,
+            pardon: None,
         };
         host.handle(host::SuspectEvent::Begin(run, request), &nodes, now);
         let end = suspect::RunEnd::Answered;
--- a/fuzz/src/crash.rs
+++ b/fuzz/src/crash.rs
@@ -174,7 +174,7 @@
             organisation: "a".to_owned(),
             assigned: self.names.0.clone(),
             lasts: RUN_LIMIT,
-            pardoned: None,
+            pardon: None,
         };
         self.handle(node, host::SuspectEvent::Begin(run, request));
     }
