--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -217,9 +217,11 @@
 }
 
 fn addresses(core: &node::NodeCore, query: &str) -> serde_json::Value {
-    let caller = query.strip_prefix("caller=").unwrap_or_default();
+    let field = |name: &str| query.split('&').find_map(|part| part.strip_prefix(name));
+    let caller = field("caller=").unwrap_or_default();
+    let organisation = field("organisation=");
     serde_json::json!({
-        "addresses": core.members.answer(caller),
+        "addresses": core.members.answer(caller, organisation),
         "keep_ms": core.settings.answer_keep_ms.as_millis() as u64,
     })
 }
--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -78,6 +78,16 @@
     PeerAlive = 700, Info;
     /// A peer became known as dead or gone.
     PeerGone = 701, Warning;
+    /// A peer does not answer and is probed again.
+    PeerSuspected = 702, Info;
+    /// Another region is heard.
+    RegionFound = 703, Info;
+    /// Another region is cut off.
+    RegionLost = 704, Warning;
+    /// A later process with this host's name runs elsewhere.
+    HostSuperseded = 705, Warning;
+    /// A request was cut by the end of a stop.
+    StopCut = 710, Warning;
 }
 
 impl EventCode {
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -21,6 +21,7 @@
 //! # Ok::<(), arbutusfold::settings::SettingsError>(())
 //! ```
 
+pub mod address;
 pub mod caller;
 pub mod check;
 pub mod client;
@@ -28,6 +29,7 @@
 pub mod config;
 pub mod document;
 pub mod event;
+pub mod gossip;
 pub mod id;
 pub mod listen;
 pub mod member;
@@ -37,6 +39,7 @@
 pub mod peer;
 pub mod place;
 pub mod platform;
+pub mod probe;
 pub mod record;
 pub mod route;
 pub mod schema;
--- a/arbutusfold/src/member.rs
+++ b/arbutusfold/src/member.rs
@@ -2,44 +2,24 @@
 
 use std::net;
 use std::sync;
-use std::time as std_time;
-
-use serde::{Deserialize, Serialize};
-use tokio::time;
 
+use crate::address;
 use crate::document;
 use crate::id;
 
-/// Time between two heartbeats.
-pub const HEARTBEAT_PERIOD: std_time::Duration = std_time::Duration::from_millis(250);
+pub mod driver;
+pub mod keeper;
+pub mod message;
+pub(crate) mod region;
+pub(crate) mod spread;
 
-/// Silence after which a peer counts as dead.
-const SILENCE_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_500);
+pub use driver::MemberDriver;
+pub use keeper::{MemberAction, MemberEvent, MemberKeeper};
+pub use message::{MemberPhase, MemberRecord};
 
 /// Fewest nodes that an organisation is assigned to, where there are as many.
 const ASSIGNED_NODES: usize = 3;
 
-/// What a node tells its peers of itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PeerHeartbeat {
-    /// Name of the host.
-    pub name: id::HostName,
-    /// Incarnation of the process.
-    pub incarnation: id::IncarnationNumber,
-    /// Region of the host.
-    pub region: id::RegionName,
-    /// Failure domain of the host.
-    pub domain: id::DomainName,
-    /// Address on which it serves callers.
-    pub callers: net::SocketAddr,
-    /// Address on which it hears peers.
-    pub peers: net::SocketAddr,
-    /// Version of the configuration in force.
-    pub version: id::DocumentVersion,
-    /// Whether it may be named to callers.
-    pub serving: bool,
-}
-
 /// Where a peer is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerContact {
@@ -76,62 +56,88 @@
         .collect()
 }
 
+/// Members as of one moment.
+#[derive(Debug, Default)]
+struct MemberSnapshot {
+    /// Members alive in the own region, by name.
+    members: Vec<MemberRecord>,
+    /// Known nodes of other regions.
+    remote: Vec<message::RegionContact>,
+    /// Failure domains of other regions, sorted.
+    remote_domains: Vec<id::DomainName>,
+    /// What address answers are made from, once one was asked for.
+    book: sync::OnceLock<address::AddressBook>,
+}
+
 /// What a node knows of its peers, itself included.
 #[derive(Debug, Default)]
 pub struct MemberView {
-    members: sync::Mutex<Vec<(PeerHeartbeat, time::Instant)>>,
-    shares: sync::Mutex<Vec<WeightShare>>,
+    snapshot: sync::RwLock<sync::Arc<MemberSnapshot>>,
+    shares: sync::RwLock<Vec<WeightShare>>,
 }
 
 impl MemberView {
-    /// Takes a heartbeat and tells whether the peer is new or started anew.
-    pub fn hear(&self, heartbeat: PeerHeartbeat, now: time::Instant) -> bool {
-        let mut members = self.lock();
-        match members.binary_search_by(|(known, _)| known.name.cmp(&heartbeat.name)) {
-            Ok(place) if members[place].0.incarnation > heartbeat.incarnation => false,
-            Ok(place) => {
-                let fresh = members[place].0.incarnation < heartbeat.incarnation;
-                members[place] = (heartbeat, now);
-                fresh
-            }
-            Err(place) => {
-                members.insert(place, (heartbeat, now));
-                true
-            }
-        }
+    /// Replaces what is known.
+    pub fn publish(
+        &self,
+        members: Vec<MemberRecord>,
+        remote: Vec<message::RegionContact>,
+        remote_domains: Vec<id::DomainName>,
+    ) {
+        let fresh = sync::Arc::new(MemberSnapshot {
+            members,
+            remote,
+            remote_domains,
+            book: sync::OnceLock::new(),
+        });
+        let mut held = self
+            .snapshot
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        *held = fresh;
     }
 
-    /// Removes peers that were silent too long and returns their names.
-    pub fn expire(&self, now: time::Instant) -> Vec<id::HostName> {
-        let mut members = self.lock();
-        let (kept, gone) = std::mem::take(&mut *members)
-            .into_iter()
-            .partition(|(_, heard)| now.duration_since(*heard) <= SILENCE_LIMIT);
-        *members = kept;
-        let gone: Vec<(PeerHeartbeat, time::Instant)> = gone;
-        gone.into_iter().map(|(known, _)| known.name).collect()
+    /// Returns the members alive in the own region, by name.
+    pub fn alive(&self) -> Vec<MemberRecord> {
+        self.snapshot().members.clone()
     }
 
-    /// Returns the members alive, by name.
-    pub fn alive(&self) -> Vec<PeerHeartbeat> {
-        self.lock().iter().map(|(known, _)| known.clone()).collect()
+    /// Returns where every member alive in the own region is reached, by name.
+    pub fn contacts(&self) -> Vec<PeerContact> {
+        self.snapshot().members.iter().map(contact_of).collect()
     }
 
-    /// Returns where every member alive is reached, by name.
-    pub fn contacts(&self) -> Vec<PeerContact> {
-        self.lock()
+    /// Returns where known nodes of other regions are reached, by name.
+    pub fn remote_contacts(&self) -> Vec<PeerContact> {
+        let snapshot = self.snapshot();
+        snapshot
+            .remote
             .iter()
-            .map(|(known, _)| contact_of(known))
+            .map(|contact| PeerContact {
+                host: contact.name.clone(),
+                address: contact.peers,
+                incarnation: contact.incarnation,
+            })
             .collect()
     }
 
+    /// Tells whether a failure domain belongs to another region.
+    pub fn is_remote_domain(&self, domain: &str) -> bool {
+        let snapshot = self.snapshot();
+        snapshot
+            .remote_domains
+            .binary_search_by(|held| held.as_str().cmp(domain))
+            .is_ok()
+    }
+
     /// Returns where a member is reached, if it is alive.
     pub fn contact(&self, host: &str) -> Option<PeerContact> {
-        let members = self.lock();
-        let place = members
-            .binary_search_by(|(known, _)| known.name.as_str().cmp(host))
+        let snapshot = self.snapshot();
+        let place = snapshot
+            .members
+            .binary_search_by(|record| record.name.as_str().cmp(host))
             .ok()?;
-        Some(contact_of(&members[place].0))
+        Some(contact_of(&snapshot.members[place]))
     }
 
     /// Sets the shares of organisations, which decide how many nodes each gets.
@@ -139,7 +145,7 @@
         shares.sort_by(|left, right| left.organisation.cmp(&right.organisation));
         *self
             .shares
-            .lock()
+            .write()
             .unwrap_or_else(sync::PoisonError::into_inner) = shares;
     }
 
@@ -150,59 +156,67 @@
     /// the domains as the organisation's share needs. A lost node moves only
     /// the organisations that it had.
     pub fn nodes_for(&self, organisation: &str) -> Vec<id::HostName> {
-        let members = self.alive();
-        let serving: Vec<_> = members.iter().filter(|known| known.serving).collect();
-        let count = assigned_count(self.share(organisation), serving.len());
-        let mut ranked: Vec<_> = serving
+        let snapshot = self.snapshot();
+        let serving: Vec<_> = snapshot
+            .members
             .iter()
-            .map(|known| (rank(organisation, &known.name), *known))
+            .filter(|record| record.phase == MemberPhase::Serving)
             .collect();
-        ranked.sort_by_key(|(rank, _)| *rank);
-        let ordered = ranked.into_iter().map(|(_, known)| known).collect();
-        over_domains(ordered)
+        let count = assigned_count(self.share(organisation), serving.len());
+        spread::ranked(organisation, serving.into_iter())
+            .into_iter()
+            .take(count)
+            .map(|record| record.name.clone())
+            .collect()
+    }
+
+    /// Returns the nodes among those alive that watch something, best first.
+    pub fn watchers_of(&self, subject: &str, count: usize) -> Vec<id::HostName> {
+        let snapshot = self.snapshot();
+        spread::ranked(subject, snapshot.members.iter())
             .into_iter()
             .take(count)
-            .map(|known| known.name.clone())
+            .map(|record| record.name.clone())
             .collect()
     }
 
     /// Returns the addresses to give to a caller, best first.
     ///
-    /// Hosts are ordered by a hash of caller and host, so that each caller
-    /// has its own order and a change of one host moves few of them.
-    pub fn answer(&self, caller: &str) -> Vec<net::SocketAddr> {
-        let mut ranked: Vec<_> = self
-            .lock()
-            .iter()
-            .filter(|(known, _)| known.serving)
-            .map(|(known, _)| (rank(caller, &known.name), known.callers))
-            .collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, address)| address).collect()
+    /// A caller that names its organisation is sent to the nodes that the
+    /// organisation is assigned to.
+    pub fn answer(&self, caller: &str, organisation: Option<&str>) -> Vec<net::SocketAddr> {
+        let assigned = organisation.map_or_else(Vec::new, |name| self.nodes_for(name));
+        let snapshot = self.snapshot();
+        snapshot
+            .book
+            .get_or_init(|| address::AddressBook::new(&snapshot.members, &snapshot.remote))
+            .answer(caller, &assigned)
     }
 
     fn share(&self, organisation: &str) -> f64 {
         let shares = self
             .shares
-            .lock()
+            .read()
             .unwrap_or_else(sync::PoisonError::into_inner);
         shares
             .binary_search_by(|held| held.organisation.as_str().cmp(organisation))
             .map_or(0.0, |place| shares[place].share)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, Vec<(PeerHeartbeat, time::Instant)>> {
-        self.members
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+    fn snapshot(&self) -> sync::Arc<MemberSnapshot> {
+        let held = self
+            .snapshot
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        sync::Arc::clone(&held)
     }
 }
 
-fn contact_of(known: &PeerHeartbeat) -> PeerContact {
+fn contact_of(record: &MemberRecord) -> PeerContact {
     PeerContact {
-        host: known.name.clone(),
-        address: known.peers,
-        incarnation: known.incarnation,
+        host: record.name.clone(),
+        address: record.peers,
+        incarnation: record.incarnation,
     }
 }
 
@@ -211,35 +225,3 @@
     let needed = (share * nodes as f64).ceil() as usize;
     needed.max(ASSIGNED_NODES).min(nodes)
 }
-
-/// Orders members so that each failure domain comes once before any comes twice.
-fn over_domains(ordered: Vec<&PeerHeartbeat>) -> Vec<&PeerHeartbeat> {
-    let mut counts: Vec<(&str, usize)> = Vec::new();
-    let mut placed: Vec<_> = ordered
-        .into_iter()
-        .map(|known| (turn_of(&mut counts, &known.domain), known))
-        .collect();
-    placed.sort_by_key(|(turn, _)| *turn);
-    placed.into_iter().map(|(_, known)| known).collect()
-}
-
-fn turn_of<'a>(counts: &mut Vec<(&'a str, usize)>, domain: &'a str) -> usize {
-    match counts.iter_mut().find(|(held, _)| *held == domain) {
-        Some((_, count)) => {
-            *count += 1;
-            *count
-        }
-        None => {
-            counts.push((domain, 0));
-            0
-        }
-    }
-}
-
-fn rank(caller: &str, host: &str) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(caller.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(host.as_bytes());
-    *hasher.finalize().as_bytes()
-}
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -24,6 +24,7 @@
 use crate::operate;
 use crate::peer;
 use crate::platform;
+use crate::probe;
 use crate::record;
 use crate::settings;
 use crate::upstream;
@@ -151,16 +152,16 @@
         self.turn.fetch_add(1, atomic::Ordering::Relaxed)
     }
 
-    fn heartbeat(&self) -> member::PeerHeartbeat {
-        member::PeerHeartbeat {
+    fn record(&self) -> member::MemberRecord {
+        member::MemberRecord {
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
+            revision: 1,
             region: self.settings.region.clone(),
             domain: self.settings.domain.clone(),
             callers: self.settings.callers,
             peers: self.settings.peers,
-            version: self.config.version(),
-            serving: self.is_serving(),
+            phase: member::MemberPhase::Joining,
         }
     }
 }
@@ -212,11 +213,34 @@
         core.settings.callers.to_string(),
     );
 
+    let keeper = member::MemberKeeper::new(
+        core.record(),
+        core.settings.seeds.clone(),
+        time::Instant::now(),
+    );
+    let driver = sync::Arc::new(member::MemberDriver::new(
+        keeper,
+        core.incarnation,
+        sync::Arc::clone(&core.post),
+        sync::Arc::clone(&core.members),
+        sync::Arc::clone(&core.recorder),
+    ));
+    let listener: sync::Arc<dyn member::driver::MemberListener> = sync::Arc::new(NodeListener {
+        core: sync::Arc::clone(&core),
+    });
+    driver.listen(sync::Arc::downgrade(&listener));
+    core.post
+        .register(peer::MessageKind::Membership, driver.clone());
+
     let loops = [
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
         tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
-        tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
+        tokio::spawn(keep_members(
+            sync::Arc::clone(&core),
+            sync::Arc::clone(&driver),
+            received,
+        )),
     ];
     let serve_callers = tokio::spawn(serve(
         callers,
@@ -235,6 +259,8 @@
     let _ = stop.wait_for(|stop| *stop).await;
     core.stopping.store(true, atomic::Ordering::Relaxed);
     core.recorder.record(event::EventCode::StopBegan, &name, "");
+    let leaving = member::MemberPhase::Leaving;
+    driver.step(member::MemberEvent::Phase(leaving), time::Instant::now());
     // Callers may hold an answer that names this node until it runs out.
     time::sleep(core.settings.answer_keep_ms).await;
     let _ = closing.send(true);
@@ -242,6 +268,7 @@
     let _ = time::timeout(SETTLE_TIME_LIMIT, core.records.settled()).await;
     core.recorder
         .record(event::EventCode::StopFinished, &name, "");
+    driver.step(member::MemberEvent::Left, time::Instant::now());
     serve_operators.abort();
     for task in loops {
         task.abort();
@@ -380,16 +407,28 @@
     core.recorder.record(code, name, address.to_string());
 }
 
-async fn keep_members(core: sync::Arc<NodeCore>, mut received: mpsc::Receiver<Vec<u8>>) {
-    let handler = HeartbeatHandler {
-        core: sync::Arc::downgrade(&core),
-    };
-    core.post
-        .register(peer::MessageKind::Membership, sync::Arc::new(handler));
-    let mut ticks = time::interval(member::HEARTBEAT_PERIOD);
+async fn keep_members(
+    core: sync::Arc<NodeCore>,
+    driver: sync::Arc<member::MemberDriver>,
+    mut received: mpsc::Receiver<Vec<u8>>,
+) {
+    let mut ticks = time::interval(probe::TICK_PERIOD);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut version = 0;
     loop {
         tokio::select! {
-            _ = ticks.tick() => beat(&core),
+            now = ticks.tick() => {
+                let held = core.config.version();
+                if held != version {
+                    version = held;
+                    driver.step(member::MemberEvent::Version(held), now);
+                }
+                if core.is_serving() {
+                    let phase = member::MemberPhase::Serving;
+                    driver.step(member::MemberEvent::Phase(phase), now);
+                }
+                driver.step(member::MemberEvent::Tick, time::Instant::now());
+            }
             message = received.recv() => {
                 let Some(message) = message else { return };
                 // What cannot be opened is dropped, as if lost.
@@ -399,49 +438,20 @@
     }
 }
 
-fn beat(core: &NodeCore) {
-    let now = time::Instant::now();
-    let heartbeat = core.heartbeat();
-    core.members.hear(heartbeat.clone(), now);
-    for name in core.members.expire(now) {
-        core.recorder
-            .record(event::EventCode::PeerGone, &name, "silent");
-    }
-    let Ok(body) = postcard::to_stdvec(&heartbeat) else {
-        return;
-    };
-    let kind = peer::MessageKind::Membership;
-    let contacts = core.members.contacts();
-    for contact in &contacts {
-        core.post.post(&contact.host, kind, &body);
-    }
-    let unmet = core
-        .settings
-        .seeds
-        .iter()
-        .filter(|seed| contacts.iter().all(|contact| contact.address != **seed));
-    for seed in unmet {
-        core.post.post_to(*seed, 0, kind, &body);
-    }
+/// Takes what the membership tells the node.
+struct NodeListener {
+    core: sync::Arc<NodeCore>,
 }
 
-/// Takes heartbeats of peers.
-struct HeartbeatHandler {
-    core: sync::Weak<NodeCore>,
-}
+impl member::driver::MemberListener for NodeListener {
+    fn newer(&self, _version: id::DocumentVersion, _from: net::SocketAddr) {}
 
-impl peer::MessageHandler for HeartbeatHandler {
-    fn handle(&self, _sender: &str, body: &[u8]) {
-        let Some(core) = self.core.upgrade() else {
-            return;
-        };
-        let Ok(heartbeat) = postcard::from_bytes::<member::PeerHeartbeat>(body) else {
-            return;
-        };
-        let name = heartbeat.name.clone();
-        if core.members.hear(heartbeat, time::Instant::now()) {
-            core.recorder
-                .record(event::EventCode::PeerAlive, &name, "heard");
+    fn superseded(&self) {
+        if !self.core.stopping.swap(true, atomic::Ordering::Relaxed) {
+            let name = &self.core.settings.name;
+            self.core
+                .recorder
+                .record(event::EventCode::HostSuperseded, name, "");
         }
     }
 }
--- a/arbutusfold/src/peer.rs
+++ b/arbutusfold/src/peer.rs
@@ -82,11 +82,26 @@
 
     /// Posts a message to a member; it may be lost, and is when the host is unknown.
     pub fn post(&self, to: &str, kind: MessageKind, body: &[u8]) {
-        if let Some(contact) = self.members.contact(to) {
+        let contact = self.members.contact(to).or_else(|| {
+            let mut remote = self.members.remote_contacts().into_iter();
+            remote.find(|contact| contact.host == to)
+        });
+        if let Some(contact) = contact {
             self.send(contact.address, contact.incarnation, kind, None, body);
         }
     }
 
+    /// Posts a message to the member that hears peers at an address.
+    pub fn post_at(&self, to: net::SocketAddr, kind: MessageKind, body: &[u8]) {
+        let contacts = self.members.contacts().into_iter();
+        let contact = contacts
+            .chain(self.members.remote_contacts())
+            .find(|contact| contact.address == to);
+        if let Some(contact) = contact {
+            self.send(to, contact.incarnation, kind, None, body);
+        }
+    }
+
     /// Posts a message to an address; only membership may be posted to a
     /// host that was not met, whose incarnation is then 0.
     pub fn post_to(
@@ -126,11 +141,18 @@
         if envelope.receiver != own && !first_meeting {
             return Err(OpenError::Receiver);
         }
-        let fresh =
-            lock(&self.guard).accept(&envelope.sender, envelope.incarnation, envelope.sequence);
-        if !fresh || envelope.sender == self.host {
+        if envelope.sender == self.host {
             return Err(OpenError::Replay);
         }
+        let accepted =
+            lock(&self.guard).accept(&envelope.sender, envelope.incarnation, envelope.sequence);
+        if accepted == Err(OpenError::Older) && envelope.kind == MessageKind::Membership.number() {
+            // The membership tells an earlier process that it was replaced,
+            // and takes nothing else from it.
+            let kind = MessageKind::Membership;
+            self.hand_over(kind, &envelope.sender, &envelope.body);
+        }
+        accepted?;
         let kind = MessageKind::of(envelope.kind).ok_or(OpenError::Kind)?;
         if let Some(tag) = &envelope.spread {
             if !self.note_spread(tag) {
@@ -179,7 +201,14 @@
             .iter()
             .filter(|contact| contact.host != self.host && contact.host != tag.origin)
             .collect();
-        for contact in others.sample(&mut rand::rng(), SPREAD_HOSTS) {
+        let mut rng = rand::rng();
+        let mut chosen: Vec<_> = others.sample(&mut rng, SPREAD_HOSTS).copied().collect();
+        let remote = self.members.remote_contacts();
+        if tag.origin == self.host {
+            // Every other region is entered at each of its known nodes.
+            chosen.extend(&remote);
+        }
+        for contact in chosen {
             let spread = Some(tag.clone());
             self.send(contact.address, contact.incarnation, kind, spread, body);
         }
--- a/arbutusfold/src/peer/envelope.rs
+++ b/arbutusfold/src/peer/envelope.rs
@@ -104,6 +104,9 @@
     /// It was meant for another incarnation of this host.
     #[display("message is meant for another incarnation")]
     Receiver,
+    /// A later process of the sender was heard before.
+    #[display("message is from an earlier process of its sender")]
+    Older,
     /// It was taken before or is too old to tell.
     #[display("message was taken before")]
     Replay,
@@ -192,13 +195,18 @@
 }
 
 impl ReplayGuard {
-    /// Tells whether a message is taken for the first time.
+    /// Takes the number of a message.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenError::Replay`] when it was taken before, [`OpenError::Older`]
+    /// when a later process of the sender was heard.
     pub fn accept(
         &mut self,
         sender: &str,
         incarnation: id::IncarnationNumber,
         sequence: u64,
-    ) -> bool {
+    ) -> Result<(), OpenError> {
         let fresh = SenderWindow {
             sender: sender.to_owned(),
             incarnation,
@@ -216,18 +224,19 @@
                     .windows
                     .partition_point(|held| held.sender.as_str() < sender);
                 self.windows.insert(place, fresh);
-                return true;
+                return Ok(());
             }
         };
         let window = &mut self.windows[place];
-        if incarnation != window.incarnation {
-            let newer = incarnation > window.incarnation;
-            if newer {
+        match incarnation.cmp(&window.incarnation) {
+            std::cmp::Ordering::Less => Err(OpenError::Older),
+            std::cmp::Ordering::Equal if window.take(sequence) => Ok(()),
+            std::cmp::Ordering::Equal => Err(OpenError::Replay),
+            std::cmp::Ordering::Greater => {
                 *window = fresh;
+                Ok(())
             }
-            return newer;
         }
-        window.take(sequence)
     }
 
     fn make_room(&mut self) {
--- /dev/null
+++ b/arbutusfold/src/probe.rs
@@ -0,0 +1,218 @@
+//! Probing of peers: rounds of direct and indirect probes, and own health.
+
+use std::time as std_time;
+
+use tokio::time;
+
+use crate::id;
+
+/// Time between two looks at what is due.
+pub const TICK_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
+
+/// Time after which others are asked to probe a silent peer.
+const INDIRECT_DELAY: std_time::Duration = std_time::Duration::from_millis(50);
+
+/// Length of one round of probes.
+const ROUND_LENGTH: std_time::Duration = std_time::Duration::from_millis(150);
+
+/// Failed rounds after which a peer is suspected.
+const SUSPECT_ROUNDS: u32 = 2;
+
+/// Failed rounds in a row after which a peer counts as dead.
+const DEATH_ROUNDS: u32 = 5;
+
+/// Factor on the rounds while most probes of this node fail.
+const POOR_HEALTH_FACTOR: u32 = 4;
+
+/// Silence of the own loop from which it counts as paused.
+const PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// Number of probes whose outcome is kept.
+const OUTCOME_PROBES: u32 = 16;
+
+/// Number that ties an answer to its probe.
+pub type ProbeNonce = u64;
+
+/// A peer that was probed and has not answered yet.
+#[derive(Clone, Debug)]
+struct OpenProbe {
+    target: id::HostName,
+    nonce: ProbeNonce,
+    failed: u32,
+    started: time::Instant,
+    indirect: bool,
+}
+
+/// What is to be done about an open probe.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbeStep {
+    /// Probe the peer.
+    Ask {
+        /// Peer to probe.
+        target: id::HostName,
+        /// Number of the probe.
+        nonce: ProbeNonce,
+    },
+    /// Ask others to probe the peer.
+    AskOthers {
+        /// Peer to probe.
+        target: id::HostName,
+        /// Number of the probe.
+        nonce: ProbeNonce,
+    },
+    /// Suspect the peer.
+    Suspect {
+        /// Peer that did not answer.
+        target: id::HostName,
+    },
+    /// Count the peer as dead.
+    Dead {
+        /// Peer that did not answer.
+        target: id::HostName,
+    },
+}
+
+/// How far this node may trust its own probes.
+///
+/// A node that was paused, runs late or hears nobody is itself the likely
+/// cause of silence.
+#[derive(Clone, Debug, Default)]
+struct OwnHealth {
+    seen: Option<time::Instant>,
+    lag: std_time::Duration,
+    /// Bit N tells whether the probe N before the last one failed.
+    failures: u16,
+}
+
+impl OwnHealth {
+    /// Notes that the loop runs and tells whether it was paused before.
+    fn observe(&mut self, now: time::Instant) -> bool {
+        let gap = self
+            .seen
+            .map_or(std_time::Duration::ZERO, |seen| now.duration_since(seen));
+        self.seen = Some(now);
+        self.lag = (self.lag * 7 / 8).max(gap.saturating_sub(TICK_PERIOD));
+        gap > PAUSE_LIMIT
+    }
+
+    fn note(&mut self, failed: bool) {
+        self.failures = self.failures << 1 | u16::from(failed);
+    }
+
+    fn is_poor(&self) -> bool {
+        self.failures.count_ones() * 2 > OUTCOME_PROBES
+    }
+}
+
+/// The probes of one node that are open.
+#[derive(Clone, Debug, Default)]
+pub struct ProbeSet {
+    open: Vec<OpenProbe>,
+    health: OwnHealth,
+    last_nonce: ProbeNonce,
+}
+
+impl ProbeSet {
+    /// Notes that the loop runs; after a pause every open probe starts again.
+    pub fn observe(&mut self, now: time::Instant) -> bool {
+        let paused = self.health.observe(now);
+        if paused {
+            for probe in &mut self.open {
+                probe.failed = 0;
+                probe.started = now;
+                probe.indirect = false;
+            }
+        }
+        paused
+    }
+
+    /// Opens a probe of a peer unless one is open.
+    pub fn begin(&mut self, target: &str, now: time::Instant) -> Option<ProbeStep> {
+        let place = self
+            .open
+            .partition_point(|held| held.target.as_str() < target);
+        if self
+            .open
+            .get(place)
+            .is_some_and(|held| held.target == target)
+        {
+            return None;
+        }
+        let nonce = self.next_nonce();
+        self.open.insert(
+            place,
+            OpenProbe {
+                target: target.to_owned(),
+                nonce,
+                failed: 0,
+                started: now,
+                indirect: false,
+            },
+        );
+        Some(ProbeStep::Ask {
+            target: target.to_owned(),
+            nonce,
+        })
+    }
+
+    /// Closes the probe of that number and returns its peer.
+    pub fn answer(&mut self, nonce: ProbeNonce) -> Option<id::HostName> {
+        let place = self.open.iter().position(|held| held.nonce == nonce)?;
+        let probe = self.open.remove(place);
+        if probe.failed == 0 {
+            self.health.note(false);
+        }
+        Some(probe.target)
+    }
+
+    /// Closes the probe of a peer without an outcome.
+    pub fn cancel(&mut self, target: &str) {
+        self.open.retain(|held| held.target != target);
+    }
+
+    /// Returns a number for a probe that is made for another node.
+    pub fn next_nonce(&mut self) -> ProbeNonce {
+        self.last_nonce += 1;
+        self.last_nonce
+    }
+
+    /// Returns what is to be done now.
+    pub fn due(&mut self, now: time::Instant) -> Vec<ProbeStep> {
+        let mut steps = Vec::new();
+        let stretch = self.health.lag * 2;
+        let limit = match self.health.is_poor() {
+            true => DEATH_ROUNDS * POOR_HEALTH_FACTOR,
+            false => DEATH_ROUNDS,
+        };
+        let mut failed_first = 0;
+        for probe in &mut self.open {
+            let age = now.duration_since(probe.started);
+            let target = probe.target.clone();
+            let nonce = probe.nonce;
+            if !probe.indirect && age >= INDIRECT_DELAY + stretch {
+                probe.indirect = true;
+                steps.push(ProbeStep::AskOthers { target, nonce });
+                continue;
+            }
+            if age < ROUND_LENGTH + stretch {
+                continue;
+            }
+            probe.failed += 1;
+            failed_first += u32::from(probe.failed == 1);
+            if probe.failed >= limit {
+                steps.push(ProbeStep::Dead { target });
+                continue;
+            }
+            probe.started = now;
+            probe.indirect = false;
+            if probe.failed == SUSPECT_ROUNDS {
+                let target = target.clone();
+                steps.push(ProbeStep::Suspect { target });
+            }
+            steps.push(ProbeStep::Ask { target, nonce });
+        }
+        (0..failed_first).for_each(|_| self.health.note(true));
+        self.open.retain(|held| held.failed < limit);
+        steps
+    }
+}
--- a/arbutusfold/tests/peer.rs
+++ b/arbutusfold/tests/peer.rs
@@ -8,7 +8,6 @@
 use arbutusfold::member;
 use arbutusfold::peer;
 use arbutusfold::peer::PeerTransport;
-use tokio::time;
 
 const OLD_KEY: [u8; 32] = [1; 32];
 const NEW_KEY: [u8; 32] = [2; 32];
@@ -53,24 +52,29 @@
     }
 }
 
-fn beat(number: usize, incarnation: u64) -> member::PeerHeartbeat {
-    member::PeerHeartbeat {
+fn record(number: usize) -> member::MemberRecord {
+    member::MemberRecord {
         name: format!("entry-{number}"),
-        incarnation,
+        incarnation: 1,
+        revision: 1,
         region: "nz-north".to_owned(),
         domain: format!("nz-{}", number % 3),
         callers: address(1_000 + number),
         peers: address(number),
-        version: 1,
-        serving: true,
+        phase: member::MemberPhase::Serving,
     }
 }
 
-fn post(number: usize, incarnation: u64, keys: &[[u8; 32]], met: &[usize]) -> peer::PeerPost {
+fn view(numbers: &[usize]) -> member::MemberView {
+    let mut records: Vec<_> = numbers.iter().map(|number| record(*number)).collect();
+    records.sort_by(|left, right| left.name.cmp(&right.name));
     let members = member::MemberView::default();
-    for other in met {
-        members.hear(beat(*other, 1), time::Instant::now());
-    }
+    members.publish(records, Vec::new(), Vec::new());
+    members
+}
+
+fn post(number: usize, incarnation: u64, keys: &[[u8; 32]], met: &[usize]) -> peer::PeerPost {
+    let members = view(met);
     peer::PeerPost::new(
         format!("entry-{number}"),
         address(number),
@@ -142,12 +146,13 @@
     let mut guard = peer::ReplayGuard::default();
     let taken: Vec<_> = [10, 12, 11, 11, 80, 12, 17, 17]
         .into_iter()
-        .map(|sequence| guard.accept("entry-1", 7, sequence))
+        .map(|sequence| guard.accept("entry-1", 7, sequence).is_ok())
         .collect();
     let expected = [true, true, true, false, true, false, true, false];
     assert_eq!(taken, expected);
-    assert!(guard.accept("entry-1", 8, 1));
-    assert!(!guard.accept("entry-1", 7, 81));
+    assert_eq!(guard.accept("entry-1", 8, 1), Ok(()));
+    let older = guard.accept("entry-1", 7, 81);
+    assert_eq!(older, Err(peer::OpenError::Older));
 }
 
 #[test]
@@ -214,11 +219,8 @@
 
 #[test]
 fn organisation_is_assigned_over_domains_and_moves_little() {
-    let members = member::MemberView::default();
-    let now = time::Instant::now();
-    for number in 0..30 {
-        members.hear(beat(number, 1), now);
-    }
+    let all: Vec<_> = (0..30).collect();
+    let members = view(&all);
     let organisations: Vec<_> = (0..300).map(|number| format!("org-{number}")).collect();
     let before: Vec<_> = organisations
         .iter()
@@ -232,9 +234,10 @@
         domains.sort_unstable();
         assert_eq!(domains, [0, 1, 2]);
     }
-    let mut lost = beat(4, 2);
-    lost.serving = false;
-    members.hear(lost, now);
+    let mut records = members.alive();
+    let lost = records.iter().position(|record| record.name == "entry-4");
+    records[lost.unwrap()].phase = member::MemberPhase::Leaving;
+    members.publish(records, Vec::new(), Vec::new());
     for (name, before) in organisations.iter().zip(&before) {
         let after = members.nodes_for(name);
         let kept = before.iter().filter(|host| after.contains(host)).count();
@@ -245,10 +248,8 @@
 
 #[test]
 fn heavy_organisation_is_assigned_to_more_nodes() {
-    let members = member::MemberView::default();
-    for number in 0..30 {
-        members.hear(beat(number, 1), time::Instant::now());
-    }
+    let all: Vec<_> = (0..30).collect();
+    let members = view(&all);
     members.set_shares(vec![member::WeightShare {
         organisation: "novia-lima".to_owned(),
         share: 0.4,
--- a/fuzz/src/lib.rs
+++ b/fuzz/src/lib.rs
@@ -1,1 +1,3 @@
-//! x
+//! Stateful fuzzing: fakes at the interfaces on a paused clock.
+
+pub mod wire;
