Let a node refute its death also to those that it counts as dead

Cause: after a split both sides counted the other as dead and passed over each other's news, so the split never healed. Change: what is said of a node itself is always heard. Seen: split_of_a_failure_domain_heals was red before ("the split did not heal" after 15 s) and passes; 11 membership tests pass.

--- a/arbutusfold/src/member/keeper/listen.rs
+++ b/arbutusfold/src/member/keeper/listen.rs
@@ -37,10 +37,14 @@
             ..
         } = message;
         let trusted = self.meet(sender, from, age, &act, out);
-        if trusted {
-            for update in updates {
-                self.apply(update, sender, now, out);
-            }
+        // What is said of this node itself is always heard: after a split
+        // both sides count the other as dead and must refute that.
+        let heard = updates
+            .into_iter()
+            .filter(|update| trusted || update.subject() == self.own.name)
+            .collect::<Vec<_>>();
+        for update in heard {
+            self.apply(update, sender, now, out);
         }
         self.react(sender, from, age, act, now, out);
     }
