--- a/arbutusfold/src/member.rs
+++ b/arbutusfold/src/member.rs
@@ -56,6 +56,17 @@
         .collect()
 }
 
+/// What is known of all other regions together.
+#[derive(Clone, Debug, Default)]
+pub struct RemoteRegions {
+    /// Known nodes of regions that are reached, by region and name.
+    pub contacts: Vec<message::RegionContact>,
+    /// Failure domains, sorted.
+    pub domains: Vec<id::DomainName>,
+    /// Nodes alive by the last summaries, also of regions that are cut off.
+    pub alive: usize,
+}
+
 /// Members as of one moment.
 #[derive(Debug, Default)]
 struct MemberSnapshot {
@@ -65,6 +76,8 @@
     remote: Vec<message::RegionContact>,
     /// Failure domains of other regions, sorted.
     remote_domains: Vec<id::DomainName>,
+    /// Nodes alive in other regions by their last summaries.
+    remote_alive: usize,
     /// What address answers are made from, once one was asked for.
     book: sync::OnceLock<address::AddressBook>,
 }
@@ -78,16 +91,12 @@
 
 impl MemberView {
     /// Replaces what is known.
-    pub fn publish(
-        &self,
-        members: Vec<MemberRecord>,
-        remote: Vec<message::RegionContact>,
-        remote_domains: Vec<id::DomainName>,
-    ) {
+    pub fn publish(&self, members: Vec<MemberRecord>, others: RemoteRegions) {
         let fresh = sync::Arc::new(MemberSnapshot {
             members,
-            remote,
-            remote_domains,
+            remote: others.contacts,
+            remote_domains: others.domains,
+            remote_alive: others.alive,
             book: sync::OnceLock::new(),
         });
         let mut held = self
@@ -102,6 +111,12 @@
         self.snapshot().members.clone()
     }
 
+    /// Returns the number of nodes alive in all regions, as far as known.
+    pub fn fleet_size(&self) -> usize {
+        let snapshot = self.snapshot();
+        snapshot.members.len() + snapshot.remote_alive
+    }
+
     /// Returns where every member alive in the own region is reached, by name.
     pub fn contacts(&self) -> Vec<PeerContact> {
         self.snapshot().members.iter().map(contact_of).collect()
--- a/arbutusfold/src/member/driver.rs
+++ b/arbutusfold/src/member/driver.rs
@@ -44,7 +44,7 @@
         view: sync::Arc<member::MemberView>,
         recorder: sync::Arc<event::EventRecorder>,
     ) -> Self {
-        view.publish(keeper.alive(), Vec::new(), Vec::new());
+        view.publish(keeper.alive(), member::RemoteRegions::default());
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         Self {
             state: sync::Mutex::new(DriverState { keeper, rng }),
@@ -73,9 +73,7 @@
             let before = keeper.changes();
             let actions = keeper.handle(event, now, rng);
             if keeper.changes() != before {
-                let members = keeper.alive();
-                self.view
-                    .publish(members, keeper.remote(), keeper.remote_domains());
+                self.view.publish(keeper.alive(), keeper.remote());
             }
             actions
         };
--- a/arbutusfold/src/member/keeper.rs
+++ b/arbutusfold/src/member/keeper.rs
@@ -9,9 +9,8 @@
 
 use crate::gossip;
 use crate::id;
-use crate::member::message::{
-    MemberAct, MemberMessage, MemberPhase, MemberRecord, MemberUpdate, RegionContact,
-};
+use crate::member;
+use crate::member::message::{MemberAct, MemberMessage, MemberPhase, MemberRecord, MemberUpdate};
 use crate::member::region;
 use crate::member::spread;
 use crate::probe;
@@ -221,18 +220,14 @@
         records
     }
 
-    /// Returns the known nodes of other regions that are reached.
-    pub fn remote(&self) -> Vec<RegionContact> {
-        self.regions
-            .names()
+    /// Returns what is known of other regions.
+    pub fn remote(&self) -> member::RemoteRegions {
+        let names = self.regions.names();
+        let contacts = names
             .iter()
             .filter(|region| self.regions.is_reached(region))
             .flat_map(|region| self.regions.contacts(region))
-            .collect()
-    }
-
-    /// Returns the failure domains of other regions.
-    pub fn remote_domains(&self) -> Vec<id::DomainName> {
+            .collect();
         let mut domains: Vec<_> = self
             .regions
             .words()
@@ -240,7 +235,12 @@
             .collect();
         domains.sort_unstable();
         domains.dedup();
-        domains
+        let alive = names.iter().map(|region| self.regions.alive(region)).sum();
+        member::RemoteRegions {
+            contacts,
+            domains,
+            alive,
+        }
     }
 
     /// Takes an event and returns what is to be done.
--- a/arbutusfold/src/member/region.rs
+++ b/arbutusfold/src/member/region.rs
@@ -146,6 +146,15 @@
             .any(|held| held.word.summary.region == region && held.word.reached)
     }
 
+    /// Returns the most nodes that a word says are alive in a region.
+    pub(crate) fn alive(&self, region: &str) -> usize {
+        let words = self.words().filter(|word| word.summary.region == region);
+        words
+            .map(|word| word.summary.alive as usize)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Returns every word known.
     pub(crate) fn words(&self) -> impl Iterator<Item = &message::RegionWord> {
         self.held.iter().map(|held| &held.word)
--- a/arbutusfold/tests/peer.rs
+++ b/arbutusfold/tests/peer.rs
@@ -69,7 +69,7 @@
     let mut records: Vec<_> = numbers.iter().map(|number| record(*number)).collect();
     records.sort_by(|left, right| left.name.cmp(&right.name));
     let members = member::MemberView::default();
-    members.publish(records, Vec::new(), Vec::new());
+    members.publish(records, member::RemoteRegions::default());
     members
 }
 
@@ -237,7 +237,7 @@
     let mut records = members.alive();
     let lost = records.iter().position(|record| record.name == "entry-4");
     records[lost.unwrap()].phase = member::MemberPhase::Leaving;
-    members.publish(records, Vec::new(), Vec::new());
+    members.publish(records, member::RemoteRegions::default());
     for (name, before) in organisations.iter().zip(&before) {
         let after = members.nodes_for(name);
         let kept = before.iter().filter(|host| after.contains(host)).count();
