Share upstream health, give even addresses, stop in order

Cause: every node asked every upstream each 500 ms, which 400 nodes and 1,000 runners rule out; a second signal was ignored; address answers were not bounded in load; a node with poor reception could bury live hosts.

Change: three nodes watch an upstream, chosen by rendezvous hashing over failure domains, and tell what changes; own evidence goes before words, a doubted upstream is asked by the doubter; the host list is a hint. A node serves once it has a document and heard of the upstreams. Address answers by slots with bounded rendezvous, one host of each domain first. A stop is a state machine: announce, listen until answers ran out, close by HTTP's own rules, end; a second signal or the limit ends it and names what is cut. A probe round counts as failed only if another node found the peer silent too. `node.rs` is split: serving and loops are apart.

Ruled out: judging own health by the part of failed probes; a node that loses 85% of what it should hear looks only half bad.

Conclusion: silence must be confirmed by a second node, which also proves that the judge hears anyone.

--- a/arbutusfold/src/address.rs
+++ b/arbutusfold/src/address.rs
@@ -19,6 +19,9 @@
 /// Fewest addresses in an answer, where there are as many hosts.
 const ADDRESS_COUNT: usize = 6;
 
+/// Tells slots from host names before they are mixed.
+const SLOT_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Hosts of other regions that end an answer.
 const REMOTE_COUNT: usize = 2;
 
@@ -73,7 +76,12 @@
     fn order(&self, caller: &str, assigned: &[id::HostName]) -> Vec<&message::MemberRecord> {
         let seed = spread::hash(&[caller]);
         let mut ranked: Vec<_> = (0..self.hosts.len())
-            .map(|place| (std::cmp::Reverse(mix(seed, self.seeds[place])), place))
+            .map(|place| {
+                (
+                    std::cmp::Reverse(spread::mix(seed, self.seeds[place])),
+                    place,
+                )
+            })
             .collect();
         ranked.sort_unstable();
         let first = self.first_of(seed, &ranked, assigned);
@@ -127,24 +135,13 @@
     let mut loads = vec![0; hosts.len()];
     (0..slots)
         .map(|slot| {
-            let seed = mix(slot as u64, SLOT_SALT);
+            let seed = spread::mix(slot as u64, SLOT_SALT);
             let best = (0..hosts.len())
                 .filter(|place| loads[*place] < bound)
-                .max_by_key(|place| mix(seed, hosts[*place]))
+                .max_by_key(|place| spread::mix(seed, hosts[*place]))
                 .unwrap_or_default();
             loads[best] += 1;
             best
         })
         .collect()
 }
-
-/// Tells slots from host names before they are mixed.
-const SLOT_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
-
-/// Mixes two hashes into one that is spread evenly.
-fn mix(left: u64, right: u64) -> u64 {
-    let mut mixed = left ^ right.rotate_left(32);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -141,7 +141,8 @@
         .and_then(|value| value.to_str().ok())
         .filter(|value| !value.is_empty() && value.len() <= REQUEST_ID_LIMIT)
         .map_or_else(id::fresh_request, str::to_owned);
-    let flight = node::FlightCount::new(&core);
+    let first_version = request.version() < http::Version::HTTP_2;
+    let flight = node::FlightCount::new(&core, &request_id);
     let outcome = dispatch(&core, &request_id, request, flight).await;
     let mut answer = outcome.unwrap_or_else(|error| {
         refuse(&core, &request_id, &error);
@@ -150,6 +151,11 @@
     if let Ok(value) = http::HeaderValue::from_str(&request_id) {
         answer.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
+    if first_version && core.is_stopping() {
+        // A connection that is not used again cannot be cut between requests.
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(http::header::CONNECTION, close);
+    }
     Ok(answer)
 }
 
--- a/arbutusfold/src/main.rs
+++ b/arbutusfold/src/main.rs
@@ -70,15 +70,17 @@
     let logger = open_log(settings.log_json, &settings.name);
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(async {
-        let (sender, receiver) = watch::channel(false);
+        let (sender, receiver) = watch::channel(0);
         let mut term = unix::signal(unix::SignalKind::terminate())?;
         let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
         tokio::spawn(async move {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = interrupt.recv() => {}
+            loop {
+                tokio::select! {
+                    _ = term.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                sender.send_modify(|signals| *signals += 1);
             }
-            let _ = sender.send(true);
         });
         node::run(settings, logger, receiver).await?;
         Ok(())
--- a/arbutusfold/src/member.rs
+++ b/arbutusfold/src/member.rs
@@ -16,6 +16,7 @@
 pub use driver::MemberDriver;
 pub use keeper::{MemberAction, MemberEvent, MemberKeeper};
 pub use message::{MemberPhase, MemberRecord};
+pub(crate) use spread::{RankTable, hash};
 
 /// Fewest nodes that an organisation is assigned to, where there are as many.
 const ASSIGNED_NODES: usize = 3;
@@ -136,13 +137,9 @@
             .collect()
     }
 
-    /// Tells whether a failure domain belongs to another region.
-    pub fn is_remote_domain(&self, domain: &str) -> bool {
-        let snapshot = self.snapshot();
-        snapshot
-            .remote_domains
-            .binary_search_by(|held| held.as_str().cmp(domain))
-            .is_ok()
+    /// Returns the failure domains of other regions, sorted.
+    pub fn remote_domains(&self) -> Vec<id::DomainName> {
+        self.snapshot().remote_domains.clone()
     }
 
     /// Returns where a member is reached, if it is alive.
@@ -185,16 +182,6 @@
             .collect()
     }
 
-    /// Returns the nodes among those alive that watch something, best first.
-    pub fn watchers_of(&self, subject: &str, count: usize) -> Vec<id::HostName> {
-        let snapshot = self.snapshot();
-        spread::ranked(subject, snapshot.members.iter())
-            .into_iter()
-            .take(count)
-            .map(|record| record.name.clone())
-            .collect()
-    }
-
     /// Returns the addresses to give to a caller, best first.
     ///
     /// A caller that names its organisation is sent to the nodes that the
--- a/arbutusfold/src/member/keeper.rs
+++ b/arbutusfold/src/member/keeper.rs
@@ -52,9 +52,6 @@
 /// Time for which a dead host is remembered.
 const DEAD_MEMORY: std_time::Duration = std_time::Duration::from_secs(3_600 * 2);
 
-/// Time for which a probe made for another node is remembered.
-const RELAY_MEMORY: std_time::Duration = std_time::Duration::from_secs(1);
-
 /// What happens to the keeper.
 #[derive(Clone, Debug)]
 pub enum MemberEvent {
@@ -297,6 +294,7 @@
         for step in self.probes.due(now) {
             self.carry_out(step, now, rng, out);
         }
+        self.report_silent(now, out);
         if now >= self.times.gossip && !self.rumours.is_empty() {
             self.times.gossip = now + GOSSIP_PERIOD;
             self.tell(GOSSIP_PEERS, rng, out);
@@ -310,8 +308,6 @@
             if let Some(peer) = self.neighbours.choose(rng).cloned() {
                 self.send(&peer, MemberAct::Compare { digest }, out);
             }
-            self.relayed
-                .retain(|held| now.duration_since(held.started) < RELAY_MEMORY);
             self.members.retain(|held| {
                 held.status != MemberStatus::Dead || now.duration_since(held.since) < DEAD_MEMORY
             });
@@ -395,11 +391,27 @@
             .filter(|held| held.record.name != target && held.status == MemberStatus::Alive)
             .map(|held| held.record.name.clone())
             .collect();
+        if others.is_empty() {
+            self.probes.note_alone(nonce);
+        }
         for peer in others.sample(rng, INDIRECT_PEERS) {
             self.send(peer, act.clone(), out);
         }
     }
 
+    /// Tells nodes that asked for a probe which peers did not answer it.
+    fn report_silent(&mut self, now: time::Instant, out: &mut Vec<MemberAction>) {
+        let (waiting, silent) = std::mem::take(&mut self.relayed)
+            .into_iter()
+            .partition(|held| now.duration_since(held.started) < probe::RELAY_WAIT);
+        self.relayed = waiting;
+        let silent: Vec<RelayedProbe> = silent;
+        for held in silent {
+            let nonce = held.asker_nonce;
+            self.send(&held.asker, MemberAct::Silent { nonce }, out);
+        }
+    }
+
     /// Tells rumours to a few neighbours.
     fn tell(&mut self, peers: usize, rng: &mut impl Rng, out: &mut Vec<MemberAction>) {
         if self.neighbours.is_empty() {
--- a/arbutusfold/src/member/keeper/listen.rs
+++ b/arbutusfold/src/member/keeper/listen.rs
@@ -143,6 +143,7 @@
                     self.send_to(address, incarnation, act, out);
                 }
             }
+            MemberAct::Silent { nonce } => self.probes.confirm(nonce),
             MemberAct::Gossip => {}
             MemberAct::Join(record) if record.region != self.own.region => {
                 self.send_to(
--- a/arbutusfold/src/member/message.rs
+++ b/arbutusfold/src/member/message.rs
@@ -160,6 +160,11 @@
         /// Incarnation of its process.
         incarnation: id::IncarnationNumber,
     },
+    /// The node that was probed for the receiver is silent.
+    Silent {
+        /// Number of the receiver's probe.
+        nonce: probe::ProbeNonce,
+    },
     /// Only the updates matter.
     Gossip,
     /// Take the sender as a member and tell it all.
--- a/arbutusfold/src/member/spread.rs
+++ b/arbutusfold/src/member/spread.rs
@@ -76,6 +76,56 @@
     hash(&[&record.name, &incarnation, &revision])
 }
 
+/// Mixes two hashes into one that is spread evenly.
+pub(crate) fn mix(left: u64, right: u64) -> u64 {
+    let mut mixed = left ^ right.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// Hashes of members, for many rankings of the same ones.
+pub(crate) struct RankTable<'a> {
+    seeds: Vec<u64>,
+    domains: Vec<&'a str>,
+}
+
+impl<'a> RankTable<'a> {
+    /// Creates the table of `members`.
+    pub(crate) fn new(members: &[&'a message::MemberRecord]) -> Self {
+        Self {
+            seeds: members.iter().map(|record| hash(&[&record.name])).collect(),
+            domains: members
+                .iter()
+                .map(|record| record.domain.as_str())
+                .collect(),
+        }
+    }
+
+    /// Returns the places of the `count` best members for a subject, each
+    /// failure domain in its turn.
+    pub(crate) fn top(&self, subject: &str, count: usize) -> Vec<usize> {
+        let seed = hash(&[subject]);
+        let mut left: Vec<_> = self
+            .seeds
+            .iter()
+            .enumerate()
+            .map(|(place, own)| (std::cmp::Reverse(mix(seed, *own)), place))
+            .collect();
+        left.sort_unstable();
+        let mut chosen: Vec<usize> = Vec::new();
+        while chosen.len() < count && !left.is_empty() {
+            let fresh = left.iter().position(|(_, place)| {
+                let domain = self.domains[*place];
+                chosen.iter().all(|held| self.domains[*held] != domain)
+            });
+            let (_, place) = left.remove(fresh.unwrap_or_default());
+            chosen.push(place);
+        }
+        chosen
+    }
+}
+
 /// Orders members by rendezvous hashing, each failure domain in its turn.
 pub(crate) fn ranked<'a>(
     key: &str,
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -1,23 +1,21 @@
 //! One node: its state, its listeners and its loops.
 
-use std::future;
 use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time as std_time;
 
 use derive_more::{Display, Error};
-use hyper::body;
-use hyper_util::rt;
-use hyper_util::server::{conn, graceful};
-use tokio::sync::{mpsc, watch};
-use tokio::time;
+use tokio::sync::watch;
+use tokio::{task, time};
 
 use crate::caller;
 use crate::client;
 use crate::complete;
 use crate::config;
+use crate::drain;
 use crate::event;
+use crate::health;
 use crate::id;
 use crate::listen;
 use crate::member;
@@ -25,35 +23,25 @@
 use crate::operate;
 use crate::peer;
 use crate::platform;
-use crate::probe;
 use crate::record;
 use crate::route;
 use crate::settings;
 use crate::upstream;
 
-/// Longest time that the body of a request may take.
-pub const BODY_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
+mod loops;
+mod serve;
 
-/// Longest time that the head of a request may take.
-const HEAD_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
+pub use serve::FlightCount;
 
-/// Time between two looks for a newer configuration.
-const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+/// Longest time that the body of a request may take.
+pub const BODY_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
 
-/// Time between two reports asked of one upstream.
-const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time in which the last messages to peers leave.
+const FLUSH_TIME: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// Longest time that a stop waits for records to be settled.
 const SETTLE_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(10);
 
-/// Time between two looks at the number of nodes that share the store's rate.
-const SHARE_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
-/// Time between two looks whether routes must be planned anew.
-const PLAN_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
-
-/// Longest time that a report may take.
-const REPORT_TIME_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
-
 /// Why a node could not start.
 #[derive(Debug, Display, Error)]
 pub enum NodeError {
@@ -100,6 +88,11 @@
     pub engines: client::HttpClient,
     /// Client of plain services.
     pub services: client::HttpClient,
+    /// Health of upstreams, once the node runs.
+    pub health: sync::OnceLock<sync::Arc<health::HealthDriver>>,
+    /// Requests in flight.
+    pub flights: drain::FlightList,
+    upstreams_known: atomic::AtomicBool,
     stopping: atomic::AtomicBool,
     turn: atomic::AtomicUsize,
 }
@@ -146,6 +139,9 @@
             gate: Box::new(complete::OpenGate),
             engines: client::HttpClient::for_engines(),
             services: client::HttpClient::for_services(),
+            health: sync::OnceLock::new(),
+            flights: drain::FlightList::default(),
+            upstreams_known: atomic::AtomicBool::new(false),
             stopping: atomic::AtomicBool::new(false),
             turn: atomic::AtomicUsize::new(0),
             settings,
@@ -154,7 +150,19 @@
 
     /// Tells whether callers may be sent to this node.
     pub fn is_serving(&self) -> bool {
-        self.config.version() > 0 && !self.stopping.load(atomic::Ordering::Relaxed)
+        self.config.version() > 0
+            && self.upstreams_known.load(atomic::Ordering::Relaxed)
+            && !self.is_stopping()
+    }
+
+    /// Tells whether this node stops and callers should go elsewhere.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Notes whether enough is known of the upstreams to serve callers.
+    pub(crate) fn set_upstreams_known(&self, known: bool) {
+        self.upstreams_known.store(known, atomic::Ordering::Relaxed);
     }
 
     /// Returns a number that grows with each call.
@@ -176,28 +184,9 @@
     }
 }
 
-/// Counts a request as in flight while it lives.
-pub struct FlightCount {
-    core: sync::Arc<NodeCore>,
-}
-
-impl FlightCount {
-    /// Counts a request.
-    pub fn new(core: &sync::Arc<NodeCore>) -> Self {
-        core.metrics.in_flight.inc();
-        Self {
-            core: sync::Arc::clone(core),
-        }
-    }
-}
-
-impl Drop for FlightCount {
-    fn drop(&mut self) {
-        self.core.metrics.in_flight.dec();
-    }
-}
-
-/// Runs a node until `stop` changes, then stops gracefully.
+/// Runs a node until `stop` counts a signal, then stops gracefully.
+///
+/// A second signal ends the stop at once.
 ///
 /// # Errors
 ///
@@ -205,10 +194,11 @@
 pub async fn run(
     settings: settings::NodeSettings,
     logger: slog::Logger,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<u32>,
 ) -> Result<(), NodeError> {
     let recorder = sync::Arc::new(event::EventRecorder::new(logger));
-    let table = sync::Arc::new(platform::HttpPlatform::new(settings.platform));
+    let hosts = sync::Arc::new(platform::HttpPlatform::new(settings.platform));
+    let table = sync::Arc::<platform::HttpPlatform>::clone(&hosts);
     let core = sync::Arc::new(NodeCore::new(settings, recorder, table));
     let (transport, received) =
         peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
@@ -216,70 +206,56 @@
     let callers = open_listener(core.settings.callers)?;
     let operators = open_listener(core.settings.operators)?;
     let (closing, closed) = watch::channel(false);
-    let name = core.settings.name.clone();
     core.recorder.record(
         event::EventCode::NodeStarted,
-        &name,
+        &core.settings.name,
         core.settings.callers.to_string(),
     );
 
-    let keeper = member::MemberKeeper::new(
-        core.record(),
-        core.settings.seeds.clone(),
-        time::Instant::now(),
-    );
-    let driver = sync::Arc::new(member::MemberDriver::new(
-        keeper,
-        core.incarnation,
-        sync::Arc::clone(&core.post),
-        sync::Arc::clone(&core.members),
-        sync::Arc::clone(&core.recorder),
-    ));
-    let listener: sync::Arc<dyn member::driver::MemberListener> = sync::Arc::new(NodeListener {
-        core: sync::Arc::clone(&core),
-    });
+    let driver = start_members(&core);
+    let listener: sync::Arc<dyn member::driver::MemberListener> =
+        sync::Arc::new(loops::NodeListener {
+            core: sync::Arc::clone(&core),
+        });
     driver.listen(sync::Arc::downgrade(&listener));
-    core.post
-        .register(peer::MessageKind::Membership, driver.clone());
+    let health = start_health(&core);
+    let meet = sync::Arc::clone(&driver);
+    let meet = move |seeds| {
+        meet.step(member::MemberEvent::Seeds(seeds), time::Instant::now());
+    };
 
     let loops = [
-        tokio::spawn(keep_config(sync::Arc::clone(&core))),
-        tokio::spawn(keep_records(sync::Arc::clone(&core))),
-        tokio::spawn(keep_reports(sync::Arc::clone(&core))),
-        tokio::spawn(keep_members(
+        tokio::spawn(loops::keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(loops::keep_records(sync::Arc::clone(&core))),
+        tokio::spawn(sync::Arc::clone(&health).run()),
+        tokio::spawn(health.watch_list(hosts, meet)),
+        tokio::spawn(loops::keep_members(
             sync::Arc::clone(&core),
             sync::Arc::clone(&driver),
             received,
         )),
-        tokio::spawn(keep_routes(sync::Arc::clone(&core))),
+        tokio::spawn(loops::keep_routes(sync::Arc::clone(&core))),
     ];
-    let serve_callers = tokio::spawn(serve(
+    let serve_callers = tokio::spawn(serve::serve(
         callers,
         sync::Arc::clone(&core),
         closed.clone(),
         caller::answer,
     ));
-    let serve_operators = tokio::spawn(serve(
+    let serve_operators = tokio::spawn(serve::serve(
         operators,
         sync::Arc::clone(&core),
         closed,
         operate::answer,
     ));
 
-    // An error means that the sender is gone, which also ends the node.
-    let _ = stop.wait_for(|stop| *stop).await;
-    core.stopping.store(true, atomic::Ordering::Relaxed);
-    core.recorder.record(event::EventCode::StopBegan, &name, "");
-    let leaving = member::MemberPhase::Leaving;
-    driver.step(member::MemberEvent::Phase(leaving), time::Instant::now());
-    // Callers may hold an answer that names this node until it runs out.
-    time::sleep(core.settings.answer_keep_ms).await;
-    let _ = closing.send(true);
-    let _ = time::timeout(core.settings.stop_limit_ms, serve_callers).await;
+    drain_node(&core, &driver, stop, closing, serve_callers).await;
     let _ = time::timeout(SETTLE_TIME_LIMIT, core.records.settled()).await;
     core.recorder
-        .record(event::EventCode::StopFinished, &name, "");
+        .record(event::EventCode::StopFinished, &core.settings.name, "");
     driver.step(member::MemberEvent::Left, time::Instant::now());
+    // The last messages leave before the sockets close.
+    time::sleep(FLUSH_TIME).await;
     serve_operators.abort();
     for task in loops {
         task.abort();
@@ -287,222 +263,87 @@
     Ok(())
 }
 
-fn open_listener(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
-    listen::open(address).map_err(|error| NodeError::Listen {
-        address,
-        reason: error.to_string(),
-    })
-}
-
-/// Serves connections until `closed`, then lets each finish by its own rules.
-async fn serve<A, F>(
-    listener: tokio::net::TcpListener,
-    core: sync::Arc<NodeCore>,
-    mut closed: watch::Receiver<bool>,
-    answer: A,
-) where
-    A: Fn(sync::Arc<NodeCore>, http::Request<body::Incoming>) -> F + Copy + Send + 'static,
-    F: future::Future<Output = Result<caller::CallerAnswer, std::convert::Infallible>>
-        + Send
-        + 'static,
-{
-    let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
-    builder
-        .http1()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(HEAD_TIME_LIMIT);
-    builder.http2().timer(rt::TokioTimer::new());
-    let watcher = graceful::GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|closed| *closed) => break,
-        };
-        let Ok((socket, _)) = accepted else {
-            // Too many open files: wait for some to close.
-            time::sleep(std_time::Duration::from_millis(20)).await;
-            continue;
-        };
-        // Without it small writes would wait for acknowledgements.
-        let _ = socket.set_nodelay(true);
-        let core = sync::Arc::clone(&core);
-        let service = tower::service_fn(move |request| answer(sync::Arc::clone(&core), request));
-        let service = hyper_util::service::TowerToHyperService::new(service);
-        let connection = builder
-            .serve_connection(rt::TokioIo::new(socket), service)
-            .into_owned();
-        let connection = watcher.watch(connection);
-        // A broken connection concerns its caller alone.
-        tokio::spawn(async move { drop(connection.await) });
-    }
-    watcher.shutdown().await;
-}
-
-async fn keep_config(core: sync::Arc<NodeCore>) {
-    let mut ticks = time::interval(CONFIG_PERIOD);
-    let mut ready = false;
-    let mut shared = 0;
-    loop {
-        ticks.tick().await;
-        // During an outage the last document stays in force.
-        let _ = core.config.refresh().await;
-        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
-            shared = config.version;
-            core.members.set_shares(member::shares(&config.document));
-        }
-        if !ready && core.is_serving() {
-            ready = true;
-            core.recorder
-                .record(event::EventCode::NodeReady, &core.settings.name, "");
-        }
-    }
+fn start_members(core: &sync::Arc<NodeCore>) -> sync::Arc<member::MemberDriver> {
+    let seeds = core.settings.seeds.clone();
+    let keeper = member::MemberKeeper::new(core.record(), seeds, time::Instant::now());
+    let driver = sync::Arc::new(member::MemberDriver::new(
+        keeper,
+        core.incarnation,
+        sync::Arc::clone(&core.post),
+        sync::Arc::clone(&core.members),
+        sync::Arc::clone(&core.recorder),
+    ));
+    core.post
+        .register(peer::MessageKind::Membership, driver.clone());
+    driver
 }
 
-async fn keep_records(core: sync::Arc<NodeCore>) {
-    let share = async {
-        let mut ticks = time::interval(SHARE_PERIOD);
-        loop {
-            ticks.tick().await;
-            let nodes = core.members.fleet_size();
-            core.records.set_nodes(nodes);
-            core.table.set_nodes(nodes);
-        }
-    };
-    tokio::select! {
-        () = core.records.run() => {}
-        () = share => {}
-    }
+fn start_health(core: &sync::Arc<NodeCore>) -> sync::Arc<health::HealthDriver> {
+    let driver = sync::Arc::new(health::HealthDriver::new(core));
+    core.post
+        .register(peer::MessageKind::Health, driver.clone());
+    core.health.get_or_init(|| sync::Arc::clone(&driver));
+    driver
 }
 
-async fn keep_reports(core: sync::Arc<NodeCore>) {
-    let mut ticks = time::interval(REPORT_PERIOD);
+/// Waits for the first signal and stops by the order that the keeper gives.
+async fn drain_node(
+    core: &sync::Arc<NodeCore>,
+    driver: &member::MemberDriver,
+    mut stop: watch::Receiver<u32>,
+    closing: watch::Sender<bool>,
+    mut serving: task::JoinHandle<()>,
+) {
+    let settings = &core.settings;
+    let mut keeper = drain::DrainKeeper::new(settings.answer_keep_ms, settings.stop_limit_ms);
     loop {
-        ticks.tick().await;
-        let Some(config) = core.config.current() else {
-            continue;
+        let wakes = keeper.wakes();
+        let event = tokio::select! {
+            // An error means that the sender is gone, which also ends the node.
+            _ = stop.changed() => drain::DrainEvent::Signal,
+            _ = &mut serving, if !serving.is_finished() => drain::DrainEvent::Closed,
+            () = sleep_until(wakes) => drain::DrainEvent::Tick,
         };
-        let runners = config
-            .document
-            .upstreams
-            .iter()
-            .filter(|spec| spec.capacity_layers > 0);
-        for spec in runners {
-            let core = sync::Arc::clone(&core);
-            let name = spec.name.clone();
-            let address = spec.address;
-            tokio::spawn(async move { ask_report(&core, &name, address).await });
+        match keeper.handle(event, time::Instant::now()) {
+            Some(drain::DrainAction::Announce) => {
+                core.stopping.store(true, atomic::Ordering::Relaxed);
+                core.recorder
+                    .record(event::EventCode::StopBegan, &settings.name, "");
+                let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
+                driver.step(leaving, time::Instant::now());
+            }
+            Some(drain::DrainAction::Close) => {
+                let _ = closing.send(true);
+            }
+            Some(drain::DrainAction::End { cut }) => {
+                if cut {
+                    note_cut(core);
+                }
+                return;
+            }
+            None => {}
         }
     }
 }
 
-async fn ask_report(core: &NodeCore, name: &str, address: net::SocketAddr) {
-    let asked = core
-        .engines
-        .get_json::<upstream::EngineReport>(address, upstream::REPORT_PATH);
-    let answer = time::timeout(REPORT_TIME_LIMIT, asked).await;
-    let now = time::Instant::now();
-    match &answer {
-        Ok(Ok(report)) => core.routes.lock().hear(name, report, now),
-        // Nothing listens there any more; other gaps end with the report's life.
-        Ok(Err(client::ClientError::NotSent { .. })) => core.routes.lock().lose(name),
-        Ok(Err(_)) | Err(_) => {}
+async fn sleep_until(wakes: Option<time::Instant>) {
+    match wakes {
+        Some(wakes) => time::sleep_until(wakes).await,
+        None => std::future::pending().await,
     }
-    let report = answer.ok().and_then(Result::ok);
-    let found = core.upstreams.change(name, address, |state| {
-        let had = state.report.is_some();
-        let has = report.is_some();
-        state.report = report.map(|report| (report, now));
-        (had != has).then_some(has)
-    });
-    let code = match found {
-        Some(true) => event::EventCode::UpstreamFound,
-        Some(false) => event::EventCode::UpstreamLost,
-        None => return,
-    };
-    core.recorder.record(code, name, address.to_string());
 }
 
-/// Keeps the planned routes current; a plan is made outside of the lock.
-async fn keep_routes(core: sync::Arc<NodeCore>) {
-    let mut ticks = time::interval(PLAN_PERIOD);
-    let mut version = 0;
-    loop {
-        ticks.tick().await;
-        let Some(config) = core.config.current() else {
-            continue;
-        };
-        if config.version != version {
-            version = config.version;
-            core.routes.lock().configure(&config.document);
-        }
-        let peers = core.members.alive().len().saturating_sub(1);
-        let now = time::Instant::now();
-        let due = {
-            let mut keeper = core.routes.lock();
-            keeper.set_peers(u32::try_from(peers).unwrap_or(u32::MAX));
-            keeper.due(now)
-        };
-        for task in due {
-            let plan = task.run();
-            let model = task.model().to_owned();
-            core.routes.lock().install(task, &plan, now);
-            let detail = format!(
-                "{} routes, {} of {} tokens a second",
-                plan.routes.len(),
-                plan.planned(),
-                plan.bound
-            );
-            core.recorder
-                .record(event::EventCode::RoutesPlanned, &model, detail);
-        }
+/// Names each request that the end of the stop cuts.
+fn note_cut(core: &NodeCore) {
+    for request in core.flights.list() {
+        core.recorder
+            .record(event::EventCode::StopCut, &request, "still in flight");
     }
 }
 
-async fn keep_members(
-    core: sync::Arc<NodeCore>,
-    driver: sync::Arc<member::MemberDriver>,
-    mut received: mpsc::Receiver<Vec<u8>>,
-) {
-    let mut ticks = time::interval(probe::TICK_PERIOD);
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut version = 0;
-    loop {
-        tokio::select! {
-            now = ticks.tick() => {
-                let held = core.config.version();
-                if held != version {
-                    version = held;
-                    driver.step(member::MemberEvent::Version(held), now);
-                }
-                if core.is_serving() {
-                    let phase = member::MemberPhase::Serving;
-                    driver.step(member::MemberEvent::Phase(phase), now);
-                }
-                driver.step(member::MemberEvent::Tick, time::Instant::now());
-            }
-            message = received.recv() => {
-                let Some(message) = message else { return };
-                // What cannot be opened is dropped, as if lost.
-                let _ = core.post.receive(&message);
-            }
-        }
-    }
-}
-
-/// Takes what the membership tells the node.
-struct NodeListener {
-    core: sync::Arc<NodeCore>,
-}
-
-impl member::driver::MemberListener for NodeListener {
-    fn newer(&self, _version: id::DocumentVersion, _from: net::SocketAddr) {}
-
-    fn superseded(&self) {
-        if !self.core.stopping.swap(true, atomic::Ordering::Relaxed) {
-            let name = &self.core.settings.name;
-            self.core
-                .recorder
-                .record(event::EventCode::HostSuperseded, name, "");
-        }
-    }
+fn open_listener(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
+    listen::open(address).map_err(|error| NodeError::Listen {
+        address,
+        reason: error.to_string(),
+    })
 }
--- /dev/null
+++ b/arbutusfold/src/node/loops.rs
@@ -0,0 +1,145 @@
+//! The loops that keep the state of a node current.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time as std_time;
+
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::NodeCore;
+use crate::event;
+use crate::id;
+use crate::member;
+use crate::probe;
+
+/// Time between two looks for a newer configuration.
+const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Time between two looks at the number of nodes that share the store's rate.
+const SHARE_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Time between two looks whether routes must be planned anew.
+const PLAN_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
+
+pub(super) async fn keep_config(core: sync::Arc<NodeCore>) {
+    let mut ticks = time::interval(CONFIG_PERIOD);
+    let mut ready = false;
+    let mut shared = 0;
+    loop {
+        ticks.tick().await;
+        // During an outage the last document stays in force.
+        let _ = core.config.refresh().await;
+        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
+            shared = config.version;
+            core.members.set_shares(member::shares(&config.document));
+        }
+        if !ready && core.is_serving() {
+            ready = true;
+            core.recorder
+                .record(event::EventCode::NodeReady, &core.settings.name, "");
+        }
+    }
+}
+
+pub(super) async fn keep_records(core: sync::Arc<NodeCore>) {
+    let share = async {
+        let mut ticks = time::interval(SHARE_PERIOD);
+        loop {
+            ticks.tick().await;
+            let nodes = core.members.fleet_size();
+            core.records.set_nodes(nodes);
+            core.table.set_nodes(nodes);
+        }
+    };
+    tokio::select! {
+        () = core.records.run() => {}
+        () = share => {}
+    }
+}
+
+/// Keeps the planned routes current; a plan is made outside of the lock.
+pub(super) async fn keep_routes(core: sync::Arc<NodeCore>) {
+    let mut ticks = time::interval(PLAN_PERIOD);
+    let mut version = 0;
+    loop {
+        ticks.tick().await;
+        let Some(config) = core.config.current() else {
+            continue;
+        };
+        if config.version != version {
+            version = config.version;
+            core.routes.lock().configure(&config.document);
+        }
+        let peers = core.members.alive().len().saturating_sub(1);
+        let now = time::Instant::now();
+        let due = {
+            let mut keeper = core.routes.lock();
+            keeper.set_peers(u32::try_from(peers).unwrap_or(u32::MAX));
+            keeper.due(now)
+        };
+        for task in due {
+            let plan = task.run();
+            let model = task.model().to_owned();
+            core.routes.lock().install(task, &plan, now);
+            let detail = format!(
+                "{} routes, {} of {} tokens a second",
+                plan.routes.len(),
+                plan.planned(),
+                plan.bound
+            );
+            core.recorder
+                .record(event::EventCode::RoutesPlanned, &model, detail);
+        }
+    }
+}
+
+pub(super) async fn keep_members(
+    core: sync::Arc<NodeCore>,
+    driver: sync::Arc<member::MemberDriver>,
+    mut received: mpsc::Receiver<Vec<u8>>,
+) {
+    let mut ticks = time::interval(probe::TICK_PERIOD);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut version = 0;
+    loop {
+        tokio::select! {
+            now = ticks.tick() => {
+                let held = core.config.version();
+                if held != version {
+                    version = held;
+                    driver.step(member::MemberEvent::Version(held), now);
+                }
+                if core.is_serving() {
+                    let phase = member::MemberPhase::Serving;
+                    driver.step(member::MemberEvent::Phase(phase), now);
+                }
+                driver.step(member::MemberEvent::Tick, time::Instant::now());
+            }
+            message = received.recv() => {
+                let Some(message) = message else { return };
+                // What cannot be opened is dropped, as if lost.
+                let _ = core.post.receive(&message);
+            }
+        }
+    }
+}
+
+/// Takes what the membership tells the node.
+pub(super) struct NodeListener {
+    pub(super) core: sync::Arc<NodeCore>,
+}
+
+impl member::driver::MemberListener for NodeListener {
+    fn newer(&self, _version: id::DocumentVersion, _from: net::SocketAddr) {}
+
+    fn superseded(&self) {
+        if !self.core.stopping.swap(true, atomic::Ordering::Relaxed) {
+            let name = &self.core.settings.name;
+            self.core
+                .recorder
+                .record(event::EventCode::HostSuperseded, name, "");
+        }
+    }
+}
--- a/arbutusfold/src/probe.rs
+++ b/arbutusfold/src/probe.rs
@@ -7,29 +7,29 @@
 use crate::id;
 
 /// Time between two looks at what is due.
-pub const TICK_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
+pub const TICK_PERIOD: std_time::Duration = std_time::Duration::from_millis(20);
 
 /// Time after which others are asked to probe a silent peer.
 const INDIRECT_DELAY: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// Length of one round of probes.
-const ROUND_LENGTH: std_time::Duration = std_time::Duration::from_millis(150);
+const ROUND_LENGTH: std_time::Duration = std_time::Duration::from_millis(175);
+
+/// Time after which a peer says that the one it probed for another is silent.
+pub const RELAY_WAIT: std_time::Duration = std_time::Duration::from_millis(60);
 
 /// Failed rounds after which a peer is suspected.
 const SUSPECT_ROUNDS: u32 = 2;
 
 /// Failed rounds in a row after which a peer counts as dead.
-const DEATH_ROUNDS: u32 = 5;
+const DEATH_ROUNDS: u32 = 4;
 
-/// Factor on the rounds while most probes of this node fail.
-const POOR_HEALTH_FACTOR: u32 = 4;
+/// Failed rounds after which a peer counts as dead where nobody could be asked.
+const ALONE_ROUNDS: u32 = 12;
 
 /// Silence of the own loop from which it counts as paused.
 const PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
 
-/// Number of probes whose outcome is kept.
-const OUTCOME_PROBES: u32 = 16;
-
 /// Number that ties an answer to its probe.
 pub type ProbeNonce = u64;
 
@@ -41,6 +41,10 @@
     failed: u32,
     started: time::Instant,
     indirect: bool,
+    /// Whether another peer was silent to a second node in this round.
+    confirmed: bool,
+    /// Whether there was nobody else to ask.
+    alone: bool,
 }
 
 /// What is to be done about an open probe.
@@ -72,16 +76,13 @@
     },
 }
 
-/// How far this node may trust its own probes.
+/// Whether this node's own loop runs as it should.
 ///
-/// A node that was paused, runs late or hears nobody is itself the likely
-/// cause of silence.
+/// A node that was paused or runs late is itself the likely cause of silence.
 #[derive(Clone, Debug, Default)]
 struct OwnHealth {
     seen: Option<time::Instant>,
     lag: std_time::Duration,
-    /// Bit N tells whether the probe N before the last one failed.
-    failures: u16,
 }
 
 impl OwnHealth {
@@ -94,14 +95,6 @@
         self.lag = (self.lag * 7 / 8).max(gap.saturating_sub(TICK_PERIOD));
         gap > PAUSE_LIMIT
     }
-
-    fn note(&mut self, failed: bool) {
-        self.failures = self.failures << 1 | u16::from(failed);
-    }
-
-    fn is_poor(&self) -> bool {
-        self.failures.count_ones() * 2 > OUTCOME_PROBES
-    }
 }
 
 /// The probes of one node that are open.
@@ -119,8 +112,7 @@
         if paused {
             for probe in &mut self.open {
                 probe.failed = 0;
-                probe.started = now;
-                probe.indirect = false;
+                probe.restart(now);
             }
         }
         paused
@@ -147,6 +139,8 @@
                 failed: 0,
                 started: now,
                 indirect: false,
+                confirmed: false,
+                alone: false,
             },
         );
         Some(ProbeStep::Ask {
@@ -158,11 +152,21 @@
     /// Closes the probe of that number and returns its peer.
     pub fn answer(&mut self, nonce: ProbeNonce) -> Option<id::HostName> {
         let place = self.open.iter().position(|held| held.nonce == nonce)?;
-        let probe = self.open.remove(place);
-        if probe.failed == 0 {
-            self.health.note(false);
+        Some(self.open.remove(place).target)
+    }
+
+    /// Notes that the peer was silent to another node too.
+    pub fn confirm(&mut self, nonce: ProbeNonce) {
+        if let Some(probe) = self.open.iter_mut().find(|held| held.nonce == nonce) {
+            probe.confirmed = true;
+        }
+    }
+
+    /// Notes that there was nobody else to ask.
+    pub fn note_alone(&mut self, nonce: ProbeNonce) {
+        if let Some(probe) = self.open.iter_mut().find(|held| held.nonce == nonce) {
+            probe.alone = true;
         }
-        Some(probe.target)
     }
 
     /// Closes the probe of a peer without an outcome.
@@ -177,14 +181,12 @@
     }
 
     /// Returns what is to be done now.
+    ///
+    /// A round counts as failed only if another node found the peer silent
+    /// too. Then this node hears others, so the silence is not its own fault.
     pub fn due(&mut self, now: time::Instant) -> Vec<ProbeStep> {
         let mut steps = Vec::new();
         let stretch = self.health.lag * 2;
-        let limit = match self.health.is_poor() {
-            true => DEATH_ROUNDS * POOR_HEALTH_FACTOR,
-            false => DEATH_ROUNDS,
-        };
-        let mut failed_first = 0;
         for probe in &mut self.open {
             let age = now.duration_since(probe.started);
             let target = probe.target.clone();
@@ -197,22 +199,35 @@
             if age < ROUND_LENGTH + stretch {
                 continue;
             }
-            probe.failed += 1;
-            failed_first += u32::from(probe.failed == 1);
-            if probe.failed >= limit {
+            probe.failed += u32::from(probe.confirmed || probe.alone);
+            if probe.failed >= probe.limit() {
                 steps.push(ProbeStep::Dead { target });
                 continue;
             }
-            probe.started = now;
-            probe.indirect = false;
             if probe.failed == SUSPECT_ROUNDS {
                 let target = target.clone();
                 steps.push(ProbeStep::Suspect { target });
             }
+            probe.restart(now);
             steps.push(ProbeStep::Ask { target, nonce });
         }
-        (0..failed_first).for_each(|_| self.health.note(true));
-        self.open.retain(|held| held.failed < limit);
+        self.open.retain(|held| held.failed < held.limit());
         steps
     }
 }
+
+impl OpenProbe {
+    fn restart(&mut self, now: time::Instant) {
+        self.started = now;
+        self.indirect = false;
+        self.confirmed = false;
+        self.alone = false;
+    }
+
+    fn limit(&self) -> u32 {
+        match self.alone {
+            true => ALONE_ROUNDS,
+            false => DEATH_ROUNDS,
+        }
+    }
+}
--- a/arbutusfold/src/route.rs
+++ b/arbutusfold/src/route.rs
@@ -294,6 +294,15 @@
         }
     }
 
+    /// Returns the upstreams that are passed over because calls to them failed.
+    pub fn doubted(&self, now: time::Instant) -> Vec<id::UpstreamName> {
+        let down = self
+            .slots
+            .iter()
+            .filter(|slot| slot.down.is_some_and(|down| now < down.until));
+        down.map(|slot| slot.spec.name.clone()).collect()
+    }
+
     /// Notes that an upstream failed a call.
     pub fn note_failure(&mut self, name: &str, now: time::Instant) {
         if let Some(slot) = self.slot_mut(name) {
--- /dev/null
+++ b/arbutusfold/tests/address.rs
@@ -0,0 +1,141 @@
+//! Addresses that callers are given: even, steady, over failure domains.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net;
+
+use arbutusfold::address;
+use arbutusfold::member;
+
+const CALLERS: usize = 20_000;
+
+fn record(number: usize, domains: usize) -> member::MemberRecord {
+    let last = (number % 250) as u8;
+    let third = (number / 250) as u8;
+    member::MemberRecord {
+        name: format!("entry-{number}"),
+        incarnation: 1,
+        revision: 1,
+        region: "peru-central".to_owned(),
+        domain: format!("pe-{}", number % domains),
+        callers: net::SocketAddr::from(([10, 0, third, last], 8_000)),
+        peers: net::SocketAddr::from(([10, 0, third, last], 7_000)),
+        phase: member::MemberPhase::Serving,
+    }
+}
+
+fn records(count: usize) -> Vec<member::MemberRecord> {
+    (0..count).map(|number| record(number, 3)).collect()
+}
+
+fn firsts(members: &[member::MemberRecord]) -> Vec<net::SocketAddr> {
+    let book = address::AddressBook::new(members, &[]);
+    (0..CALLERS)
+        .map(|caller| book.answer(&format!("caller-{caller}"), &[])[0])
+        .collect()
+}
+
+fn fullest(members: &[member::MemberRecord], firsts: &[net::SocketAddr]) -> f64 {
+    let counts = members.iter().map(|record| {
+        firsts
+            .iter()
+            .filter(|first| **first == record.callers)
+            .count()
+    });
+    let mean = firsts.len() as f64 / members.len() as f64;
+    counts.max().unwrap() as f64 / mean
+}
+
+#[test]
+fn callers_spread_evenly_and_a_lost_host_moves_few() {
+    for count in [9, 40] {
+        let members = records(count);
+        let before = firsts(&members);
+        assert!(fullest(&members, &before) <= 1.25, "{count} hosts");
+        for lost in [0, count / 2] {
+            let mut fewer = members.clone();
+            fewer.remove(lost);
+            let after = firsts(&fewer);
+            assert!(fullest(&fewer, &after) <= 1.25, "{count} hosts less one");
+            let moved = before.iter().zip(&after).filter(|(old, new)| old != new);
+            let moved = moved.count() as f64 / CALLERS as f64;
+            let limit = 1.5 / count as f64;
+            assert!(
+                moved <= limit,
+                "{moved} of the callers of {count} hosts moved"
+            );
+        }
+    }
+}
+
+#[test]
+fn answer_holds_a_host_of_every_domain_first() {
+    let members: Vec<_> = (0..30).map(|number| record(number, 5)).collect();
+    let book = address::AddressBook::new(&members, &[]);
+    for caller in 0..500 {
+        let answer = book.answer(&format!("caller-{caller}"), &[]);
+        assert_eq!(answer.len(), 6);
+        let mut domains: Vec<_> = answer[..5]
+            .iter()
+            .map(|address| members.iter().find(|record| record.callers == *address))
+            .map(|record| record.unwrap().domain.clone())
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        assert_eq!(domains.len(), 5);
+    }
+}
+
+#[test]
+fn second_addresses_spread_the_callers_of_a_dead_host() {
+    let members = records(9);
+    let book = address::AddressBook::new(&members, &[]);
+    let dead = members[0].callers;
+    let answers = (0..CALLERS).map(|caller| book.answer(&format!("caller-{caller}"), &[]));
+    let seconds: Vec<_> = answers
+        .filter(|answer| answer[0] == dead)
+        .map(|answer| answer[1])
+        .collect();
+    // They fall on the six hosts of the two other domains.
+    let counts: Vec<_> = members
+        .iter()
+        .map(|record| {
+            seconds
+                .iter()
+                .filter(|second| **second == record.callers)
+                .count()
+        })
+        .filter(|count| *count > 0)
+        .collect();
+    assert_eq!(counts.len(), 6);
+    let mean = seconds.len() as f64 / 6.0;
+    assert!(counts.iter().all(|count| (*count as f64) < mean * 1.25));
+}
+
+#[test]
+fn hosts_that_do_not_serve_are_never_named() {
+    let mut members = records(9);
+    members[3].phase = member::MemberPhase::Leaving;
+    members[4].phase = member::MemberPhase::Joining;
+    let book = address::AddressBook::new(&members, &[]);
+    for caller in 0..2_000 {
+        let answer = book.answer(&format!("caller-{caller}"), &[]);
+        assert!(!answer.contains(&members[3].callers));
+        assert!(!answer.contains(&members[4].callers));
+    }
+}
+
+#[test]
+fn caller_that_names_its_organisation_is_sent_to_its_nodes() {
+    let members = records(30);
+    let view = member::MemberView::default();
+    let mut sorted = members.clone();
+    sorted.sort_by(|left, right| left.name.cmp(&right.name));
+    view.publish(sorted, member::RemoteRegions::default());
+    let assigned = view.nodes_for("novia-lima");
+    for caller in 0..200 {
+        let answer = view.answer(&format!("caller-{caller}"), Some("novia-lima"));
+        let first = members.iter().find(|record| record.callers == answer[0]);
+        assert!(assigned.contains(&first.unwrap().name));
+    }
+}
--- a/fuzz/src/wire.rs
+++ b/fuzz/src/wire.rs
@@ -17,7 +17,7 @@
 const STEP: std_time::Duration = std_time::Duration::from_millis(10);
 
 /// Steps between two ticks of one node.
-const TICK_STEPS: u64 = 5;
+const TICK_STEPS: u64 = 2;
 
 /// Key that the nodes share.
 const KEY: [u8; 32] = [7; 32];
@@ -36,6 +36,7 @@
     rng: rand_chacha::ChaCha8Rng,
     flying: collections::BinaryHeap<std::cmp::Reverse<FlyingMessage>>,
     cuts: collections::BTreeSet<(net::SocketAddr, net::SocketAddr)>,
+    deaf: collections::BTreeMap<net::SocketAddr, f64>,
     loss: f64,
     delay: std_time::Duration,
     sent_messages: u64,
@@ -58,7 +59,7 @@
         let mut state = self.wire.lock();
         state.sent_messages += 1;
         state.sent_bytes += message.len() as u64;
-        let loss = state.loss;
+        let loss = state.deaf.get(&to).copied().unwrap_or(state.loss);
         if state.cuts.contains(&(self.from, to)) || state.rng.random_bool(loss) {
             return;
         }
@@ -161,6 +162,7 @@
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             flying: collections::BinaryHeap::new(),
             cuts: collections::BTreeSet::new(),
+            deaf: collections::BTreeMap::new(),
             loss,
             delay,
             sent_messages: 0,
@@ -296,6 +298,22 @@
         self.wire.lock().loss = loss;
     }
 
+    /// Sets the part of messages to one node that is lost.
+    pub fn set_deafness(&mut self, node: usize, loss: f64) {
+        let address = self.nodes[node].record.peers;
+        self.wire.lock().deaf.insert(address, loss);
+    }
+
+    /// Returns the hosts that a node counted as gone, in order.
+    pub fn buried_by(&self, node: usize) -> Vec<String> {
+        let news = self.nodes[node].news.iter();
+        news.filter_map(|news| match &news.action {
+            member::MemberAction::Gone { name, .. } => Some(name.clone()),
+            _ => None,
+        })
+        .collect()
+    }
+
     /// Returns the messages and bytes sent by all nodes so far.
     pub fn sent(&self) -> (u64, u64) {
         let state = self.wire.lock();
--- a/fuzz/tests/member.rs
+++ b/fuzz/tests/member.rs
@@ -270,3 +270,56 @@
     let rate = (after.1 - before.1) as f64 / 8.0 / seconds;
     assert!(rate < 7_000.0, "{rate} bytes a second and node on return");
 }
+
+#[tokio::test(start_paused = true)]
+async fn host_that_stutters_blames_nobody() {
+    let mut fleet = fleet(22, 9).await;
+    for _ in 0..60 {
+        fleet.freeze(5);
+        fleet.run(time::Duration::from_secs(1)).await;
+        fleet.thaw(5);
+        fleet.run(time::Duration::from_millis(60)).await;
+    }
+    assert_eq!(fleet.buried_by(5), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn host_that_hears_little_blames_nobody() {
+    let mut fleet = fleet(23, 9).await;
+    fleet.set_deafness(5, 0.85);
+    fleet.run(time::Duration::from_secs(60)).await;
+    let buried = (0..9).filter(|node| *node != 5);
+    let others = buried.flat_map(|node| fleet.buried_by(node));
+    assert_eq!(others.filter(|name| name != "entry-5").count(), 0);
+    assert_eq!(fleet.buried_by(5), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn word_of_a_death_does_not_outweigh_an_answer() {
+    let mut fleet = fleet(24, 9).await;
+    let record = fleet.nodes[3].record.clone();
+    let message = member::message::MemberMessage {
+        from: wire::peer_address(7),
+        age: fleet.nodes[7].record.age(),
+        version: 0,
+        act: member::message::MemberAct::Gossip,
+        updates: vec![member::message::MemberUpdate::Dead {
+            name: record.name.clone(),
+            age: record.age(),
+        }],
+    };
+    for _ in 0..40 {
+        fleet.step(
+            0,
+            member::MemberEvent::Heard {
+                sender: "entry-7".to_owned(),
+                message: Box::new(message.clone()),
+            },
+        );
+        fleet.run(time::Duration::from_millis(50)).await;
+    }
+    let believed = fleet.buried_by(0).len();
+    // Between two answers the word counts, until the host refutes it.
+    assert!(believed <= 1, "believed {believed} times");
+    assert!(fleet.sees(0, 3));
+}
