Test nine nodes under load: killed, frozen, replaced, stopped

Cause: the promises on stops, deaths and leaving upstreams were shown on a paused clock only.

Change: callers that keep address answers and go on by themselves (`standin::load`); process tests with 9 nodes; `GET /v1/members` for operators; `make fleet-long` fails and replaces each of the nine.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a fresh machine needs: `make demo` and `make test`.
 
-.PHONY: build demo test lint setup fuzz-long measure
+.PHONY: build demo test lint setup fuzz-long fleet-long measure
 
 setup:
 	@scripts/setup
@@ -26,3 +26,8 @@
 # The measured decisions, as a table.
 measure: setup
 	cargo run --release -p arbutusfold-bench --bin arbutusfold-bench
+
+# Kill, freeze and replace each of nine nodes in turn under load.
+fleet-long: setup
+	cargo build --workspace --bins
+	ARBUTUSFOLD_FLEET_ROUNDS=9 cargo test -p arbutusfold-standin --test fleet_kill --test fleet_stop -- --test-threads 1 --nocapture
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -37,6 +37,10 @@
             &serde_json::json!({"error": {"code": "token_refused", "message": "operator token is missing or unknown"}}),
         ),
         ("POST", "/v1/config") => submit(&core, request).await,
+        ("GET", "/v1/members") => caller::json_answer(
+            http::StatusCode::OK,
+            &serde_json::json!({ "members": core.members.alive() }),
+        ),
         ("GET", "/v1/config") => show(&core),
         ("GET", path) if path.starts_with("/v1/explain/") => {
             let subject = path.trim_start_matches("/v1/explain/");
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -22,6 +22,9 @@
 /// Key for messages between the nodes of a fleet.
 const PEER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
+/// Longest wait for a node's list of members.
+const MEMBERS_LIMIT: time::Duration = time::Duration::from_millis(500);
+
 /// Longest wait for a process to become ready.
 const READY_LIMIT: time::Duration = time::Duration::from_secs(20);
 
@@ -237,6 +240,46 @@
         })
     }
 
+    /// Starts a node and waits until it may serve callers.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started or is not ready in time.
+    pub async fn add_node(&mut self, index: usize) -> anyhow::Result<()> {
+        let node = self.start_node(index)?;
+        let operators = node.operators;
+        self.nodes.push(node);
+        await_http(operators, "/ready").await
+    }
+
+    /// Waits until every node knows just the nodes of the fleet as serving.
+    ///
+    /// Returns how long that took.
+    ///
+    /// # Errors
+    ///
+    /// When they do not within `limit`.
+    pub async fn await_members(&self, limit: time::Duration) -> anyhow::Result<time::Duration> {
+        let begun = tokio::time::Instant::now();
+        let mut names: Vec<_> = self.nodes.iter().map(|node| node.name.clone()).collect();
+        names.sort_unstable();
+        for node in &self.nodes {
+            loop {
+                let seen = serving_members(node.operators).await;
+                if matches!(&seen, Ok(seen) if *seen == names) {
+                    break;
+                }
+                anyhow::ensure!(
+                    begun.elapsed() < limit,
+                    "{} knows {seen:?} instead of {names:?}",
+                    node.name
+                );
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+        }
+        Ok(begun.elapsed())
+    }
+
     /// Returns a document that describes the fleet's upstreams.
     pub fn document(&self) -> serde_json::Value {
         let options = &self.options;
@@ -376,6 +419,32 @@
     Ok((status, String::from_utf8_lossy(&body).into_owned()))
 }
 
+/// Returns the names of the hosts that a node knows as serving.
+///
+/// # Errors
+///
+/// When the node does not answer.
+pub async fn serving_members(operators: net::SocketAddr) -> anyhow::Result<Vec<String>> {
+    let method = http::Method::GET;
+    let asked = call(
+        operators,
+        method,
+        "/v1/members",
+        OPERATOR_TOKEN,
+        &[],
+        String::new(),
+    );
+    let (status, body) = tokio::time::timeout(MEMBERS_LIMIT, asked).await??;
+    anyhow::ensure!(status == 200, "members answered {status}");
+    let answer: serde_json::Value = serde_json::from_str(&body)?;
+    let members = answer["members"].as_array().context("no members")?;
+    Ok(members
+        .iter()
+        .filter(|member| member["phase"] == "Serving")
+        .filter_map(|member| member["name"].as_str().map(str::to_owned))
+        .collect())
+}
+
 /// Sets the faults of a stand-in.
 ///
 /// # Errors
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod load;
 pub mod model;
 pub mod platform;
 pub mod server;
