--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a fresh machine needs: `make demo` and `make test`.
 
-.PHONY: build demo test lint setup fuzz-long fleet-long measure
+.PHONY: build demo test lint setup fuzz-long fleet-long measure client-test
 
 setup:
 	@scripts/setup
@@ -31,3 +31,10 @@
 fleet-long: setup
 	cargo build --workspace --bins
 	ARBUTUSFOLD_FLEET_ROUNDS=9 cargo test -p arbutusfold-standin --test fleet_kill --test fleet_stop -- --test-threads 1 --nocapture
+
+# An ordinary client library against a fleet of processes; needs Python.
+client-test: setup
+	cargo build --workspace --bins
+	python3 -m venv target/client
+	target/client/bin/pip install --quiet openai
+	CLIENT_PYTHON=$(CURDIR)/target/client/bin/python cargo test -p arbutusfold-standin --test fleet_client -- --ignored --nocapture
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -22,11 +22,14 @@
 //! ```
 
 pub mod address;
+pub mod admission;
+pub mod breaker;
 pub mod caller;
 pub mod check;
 pub mod choose;
 pub mod client;
 pub mod complete;
+pub mod concurrency;
 pub mod config;
 pub mod document;
 pub mod drain;
@@ -35,6 +38,7 @@
 pub mod gossip;
 pub mod health;
 pub mod id;
+pub mod limit;
 pub mod listen;
 pub mod load;
 pub mod member;
@@ -46,10 +50,14 @@
 pub mod plan;
 pub mod platform;
 pub mod probe;
+pub mod queue;
 pub mod record;
+pub mod retry;
 pub mod route;
 pub mod schema;
+pub mod serve;
 pub mod service;
 pub mod settings;
 pub mod stream;
+pub mod suspect;
 pub mod upstream;
--- a/arbutusfold/src/member/driver.rs
+++ b/arbutusfold/src/member/driver.rs
@@ -14,7 +14,7 @@
 /// Takes what the membership decides that concerns other slices.
 pub trait MemberListener: Send + Sync {
     /// A peer holds a newer configuration.
-    fn newer(&self, version: crate::id::DocumentVersion, from: std::net::SocketAddr);
+    fn newer(&self, version: crate::id::DocumentVersion, from: &str);
 
     /// Another process has this host's name and a later start.
     fn superseded(&self);
@@ -113,7 +113,7 @@
             }
             MemberAction::Newer { version, from } => {
                 if let Some(listener) = listener {
-                    listener.newer(version, from);
+                    listener.newer(version, &from);
                 }
             }
             MemberAction::Raised(incarnation) => self.post.raise(incarnation),
--- a/arbutusfold/src/member/keeper.rs
+++ b/arbutusfold/src/member/keeper.rs
@@ -105,8 +105,8 @@
     Newer {
         /// Its version.
         version: id::DocumentVersion,
-        /// Where the peer hears peers.
-        from: net::SocketAddr,
+        /// The peer.
+        from: id::HostName,
     },
     /// This node goes on under another incarnation.
     Raised(id::IncarnationNumber),
@@ -157,7 +157,6 @@
 #[derive(Clone, Debug)]
 pub struct MemberKeeper {
     own: MemberRecord,
-    version: id::DocumentVersion,
     seeds: Vec<net::SocketAddr>,
     members: Vec<MemberState>,
     rumours: gossip::RumourQueue<String, MemberUpdate>,
@@ -176,7 +175,6 @@
     pub fn new(own: MemberRecord, seeds: Vec<net::SocketAddr>, now: time::Instant) -> Self {
         Self {
             own,
-            version: 0,
             seeds,
             members: Vec::new(),
             rumours: gossip::RumourQueue::default(),
@@ -255,7 +253,10 @@
                 self.hear(&sender, *message, now, &mut out);
             }
             MemberEvent::Phase(phase) => self.change_phase(phase, rng, &mut out),
-            MemberEvent::Version(version) => self.version = self.version.max(version),
+            MemberEvent::Version(version) => {
+                self.own.version = self.own.version.max(version);
+                self.changes += 1;
+            }
             MemberEvent::Seeds(mut seeds) => {
                 self.seeds.append(&mut seeds);
                 self.seeds.sort_unstable();
@@ -496,7 +497,7 @@
         MemberMessage {
             from: self.own.peers,
             age: self.own.age(),
-            version: self.version,
+            version: self.own.version,
             act,
             updates: self.rumours.take(UPDATES_PER_MESSAGE, copies),
         }
--- a/arbutusfold/src/member/keeper/listen.rs
+++ b/arbutusfold/src/member/keeper/listen.rs
@@ -23,12 +23,7 @@
         if self.answer_older(sender, &message, out) {
             return;
         }
-        if message.version > self.version {
-            out.push(MemberAction::Newer {
-                version: message.version,
-                from: message.from,
-            });
-        }
+        self.note_version(sender, message.version, out);
         let MemberMessage {
             from,
             age,
@@ -49,6 +44,28 @@
         self.react(sender, from, age, act, now, out);
     }
 
+    /// Notes the version that a peer has in force.
+    fn note_version(
+        &mut self,
+        sender: &str,
+        version: id::DocumentVersion,
+        out: &mut Vec<MemberAction>,
+    ) {
+        if version > self.own.version {
+            out.push(MemberAction::Newer {
+                version,
+                from: sender.to_owned(),
+            });
+        }
+        if let Ok(place) = self.find(sender) {
+            let held = &mut self.members[place].record;
+            if held.version < version {
+                held.version = version;
+                self.changes += 1;
+            }
+        }
+    }
+
     /// Tells an earlier process of a host that it was replaced.
     fn answer_older(
         &mut self,
--- a/arbutusfold/src/member/message.rs
+++ b/arbutusfold/src/member/message.rs
@@ -38,6 +38,8 @@
     pub callers: net::SocketAddr,
     /// Address on which it hears peers.
     pub peers: net::SocketAddr,
+    /// Version of the configuration in force there, when last heard.
+    pub version: id::DocumentVersion,
     /// Whether it may be named to callers.
     pub phase: MemberPhase,
 }
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -25,13 +25,14 @@
 use crate::platform;
 use crate::record;
 use crate::route;
+use crate::serve;
 use crate::settings;
 use crate::upstream;
 
+mod flight;
 mod loops;
-mod serve;
 
-pub use serve::FlightCount;
+pub use flight::FlightCount;
 
 /// Longest time that the body of a request may take.
 pub const BODY_TIME_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
@@ -124,6 +125,7 @@
             config: config::ConfigKeeper::new(
                 sync::Arc::<platform::GuardedTable>::clone(&table),
                 sync::Arc::clone(&recorder),
+                settings.name.clone(),
             ),
             records: record::RecordKeeper::new(
                 sync::Arc::<platform::GuardedTable>::clone(&table),
@@ -179,6 +181,7 @@
             domain: self.settings.domain.clone(),
             callers: self.settings.callers,
             peers: self.settings.peers,
+            version: 0,
             phase: member::MemberPhase::Joining,
         }
     }
@@ -225,7 +228,7 @@
     };
 
     let loops = [
-        tokio::spawn(loops::keep_config(sync::Arc::clone(&core))),
+        tokio::spawn(config::keep::run(sync::Arc::clone(&core))),
         tokio::spawn(loops::keep_records(sync::Arc::clone(&core))),
         tokio::spawn(sync::Arc::clone(&health).run()),
         tokio::spawn(health.watch_list(hosts, meet)),
@@ -236,17 +239,19 @@
         )),
         tokio::spawn(loops::keep_routes(sync::Arc::clone(&core))),
     ];
+    let caller_core = sync::Arc::clone(&core);
     let serve_callers = tokio::spawn(serve::serve(
         callers,
-        sync::Arc::clone(&core),
+        serve::ServeLimits::default(),
         closed.clone(),
-        caller::answer,
+        move |request| caller::answer(sync::Arc::clone(&caller_core), request),
     ));
+    let operator_core = sync::Arc::clone(&core);
     let serve_operators = tokio::spawn(serve::serve(
         operators,
-        sync::Arc::clone(&core),
+        serve::ServeLimits::default(),
         closed,
-        operate::answer,
+        move |request| operate::answer(sync::Arc::clone(&operator_core), request),
     ));
 
     drain_node(&core, &driver, stop, closing, serve_callers).await;
--- a/arbutusfold/src/node/loops.rs
+++ b/arbutusfold/src/node/loops.rs
@@ -1,6 +1,5 @@
 //! The loops that keep the state of a node current.
 
-use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time as std_time;
@@ -14,35 +13,12 @@
 use crate::member;
 use crate::probe;
 
-/// Time between two looks for a newer configuration.
-const CONFIG_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
-
 /// Time between two looks at the number of nodes that share the store's rate.
 const SHARE_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
 
 /// Time between two looks whether routes must be planned anew.
 const PLAN_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
 
-pub(super) async fn keep_config(core: sync::Arc<NodeCore>) {
-    let mut ticks = time::interval(CONFIG_PERIOD);
-    let mut ready = false;
-    let mut shared = 0;
-    loop {
-        ticks.tick().await;
-        // During an outage the last document stays in force.
-        let _ = core.config.refresh().await;
-        if let Some(config) = core.config.current().filter(|held| held.version != shared) {
-            shared = config.version;
-            core.members.set_shares(member::shares(&config.document));
-        }
-        if !ready && core.is_serving() {
-            ready = true;
-            core.recorder
-                .record(event::EventCode::NodeReady, &core.settings.name, "");
-        }
-    }
-}
-
 pub(super) async fn keep_records(core: sync::Arc<NodeCore>) {
     let share = async {
         let mut ticks = time::interval(SHARE_PERIOD);
@@ -103,6 +79,7 @@
     let mut ticks = time::interval(probe::TICK_PERIOD);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut version = 0;
+    let mut ready = false;
     loop {
         tokio::select! {
             now = ticks.tick() => {
@@ -112,6 +89,11 @@
                     driver.step(member::MemberEvent::Version(held), now);
                 }
                 if core.is_serving() {
+                    if !ready {
+                        ready = true;
+                        let name = &core.settings.name;
+                        core.recorder.record(event::EventCode::NodeReady, name, "");
+                    }
                     let phase = member::MemberPhase::Serving;
                     driver.step(member::MemberEvent::Phase(phase), now);
                 }
@@ -132,7 +114,11 @@
 }
 
 impl member::driver::MemberListener for NodeListener {
-    fn newer(&self, _version: id::DocumentVersion, _from: net::SocketAddr) {}
+    fn newer(&self, version: id::DocumentVersion, from: &str) {
+        self.core
+            .config
+            .hear_version(from, version, time::Instant::now());
+    }
 
     fn superseded(&self) {
         if !self.core.stopping.swap(true, atomic::Ordering::Relaxed) {
--- a/arbutusfold/tests/address.rs
+++ b/arbutusfold/tests/address.rs
@@ -20,6 +20,7 @@
         domain: format!("pe-{}", number % domains),
         callers: net::SocketAddr::from(([10, 0, third, last], 8_000)),
         peers: net::SocketAddr::from(([10, 0, third, last], 7_000)),
+        version: 0,
         phase: member::MemberPhase::Serving,
     }
 }
--- a/arbutusfold/tests/peer.rs
+++ b/arbutusfold/tests/peer.rs
@@ -61,6 +61,7 @@
         domain: format!("nz-{}", number % 3),
         callers: address(1_000 + number),
         peers: address(number),
+        version: 0,
         phase: member::MemberPhase::Serving,
     }
 }
--- a/fuzz/src/lib.rs
+++ b/fuzz/src/lib.rs
@@ -1,3 +1,6 @@
-//! Stateful fuzzing: fakes at the interfaces on a paused clock.
+//! Fakes at the interfaces, on the paused clock, for stateful fuzzing.
 
+pub mod fake;
+pub mod freeze;
+pub mod runner;
 pub mod wire;
--- a/fuzz/src/wire.rs
+++ b/fuzz/src/wire.rs
@@ -216,6 +216,7 @@
             domain: place.domain,
             callers: caller_address(place.address),
             peers: address,
+            version: 0,
             phase: member::MemberPhase::Serving,
         };
         let view = sync::Arc::new(member::MemberView::default());
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -16,6 +16,8 @@
     pub outage: bool,
     /// Delay of every call in milliseconds.
     pub delay_ms: u64,
+    /// Begin an outage right after the next transaction took effect.
+    pub outage_after_commit: bool,
     /// Number of calls whose answer is lost after they took effect.
     pub lose_answers: u32,
     /// Answer no call until cleared.
@@ -24,6 +26,12 @@
     pub crash_on: Option<String>,
     /// Report that the upstream is leaving.
     pub leaving: bool,
+    /// Age of the load that is reported, in milliseconds.
+    pub report_late_ms: u64,
+    /// Ports of engines to which the link is cut.
+    pub cut_links: Vec<u16>,
+    /// Send crossed, late and doubled tokens beside each true one.
+    pub stray_tokens: bool,
 }
 
 /// Shared faults of one stand-in.
@@ -51,6 +59,13 @@
         lost
     }
 
+    /// Begins an outage if one is to follow a transaction.
+    pub fn note_commit(&self) {
+        let mut plan = self.lock();
+        plan.outage |= plan.outage_after_commit;
+        plan.outage_after_commit = false;
+    }
+
     /// Waits as the faults demand.
     pub async fn wait(&self) {
         let delay = time::Duration::from_millis(self.plan().delay_ms);
