Add the console of forms

Cause: operators edit by a file and the command line only.

Change: askama pages under /console on the operators' listener, without a script: sign-in by operator token, forms made from the field schema, errors beside the fields with what was typed kept, review with both sides of each change, submission, conflict with carrying the changes over, history and audit, status, document, explain. The session is a cookie signed with a key derived from the peer key, so any node takes it; every form carries a code of its session, and forms from other origins are refused. A draft is the list of changed entries and travels in the forms: a node keeps nothing, and pages stay small at 8,400 organisations.

Seen: 7 tests of the parts and 4 over processes pass (fleet_console).

Ruled out: the whole document in the forms (1.7 MB a click); drafts in the memory of a node, which may be replaced at any time.

Conclusion: to be looked at in a browser next.

--- a/arbutusfold/src/check.rs
+++ b/arbutusfold/src/check.rs
@@ -369,7 +369,8 @@
             .all(|one| one.is_ascii_digit() || ('a'..='f').contains(&one))
 }
 
-fn allowed(kind: &FieldKind) -> String {
+/// Returns what a field may hold, for people.
+pub(crate) fn allowed(kind: &FieldKind) -> String {
     match kind {
         FieldKind::Text => "text".to_owned(),
         FieldKind::Name => {
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod client;
 pub mod complete;
 pub mod config;
+pub mod console;
 pub mod document;
 pub mod event;
 mod flow;
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -11,6 +11,7 @@
 
 use crate::caller;
 use crate::config;
+use crate::console;
 use crate::document;
 use crate::event;
 use crate::id;
@@ -110,6 +111,7 @@
             false => text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
         ("GET", "/metrics") => text(http::StatusCode::OK, &core.metrics.render()),
+        (_, path) if console::owns(path) => console::answer(&core, request).await,
         _ => answer_operator(&core, request, &path).await,
     };
     Ok(answer)
