Find a caller's organisation by binary search; check large documents aside

Change: a document in force keeps its key digests in order. Checks run beside the runtime's other tasks. A node shows its own version as it is now.

--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -206,7 +206,7 @@
         .get(http::header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "))
-        .and_then(|key| config.document.organisation_of_key(key))
+        .and_then(|key| config.organisation_of_key(key))
         .ok_or_else(|| {
             CallerError::new(
                 http::StatusCode::UNAUTHORIZED,
--- a/arbutusfold/src/config.rs
+++ b/arbutusfold/src/config.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
-use tokio::time;
+use tokio::{runtime, task, time};
 
 use crate::document;
 use crate::event;
@@ -81,6 +81,47 @@
     pub sections: Vec<section::TextSection>,
     /// The document.
     pub document: document::ConfigDocument,
+    /// Digests of callers' keys in order, with the place of their organisation.
+    keys: Vec<(String, usize)>,
+}
+
+impl ForceDocument {
+    /// Checks a text and prepares it for use.
+    ///
+    /// # Errors
+    ///
+    /// [`document::DocumentError`] when the text does not hold.
+    pub fn parse(
+        version: id::DocumentVersion,
+        text: String,
+    ) -> Result<Self, document::DocumentError> {
+        let document = document::parse(&text)?;
+        let organisations = document.organisations.iter().enumerate();
+        let mut keys: Vec<_> = organisations
+            .flat_map(|(place, spec)| {
+                let digests = spec.key_digests.iter().cloned();
+                digests.map(move |digest| (digest, place))
+            })
+            .collect();
+        keys.sort_unstable();
+        Ok(Self {
+            version,
+            digest: document::digest_key(&text),
+            sections: section::cut(&text),
+            text,
+            document,
+            keys,
+        })
+    }
+
+    /// Returns the organisation that holds a caller's key.
+    ///
+    /// Only digests are compared, so the time taken tells nothing of a key.
+    pub fn organisation_of_key(&self, key: &str) -> Option<&document::OrganisationSpec> {
+        let digest = document::digest_key(key);
+        let place = self.keys.binary_search_by(|(held, _)| held.cmp(&digest));
+        self.document.organisations.get(self.keys[place.ok()?].1)
+    }
 }
 
 /// Another change that came first.
@@ -205,20 +246,13 @@
         if version <= self.version() {
             return true;
         }
-        let document = match document::parse(&text) {
-            Ok(document) => document,
+        let fresh = match aside(|| ForceDocument::parse(version, text)) {
+            Ok(fresh) => sync::Arc::new(fresh),
             Err(error) => {
                 self.report(event::EventCode::ConfigRefused, version, error.to_string());
                 return false;
             }
         };
-        let fresh = sync::Arc::new(ForceDocument {
-            version,
-            digest: document::digest_key(&text),
-            sections: section::cut(&text),
-            text,
-            document,
-        });
         let taken = self.current.send_if_modified(|held| {
             let newer = held.as_ref().is_none_or(|held| held.version < version);
             if newer {
@@ -405,6 +439,15 @@
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
 
+/// Runs work on a large document without holding up the streams of this thread.
+fn aside<T>(work: impl FnOnce() -> T) -> T {
+    let flavor = runtime::Handle::try_current().map(|handle| handle.runtime_flavor());
+    match flavor {
+        Ok(runtime::RuntimeFlavor::MultiThread) => task::block_in_place(work),
+        _ => work(),
+    }
+}
+
 fn decode<T: serde::de::DeserializeOwned>(value: serde_json::Value) -> Option<T> {
     serde_json::from_value(value).ok()
 }
--- a/arbutusfold/src/config/submit.rs
+++ b/arbutusfold/src/config/submit.rs
@@ -6,7 +6,7 @@
 
 use super::{
     AUDIT_TABLE, AuditEntry, ConfigConflict, ConfigError, ConfigHead, ConfigKeeper, DOCUMENT_TABLE,
-    HEAD_KEY, HEAD_TABLE, change, decode, document_key, section,
+    HEAD_KEY, HEAD_TABLE, aside, change, decode, document_key, section,
 };
 use crate::document;
 use crate::event;
@@ -58,7 +58,7 @@
         if text.len() > section::DOCUMENT_LIMIT_BYTES {
             return Err(ConfigError::TooLong { found: text.len() });
         }
-        let document = document::parse(&text).map_err(ConfigError::Invalid)?;
+        let document = aside(|| document::parse(&text)).map_err(ConfigError::Invalid)?;
         let found = self.find_head().await.map_err(ConfigError::NotAccepted)?;
         // The table service may have been restored to an older state.
         let newest = found.head.version.max(self.version());
@@ -97,9 +97,11 @@
             0 => None,
             _ => self.text(base).await?,
         };
-        let old = before
-            .as_deref()
-            .and_then(|text| document::parse(text).ok());
+        let changes = aside(|| {
+            let old = before.as_deref().map(document::parse);
+            let old = old.and_then(Result::ok).unwrap_or_default();
+            change::compare(&old, document)
+        });
         // No version that a peer may hold is given a second time.
         let highest = super::lock(&self.spread).highest();
         Ok(AuditEntry {
@@ -113,7 +115,7 @@
                 .map(document::digest_key)
                 .unwrap_or_default(),
             digest: document::digest_key(text),
-            changes: change::compare(&old.unwrap_or_default(), document),
+            changes,
             attempt: id::fresh_request(),
         })
     }
@@ -160,7 +162,7 @@
             return Some(document::ConfigDocument::default());
         }
         let text = self.text(version).await.ok().flatten()?;
-        document::parse(&text).ok()
+        aside(|| document::parse(&text)).ok()
     }
 
     /// Finds out what became of a write whose answer was lost.
--- a/arbutusfold/src/document.rs
+++ b/arbutusfold/src/document.rs
@@ -236,16 +236,6 @@
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.iter().find(|spec| spec.name == name)
     }
-
-    /// Returns the organisation that holds `key`.
-    ///
-    /// Only digests are compared, so the time taken tells nothing of a key.
-    pub fn organisation_of_key(&self, key: &str) -> Option<&OrganisationSpec> {
-        let digest = digest_key(key);
-        self.organisations
-            .iter()
-            .find(|spec| spec.key_digests.contains(&digest))
-    }
 }
 
 impl ServiceSpec {
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -157,12 +157,24 @@
 
 /// Returns which hosts hold which version.
 pub fn status(core: &node::NodeCore) -> ConfigStatus {
-    let hosts = core.members.alive().into_iter().map(|member| HostStatus {
-        host: member.name,
-        region: member.region,
-        domain: member.domain,
-        version: member.version,
-        serving: member.serving,
+    let hosts = core.members.alive().into_iter().map(|member| {
+        // What this node told its peers of itself is a moment old.
+        let own = member.name == core.settings.name;
+        HostStatus {
+            version: if own {
+                core.config.version()
+            } else {
+                member.version
+            },
+            serving: if own {
+                core.is_serving()
+            } else {
+                member.serving
+            },
+            host: member.name,
+            region: member.region,
+            domain: member.domain,
+        }
     });
     ConfigStatus {
         version: core.config.version(),
--- a/arbutusfold/tests/config.rs
+++ b/arbutusfold/tests/config.rs
@@ -26,13 +26,7 @@
 }
 
 fn force(version: u64, text: String) -> config::ForceDocument {
-    config::ForceDocument {
-        version,
-        digest: document::digest_key(&text),
-        sections: section::cut(&text),
-        document: document::parse(&text).unwrap(),
-        text,
-    }
+    config::ForceDocument::parse(version, text).unwrap()
 }
 
 struct CarriedDocument {
@@ -175,6 +169,16 @@
     assert_eq!(state.hear_version("giver", 5, 3, now).len(), 1);
 }
 
+#[test]
+fn key_leads_to_its_organisation() {
+    let held = force(1, text(40, 1));
+    for index in [0, 7, 39] {
+        let found = held.organisation_of_key(&format!("key-{index}")).unwrap();
+        assert_eq!(found.name, format!("organisation-{index}"));
+    }
+    assert!(held.organisation_of_key("key-40").is_none());
+}
+
 #[test]
 fn difference_names_entries_and_fields() {
     let old = document::parse(&text(3, 1)).unwrap();
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Measures the decisions of arbutusfold with small fakes on a paused clock.
 
+pub mod config;
 pub mod report;
 pub mod scenario;
