--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -21,17 +21,21 @@
 //! # Ok::<(), arbutusfold::settings::SettingsError>(())
 //! ```
 
+pub mod admission;
+pub mod breaker;
 pub mod caller;
 pub mod check;
 pub mod choose;
 pub mod client;
 pub mod complete;
+pub mod concurrency;
 pub mod config;
 pub mod console;
 pub mod document;
 pub mod event;
 mod flow;
 pub mod id;
+pub mod limit;
 pub mod listen;
 pub mod load;
 pub mod member;
@@ -42,10 +46,14 @@
 pub mod place;
 pub mod plan;
 pub mod platform;
+pub mod queue;
 pub mod record;
+pub mod retry;
 pub mod route;
 pub mod schema;
+pub mod serve;
 pub mod service;
 pub mod settings;
 pub mod stream;
+pub mod suspect;
 pub mod upstream;
