--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod complete;
 pub mod concurrency;
 pub mod config;
+pub mod console;
 pub mod document;
 pub mod drain;
 pub mod event;
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -11,6 +11,7 @@
 
 use crate::caller;
 use crate::config;
+use crate::console;
 use crate::document;
 use crate::event;
 use crate::id;
@@ -118,6 +119,7 @@
             false => text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
         ("GET", "/metrics") => text(http::StatusCode::OK, &core.metrics.render()),
+        (_, path) if console::owns(path) => console::answer(&core, request).await,
         _ => answer_operator(&core, request, &path).await,
     };
     Ok(answer)
@@ -166,12 +168,24 @@
 
 /// Returns which hosts hold which version.
 pub fn status(core: &node::NodeCore) -> ConfigStatus {
-    let hosts = core.members.alive().into_iter().map(|record| HostStatus {
-        host: record.name,
-        region: record.region,
-        domain: record.domain,
-        version: record.version,
-        serving: record.phase == member::MemberPhase::Serving,
+    let hosts = core.members.alive().into_iter().map(|record| {
+        // What this node told its peers of itself is a moment old.
+        let own = record.name == core.settings.name;
+        HostStatus {
+            version: if own {
+                core.config.version()
+            } else {
+                record.version
+            },
+            serving: if own {
+                core.is_serving()
+            } else {
+                record.phase == member::MemberPhase::Serving
+            },
+            host: record.name,
+            region: record.region,
+            domain: record.domain,
+        }
     });
     ConfigStatus {
         version: core.config.version(),
