Measure throughput with the threads of the node bounded

Cause: with a thread for each core most of a token's cost is waking threads, which tells little of a node that is full.

Change: `path` names its own threads, so that TOKIO_WORKER_THREADS bounds the node alone.

--- a/bench/src/bin/path.rs
+++ b/bench/src/bin/path.rs
@@ -49,9 +49,23 @@
     },
 }
 
-#[tokio::main]
-async fn main() -> anyhow::Result<()> {
-    match path_command().run() {
+/// Threads of the tool itself.
+///
+/// Named here so that `TOKIO_WORKER_THREADS` bounds only the processes that
+/// the tool starts.
+const TOOL_THREADS: usize = 4;
+
+fn main() -> anyhow::Result<()> {
+    let command = path_command().run();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(TOOL_THREADS)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(command))
+}
+
+async fn run(command: PathCommand) -> anyhow::Result<()> {
+    match command {
         PathCommand::Overhead {
             streams,
             tokens,
