--- a/arbutusfold/src/member.rs
+++ b/arbutusfold/src/member.rs
@@ -152,6 +152,15 @@
         Some(contact_of(&snapshot.members[place]))
     }
 
+    /// Tells whether a host of the own region may be named to callers.
+    pub fn is_serving(&self, host: &str) -> bool {
+        let snapshot = self.snapshot();
+        let found = snapshot
+            .members
+            .binary_search_by(|record| record.name.as_str().cmp(host));
+        found.is_ok_and(|place| snapshot.members[place].phase == MemberPhase::Serving)
+    }
+
     /// Sets the shares of organisations, which decide how many nodes each gets.
     pub fn set_shares(&self, mut shares: Vec<WeightShare>) {
         shares.sort_by(|left, right| left.organisation.cmp(&right.organisation));
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -113,7 +113,7 @@
     let path = request.uri().path().to_owned();
     let answer = match (request.method().as_str(), path.as_str()) {
         ("GET", "/health") => text(http::StatusCode::OK, "ok\n"),
-        ("GET", "/ready") => match core.is_serving() {
+        ("GET", "/ready") => match is_ready(&core) {
             true => text(http::StatusCode::OK, "ready\n"),
             false => text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
@@ -123,6 +123,11 @@
     Ok(answer)
 }
 
+/// Tells whether this node serves and its own answers name it.
+fn is_ready(core: &node::NodeCore) -> bool {
+    core.is_serving() && core.members.is_serving(&core.settings.name)
+}
+
 async fn answer_operator(
     core: &node::NodeCore,
     request: http::Request<body::Incoming>,
