--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a fresh machine needs: `make demo` and `make test`.
 
-.PHONY: build demo test lint setup fuzz-long measure client-test
+.PHONY: build demo test lint setup fuzz-long fleet-long measure client-test
 
 setup:
 	@scripts/setup
@@ -27,6 +27,11 @@
 measure: setup
 	cargo run --release -p arbutusfold-bench --bin arbutusfold-bench
 
+# Kill, freeze and replace each of nine nodes in turn under load.
+fleet-long: setup
+	cargo build --workspace --bins
+	ARBUTUSFOLD_FLEET_ROUNDS=9 cargo test -p arbutusfold-standin --test fleet_kill --test fleet_stop -- --test-threads 1 --nocapture
+
 # An ordinary client library against a fleet of processes; needs Python.
 client-test: setup
 	cargo build --workspace --bins
--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -11,9 +11,11 @@
 
 use crate::caller;
 use crate::config;
+use crate::console;
 use crate::document;
 use crate::event;
 use crate::id;
+use crate::member;
 use crate::node;
 use crate::platform;
 
@@ -64,6 +66,13 @@
     pub serving: bool,
 }
 
+/// Hosts of the region, as one node knows them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberList {
+    /// Their records, by name.
+    pub members: Vec<member::MemberRecord>,
+}
+
 /// Audit entries, newest first.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct AuditTrail {
@@ -105,16 +114,22 @@
     let path = request.uri().path().to_owned();
     let answer = match (request.method().as_str(), path.as_str()) {
         ("GET", "/health") => text(http::StatusCode::OK, "ok\n"),
-        ("GET", "/ready") => match core.is_serving() {
+        ("GET", "/ready") => match is_ready(&core) {
             true => text(http::StatusCode::OK, "ready\n"),
             false => text(http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         },
         ("GET", "/metrics") => text(http::StatusCode::OK, &core.metrics.render()),
+        (_, path) if console::owns(path) => console::answer(&core, request).await,
         _ => answer_operator(&core, request, &path).await,
     };
     Ok(answer)
 }
 
+/// Tells whether this node serves and its own answers name it.
+fn is_ready(core: &node::NodeCore) -> bool {
+    core.is_serving() && core.members.is_serving(&core.settings.name)
+}
+
 async fn answer_operator(
     core: &node::NodeCore,
     request: http::Request<body::Incoming>,
@@ -127,6 +142,9 @@
     match (request.method().as_str(), path) {
         ("POST", "/v1/config") => submit(core, &operator, request).await,
         ("GET", "/v1/config") => show(core, &request).await,
+        ("GET", "/v1/members") => json(&MemberList {
+            members: core.members.alive(),
+        }),
         ("GET", "/v1/config/status") => json(&status(core)),
         ("GET", "/v1/audit") => audit(core, &request).await,
         ("GET", path) => match path.strip_prefix("/v1/explain/") {
@@ -155,12 +173,24 @@
 
 /// Returns which hosts hold which version.
 pub fn status(core: &node::NodeCore) -> ConfigStatus {
-    let hosts = core.members.alive().into_iter().map(|member| HostStatus {
-        host: member.name,
-        region: member.region,
-        domain: member.domain,
-        version: member.version,
-        serving: member.serving,
+    let hosts = core.members.alive().into_iter().map(|record| {
+        // What this node told its peers of itself is a moment old.
+        let own = record.name == core.settings.name;
+        HostStatus {
+            version: if own {
+                core.config.version()
+            } else {
+                record.version
+            },
+            serving: if own {
+                core.is_serving()
+            } else {
+                record.phase == member::MemberPhase::Serving
+            },
+            host: record.name,
+            region: record.region,
+            domain: record.domain,
+        }
     });
     ConfigStatus {
         version: core.config.version(),
--- a/arbutusfold/src/traffic/peers.rs
+++ b/arbutusfold/src/traffic/peers.rs
@@ -22,6 +22,10 @@
 /// Time between two looks at what is due.
 const TICK_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
 
+/// Time after a crash from which a report was asked for later: older calls
+/// have run out by then.
+const REPORT_DELAY: std_time::Duration = std_time::Duration::from_millis(1_100);
+
 /// Time within which an upstream's report can show that it did not die.
 const CRASH_DOUBT: std_time::Duration = std_time::Duration::from_secs(10);
 
@@ -120,7 +124,7 @@
         self.suspect(&mut state, host::SuspectEvent::Moved, now);
     }
 
-    /// Notes that an upstream reported under an incarnation.
+    /// Notes that an upstream answered this node under an incarnation.
     ///
     /// Where a crash of that incarnation was noted, only a link had broken.
     pub fn note_report(&self, upstream: &str, incarnation: id::IncarnationNumber) {
@@ -132,7 +136,9 @@
         let alive: Vec<_> = state
             .crashes
             .extract_if(.., |crash| {
-                crash.mark.upstream == upstream && crash.mark.incarnation == incarnation
+                let asked_later = now.duration_since(crash.noted) >= REPORT_DELAY;
+                let mark = &crash.mark;
+                asked_later && mark.upstream == upstream && mark.incarnation == incarnation
             })
             .collect();
         for crash in alive {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admission_cost;
 pub mod concurrency;
+pub mod config;
 pub mod crashing_request;
 pub mod fairness;
 pub mod fleet_limit;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -4,6 +4,7 @@
 
 use crate::admission_cost;
 use crate::concurrency;
+use crate::config;
 use crate::crashing_request;
 use crate::fairness;
 use crate::fleet_limit;
@@ -20,6 +21,10 @@
 
 /// Every scenario, in the order of the output.
 const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "config",
+        measure: config::measure,
+    },
     BenchScenario {
         name: "fairness",
         measure: fairness::measure,
--- a/fuzz/src/lib.rs
+++ b/fuzz/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod fake;
 pub mod freeze;
 pub mod runner;
+pub mod wire;
--- a/standin/tests/fleet_config.rs
+++ b/standin/tests/fleet_config.rs
@@ -225,6 +225,10 @@
     let (code, story) = command(&fleet, &["explain", "1"]);
     assert_eq!(code, 0);
     assert!(story.contains("ConfigInForce"), "{story}");
+    // A node names itself once it has also heard of the upstreams.
+    fleet::await_http(fleet.nodes[0].operators, "/ready")
+        .await
+        .unwrap();
     let callers = fleet.nodes[0].callers.to_string();
     let (code, addresses) = command(&fleet, &["addresses", "--callers", &callers]);
     assert_eq!(code, 0);
