--- a/arbutusfold/tests/suspect.rs
+++ b/arbutusfold/tests/suspect.rs
@@ -246,3 +246,28 @@
         Some(isolation::IsolationAnswer::Turn { run: 2, .. })
     ));
 }
+
+#[test]
+fn a_permit_from_another_node_costs_few_bytes() {
+    let run = 1_800_000_000_000_000;
+    let messages = [
+        suspect::SuspectMessage::Claim(ask(run, &[])),
+        suspect::SuspectMessage::Verdict {
+            run,
+            verdict: suspect::PermitVerdict::Granted,
+            burnt: Vec::new(),
+        },
+        suspect::SuspectMessage::End {
+            fingerprint: print(),
+            run,
+            end: suspect::RunEnd::Answered,
+        },
+        suspect::SuspectMessage::Noted(run),
+    ];
+    let bytes: Vec<_> = messages
+        .iter()
+        .map(|message| postcard::to_stdvec(message).unwrap().len())
+        .collect();
+    println!("claim, verdict, end, noted: {bytes:?} bytes");
+    assert!(bytes.iter().sum::<usize>() <= 120, "{bytes:?}");
+}
