--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -70,6 +70,22 @@
     RecordReleased = 404, Info;
     /// An idempotency key was used with another call.
     RecordReused = 405, Warning;
+    /// This node took the lease.
+    LeaseTaken = 500, Info;
+    /// This node may not act under the lease any more.
+    LeaseLost = 501, Warning;
+    /// An engine took an order.
+    OrderTaken = 510, Info;
+    /// An order had no effect.
+    OrderRefused = 511, Warning;
+    /// An order may still arrive.
+    OrderUnknown = 512, Warning;
+    /// A pipeline has too few runners for a layer.
+    CoverLacking = 520, Warning;
+    /// A load was chosen to restore layers.
+    RepairPlanned = 521, Info;
+    /// Every layer of a pipeline has its runners again or they load.
+    CoverRestored = 522, Info;
     /// A configuration document came into force.
     ConfigInForce = 600, Info;
     /// A configuration document was accepted.
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -26,6 +26,7 @@
 use crate::peer;
 use crate::platform;
 use crate::record;
+use crate::repair;
 use crate::route;
 use crate::settings;
 use crate::upstream;
@@ -226,6 +227,7 @@
         tokio::spawn(keep_config(sync::Arc::clone(&core))),
         tokio::spawn(keep_records(sync::Arc::clone(&core))),
         tokio::spawn(keep_reports(sync::Arc::clone(&core))),
+        tokio::spawn(repair::keep(sync::Arc::clone(&core))),
         tokio::spawn(keep_members(sync::Arc::clone(&core), received)),
         tokio::spawn(keep_routes(sync::Arc::clone(&core))),
     ];
--- a/arbutusfold/src/upstream.rs
+++ b/arbutusfold/src/upstream.rs
@@ -128,7 +128,7 @@
 }
 
 /// A range of layers that an engine holds.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct HeldLayers {
     /// Model that the layers belong to.
     pub model: id::ModelName,
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -19,6 +19,7 @@
 
 use crate::fault;
 use crate::model;
+use crate::order;
 use crate::server;
 
 /// Path at which an engine takes activations from the engine before it.
@@ -56,6 +57,7 @@
 
 struct EngineState {
     options: EngineOptions,
+    layers: order::OrderedLayers,
     incarnation: id::IncarnationNumber,
     faults: fault::FaultSwitch,
     running: atomic::AtomicU32,
@@ -71,7 +73,15 @@
     let faults = fault::FaultSwitch::default();
     let mut connector = connect::HttpConnector::new();
     connector.set_nodelay(true);
+    let held = upstream::HeldLayers {
+        model: options.model.clone(),
+        version: options.version.clone(),
+        layers: options.layers,
+    };
+    // An engine that starts with no layers is a spare one.
+    let held = Vec::from_iter((options.layers.from < options.layers.to).then_some(held));
     let state = sync::Arc::new(EngineState {
+        layers: order::OrderedLayers::new(held, options.checks_fencing),
         options,
         incarnation: id::fresh_incarnation(),
         faults: faults.clone(),
@@ -101,35 +111,30 @@
             Some(start_run(state, order))
         }
         PASS_PATH => start_pass(state, request).await,
+        upstream::ORDER_PATH => match state.layers.take(server::read_json(request).await?) {
+            Ok(()) => Some(server::json(&serde_json::json!({"taken": true}))),
+            Err(_) => Some(server::status(409)),
+        },
         _ => Some(server::status(404)),
     }
 }
 
 fn report(state: &EngineState) -> upstream::EngineReport {
-    let options = &state.options;
     upstream::EngineReport {
         incarnation: state.incarnation,
-        held: vec![upstream::HeldLayers {
-            model: options.model.clone(),
-            version: options.version.clone(),
-            layers: options.layers,
-        }],
+        held: state.layers.held(),
         running: state.running.load(atomic::Ordering::Relaxed),
         waiting: 0,
         tokens_per_second: 0,
         leaving: state.faults.plan().leaving,
-        fencing: 0,
+        fencing: state.layers.fencing(),
         age_ms: 0,
     }
 }
 
 fn refuses(state: &EngineState, order: &upstream::StageRequest) -> bool {
-    let held = state.options.layers;
     order.route.get(order.hop).is_none_or(|stage| {
-        stage.incarnation != state.incarnation
-            || order.model != state.options.model
-            || stage.layers.from < held.from
-            || stage.layers.to > held.to
+        stage.incarnation != state.incarnation || !state.layers.holds(&order.model, stage.layers)
     })
 }
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod model;
+pub mod order;
 pub mod platform;
 pub mod server;
 pub mod service;
