Give each process of a fleet an IP number of its own

Cause: a fleet test failed once with "Address already in use". A drawn port is free until it is bound, and the system gives it again meanwhile: of 250 draws, one or more were given twice.

Change: `free_address` draws on 127.x.y.z, x.y from the process and z in turn.

Seen: `drawn_addresses_differ_before_they_are_bound` on one IP number had fewer than 250 different addresses, and passes now.

Ruled out: outgoing connections; 2,000 of them took none of 200 drawn ports, since the system draws them from the other half of its range.

--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::time;
 
 use anyhow::Context;
@@ -25,16 +26,39 @@
 /// Longest wait for a node's list of members.
 const MEMBERS_LIMIT: time::Duration = time::Duration::from_millis(500);
 
+/// First second byte of the loopback networks that fleets use.
+const FIRST_NETWORK: u8 = 64;
+
+/// Process ids that are told apart.
+const PROCESS_NUMBERS: u32 = 128 << 8;
+
+/// IP numbers that one process uses in turn.
+const HOST_NUMBERS: u32 = 250;
+
 /// Longest wait for a process to become ready.
 const READY_LIMIT: time::Duration = time::Duration::from_secs(20);
 
-/// Returns a loopback address that was free a moment ago.
+/// Returns a loopback address that is free and given to nobody else.
+///
+/// A port that is free now may be given again before it is bound, so each
+/// address lies on an IP number of its own.
 ///
 /// # Errors
 ///
 /// When the system gives no port.
 pub fn free_address() -> anyhow::Result<net::SocketAddr> {
-    Ok(net::TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    // Tests run as processes of their own, so their ids keep them apart.
+    let process = process::id() % PROCESS_NUMBERS;
+    let [_, _, high, low] = process.to_be_bytes();
+    let next = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    let host = net::Ipv4Addr::new(
+        127,
+        FIRST_NETWORK + high,
+        low,
+        (next % HOST_NUMBERS) as u8 + 1,
+    );
+    Ok(net::TcpListener::bind((host, 0))?.local_addr()?)
 }
 
 /// A process of a fleet, killed when dropped.
