--- a/arbutusfold/src/command.rs
+++ b/arbutusfold/src/command.rs
@@ -221,15 +221,17 @@
 }
 
 async fn serve(settings: settings::NodeSettings, logger: slog::Logger) -> anyhow::Result<()> {
-    let (sender, receiver) = watch::channel(false);
+    let (sender, receiver) = watch::channel(0);
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     tokio::spawn(async move {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            sender.send_modify(|signals| *signals += 1);
         }
-        let _ = sender.send(true);
     });
     Ok(node::run(settings, logger, receiver).await?)
 }
--- a/arbutusfold/src/config/keep.rs
+++ b/arbutusfold/src/config/keep.rs
@@ -8,7 +8,6 @@
 use tokio::time;
 
 use super::{ANNOUNCE_PEERS, ConfigKeeper, ConfigPost};
-use crate::event;
 use crate::member;
 use crate::node;
 use crate::peer;
@@ -112,7 +111,6 @@
 
 async fn note_changes(core: &node::NodeCore) {
     let mut documents = core.config.watch();
-    let mut ready = false;
     // The first document may be there already.
     documents.mark_changed();
     while documents.changed().await.is_ok() {
@@ -120,10 +118,5 @@
             continue;
         };
         core.members.set_shares(member::shares(&held.document));
-        if !ready && core.is_serving() {
-            ready = true;
-            core.recorder
-                .record(event::EventCode::NodeReady, &core.settings.name, "");
-        }
     }
 }
--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::time as std_time;
 
+use futures_util::FutureExt;
 use hyper::body;
 use hyper_util::rt;
 use hyper_util::server::{conn, graceful};
@@ -19,6 +20,9 @@
 /// Time to wait before accepting again after the system refused.
 const ACCEPT_PAUSE: std_time::Duration = std_time::Duration::from_millis(20);
 
+/// Time between the end of listening and the end of connections that idle.
+const CLOSE_GRACE: std_time::Duration = std_time::Duration::from_millis(100);
+
 /// What one client may take of a node.
 #[derive(Clone, Debug)]
 pub struct ServeLimits {
@@ -62,7 +66,13 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|closed| *closed) => break,
+            _ = closed.wait_for(|closed| *closed) => {
+                // What waits to be accepted is still served.
+                match listener.accept().now_or_never() {
+                    Some(accepted) => accepted,
+                    None => break,
+                }
+            }
         };
         let Ok((socket, _)) = accepted else {
             // Too many open files: wait for some to close.
@@ -92,6 +102,8 @@
     }
     // New connections are refused while the old ones finish.
     drop(listener);
+    // A connection that was just accepted may have its request on the way.
+    time::sleep(CLOSE_GRACE).await;
     watcher.shutdown().await;
 }
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod load;
 pub mod model;
 pub mod order;
 pub mod platform;
