--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fairness;
 pub mod fleet_limit;
 pub mod full_outage;
+pub mod record;
 pub mod report;
 pub mod scenario;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -9,6 +9,7 @@
 use crate::fairness;
 use crate::fleet_limit;
 use crate::full_outage;
+use crate::record;
 use crate::report;
 
 /// A measurement that can be run by name.
@@ -49,6 +50,10 @@
         name: "admission-cost",
         measure: admission_cost::measure,
     },
+    BenchScenario {
+        name: "record",
+        measure: record::measure,
+    },
 ];
 
 impl BenchScenario {
