--- a/arbutusfold/src/suspect/isolation.rs
+++ b/arbutusfold/src/suspect/isolation.rs
@@ -11,6 +11,9 @@
 /// Time that a turn waits for news of suspects that went on at once.
 const SETTLE_TIME: std_time::Duration = std_time::Duration::from_millis(300);
 
+/// Silence after which a waiting suspect loses its place.
+const WAIT_LIFE: std_time::Duration = std_time::Duration::from_secs(2);
+
 /// Suspects that are remembered at a time.
 const SUSPECT_LIMIT: usize = 4_096;
 
@@ -79,9 +82,6 @@
     expires: time::Instant,
 }
 
-/// Silence after which a waiting suspect loses its place.
-const WAIT_LIFE: std_time::Duration = std_time::Duration::from_secs(2);
-
 impl IsolationDesk {
     /// Takes a call of node `from` and answers it, if it needs an answer.
     pub fn hear(
