Merge member: configuration also travels between regions

Cause: members of the own region alone were known as peers, so a document accepted in one region right before the store failed stayed there: with six nodes in two regions the other three still had version 1 after 7 s.

Change: keepers also tell two known nodes of other regions, carry the way back with each message, and ask a known node of a region when the one that was heard of cannot be reached.

Conclusion: the spread no longer leans on the store between regions.

--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -21,6 +21,7 @@
 //! # Ok::<(), arbutusfold::settings::SettingsError>(())
 //! ```
 
+pub mod address;
 pub mod admission;
 pub mod breaker;
 pub mod caller;
@@ -32,8 +33,11 @@
 pub mod config;
 pub mod console;
 pub mod document;
+pub mod drain;
 pub mod event;
 mod flow;
+pub mod gossip;
+pub mod health;
 pub mod id;
 pub mod limit;
 pub mod listen;
@@ -46,6 +50,7 @@
 pub mod place;
 pub mod plan;
 pub mod platform;
+pub mod probe;
 pub mod queue;
 pub mod record;
 pub mod retry;
--- /dev/null
+++ b/arbutusfold/src/node/flight.rs
@@ -0,0 +1,31 @@
+//! The count and the list of requests in flight.
+
+use std::sync;
+
+use super::NodeCore;
+use crate::id;
+
+/// Counts a request as in flight while it lives.
+pub struct FlightCount {
+    core: sync::Arc<NodeCore>,
+    request: id::RequestId,
+}
+
+impl FlightCount {
+    /// Counts a request.
+    pub fn new(core: &sync::Arc<NodeCore>, request: &str) -> Self {
+        core.metrics.in_flight.inc();
+        core.flights.begin(request);
+        Self {
+            core: sync::Arc::clone(core),
+            request: request.to_owned(),
+        }
+    }
+}
+
+impl Drop for FlightCount {
+    fn drop(&mut self) {
+        self.core.metrics.in_flight.dec();
+        self.core.flights.end(&self.request);
+    }
+}
--- a/fuzz/src/lib.rs
+++ b/fuzz/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod fake;
 pub mod freeze;
 pub mod runner;
+pub mod wire;
--- a/standin/tests/fleet_config.rs
+++ b/standin/tests/fleet_config.rs
@@ -12,6 +12,9 @@
 /// Time in which an accepted document must be in force on every node.
 const SPREAD_TARGET: time::Duration = time::Duration::from_secs(1);
 
+/// Time in which it must be in force in another region.
+const REGION_TARGET: time::Duration = time::Duration::from_secs(7);
+
 async fn start(name: &str, nodes: usize) -> fleet::TestFleet {
     let directory = std::env::temp_dir().join(format!("arbutusfold-{name}-{}", std::process::id()));
     let options = fleet::FleetOptions {
@@ -127,6 +130,46 @@
     assert_eq!(status.hosts.len(), NODES);
 }
 
+/// Restarts a node with another region in its settings.
+fn move_region(node: &mut fleet::FleetNode, region: &str) {
+    node.process.kill();
+    let text = std::fs::read_to_string(&node.settings).unwrap();
+    let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+    settings["region"] = region.into();
+    std::fs::write(&node.settings, settings.to_string()).unwrap();
+    let arguments = ["node", node.settings.to_str().unwrap()].map(str::to_owned);
+    let log = std::process::Stdio::null();
+    node.process = fleet::FleetProcess::start("arbutusfold", &arguments, log).unwrap();
+}
+
+#[tokio::test]
+async fn accepted_document_reaches_another_region_while_the_store_is_down() {
+    let mut fleet = start("regions", 6).await;
+    for node in &mut fleet.nodes[3..] {
+        move_region(node, "nz-north");
+    }
+    for node in &fleet.nodes {
+        fleet::await_http(node.operators, "/health").await.unwrap();
+    }
+    fleet.submit(0, &fleet.document()).await.unwrap();
+    await_version(&fleet, 1, time::Duration::from_secs(10)).await;
+    // Regions meet, and the old records of the moved hosts run out.
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    let plan = fault::FaultPlan {
+        outage_after_commit: true,
+        ..fault::FaultPlan::default()
+    };
+    fleet::set_faults(fleet.platform, &plan).await.unwrap();
+    let (status, body) = submit(&fleet.nodes[1], 1, &with_weight(&fleet, 2)).await;
+    assert_eq!(status, 200, "{body}");
+    let begin = time::Instant::now();
+    await_version(&fleet, 2, REGION_TARGET).await;
+    println!(
+        "in force in two regions with the store down {:?} after acceptance",
+        begin.elapsed()
+    );
+}
+
 #[tokio::test]
 async fn one_of_two_operators_wins_and_the_other_sees_the_difference() {
     let fleet = start("race", 2).await;
@@ -225,6 +268,10 @@
     let (code, story) = command(&fleet, &["explain", "1"]);
     assert_eq!(code, 0);
     assert!(story.contains("ConfigInForce"), "{story}");
+    // A node names itself once it has also heard of the upstreams.
+    fleet::await_http(fleet.nodes[0].operators, "/ready")
+        .await
+        .unwrap();
     let callers = fleet.nodes[0].callers.to_string();
     let (code, addresses) = command(&fleet, &["addresses", "--callers", &callers]);
     assert_eq!(code, 0);
