Count what submissions are told; show the version in force as a metric

Cause: a fuzz run did not show whether its steps bite; a fleet that lags was seen by config status only.

Change: the fuzz prints and demands accepted, refused, conflicting and unknown submissions. The gauge config_version.

--- a/arbutusfold/src/config.rs
+++ b/arbutusfold/src/config.rs
@@ -440,7 +440,7 @@
 }
 
 /// Runs work on a large document without holding up the streams of this thread.
-fn aside<T>(work: impl FnOnce() -> T) -> T {
+pub(crate) fn aside<T>(work: impl FnOnce() -> T) -> T {
     let flavor = runtime::Handle::try_current().map(|handle| handle.runtime_flavor());
     match flavor {
         Ok(runtime::RuntimeFlavor::MultiThread) => task::block_in_place(work),
--- a/arbutusfold/src/config/keep.rs
+++ b/arbutusfold/src/config/keep.rs
@@ -202,6 +202,8 @@
         let Some(held) = documents.borrow_and_update().clone() else {
             continue;
         };
+        // Versions stay far below the largest number of a gauge.
+        core.metrics.config_version.set(held.version.cast_signed());
         core.members.set_shares(member::shares(&held.document));
     }
 }
--- a/arbutusfold/src/metric.rs
+++ b/arbutusfold/src/metric.rs
@@ -22,6 +22,8 @@
     pub retries: counter::Counter,
     /// Requests in flight.
     pub in_flight: gauge::Gauge,
+    /// Version of the configuration in force.
+    pub config_version: gauge::Gauge,
 }
 
 impl Default for MetricSet {
@@ -35,6 +37,7 @@
             dropped: counter::Counter::default(),
             retries: counter::Counter::default(),
             in_flight: gauge::Gauge::default(),
+            config_version: gauge::Gauge::default(),
         };
         let counters = [
             ("requests", "Requests that callers sent", &set.requests),
@@ -49,6 +52,11 @@
         }
         set.registry
             .register("in_flight", "Requests in flight", set.in_flight.clone());
+        set.registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            set.config_version.clone(),
+        );
         set
     }
 }
--- a/fuzz/tests/config.rs
+++ b/fuzz/tests/config.rs
@@ -4,6 +4,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time as std_time;
 
 use arbutusfold::{config, document, event, platform};
@@ -16,6 +17,12 @@
 
 const NODES: usize = 4;
 
+/// What submissions were told over all cases, to show that the steps bite.
+static ACCEPTED: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+static CONFLICTS: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+static NOT_ACCEPTED: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+static UNKNOWN: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
 /// Time of one look at what nodes have to say to each other.
 const SLICE: std_time::Duration = std_time::Duration::from_millis(50);
 
@@ -210,6 +217,7 @@
         let work = node.switch.wrap(async move {
             let verdict = match keeper.submit(base, "operator", text).await {
                 Ok(version) => {
+                    count(&ACCEPTED);
                     if then_fail {
                         table.set_weather(fake::TableWeather {
                             outage: true,
@@ -218,8 +226,16 @@
                     }
                     Verdict::Accepted(version)
                 }
-                Err(config::ConfigError::Unknown { .. }) => Verdict::Open,
-                Err(config::ConfigError::Conflict(_) | config::ConfigError::NotAccepted(_)) => {
+                Err(config::ConfigError::Unknown { .. }) => {
+                    count(&UNKNOWN);
+                    Verdict::Open
+                }
+                Err(config::ConfigError::Conflict(_)) => {
+                    count(&CONFLICTS);
+                    Verdict::Refused
+                }
+                Err(config::ConfigError::NotAccepted(_)) => {
+                    count(&NOT_ACCEPTED);
                     Verdict::Refused
                 }
                 Err(error) => panic!("{error}"),
@@ -375,6 +391,10 @@
     message: Vec<u8>,
 }
 
+fn count(counter: &atomic::AtomicUsize) {
+    counter.fetch_add(1, atomic::Ordering::Relaxed);
+}
+
 fn name_of(index: usize) -> String {
     format!("entry-{index}")
 }
@@ -450,6 +470,9 @@
         steps: 50,
     };
     let steps = runner::run::<ConfigFuzz>(plan);
-    println!("{steps} steps");
+    let told = [&ACCEPTED, &CONFLICTS, &NOT_ACCEPTED, &UNKNOWN]
+        .map(|counter| counter.load(atomic::Ordering::Relaxed));
+    println!("{steps} steps; accepted, conflicts, not accepted, unknown: {told:?}");
+    assert!(told.iter().all(|told| *told > 0), "{told:?}");
     assert!(steps >= 30_000 || std::env::var("ARBUTUSFOLD_FUZZ_CASES").is_ok());
 }
