--- a/arbutusfold/src/operate.rs
+++ b/arbutusfold/src/operate.rs
@@ -176,14 +176,17 @@
     let hosts = core.members.alive().into_iter().map(|record| {
         // What this node told its peers of itself is a moment old.
         let own = record.name == core.settings.name;
-        let serving = record.phase == member::MemberPhase::Serving;
         HostStatus {
             version: if own {
                 core.config.version()
             } else {
                 record.version
             },
-            serving: if own { core.is_serving() } else { serving },
+            serving: if own {
+                core.is_serving()
+            } else {
+                record.phase == member::MemberPhase::Serving
+            },
             host: record.name,
             region: record.region,
             domain: record.domain,
