--- a/fuzz/tests/config.rs
+++ b/fuzz/tests/config.rs
@@ -245,11 +245,14 @@
         node.tasks.push(self.runtime.spawn(work));
     }
 
-    /// Writes a document that does not hold, as a faulty tool might.
+    /// Writes a document that does not hold or has another digest, as a faulty tool might.
     fn spoil(&mut self, whole: bool) {
         let Some(head) = self.head() else { return };
         let version = head.version + 1;
-        let text = if whole { "{\"models\": 3}" } else { "{}" };
+        let text = match whole {
+            true => r#"{"models": 3}"#,
+            false => r#"{"models": [], "pipelines": [], "upstreams": [], "organisations": []}"#,
+        };
         let digest = document::digest_key(if whole { text } else { "another text" });
         let head = config::ConfigHead { version, digest };
         let write = |table: &str, key: String, value| platform::RowWrite {
