--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -3,6 +3,7 @@
 use anyhow::Context;
 
 use crate::config;
+use crate::record;
 use crate::report;
 
 /// A measurement that can be run by name.
@@ -14,10 +15,16 @@
 }
 
 /// Every scenario, in the order of the output.
-const SCENARIOS: &[BenchScenario] = &[BenchScenario {
-    name: "config",
-    measure: config::measure,
-}];
+const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "config",
+        measure: config::measure,
+    },
+    BenchScenario {
+        name: "record",
+        measure: record::measure,
+    },
+];
 
 impl BenchScenario {
     /// Runs the scenario.
--- a/fuzz/tests/lease.rs
+++ b/fuzz/tests/lease.rs
@@ -302,7 +302,9 @@
             let last = *known.last_key_value().unwrap().0;
             assert_eq!(last, held.fencing, "a fencing number that went back");
         }
-        assert_eq!(self.shared.lock().unwrap().broken, None);
+        if let Some(broken) = self.shared.lock().unwrap().broken {
+            panic!("{broken}");
+        }
     }
 
     /// Lets time pass and checks at each slice of it.
