Read tokens without copying them

Cause: each token cost a string for its request, one for its text and a vector for its proof, and was kept as a string of its own.

Change: `TokenView` borrows from the line that the token came in, stamps of up to four stages lie inline, delivered text is one string with its ends.

--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -462,7 +462,7 @@
     }
 
     fn take_line(&mut self, line: &[u8]) -> LineOutcome {
-        let token = match serde_json::from_slice::<upstream::StageToken>(line) {
+        let token = match serde_json::from_slice::<upstream::TokenView<'_>>(line) {
             Ok(token) => token,
             Err(error) => return self.take_fault(line, &error),
         };
@@ -475,7 +475,7 @@
         }
         self.note_token();
         LineOutcome::Piece(AnswerPiece {
-            text: token.text,
+            text: token.text.into_owned(),
             finish: token.finish,
         })
     }
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -74,6 +74,40 @@
     }
 }
 
+/// The texts of delivered tokens, kept as one.
+#[derive(Clone, Debug, Default)]
+pub struct DeliveredText {
+    text: String,
+    /// Where each token's text ends.
+    ends: Vec<usize>,
+}
+
+impl DeliveredText {
+    fn push(&mut self, text: &str) {
+        self.text.push_str(text);
+        self.ends.push(self.text.len());
+    }
+
+    /// Returns the number of tokens.
+    pub fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Tells whether there is no token.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// Returns the text of each token.
+    pub fn to_vec(&self) -> Vec<String> {
+        let starts = std::iter::once(&0).chain(&self.ends);
+        starts
+            .zip(&self.ends)
+            .map(|(start, end)| self.text[*start..*end].to_owned())
+            .collect()
+    }
+}
+
 /// The state of one answer over all its attempts.
 #[derive(Clone, Debug)]
 pub struct AnswerState {
@@ -81,7 +115,7 @@
     attempt: id::AttemptNumber,
     layers: id::LayerIndex,
     route: Vec<upstream::RouteStage>,
-    delivered: Vec<String>,
+    delivered: DeliveredText,
 }
 
 impl AnswerState {
@@ -92,7 +126,7 @@
             attempt: 0,
             layers,
             route: Vec::new(),
-            delivered: Vec::new(),
+            delivered: DeliveredText::default(),
         }
     }
 
@@ -104,7 +138,7 @@
     }
 
     /// Returns the tokens that were delivered.
-    pub fn delivered(&self) -> &[String] {
+    pub fn delivered(&self) -> &DeliveredText {
         &self.delivered
     }
 
@@ -128,10 +162,10 @@
     /// # Errors
     ///
     /// [`ProofError`] tells why the token must not reach the caller.
-    pub fn accept(&mut self, token: &upstream::StageToken) -> Result<(), ProofError> {
+    pub fn accept(&mut self, token: &upstream::TokenView<'_>) -> Result<(), ProofError> {
         if token.request != self.request {
             return Err(ProofError::Crossed {
-                found: token.request.clone(),
+                found: token.request.clone().into_owned(),
             });
         }
         if token.attempt != self.attempt {
@@ -149,7 +183,7 @@
         if !covers_once(&token.proof, &self.route, self.layers) {
             return Err(ProofError::Passage);
         }
-        self.delivered.push(token.text.clone());
+        self.delivered.push(&token.text);
         Ok(())
     }
 }
--- a/arbutusfold/src/upstream.rs
+++ b/arbutusfold/src/upstream.rs
@@ -1,5 +1,6 @@
 //! What nodes and model engines tell each other, and what nodes know of them.
 
+use std::borrow;
 use std::collections;
 use std::net;
 use std::sync;
@@ -114,6 +115,42 @@
     pub finish: Option<FinishReason>,
 }
 
+/// Stamps of a token; routes of up to four stages need no allocation.
+pub type StampVec = smallvec::SmallVec<[StageStamp; 4]>;
+
+/// A token as it is read: its texts stay in the line that it came in.
+#[derive(Clone, Debug, Deserialize)]
+pub struct TokenView<'a> {
+    /// Request that the token belongs to.
+    #[serde(borrow)]
+    pub request: borrow::Cow<'a, str>,
+    /// Attempt that made the token.
+    pub attempt: id::AttemptNumber,
+    /// Index in the answer.
+    pub index: id::TokenIndex,
+    /// Text of the token.
+    #[serde(borrow)]
+    pub text: borrow::Cow<'a, str>,
+    /// Stages that the token passed, in order.
+    pub proof: StampVec,
+    /// Set on the last token of the answer.
+    pub finish: Option<FinishReason>,
+}
+
+impl StageToken {
+    /// Returns the token as a reader sees it.
+    pub fn view(&self) -> TokenView<'_> {
+        TokenView {
+            request: borrow::Cow::Borrowed(&self.request),
+            attempt: self.attempt,
+            index: self.index,
+            text: borrow::Cow::Borrowed(&self.text),
+            proof: StampVec::from_slice(&self.proof),
+            finish: self.finish,
+        }
+    }
+}
+
 /// The last line of a stream that broke off, where an engine can tell why.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StageFault {
--- a/arbutusfold/tests/stream.rs
+++ b/arbutusfold/tests/stream.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::time;
+
 use arbutusfold::{stream, upstream};
 
 const LAYERS: u32 = 8;
@@ -45,8 +47,11 @@
 #[test]
 fn whole_passage_is_accepted() {
     let mut answer = answer();
-    assert_eq!(answer.accept(&token(1, 0, &[(1, 0, 4), (2, 4, 8)])), Ok(()));
-    assert_eq!(answer.delivered().len(), 1);
+    assert_eq!(
+        answer.accept(&token(1, 0, &[(1, 0, 4), (2, 4, 8)]).view()),
+        Ok(())
+    );
+    assert_eq!(answer.delivered().to_vec(), [" veil"]);
 }
 
 #[test]
@@ -60,7 +65,7 @@
         &[(1, 0, 4), (3, 4, 8)],
     ];
     for proof in broken {
-        let refused = answer().accept(&token(1, 0, proof));
+        let refused = answer().accept(&token(1, 0, proof).view());
         assert_eq!(refused, Err(stream::ProofError::Passage), "{proof:?}");
     }
 }
@@ -69,9 +74,9 @@
 fn late_crossed_and_doubled_tokens_are_refused() {
     let whole: &[(u64, u32, u32)] = &[(1, 0, 4), (2, 4, 8)];
     let mut answer = answer();
-    assert_eq!(answer.accept(&token(1, 0, whole)), Ok(()));
+    assert_eq!(answer.accept(&token(1, 0, whole).view()), Ok(()));
     assert_eq!(
-        answer.accept(&token(1, 0, whole)),
+        answer.accept(&token(1, 0, whole).view()),
         Err(stream::ProofError::Index {
             found: 0,
             expected: 1
@@ -80,12 +85,44 @@
     let mut crossed = token(1, 1, whole);
     crossed.request = "other".to_owned();
     assert!(matches!(
-        answer.accept(&crossed),
+        answer.accept(&crossed.view()),
         Err(stream::ProofError::Crossed { .. })
     ));
     answer.begin(vec![stage(1, 0, 4), stage(2, 4, 8)]);
     assert_eq!(
-        answer.accept(&token(1, 1, whole)),
+        answer.accept(&token(1, 1, whole).view()),
         Err(stream::ProofError::Late { found: 1 })
     );
 }
+
+#[test]
+fn text_with_escapes_is_read_whole() {
+    let mut sent = token(1, 0, &[(1, 0, 4), (2, 4, 8)]);
+    sent.text = "\"quote\"\n\u{e9}".to_owned();
+    let line = serde_json::to_string(&sent).unwrap();
+    let read: upstream::TokenView<'_> = serde_json::from_str(&line).unwrap();
+    let mut answer = answer();
+    assert_eq!(answer.accept(&read), Ok(()));
+    assert_eq!(answer.delivered().to_vec(), [sent.text]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_is_judged_by_the_gaps_of_the_route() {
+    let gap = |meter: &stream::GapMeter| meter.limit().as_millis();
+    let fresh = stream::GapMeter::new(None);
+    assert_eq!(gap(&fresh), 200);
+    let slow = stream::GapMeter::new(Some(time::Duration::from_millis(150)));
+    assert_eq!(gap(&slow), 600);
+    let mut steady = stream::GapMeter::new(None);
+    for _ in 0..50 {
+        steady.note(tokio::time::Instant::now());
+        tokio::time::advance(time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(gap(&steady), 400);
+    let mut halting = stream::GapMeter::new(None);
+    for _ in 0..50 {
+        halting.note(tokio::time::Instant::now());
+        tokio::time::advance(time::Duration::from_secs(9)).await;
+    }
+    assert_eq!(gap(&halting), 2_000);
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -41,7 +41,7 @@
         #[bpaf(long, fallback(2_000))]
         step_us: u64,
         /// Tokens that pass in one step.
-        #[bpaf(long, fallback(64))]
+        #[bpaf(long, fallback(1_024))]
         batch: usize,
         /// Time to compute one token of a prompt, in microseconds.
         #[bpaf(long, fallback(0))]
