Measure the live decisions over fake engines on a paused clock

Cause: no figure could be given for throughput, recovery, latency or the cost of a decision.

What follows a failed attempt moved out of the driver into `attempt`, so that the tool runs the same code.

--- /dev/null
+++ b/arbutusfold/src/attempt.rs
@@ -0,0 +1,214 @@
+//! What follows when an attempt fails: who is blamed, and when the next begins.
+
+use std::time as std_time;
+
+use derive_more::Display;
+use rand::RngExt;
+use tokio::time;
+
+use crate::id;
+use crate::route;
+use crate::stream;
+use crate::upstream;
+
+/// Failed attempts without a new token after which an answer is given up.
+const FAILURE_LIMIT: u32 = 6;
+
+/// Refusals of stale stages in a row after which an answer is given up.
+const REFUSAL_LIMIT: u32 = 32;
+
+/// Pause before the second attempt without a new token; it doubles from there.
+const BACKOFF_START: std_time::Duration = std_time::Duration::from_millis(10);
+
+/// Longest pause between two attempts.
+const BACKOFF_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Doublings of the allowed silence after failures in a row.
+const PATIENCE_LIMIT: u32 = 3;
+
+/// Why an attempt ended before its answer was complete.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// The first stage refused before anything ran.
+    #[display("the first stage refused")]
+    Refused,
+    /// The first stage cannot take work now.
+    #[display("the first stage answered {status}")]
+    Busy {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The first stage was not reached.
+    #[display("{reason}")]
+    NotSent {
+        /// Cause.
+        reason: String,
+    },
+    /// The first stage did not answer in time.
+    #[display("the first stage did not answer")]
+    Unanswered,
+    /// The connection to the first stage broke.
+    #[display("{reason}")]
+    Broken {
+        /// Cause.
+        reason: String,
+    },
+    /// An engine said which stage broke.
+    #[display("stage {hop} broke, refused: {refused}")]
+    Stage {
+        /// Position in the route.
+        hop: usize,
+        /// Whether it refused before it ran anything.
+        refused: bool,
+    },
+    /// No token came in time.
+    #[display("the route stalled")]
+    Stalled,
+    /// The stream ended before the answer did.
+    #[display("the stream ended early")]
+    EndedEarly,
+    /// A token had no proof of its passage.
+    #[display("{_0}")]
+    Unproved(stream::ProofError),
+}
+
+/// An attempt that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt<'a> {
+    /// Stages of the attempt.
+    pub route: &'a [upstream::RouteStage],
+    /// Why it failed.
+    pub failure: &'a AttemptFailure,
+    /// When it began.
+    pub begun: time::Instant,
+    /// When its last token came.
+    pub last: Option<time::Instant>,
+}
+
+/// Who is to blame for a failed attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptBlame {
+    /// Position of the stage in the route, where it is known.
+    pub hop: Option<usize>,
+    /// Whether that stage's upstream died while the attempt may have run there.
+    pub died: bool,
+}
+
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Another attempt, which needs no leave, because nothing ran.
+    Again(std_time::Duration),
+    /// Another attempt after a pause, if it is allowed.
+    Retry(std_time::Duration),
+    /// The answer is given up.
+    GiveUp(&'static str),
+}
+
+/// Failures of one answer since its last token.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptPolicy {
+    avoid: Vec<id::UpstreamName>,
+    failures: u32,
+    refusals: u32,
+}
+
+impl AttemptPolicy {
+    /// Returns the upstreams that failed this answer of late.
+    pub fn avoid(&self) -> &[id::UpstreamName] {
+        &self.avoid
+    }
+
+    /// Returns how many times longer than usual a route may be silent.
+    pub fn patience(&self) -> u32 {
+        1 << self.failures.min(PATIENCE_LIMIT)
+    }
+
+    /// Notes that a token was delivered.
+    pub fn note_token(&mut self) {
+        self.failures = 0;
+        self.refusals = 0;
+    }
+
+    /// Lays the blame for a failed attempt.
+    pub fn blame(
+        &mut self,
+        failed: &FailedAttempt<'_>,
+        keeper: &mut route::RouteKeeper,
+        now: time::Instant,
+    ) -> AttemptBlame {
+        if failed.last.is_some() {
+            self.avoid.clear();
+        }
+        let (hop, died) = match failed.failure {
+            AttemptFailure::Refused => return self.blame_refusal(failed, 0, keeper, now),
+            AttemptFailure::Stage { hop, refused: true } => {
+                return self.blame_refusal(failed, *hop, keeper, now);
+            }
+            AttemptFailure::Busy { .. }
+            | AttemptFailure::NotSent { .. }
+            | AttemptFailure::Unanswered => (0, false),
+            AttemptFailure::Broken { .. } => (0, true),
+            AttemptFailure::Stage { hop, .. } => (*hop, true),
+            AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
+                let since = failed.last.unwrap_or(failed.begun);
+                keeper.note_suspicion(failed.route, since, now);
+                let names = failed.route.iter().map(|stage| stage.upstream.clone());
+                self.avoid.extend(names);
+                return AttemptBlame::default();
+            }
+        };
+        let Some(stage) = failed.route.get(hop) else {
+            return AttemptBlame::default();
+        };
+        keeper.note_failure(&stage.upstream, now);
+        self.avoid.push(stage.upstream.clone());
+        AttemptBlame {
+            hop: Some(hop),
+            died,
+        }
+    }
+
+    fn blame_refusal(
+        &mut self,
+        failed: &FailedAttempt<'_>,
+        hop: usize,
+        keeper: &mut route::RouteKeeper,
+        now: time::Instant,
+    ) -> AttemptBlame {
+        let Some(stage) = failed.route.get(hop) else {
+            return AttemptBlame::default();
+        };
+        keeper.note_refusal(&stage.upstream, now);
+        self.avoid.push(stage.upstream.clone());
+        AttemptBlame {
+            hop: Some(hop),
+            died: false,
+        }
+    }
+
+    /// Returns what follows a failure.
+    pub fn next(&mut self, failure: &AttemptFailure, rng: &mut impl rand::Rng) -> NextStep {
+        if *failure == AttemptFailure::Refused {
+            self.refusals += 1;
+            return match self.refusals >= REFUSAL_LIMIT {
+                true => NextStep::GiveUp("every route was stale"),
+                false => NextStep::Again(backoff(self.refusals, rng)),
+            };
+        }
+        self.failures += 1;
+        match self.failures >= FAILURE_LIMIT {
+            true => NextStep::GiveUp("every attempt failed"),
+            false => NextStep::Retry(backoff(self.failures, rng)),
+        }
+    }
+}
+
+/// Returns the pause after failures in a row; the first is answered at once.
+fn backoff(failures: u32, rng: &mut impl rand::Rng) -> std_time::Duration {
+    let Some(doublings) = failures.checked_sub(2) else {
+        return std_time::Duration::ZERO;
+    };
+    let longest = (BACKOFF_START * (1 << doublings.min(8))).min(BACKOFF_LIMIT);
+    longest.mul_f64(rng.random_range(0.5..1.0))
+}
--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -5,10 +5,10 @@
 use std::time as std_time;
 
 use bytes::{Buf, Bytes, BytesMut};
-use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use tokio::time;
 
+use crate::attempt;
 use crate::caller;
 use crate::choose;
 use crate::client;
@@ -20,18 +20,6 @@
 use crate::stream;
 use crate::upstream;
 
-/// Attempts without a new token after which an answer is given up.
-const ATTEMPT_LIMIT: u32 = 6;
-
-/// Refusals of stale stages in a row after which an answer is given up.
-const REFUSAL_LIMIT: u32 = 32;
-
-/// Pause before the second attempt without a new token; it doubles from there.
-const BACKOFF_START: std_time::Duration = std_time::Duration::from_millis(10);
-
-/// Longest pause between two attempts.
-const BACKOFF_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
-
 /// Time between two looks for a route while none exists.
 const ROUTE_WAIT: std_time::Duration = std_time::Duration::from_millis(20);
 
@@ -141,12 +129,7 @@
     open: Option<OpenAttempt>,
     /// When the current attempt began.
     begun: time::Instant,
-    /// Upstreams that failed since the last token.
-    avoid: Vec<id::UpstreamName>,
-    /// Failed attempts since the last token.
-    failures: u32,
-    /// Refused attempts since the last token.
-    refusals: u32,
+    policy: attempt::AttemptPolicy,
     ran: caller::RunOutcome,
     ended: bool,
 }
@@ -215,46 +198,14 @@
     }
 }
 
-/// Why an attempt ended before its answer was complete.
-#[derive(Debug, Display)]
-enum AttemptFailure {
-    /// The first stage refused before anything ran.
-    #[display("the first stage refused")]
-    Refused,
-    /// The first stage cannot take work now.
-    #[display("the first stage answered {status}")]
-    Busy { status: u16 },
-    /// The first stage was not reached.
-    #[display("{reason}")]
-    NotSent { reason: String },
-    /// The first stage did not answer in time.
-    #[display("the first stage did not answer")]
-    Unanswered,
-    /// The connection to the first stage broke.
-    #[display("{reason}")]
-    Broken { reason: String },
-    /// An engine said which stage broke.
-    #[display("stage {hop} broke, refused: {refused}")]
-    Stage { hop: usize, refused: bool },
-    /// No token came in time.
-    #[display("the route stalled")]
-    Stalled,
-    /// The stream ended before the answer did.
-    #[display("the stream ended early")]
-    EndedEarly,
-    /// A token had no proof of its passage.
-    #[display("{_0}")]
-    Unproved(stream::ProofError),
-}
-
 /// What one line of a stream comes to.
 enum LineOutcome {
     Piece(AnswerPiece),
     Dropped,
-    Failed(AttemptFailure),
+    Failed(attempt::AttemptFailure),
 }
 
-type AttemptStep = Result<Option<AnswerPiece>, AttemptFailure>;
+type AttemptStep = Result<Option<AnswerPiece>, attempt::AttemptFailure>;
 
 impl CompletionDriver {
     /// Creates a driver that has not begun.
@@ -266,9 +217,7 @@
             answer,
             open: None,
             begun: time::Instant::now(),
-            avoid: Vec::new(),
-            failures: 0,
-            refusals: 0,
+            policy: attempt::AttemptPolicy::default(),
             ran: caller::RunOutcome::No,
             ended: false,
         }
@@ -319,7 +268,7 @@
         let recent = self.core.routes.lock().recent_gap(&route);
         self.begun = time::Instant::now();
         let meter = stream::GapMeter::new(recent);
-        let limit = meter.first_limit(self.prompt_tokens()) * self.patience();
+        let limit = meter.first_limit(self.prompt_tokens()) * self.policy.patience();
         let due = (self.begun + limit).min(self.order.deadline);
         let opened = time::timeout_at(due, self.open_stream(route)).await;
         Ok(match opened {
@@ -338,29 +287,24 @@
             Ok(Err(error)) => Err(self.judge(error)),
             Err(_) => {
                 self.note_ran(caller::RunOutcome::Unknown);
-                Err(AttemptFailure::Unanswered)
+                Err(attempt::AttemptFailure::Unanswered)
             }
         })
     }
 
     /// Turns a failed call of the first stage into a failure of the attempt.
-    fn judge(&mut self, error: client::ClientError) -> AttemptFailure {
+    fn judge(&mut self, error: client::ClientError) -> attempt::AttemptFailure {
         match error {
-            client::ClientError::NotSent { reason } => AttemptFailure::NotSent { reason },
-            client::ClientError::Status { status: 409, .. } => AttemptFailure::Refused,
-            client::ClientError::Status { status, .. } => AttemptFailure::Busy { status },
+            client::ClientError::NotSent { reason } => attempt::AttemptFailure::NotSent { reason },
+            client::ClientError::Status { status: 409, .. } => attempt::AttemptFailure::Refused,
+            client::ClientError::Status { status, .. } => attempt::AttemptFailure::Busy { status },
             client::ClientError::Lost { reason } => {
                 self.note_ran(caller::RunOutcome::Unknown);
-                AttemptFailure::Broken { reason }
+                attempt::AttemptFailure::Broken { reason }
             }
         }
     }
 
-    /// Returns how many times longer than usual a route may be silent.
-    fn patience(&self) -> u32 {
-        1 << self.failures.min(3)
-    }
-
     /// Returns the tokens that the next attempt must compute before its first.
     fn prompt_tokens(&self) -> usize {
         self.order.prompt.len() / BYTES_PER_TOKEN + self.answer.delivered().len()
@@ -376,7 +320,7 @@
             model: &self.order.model.name,
             prompt: &self.order.prompt,
             previous: self.answer.route(),
-            avoid: &self.avoid,
+            avoid: self.policy.avoid(),
         };
         loop {
             let now = time::Instant::now();
@@ -453,11 +397,11 @@
                 }
                 Ok(None)
             }
-            Some(Some(Err(error))) => Err(AttemptFailure::Broken {
+            Some(Some(Err(error))) => Err(attempt::AttemptFailure::Broken {
                 reason: error.to_string(),
             }),
-            Some(None) => Err(AttemptFailure::EndedEarly),
-            None => Err(AttemptFailure::Stalled),
+            Some(None) => Err(attempt::AttemptFailure::EndedEarly),
+            None => Err(attempt::AttemptFailure::Stalled),
         }
     }
 
@@ -469,7 +413,7 @@
         if let Err(error) = self.answer.accept(&token) {
             self.note_dropped(error.to_string());
             return match error.breaks_stream() {
-                true => LineOutcome::Failed(AttemptFailure::Unproved(error)),
+                true => LineOutcome::Failed(attempt::AttemptFailure::Unproved(error)),
                 false => LineOutcome::Dropped,
             };
         }
@@ -488,7 +432,7 @@
             self.note_dropped(error.to_string());
             return LineOutcome::Dropped;
         };
-        LineOutcome::Failed(AttemptFailure::Stage {
+        LineOutcome::Failed(attempt::AttemptFailure::Stage {
             hop: fault.fault_hop,
             refused: fault.refused,
         })
@@ -504,8 +448,7 @@
 
     fn note_token(&mut self) {
         self.note_ran(caller::RunOutcome::Yes);
-        self.failures = 0;
-        self.refusals = 0;
+        self.policy.note_token();
         self.core.metrics.tokens.inc();
         let now = time::Instant::now();
         if let Some(open) = &mut self.open {
@@ -516,104 +459,58 @@
         }
     }
 
-    async fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
+    async fn fail_attempt(
+        &mut self,
+        failure: &attempt::AttemptFailure,
+    ) -> Result<(), caller::CallerError> {
+        let now = time::Instant::now();
         let last = self.open.take().and_then(|open| open.meter.last());
-        let progress = last.is_some();
-        if progress {
-            self.avoid.clear();
+        let failed = attempt::FailedAttempt {
+            route: self.answer.route(),
+            failure,
+            begun: self.begun,
+            last,
+        };
+        let blame = {
+            let mut keeper = self.core.routes.lock();
+            self.policy.blame(&failed, &mut keeper, now)
+        };
+        let blamed = blame.hop.and_then(|hop| self.answer.route().get(hop));
+        if let Some(stage) = blamed.filter(|_| blame.died) {
+            self.core.gate.note_death(&self.order, &stage.upstream, now);
         }
-        let blamed = self.blame(failure, last.unwrap_or(self.begun));
         self.core.recorder.record(
             event::EventCode::AttemptFailed,
             &self.order.request,
             format!("attempt {}: {failure}", self.answer.attempt()),
         );
-        let now = time::Instant::now();
         if now >= self.order.deadline {
             return Err(self.give_up("the deadline has passed"));
         }
-        if matches!(failure, AttemptFailure::Refused) {
-            return self.allow_refusal().await;
-        }
-        self.failures += 1;
-        if self.failures >= ATTEMPT_LIMIT {
-            return Err(self.give_up("every attempt failed"));
-        }
-        let notice = AttemptNotice {
-            order: &self.order,
-            attempt: self.answer.attempt(),
-            ran: self.ran,
-            route: self.answer.route(),
-            blamed: blamed.and_then(|hop| self.answer.route().get(hop)),
-            sent: !matches!(failure, AttemptFailure::NotSent { .. }),
-            progress,
-        };
-        if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now).await {
-            return Err(error);
-        }
-        self.core.metrics.retries.inc();
-        self.back_off(self.failures).await;
-        Ok(())
-    }
-
-    /// A refused attempt ran nowhere, so it costs no retry.
-    async fn allow_refusal(&mut self) -> Result<(), caller::CallerError> {
-        self.refusals += 1;
-        if self.refusals >= REFUSAL_LIMIT {
-            return Err(self.give_up("every route was stale"));
-        }
-        self.back_off(self.refusals).await;
-        Ok(())
-    }
-
-    async fn back_off(&self, failures: u32) {
-        // The first failure in a row is answered at once.
-        let Some(doublings) = failures.checked_sub(2) else {
-            return;
-        };
-        let longest = (BACKOFF_START * (1 << doublings.min(8))).min(BACKOFF_LIMIT);
-        let pause = longest.mul_f64(rand::random_range(0.5..1.0));
-        time::sleep_until((time::Instant::now() + pause).min(self.order.deadline)).await;
-    }
-
-    /// Notes who failed and returns the stage where it is known.
-    ///
-    /// Nothing has passed the route since `since`.
-    fn blame(&mut self, failure: &AttemptFailure, since: time::Instant) -> Option<usize> {
-        let now = time::Instant::now();
-        let route = self.answer.route();
-        let mut keeper = self.core.routes.lock();
-        let (hop, died) = match failure {
-            AttemptFailure::Refused => {
-                keeper.note_refusal(&route.first()?.upstream, now);
-                self.avoid.push(route.first()?.upstream.clone());
-                return Some(0);
-            }
-            AttemptFailure::Stage { hop, refused: true } => {
-                keeper.note_refusal(&route.get(*hop)?.upstream, now);
-                self.avoid.push(route.get(*hop)?.upstream.clone());
-                return Some(*hop);
-            }
-            AttemptFailure::Busy { .. }
-            | AttemptFailure::NotSent { .. }
-            | AttemptFailure::Unanswered => (0, false),
-            AttemptFailure::Broken { .. } => (0, true),
-            AttemptFailure::Stage { hop, .. } => (*hop, true),
-            AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
-                keeper.note_suspicion(route, since, now);
-                let names = route.iter().map(|stage| stage.upstream.clone());
-                self.avoid.extend(names);
-                return None;
+        // The generator may not be held over an await.
+        let step = self.policy.next(failure, &mut rand::rng());
+        let pause = match step {
+            attempt::NextStep::GiveUp(reason) => return Err(self.give_up(reason)),
+            attempt::NextStep::Again(pause) => pause,
+            attempt::NextStep::Retry(pause) => {
+                let notice = AttemptNotice {
+                    order: &self.order,
+                    attempt: self.answer.attempt(),
+                    ran: self.ran,
+                    route: self.answer.route(),
+                    blamed,
+                    sent: !matches!(failure, attempt::AttemptFailure::NotSent { .. }),
+                    progress: last.is_some(),
+                };
+                if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now).await {
+                    return Err(error);
+                }
+                self.core.metrics.retries.inc();
+                pause
             }
         };
-        let name = &route.get(hop)?.upstream;
-        keeper.note_failure(name, now);
-        drop(keeper);
-        if died {
-            self.core.gate.note_death(&self.order, name, now);
-        }
-        self.avoid.push(name.clone());
-        Some(hop)
+        time::sleep_until((now + pause).min(self.order.deadline)).await;
+        Ok(())
     }
 
     /// Raises the outcome; what once ran cannot become undone.
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -21,6 +21,7 @@
 //! # Ok::<(), arbutusfold::settings::SettingsError>(())
 //! ```
 
+pub mod attempt;
 pub mod caller;
 pub mod check;
 pub mod choose;
--- a/arbutusfold/src/route.rs
+++ b/arbutusfold/src/route.rs
@@ -539,6 +539,11 @@
             .collect()
     }
 
+    /// Returns the number of layers of a model.
+    pub fn layers(&self, model: &str) -> Option<id::LayerIndex> {
+        self.model(model).map(|model| model.spec.layers)
+    }
+
     /// Returns the bound of a model's plan in tokens a second.
     pub fn bound(&self, model: &str) -> Option<u64> {
         self.model(model).map(|model| model.bound)
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -137,6 +137,11 @@
         self.attempt
     }
 
+    /// Returns the request that is answered.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Returns the tokens that were delivered.
     pub fn delivered(&self) -> &DeliveredText {
         &self.delivered
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -2,7 +2,12 @@
 
 use anyhow::Context;
 
+use crate::decision_cost;
+use crate::domain_loss;
+use crate::latency;
 use crate::report;
+use crate::saturation;
+use crate::stage_death;
 
 /// A measurement that can be run by name.
 pub struct BenchScenario {
@@ -13,7 +18,28 @@
 }
 
 /// Every scenario, in the order of the output.
-const SCENARIOS: &[BenchScenario] = &[];
+const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "saturation",
+        measure: saturation::measure,
+    },
+    BenchScenario {
+        name: "domain-loss",
+        measure: domain_loss::measure,
+    },
+    BenchScenario {
+        name: "stage-death",
+        measure: stage_death::measure,
+    },
+    BenchScenario {
+        name: "latency",
+        measure: latency::measure,
+    },
+    BenchScenario {
+        name: "decision-cost",
+        measure: decision_cost::measure,
+    },
+];
 
 impl BenchScenario {
     /// Runs the scenario.
