Tell a slow route from a dead one by what its upstreams pass

Change: an upstream is cleared only by a token in the last 100 ms; a stream leaves at once when an upstream of its route is known to be down and passes nothing, waits up to three times longer while all pass tokens, and avoids only the silent stages. Evidence takes an upstream out until its next report, and for longer each time. Fake engines give prompts at most half of a batch.

--- a/arbutusfold/src/attempt.rs
+++ b/arbutusfold/src/attempt.rs
@@ -23,6 +23,12 @@
 /// Longest pause between two attempts.
 const BACKOFF_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
 
+/// Silence from which an upstream that is known to be down ends an attempt.
+const CHECK_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
+
+/// How many times longer a route may be silent whose upstreams pass other tokens.
+const BUSY_MULTIPLE: u32 = 3;
+
 /// Doublings of the allowed silence after failures in a row.
 const PATIENCE_LIMIT: u32 = 3;
 
@@ -79,8 +85,6 @@
     pub route: &'a [upstream::RouteStage],
     /// Why it failed.
     pub failure: &'a AttemptFailure,
-    /// When it began.
-    pub begun: time::Instant,
     /// When its last token came.
     pub last: Option<time::Instant>,
 }
@@ -151,10 +155,13 @@
             AttemptFailure::Broken { .. } => (0, true),
             AttemptFailure::Stage { hop, .. } => (*hop, true),
             AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
-                let since = failed.last.unwrap_or(failed.begun);
-                keeper.note_suspicion(failed.route, since, now);
+                let silent = keeper.note_suspicion(failed.route, now);
                 let names = failed.route.iter().map(|stage| stage.upstream.clone());
-                self.avoid.extend(names);
+                match silent.is_empty() {
+                    // A link between stages that work otherwise.
+                    true => self.avoid.extend(names),
+                    false => self.avoid.extend(silent),
+                }
                 return AttemptBlame::default();
             }
         };
@@ -212,3 +219,61 @@
     let longest = (BACKOFF_START * (1 << doublings.min(8))).min(BACKOFF_LIMIT);
     longest.mul_f64(rng.random_range(0.5..1.0))
 }
+
+/// Judges the silence of one attempt.
+///
+/// The next token must come by a time. An attempt ends before it when an
+/// upstream of its route is known to be down, and may wait longer while every
+/// upstream of its route passes other tokens: those are slow, not dead.
+#[derive(Clone, Copy, Debug)]
+pub struct SilenceWatch {
+    since: time::Instant,
+    limit: std_time::Duration,
+    check: time::Instant,
+}
+
+impl SilenceWatch {
+    /// Creates the watch of an attempt that must give its first token within `limit`.
+    pub fn new(now: time::Instant, limit: std_time::Duration) -> Self {
+        Self {
+            since: now,
+            limit,
+            check: now + CHECK_PERIOD.min(limit),
+        }
+    }
+
+    /// Notes that a token came.
+    pub fn note_token(&mut self, meter: &stream::GapMeter, now: time::Instant) {
+        self.since = now;
+        self.limit = meter.limit();
+        self.check = now + meter.usual().clamp(CHECK_PERIOD, self.limit);
+    }
+
+    /// Returns when the silence must be judged next.
+    pub fn next(&self) -> time::Instant {
+        self.check
+    }
+
+    /// Tells whether an attempt that is still silent has stalled.
+    pub fn has_stalled(
+        &mut self,
+        route: &[upstream::RouteStage],
+        keeper: &route::RouteKeeper,
+        now: time::Instant,
+    ) -> bool {
+        let silence = now.duration_since(self.since);
+        if silence >= self.limit * BUSY_MULTIPLE {
+            return true;
+        }
+        if silence >= self.limit && !keeper.is_passing(route, now) {
+            return true;
+        }
+        let left = self.limit.saturating_sub(silence);
+        self.check = now
+            + match left.is_zero() {
+                true => CHECK_PERIOD,
+                false => left.min(CHECK_PERIOD),
+            };
+        keeper.is_down(route, now)
+    }
+}
--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -32,8 +32,8 @@
 /// Bytes of text for one token of a prompt.
 const BYTES_PER_TOKEN: usize = 4;
 
-/// How much sooner than its timer a stall may be due before the timer is set anew.
-const WATCH_SLACK: std_time::Duration = std_time::Duration::from_millis(50);
+/// How much sooner than its timer a look may be due before the timer is set anew.
+const TIMER_SLACK: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// Time after which a caller that was refused for want of a route may come back.
 const REFUSAL_PAUSE: std_time::Duration = std_time::Duration::from_secs(1);
@@ -127,8 +127,6 @@
     order: CompletionOrder,
     answer: stream::AnswerState,
     open: Option<OpenAttempt>,
-    /// When the current attempt began.
-    begun: time::Instant,
     policy: attempt::AttemptPolicy,
     ran: caller::RunOutcome,
     ended: bool,
@@ -137,34 +135,46 @@
 struct OpenAttempt {
     body: hyper::body::Incoming,
     buffer: BytesMut,
-    /// Fires no earlier than `due`; moving it later takes no lock.
-    watch: pin::Pin<Box<time::Sleep>>,
-    due: time::Instant,
+    /// Fires at the next look at the silence or earlier; moving it later takes no lock.
+    timer: pin::Pin<Box<time::Sleep>>,
+    watch: attempt::SilenceWatch,
     meter: stream::GapMeter,
     guard: FlightGuard,
 }
 
 impl OpenAttempt {
-    fn set_due(&mut self, due: time::Instant) {
-        self.due = due;
-        let deadline = self.watch.deadline();
-        if due > deadline || due + WATCH_SLACK < deadline {
-            self.watch.as_mut().reset(due);
+    fn note_token(&mut self) {
+        let now = time::Instant::now();
+        self.meter.note(now);
+        self.guard.progress.note(now);
+        self.watch.note_token(&self.meter, now);
+        let next = self.watch.next();
+        let deadline = self.timer.deadline();
+        if next > deadline || next + TIMER_SLACK < deadline {
+            self.timer.as_mut().reset(next);
         }
     }
 
     /// Returns the next frame, or `None` once the route is silent for too long.
-    async fn next_frame(&mut self) -> Option<FrameResult> {
+    async fn next_frame(&mut self, limit: time::Instant) -> Option<FrameResult> {
         loop {
             tokio::select! {
                 biased;
                 frame = self.body.frame() => return Some(frame),
-                () = &mut self.watch => {}
+                () = &mut self.timer => {}
             }
-            if time::Instant::now() >= self.due {
+            let now = time::Instant::now();
+            if now >= limit {
                 return None;
             }
-            self.watch.as_mut().reset(self.due);
+            if now >= self.watch.next() {
+                let keeper = self.guard.core.routes.lock();
+                let stalled = self.watch.has_stalled(&self.guard.route, &keeper, now);
+                if stalled {
+                    return None;
+                }
+            }
+            self.timer.as_mut().reset(self.watch.next().min(limit));
         }
     }
 }
@@ -216,7 +226,6 @@
             order,
             answer,
             open: None,
-            begun: time::Instant::now(),
             policy: attempt::AttemptPolicy::default(),
             ran: caller::RunOutcome::No,
             ended: false,
@@ -266,19 +275,20 @@
         );
         let guard = FlightGuard::new(&self.core, &route);
         let recent = self.core.routes.lock().recent_gap(&route);
-        self.begun = time::Instant::now();
+        let begun = time::Instant::now();
         let meter = stream::GapMeter::new(recent);
         let limit = meter.first_limit(self.prompt_tokens()) * self.policy.patience();
-        let due = (self.begun + limit).min(self.order.deadline);
+        let due = (begun + limit).min(self.order.deadline);
         let opened = time::timeout_at(due, self.open_stream(route)).await;
+        let watch = attempt::SilenceWatch::new(begun, limit);
         Ok(match opened {
             Ok(Ok(body)) => {
                 self.note_ran(caller::RunOutcome::Unknown);
                 self.open = Some(OpenAttempt {
                     body,
                     buffer: BytesMut::new(),
-                    watch: Box::pin(time::sleep_until(due)),
-                    due,
+                    timer: Box::pin(time::sleep_until(watch.next())),
+                    watch,
                     meter,
                     guard,
                 });
@@ -390,7 +400,7 @@
                 LineOutcome::Failed(failure) => Err(failure),
             };
         }
-        match open.next_frame().await {
+        match open.next_frame(self.order.deadline).await {
             Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     open.buffer.extend_from_slice(&data);
@@ -450,12 +460,8 @@
         self.note_ran(caller::RunOutcome::Yes);
         self.policy.note_token();
         self.core.metrics.tokens.inc();
-        let now = time::Instant::now();
         if let Some(open) = &mut self.open {
-            open.meter.note(now);
-            open.guard.progress.note(now);
-            let due = now + open.meter.limit();
-            open.set_due(due.min(self.order.deadline));
+            open.note_token();
         }
     }
 
@@ -468,7 +474,6 @@
         let failed = attempt::FailedAttempt {
             route: self.answer.route(),
             failure,
-            begun: self.begun,
             last,
         };
         let blame = {
--- a/arbutusfold/src/route.rs
+++ b/arbutusfold/src/route.rs
@@ -25,9 +25,18 @@
 /// Evidence at which an upstream counts as failed.
 const EVIDENCE_LIMIT: f64 = 1.0;
 
+/// Time in which an upstream that is in use and well passes a token.
+const RECENT_PASS: std_time::Duration = std_time::Duration::from_millis(100);
+
 /// Evidence of one report that did not come.
 const SILENCE_EVIDENCE: f64 = 0.5;
 
+/// Time after which an upstream's strikes are forgotten.
+const STRIKE_LIFE: std_time::Duration = std_time::Duration::from_secs(20);
+
+/// Doublings of the pause that strikes in a row cost.
+const STRIKE_LIMIT: u32 = 3;
+
 /// Time in which evidence halves.
 const EVIDENCE_HALF_LIFE: std_time::Duration = std_time::Duration::from_secs(2);
 
@@ -108,6 +117,8 @@
     down: Option<DownMark>,
     evidence: f64,
     evidence_at: Option<time::Instant>,
+    strikes: u32,
+    struck: Option<time::Instant>,
     gap: Option<std_time::Duration>,
     /// Microseconds from the keeper's origin to the last token that passed.
     progress: sync::Arc<atomic::AtomicU64>,
@@ -126,6 +137,8 @@
             down: None,
             evidence: 0.0,
             evidence_at: None,
+            strikes: 0,
+            struck: None,
             gap: None,
             progress: sync::Arc::default(),
         }
@@ -136,10 +149,18 @@
         let fresh = self
             .heard
             .is_some_and(|heard| now.duration_since(heard) <= REPORT_LIFE);
-        let down = self
-            .down
-            .is_some_and(|down| now < down.until || self.heard <= Some(down.since));
-        fresh && !down && !self.leaving
+        fresh && !self.is_down(now) && !self.leaving
+    }
+
+    /// Tells whether it failed and has not come back.
+    fn is_down(&self, now: time::Instant) -> bool {
+        self.down
+            .is_some_and(|down| now < down.until || self.heard <= Some(down.since))
+    }
+
+    /// Returns when it last passed a token, in microseconds from the keeper's origin.
+    fn passed_at(&self) -> u64 {
+        self.progress.load(atomic::Ordering::Relaxed)
     }
 
     /// Returns the layers of a model that it holds.
@@ -159,6 +180,25 @@
         self.evidence * (-age / EVIDENCE_HALF_LIFE.as_secs_f64()).exp2()
     }
 
+    /// Takes it out of use on evidence alone: the first time until it reports,
+    /// which a slow upstream does soon, then for longer each time.
+    fn strike(&mut self, now: time::Instant) {
+        let recent = self
+            .struck
+            .is_some_and(|struck| now.duration_since(struck) < STRIKE_LIFE);
+        self.strikes = if recent { self.strikes + 1 } else { 0 };
+        self.struck = Some(now);
+        let pause = match self.strikes {
+            0 => std_time::Duration::ZERO,
+            strikes => FAILURE_PAUSE * (1 << strikes.min(STRIKE_LIMIT)),
+        };
+        self.evidence_at = None;
+        self.down = Some(DownMark {
+            since: now,
+            until: now + pause,
+        });
+    }
+
     fn hear(&mut self, report: &upstream::EngineReport, now: time::Instant) {
         if self.incarnation != report.incarnation {
             self.incarnation = report.incarnation;
@@ -351,30 +391,27 @@
         self.add_evidence(name, SILENCE_EVIDENCE, now);
     }
 
-    /// Notes that a route has passed nothing since `since`, nobody knows why.
+    /// Notes that a route passes nothing, nobody knows why.
     ///
-    /// An upstream that passed tokens of other attempts meanwhile is cleared;
-    /// the evidence is shared by the others.
+    /// An upstream that passes tokens of other attempts is cleared; the
+    /// evidence is shared by the others, whose names are returned.
     pub fn note_suspicion(
         &mut self,
         stages: &[upstream::RouteStage],
-        since: time::Instant,
         now: time::Instant,
-    ) {
-        let since = micros_since(self.origin, since);
+    ) -> Vec<id::UpstreamName> {
+        let since = self.recent_pass(now);
         let silent: Vec<_> = stages
             .iter()
-            .filter(|stage| self.passed_at(&stage.upstream) <= since)
+            .filter_map(|stage| self.slot(&stage.upstream))
+            .filter(|slot| slot.passed_at() <= since)
+            .map(|slot| slot.spec.name.clone())
             .collect();
         let share = 1.0 / silent.len().max(1) as f64;
-        for stage in silent {
-            self.add_evidence(&stage.upstream, share, now);
+        for name in &silent {
+            self.add_evidence(name, share, now);
         }
-    }
-
-    fn passed_at(&self, name: &str) -> u64 {
-        self.slot(name)
-            .map_or(0, |slot| slot.progress.load(atomic::Ordering::Relaxed))
+        silent
     }
 
     fn add_evidence(&mut self, name: &str, share: f64, now: time::Instant) {
@@ -383,11 +420,8 @@
         };
         slot.evidence = slot.evidence(now) + share;
         slot.evidence_at = Some(now);
-        if slot.evidence >= EVIDENCE_LIMIT {
-            slot.down = Some(DownMark {
-                since: now,
-                until: now + FAILURE_PAUSE,
-            });
+        if slot.evidence >= EVIDENCE_LIMIT && !slot.is_down(now) {
+            slot.strike(now);
         }
     }
 
@@ -431,6 +465,30 @@
         }
     }
 
+    /// Tells whether an upstream of a route is down and passes nothing.
+    pub fn is_down(&self, stages: &[upstream::RouteStage], now: time::Instant) -> bool {
+        let since = self.recent_pass(now);
+        stages
+            .iter()
+            .filter_map(|stage| self.slot(&stage.upstream))
+            .any(|slot| slot.is_down(now) && slot.passed_at() <= since)
+    }
+
+    /// Tells whether every upstream of a route passes tokens.
+    pub fn is_passing(&self, stages: &[upstream::RouteStage], now: time::Instant) -> bool {
+        let since = self.recent_pass(now);
+        stages
+            .iter()
+            .filter_map(|stage| self.slot(&stage.upstream))
+            .all(|slot| slot.passed_at() > since)
+    }
+
+    /// Returns since when a token must have passed an upstream that is well, in
+    /// microseconds from the origin.
+    fn recent_pass(&self, now: time::Instant) -> u64 {
+        micros_since(self.origin, now).saturating_sub(RECENT_PASS.as_micros() as u64)
+    }
+
     /// Returns the token gap that the upstreams of a route showed of late.
     pub fn recent_gap(&self, stages: &[upstream::RouteStage]) -> Option<std_time::Duration> {
         stages
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -26,6 +26,9 @@
 /// Gaps within which the next token must come.
 const GAP_MULTIPLE: f64 = 4.0;
 
+/// Gaps within which the next token usually comes.
+const USUAL_MULTIPLE: f64 = 2.0;
+
 /// Gaps within which the first token must come.
 const FIRST_MULTIPLE: f64 = 16.0;
 
@@ -254,6 +257,14 @@
         self.mean.map(std_time::Duration::from_secs_f64)
     }
 
+    /// Returns the silence after a token that is nothing unusual.
+    pub fn usual(&self) -> std_time::Duration {
+        let mean = self.mean.map(std_time::Duration::from_secs_f64);
+        mean.max(self.recent)
+            .unwrap_or_default()
+            .mul_f64(USUAL_MULTIPLE)
+    }
+
     /// Returns the silence after a token that counts as a stall.
     pub fn limit(&self) -> std_time::Duration {
         let recent = self.recent.map_or(0.0, |gap| gap.as_secs_f64());
--- a/arbutusfold/tests/route.rs
+++ b/arbutusfold/tests/route.rs
@@ -195,21 +195,43 @@
         [stage(0, 0), stage(1, 2)],
     ];
     for route in &routes {
-        keeper.note_suspicion(route, now, now);
+        keeper.note_suspicion(route, now);
     }
     assert!(!ever_chosen(&keeper, "runner-0-0"));
     assert!(ever_chosen(&keeper, "runner-1-1"));
 }
 
+#[tokio::test(start_paused = true)]
+async fn suspected_upstream_returns_with_its_report_and_later_ever_slower() {
+    let mut keeper = keeper(1);
+    let route = choose(&keeper, 1).unwrap();
+    let mut pauses = Vec::new();
+    for _ in 0..3 {
+        keeper.note_suspicion(&route[..1], Instant::now());
+        let struck = Instant::now();
+        for _ in 0..20 {
+            tokio::time::advance(time::Duration::from_millis(500)).await;
+            for range in 0..2 {
+                keeper.hear(&route[range].upstream, &report(range, 1), Instant::now());
+            }
+            if choose(&keeper, 1).is_some() {
+                break;
+            }
+        }
+        pauses.push(struck.elapsed().as_millis());
+    }
+    assert_eq!(pauses, [500, 2_000, 4_000]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn upstream_that_passes_other_tokens_is_cleared() {
     let mut keeper = keeper(4);
     let stalled = choose(&keeper, 1).unwrap();
     let progress = keeper.begin(&stalled[1..], Instant::now());
-    let since = Instant::now();
     tokio::time::advance(time::Duration::from_millis(200)).await;
     progress.note(Instant::now());
-    keeper.note_suspicion(&stalled, since, Instant::now());
+    let silent = keeper.note_suspicion(&stalled, Instant::now());
+    assert_eq!(silent, [stalled[0].upstream.as_str()]);
     let usable: Vec<_> = keeper
         .usable(MODEL, Instant::now())
         .into_iter()
--- a/bench/src/decision_cost.rs
+++ b/bench/src/decision_cost.rs
@@ -3,7 +3,6 @@
 use std::time as std_time;
 
 use arbutusfold::{choose, document, route, upstream};
-use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use tokio::time;
 
@@ -65,7 +64,7 @@
     let prompts: Vec<_> = (0..256)
         .map(|index| format!("{index:08}").repeat(64))
         .collect();
-    let mut times = Histogram::<u64>::new(3)?;
+    let mut times = report::histogram()?;
     for turn in 0..DECISIONS {
         let model = format!("model-{}", turn as usize % MODELS);
         let prompt = &prompts[rng.random_range(0..prompts.len())];
--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -349,36 +349,41 @@
         found.is_some()
     }
 
-    /// Takes what has arrived, up to a batch; a long prompt takes what is left.
+    /// Takes what has arrived, up to a batch; prompts take at most half of it.
     fn take_batch(&self, now: time::Instant) -> Vec<TokenPass> {
         let mut queue = self.queue.borrow_mut();
-        let mut room = self.spec.kind.batch;
+        let batch = self.spec.kind.batch;
+        let mut room = batch;
+        let mut room_for_prompts = (batch / 2).max(1);
         let mut done = Vec::new();
-        let keys: Vec<_> = queue
-            .keys()
-            .filter(|(_, arrival, _)| *arrival <= now)
-            .take(room as usize)
-            .copied()
-            .collect();
-        for key in keys {
+        let mut cancelled = Vec::new();
+        for (key, pass) in queue.iter_mut() {
             if room == 0 {
                 break;
             }
-            let Some(pass) = queue.get_mut(&key) else {
+            if pass.run.cancelled.get() {
+                cancelled.push(*key);
                 continue;
-            };
-            let cancelled = pass.run.cancelled.get();
-            let used = pass.places.min(room);
+            }
+            if key.1 > now {
+                continue;
+            }
+            let prompt = pass.places > 1;
+            let most = if prompt { room_for_prompts } else { room };
+            let used = pass.places.min(room).min(most);
             pass.places -= used;
-            if cancelled || pass.places == 0 {
-                done.extend(queue.remove(&key));
+            room -= used;
+            if prompt {
+                room_for_prompts -= used;
             }
-            if !cancelled {
-                room -= used;
+            if pass.places == 0 {
+                done.push(*key);
             }
         }
-        done.retain(|pass| !pass.run.cancelled.get());
-        done
+        for key in cancelled {
+            queue.remove(&key);
+        }
+        done.iter().filter_map(|key| queue.remove(key)).collect()
     }
 
     fn next_arrival(&self) -> Option<time::Instant> {
--- a/bench/src/latency.rs
+++ b/bench/src/latency.rs
@@ -18,7 +18,7 @@
 const LOAD: f64 = 0.8;
 
 /// Time before the measurement.
-const WARM_UP: std_time::Duration = std_time::Duration::from_secs(4);
+const WARM_UP: std_time::Duration = std_time::Duration::from_secs(14);
 
 /// Time of the measurement.
 const MEASURED: std_time::Duration = std_time::Duration::from_secs(8);
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -1,7 +1,11 @@
 //! What a scenario reports, as a table and as JSON.
 
+use hdrhistogram::Histogram;
 use serde::Serialize;
 
+/// Largest value that a histogram holds: a minute in nanoseconds.
+const HISTOGRAM_LIMIT: u64 = 60_000_000_000;
+
 /// The figures of one scenario.
 #[derive(Clone, Debug, Serialize)]
 pub struct ScenarioReport {
@@ -100,3 +104,12 @@
         table
     }
 }
+
+/// Creates a histogram for times; larger values than a minute count as one.
+///
+/// # Errors
+///
+/// When the library refuses the bounds.
+pub fn histogram() -> anyhow::Result<Histogram<u64>> {
+    Ok(Histogram::new_with_bounds(1, HISTOGRAM_LIMIT, 3)?)
+}
--- a/bench/src/saturation.rs
+++ b/bench/src/saturation.rs
@@ -20,10 +20,10 @@
 pub(crate) const ANSWER_TOKENS: std::ops::Range<u32> = 50..350;
 
 /// Time before the measurement.
-const WARM_UP: std_time::Duration = std_time::Duration::from_secs(4);
+const WARM_UP: std_time::Duration = std_time::Duration::from_secs(6);
 
 /// Time of the measurement.
-const MEASURED: std_time::Duration = std_time::Duration::from_secs(8);
+const MEASURED: std_time::Duration = std_time::Duration::from_secs(12);
 
 /// Least part of the bound, in per cent.
 const TARGET: f64 = 92.0;
--- a/bench/src/stage_death.rs
+++ b/bench/src/stage_death.rs
@@ -3,7 +3,6 @@
 use std::rc;
 use std::time as std_time;
 
-use hdrhistogram::Histogram;
 use rand::SeedableRng;
 use tokio::time;
 
@@ -97,7 +96,7 @@
         time::sleep(DEATH_PERIOD).await;
     }
     let stats = world.stats.borrow();
-    let mut pauses = Histogram::<u64>::new(3)?;
+    let mut pauses = report::histogram()?;
     for resume in &stats.resumes {
         let besides = resume.pause.saturating_sub(resume.prefill);
         pauses.saturating_record(besides.as_micros() as u64);
--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -12,6 +12,7 @@
 
 use crate::engine;
 use crate::fleet;
+use crate::report;
 use crate::way;
 
 /// Time between two reports that a node asks of one engine.
@@ -101,8 +102,8 @@
     fn new() -> anyhow::Result<Self> {
         Ok(Self {
             buckets: Vec::new(),
-            first: Histogram::new(3)?,
-            gaps: Histogram::new(3)?,
+            first: report::histogram()?,
+            gaps: report::histogram()?,
             resumes: Vec::new(),
             complete: 0,
             lost: 0,
@@ -335,7 +336,6 @@
                     self.world
                         .prefill(&before, &route, self.order.prompt_tokens, &self.answer);
             }
-            let begun = time::Instant::now();
             let end = self.attempt(&route).await;
             let Some(failure) = end.failure else {
                 return true;
@@ -345,7 +345,6 @@
             let failed = attempt::FailedAttempt {
                 route: &route,
                 failure: &failure,
-                begun,
                 last: end.last,
             };
             if let Some(last) = end.last {
@@ -399,16 +398,23 @@
         let (sender, mut receiver) = mpsc::unbounded_channel();
         let run = rc::Rc::new(self.to_run(route, sender));
         let tokens = self.order.prompt_tokens as usize + self.answer.delivered().len();
-        let mut due = begun + meter.first_limit(tokens) * self.policy.patience();
+        let limit = meter.first_limit(tokens) * self.policy.patience();
+        let mut watch = attempt::SilenceWatch::new(begun, limit);
         let failure = match world.pool.begin(&run) {
             Err(engine::DeadEngine) => Some(attempt::AttemptFailure::NotSent {
                 reason: "refused".to_owned(),
             }),
             Ok(()) => loop {
-                let message = match time::timeout_at(due, receiver.recv()).await {
+                let message = match time::timeout_at(watch.next(), receiver.recv()).await {
                     Ok(Some(message)) => message,
                     Ok(None) => break Some(attempt::AttemptFailure::EndedEarly),
-                    Err(_) => break Some(attempt::AttemptFailure::Stalled),
+                    Err(_) => {
+                        let now = time::Instant::now();
+                        if watch.has_stalled(route, &keeper.borrow(), now) {
+                            break Some(attempt::AttemptFailure::Stalled);
+                        }
+                        continue;
+                    }
                 };
                 let token = match message {
                     engine::EngineMessage::Token(token) => token,
@@ -422,7 +428,7 @@
                 self.note_token(now, meter.last());
                 meter.note(now);
                 progress.note(now);
-                due = now + meter.limit();
+                watch.note_token(&meter, now);
                 if token.finish.is_some() {
                     break None;
                 }
