--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -70,16 +70,46 @@
     RecordReleased = 404, Info;
     /// An idempotency key was used with another call.
     RecordReused = 405, Warning;
+    /// This node took the lease.
+    LeaseTaken = 500, Info;
+    /// This node may not act under the lease any more.
+    LeaseLost = 501, Warning;
+    /// An engine took an order.
+    OrderTaken = 510, Info;
+    /// An order had no effect.
+    OrderRefused = 511, Warning;
+    /// An order may still arrive.
+    OrderUnknown = 512, Warning;
+    /// A pipeline has too few runners for a layer.
+    CoverLacking = 520, Warning;
+    /// A load was chosen to restore layers.
+    RepairPlanned = 521, Info;
+    /// Every layer of a pipeline has its runners again or they load.
+    CoverRestored = 522, Info;
     /// A configuration document came into force.
     ConfigInForce = 600, Info;
     /// A configuration document was accepted.
     ConfigAccepted = 601, Info;
     /// A configuration document was refused.
     ConfigRefused = 602, Warning;
+    /// The table service names an older configuration than the one in force.
+    ConfigBehind = 603, Warning;
+    /// It could not be found out whether a configuration document was accepted.
+    ConfigUnknown = 604, Warning;
     /// A peer became known as alive.
     PeerAlive = 700, Info;
     /// A peer became known as dead or gone.
     PeerGone = 701, Warning;
+    /// A peer does not answer and is probed again.
+    PeerSuspected = 702, Info;
+    /// Another region is heard.
+    RegionFound = 703, Info;
+    /// Another region is cut off.
+    RegionLost = 704, Warning;
+    /// A later process with this host's name runs elsewhere.
+    HostSuperseded = 705, Warning;
+    /// A request was cut by the end of a stop.
+    StopCut = 710, Warning;
 }
 
 impl EventCode {
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -21,31 +21,48 @@
 //! # Ok::<(), arbutusfold::settings::SettingsError>(())
 //! ```
 
+pub mod address;
+pub mod admission;
 pub mod attempt;
+pub mod breaker;
 pub mod caller;
 pub mod check;
 pub mod choose;
 pub mod client;
 pub mod complete;
+pub mod concurrency;
 pub mod config;
+pub mod console;
 pub mod document;
+pub mod drain;
 pub mod event;
 mod flow;
+pub mod gossip;
+pub mod health;
 pub mod id;
+pub mod lease;
+pub mod limit;
 pub mod listen;
 pub mod load;
 pub mod member;
 pub mod metric;
 pub mod node;
 pub mod operate;
+pub mod order;
 pub mod peer;
 pub mod place;
 pub mod plan;
 pub mod platform;
+pub mod probe;
+pub mod queue;
 pub mod record;
+pub mod repair;
+pub mod retry;
 pub mod route;
 pub mod schema;
+pub mod serve;
 pub mod service;
 pub mod settings;
 pub mod stream;
+pub mod suspect;
 pub mod upstream;
--- a/arbutusfold/tests/route.rs
+++ b/arbutusfold/tests/route.rs
@@ -211,8 +211,8 @@
         let struck = Instant::now();
         for _ in 0..20 {
             tokio::time::advance(time::Duration::from_millis(500)).await;
-            for range in 0..2 {
-                keeper.hear(&route[range].upstream, &report(range, 1), Instant::now());
+            for (range, stage) in route.iter().enumerate() {
+                keeper.hear(&stage.upstream, &report(range, 1), Instant::now());
             }
             if choose(&keeper, 1).is_some() {
                 break;
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measures the decisions of arbutusfold with small fakes on a paused clock.
 
+pub mod config;
 pub mod engine;
 pub mod fleet;
 pub mod report;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context;
 
+use crate::config;
 use crate::decision_cost;
 use crate::domain_loss;
 use crate::latency;
@@ -39,6 +40,10 @@
         name: "decision-cost",
         measure: decision_cost::measure,
     },
+    BenchScenario {
+        name: "config",
+        measure: config::measure,
+    },
 ];
 
 impl BenchScenario {
