Replace a lost stage by the better of two, not by the least loaded of all

Cause: every node sent all streams of a dead stage to the same replacement.

Change: a replacement is the less loaded of two that are drawn by their rates; a route of which nothing is alive is drawn anew from the plan.

--- a/arbutusfold/src/choose.rs
+++ b/arbutusfold/src/choose.rs
@@ -54,7 +54,7 @@
             now,
         };
         let stages = chooser
-            .mend()
+            .mend(rng)
             .or_else(|| chooser.draw(rng))
             .or_else(|| chooser.assemble(true))
             .or_else(|| chooser.assemble(false))?;
@@ -190,14 +190,15 @@
     }
 
     /// Keeps what is alive of the route before and replaces the rest.
-    fn mend(&self) -> Option<Vec<plan::PlannedStage>> {
-        if self.query.previous.is_empty() {
+    fn mend(&self, rng: &mut impl rand::Rng) -> Option<Vec<plan::PlannedStage>> {
+        let previous = self.query.previous;
+        let kept: Vec<_> = previous.iter().map(|stage| self.keep(stage)).collect();
+        if kept.iter().all(Option::is_none) {
             return None;
         }
-        self.query
-            .previous
-            .iter()
-            .map(|stage| self.keep(stage).or_else(|| self.replace(stage.layers)))
+        kept.into_iter()
+            .zip(previous)
+            .map(|(kept, stage)| kept.or_else(|| self.replace(stage.layers, rng)))
             .collect()
     }
 
@@ -209,16 +210,45 @@
         self.runs(&planned, true).then_some(planned)
     }
 
-    fn replace(&self, layers: upstream::LayerRange) -> Option<plan::PlannedStage> {
-        self.model
+    /// Draws two upstreams by their rates and takes the one that is less loaded.
+    ///
+    /// The least loaded of all would get the work of every node at once.
+    fn replace(
+        &self,
+        layers: upstream::LayerRange,
+        rng: &mut impl rand::Rng,
+    ) -> Option<plan::PlannedStage> {
+        let fitting: Vec<_> = self
+            .model
             .members
             .iter()
             .map(|&slot| plan::PlannedStage { slot, layers })
             .filter(|stage| self.runs(stage, true))
-            .min_by(|one, other| {
-                self.pass_time(one.slot)
-                    .total_cmp(&self.pass_time(other.slot))
-            })
+            .collect();
+        let one = self.draw_stage(&fitting, rng)?;
+        let other = self.draw_stage(&fitting, rng)?;
+        match self.pass_time(one.slot) <= self.pass_time(other.slot) {
+            true => Some(one),
+            false => Some(other),
+        }
+    }
+
+    fn draw_stage(
+        &self,
+        fitting: &[plan::PlannedStage],
+        rng: &mut impl rand::Rng,
+    ) -> Option<plan::PlannedStage> {
+        let rate = |stage: &plan::PlannedStage| self.keeper.slots[stage.slot].rate;
+        let total: u64 = fitting.iter().map(rate).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut ticket = rng.random_range(0..total);
+        fitting.iter().copied().find(|stage| {
+            let found = ticket < rate(stage);
+            ticket = ticket.saturating_sub(rate(stage));
+            found
+        })
     }
 
     /// Puts a route together from the longest ranges, least loaded first.
--- a/bench/src/domain_loss.rs
+++ b/bench/src/domain_loss.rs
@@ -66,8 +66,6 @@
     let from = time::Instant::now();
     time::sleep(MEASURED).await;
     let rate = world.rate(from, time::Instant::now());
-    // By then every node has planned with what remains.
-    time::sleep(std_time::Duration::from_secs(6)).await;
     Ok(LossOutcome {
         rate,
         bound: world.bound() as f64,
--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -141,6 +141,12 @@
         })
     }
 
+    /// Tells whether an engine answers.
+    pub fn is_up(&self, index: usize) -> bool {
+        let engine = &self.engines[index];
+        engine.alive.get() && !engine.silent.get()
+    }
+
     /// Ends an engine's process: every engine and node that waits for it hears so.
     pub fn kill(&self, index: usize) {
         let engine = &self.engines[index];
--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -4,7 +4,7 @@
 use std::rc;
 use std::time as std_time;
 
-use arbutusfold::{attempt, choose, document, route, stream, upstream};
+use arbutusfold::{attempt, choose, document, plan, route, stream, upstream};
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use tokio::sync::mpsc;
@@ -174,10 +174,23 @@
         })
     }
 
-    /// Returns the bound of the first node's plan in tokens a second.
+    /// Returns the bound in tokens a second of the engines that answer.
     pub fn bound(&self) -> u64 {
-        let keeper = self.nodes[0].keeper.borrow();
-        keeper.bound(fleet::MODEL).unwrap_or(0)
+        let offers: Vec<_> = self
+            .fleet
+            .runners
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| self.pool.is_up(*index))
+            .map(|(slot, spec)| plan::StageOffer {
+                slot,
+                domain: self.fleet.domains[spec.domain].clone(),
+                layers: spec.layers,
+                tokens_per_second: spec.kind.rate(),
+            })
+            .collect();
+        let links = plan::LinkTable::new(&self.fleet.links);
+        plan::plan(self.fleet.layers, &offers, &links, plan::ROUTE_LIMIT).bound
     }
 
     /// Returns the tokens a second that were delivered between two times.
