Prove that a broken route proves nothing

Deliberate mistakes, each taken out again: Dinic without reverse edges, `bound_is_the_minimum_cut_and_routes_reach_it` red (33 where 34 is the cut); leaving upstreams usable, `leaving_upstream_gets_no_new_work_at_once` red (runner-1-2 chosen); tokens of older attempts accepted, `late_crossed_and_doubled_tokens_are_refused` red (left Ok); stamps only compared with the route: nothing was red, so the test here was added, which then was (left Ok, right Passage).

--- a/arbutusfold/tests/stream.rs
+++ b/arbutusfold/tests/stream.rs
@@ -126,3 +126,20 @@
     }
     assert_eq!(gap(&halting), 2_000);
 }
+
+#[test]
+fn route_that_skips_doubles_or_swaps_layers_proves_nothing() {
+    let routes: [&[(u64, u32, u32)]; 4] = [
+        &[(1, 0, 4), (2, 5, 8)],
+        &[(1, 0, 5), (2, 4, 8)],
+        &[(2, 4, 8), (1, 0, 4)],
+        &[(1, 0, 4), (2, 4, 8), (3, 4, 8)],
+    ];
+    for route in routes {
+        let mut answer = stream::AnswerState::new("r".to_owned(), LAYERS);
+        let stages = route.iter().map(|&(one, from, to)| stage(one, from, to));
+        answer.begin(stages.collect());
+        let refused = answer.accept(&token(1, 0, route).view());
+        assert_eq!(refused, Err(stream::ProofError::Passage), "{route:?}");
+    }
+}
