--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod engine;
 pub mod fleet;
+pub mod record;
 pub mod report;
 pub mod scenario;
 pub mod way;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -6,6 +6,7 @@
 use crate::decision_cost;
 use crate::domain_loss;
 use crate::latency;
+use crate::record;
 use crate::report;
 use crate::saturation;
 use crate::stage_death;
@@ -44,6 +45,10 @@
         name: "config",
         measure: config::measure,
     },
+    BenchScenario {
+        name: "record",
+        measure: record::measure,
+    },
 ];
 
 impl BenchScenario {
