--- a/arbutusfold/src/admission.rs
+++ b/arbutusfold/src/admission.rs
@@ -20,6 +20,9 @@
 /// Part of a new observation in a running mean.
 const MEAN_GAIN: f64 = 0.1;
 
+/// Answers of an organisation from which their length counts as known.
+const KNOWN_ANSWERS: u32 = 8;
+
 /// Organisations whose answers are remembered for estimates.
 const REMEMBERED_ORGANISATIONS: usize = 16_384;
 
@@ -101,8 +104,10 @@
     entries: Vec<GateEntry>,
     running: usize,
     lengths: LengthTable,
-    /// Mean time of one token of one request in seconds, once known.
-    token_time: Option<f64>,
+    /// Mean time that an answer took, in seconds.
+    mean_time: f64,
+    /// Mean number of its tokens.
+    mean_tokens: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -116,10 +121,19 @@
     admitted: Option<time::Instant>,
 }
 
-/// Mean part of `max_tokens` that the answers of each organisation use.
+/// How much of `max_tokens` the answers of each organisation use.
 #[derive(Debug, Default)]
 struct LengthTable {
-    parts: Vec<(id::OrganisationName, f64)>,
+    lengths: Vec<AnswerLength>,
+}
+
+#[derive(Debug)]
+struct AnswerLength {
+    organisation: id::OrganisationName,
+    /// Mean part of `max_tokens`.
+    part: f64,
+    /// Answers that were observed.
+    answers: u32,
 }
 
 impl AdmissionGate {
@@ -132,7 +146,8 @@
             entries: Vec::new(),
             running: 0,
             lengths: LengthTable::default(),
-            token_time: None,
+            mean_time: 0.0,
+            mean_tokens: 0.0,
         }
     }
 
@@ -179,16 +194,14 @@
             actions.push(refuse(ticket, RefusalCause::Deadline, late));
             return;
         }
+        let run = self.known_run_time(&request.organisation, cost);
         let waiting = queue::WaitingRequest {
             ticket,
             organisation: request.organisation.clone(),
             weight: request.weight,
             priority: request.priority,
             cost,
-            latest_start: request
-                .deadline
-                .checked_sub(self.run_time(cost))
-                .unwrap_or(now),
+            latest_start: request.deadline.checked_sub(run).unwrap_or(now),
         };
         if self.queue.len() >= self.queue_limit {
             let Some(displaced) = self.queue.displace(&waiting) else {
@@ -232,19 +245,33 @@
                 )
             }
         };
-        let need = wait + self.run_time(cost);
+        let need = wait + self.known_run_time(&request.organisation, cost);
         (left.is_zero() || need > left).then(|| need.saturating_sub(left))
     }
 
     /// Returns the time in which the node does so much work.
     fn drain_time(&self, work: u64) -> std_time::Duration {
-        let seconds = self.token_time.unwrap_or(0.0) * work as f64 / self.slots.max(1) as f64;
+        let seconds = self.token_time() * work as f64 / self.slots.max(1) as f64;
         std_time::Duration::from_secs_f64(seconds)
     }
 
-    /// Returns the time that one request of this cost runs.
-    fn run_time(&self, cost: u64) -> std_time::Duration {
-        std_time::Duration::from_secs_f64(self.token_time.unwrap_or(0.0) * cost as f64)
+    /// Returns the time that one request of this cost runs, as far as known.
+    ///
+    /// A caller may ask for far more tokens than the model will give, so
+    /// nothing is refused for its length before the usual length is known.
+    fn known_run_time(&self, organisation: &str, cost: u64) -> std_time::Duration {
+        match self.lengths.is_known(organisation) {
+            true => std_time::Duration::from_secs_f64(self.token_time() * cost as f64),
+            false => std_time::Duration::ZERO,
+        }
+    }
+
+    /// Returns the mean time of one token of one request, in seconds.
+    fn token_time(&self) -> f64 {
+        match self.mean_tokens > 0.0 {
+            true => self.mean_time / self.mean_tokens,
+            false => 0.0,
+        }
     }
 
     fn leave(&mut self, ticket: id::TicketNumber) {
@@ -277,9 +304,14 @@
         }
         self.lengths
             .observe(&entry.organisation, tokens, entry.max_tokens);
-        let spent = now.duration_since(admitted).as_secs_f64() / tokens as f64;
-        let mean = self.token_time.unwrap_or(spent);
-        self.token_time = Some(mean + (spent - mean) * MEAN_GAIN);
+        let spent = now.duration_since(admitted).as_secs_f64();
+        let gain = if self.mean_tokens > 0.0 {
+            MEAN_GAIN
+        } else {
+            1.0
+        };
+        self.mean_time += (spent - self.mean_time) * gain;
+        self.mean_tokens += (tokens as f64 - self.mean_tokens) * gain;
     }
 
     fn expire(&mut self, now: time::Instant, actions: &mut Vec<AdmissionAction>) {
@@ -325,30 +357,43 @@
 
 impl LengthTable {
     fn find(&self, organisation: &str) -> Result<usize, usize> {
-        self.parts
-            .binary_search_by(|(name, _)| name.as_str().cmp(organisation))
+        self.lengths
+            .binary_search_by(|length| length.organisation.as_str().cmp(organisation))
     }
 
+    /// Returns the tokens expected of an answer; all of them when unknown.
     fn expect(&self, organisation: &str, max_tokens: u64) -> u64 {
         let part = self
             .find(organisation)
-            .map_or(1.0, |place| self.parts[place].1);
+            .map_or(1.0, |place| self.lengths[place].part);
         ((max_tokens as f64 * part).ceil() as u64).clamp(1, max_tokens.max(1))
     }
 
+    /// Tells whether enough answers were observed to refuse by.
+    fn is_known(&self, organisation: &str) -> bool {
+        self.find(organisation)
+            .is_ok_and(|place| self.lengths[place].answers >= KNOWN_ANSWERS)
+    }
+
     fn observe(&mut self, organisation: &str, tokens: u64, max_tokens: u64) {
         let part = tokens as f64 / max_tokens.max(1) as f64;
         match self.find(organisation) {
             Ok(place) => {
-                let mean = &mut self.parts[place].1;
-                *mean += (part - *mean) * MEAN_GAIN;
+                let length = &mut self.lengths[place];
+                length.part += (part - length.part) * MEAN_GAIN;
+                length.answers = length.answers.saturating_add(1);
             }
             Err(place) => {
-                if self.parts.len() >= REMEMBERED_ORGANISATIONS {
-                    self.parts.clear();
-                    self.parts.push((organisation.to_owned(), part));
+                let length = AnswerLength {
+                    organisation: organisation.to_owned(),
+                    part,
+                    answers: 1,
+                };
+                if self.lengths.len() >= REMEMBERED_ORGANISATIONS {
+                    self.lengths.clear();
+                    self.lengths.push(length);
                 } else {
-                    self.parts.insert(place, (organisation.to_owned(), part));
+                    self.lengths.insert(place, length);
                 }
             }
         }
--- a/arbutusfold/src/attempt.rs
+++ b/arbutusfold/src/attempt.rs
@@ -66,6 +66,8 @@
         hop: usize,
         /// Whether it refused before it ran anything.
         refused: bool,
+        /// Whether no connection to it was made, so that it ran nothing.
+        unreached: bool,
     },
     /// No token came in time.
     #[display("the route stalled")]
@@ -123,6 +125,11 @@
         &self.avoid
     }
 
+    /// Adds upstreams that the next attempts must not use.
+    pub fn avoid_also(&mut self, names: Vec<id::UpstreamName>) {
+        self.avoid.extend(names);
+    }
+
     /// Returns how many times longer than usual a route may be silent.
     pub fn patience(&self) -> u32 {
         1 << self.failures.min(PATIENCE_LIMIT)
@@ -146,14 +153,16 @@
         }
         let (hop, died) = match failed.failure {
             AttemptFailure::Refused => return self.blame_refusal(failed, 0, keeper, now),
-            AttemptFailure::Stage { hop, refused: true } => {
+            AttemptFailure::Stage {
+                hop, refused: true, ..
+            } => {
                 return self.blame_refusal(failed, *hop, keeper, now);
             }
             AttemptFailure::Busy { .. }
             | AttemptFailure::NotSent { .. }
             | AttemptFailure::Unanswered => (0, false),
             AttemptFailure::Broken { .. } => (0, true),
-            AttemptFailure::Stage { hop, .. } => (*hop, true),
+            AttemptFailure::Stage { hop, unreached, .. } => (*hop, !unreached),
             AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
                 let silent = keeper.note_suspicion(failed.route, now);
                 let names = failed.route.iter().map(|stage| stage.upstream.clone());
--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -45,6 +45,8 @@
     pub request: id::RequestId,
     /// Model to run.
     pub model: document::ModelSpec,
+    /// Ticket that names the request inside its node.
+    pub ticket: id::TicketNumber,
     /// Organisation that the caller belongs to.
     pub organisation: id::OrganisationName,
     /// Priority of the request.
@@ -80,7 +82,10 @@
 #[derive(Clone, Debug)]
 pub enum RetryVerdict {
     /// It may be made.
-    Retry,
+    Retry {
+        /// Upstreams that it must not use.
+        avoid: Vec<id::UpstreamName>,
+    },
     /// The caller gets this answer instead.
     Refuse(caller::CallerError),
 }
@@ -95,6 +100,9 @@
     ///
     /// It is called before [`Self::may_retry`], once for each such attempt.
     fn note_death(&self, order: &CompletionOrder, upstream: &str, now: time::Instant);
+
+    /// Notes the route of an attempt that begins.
+    fn note_route(&self, _order: &CompletionOrder, _route: &[upstream::RouteStage]) {}
 }
 
 /// A gate that allows every attempt.
@@ -104,7 +112,7 @@
 #[async_trait::async_trait]
 impl RetryGate for OpenGate {
     async fn may_retry(&self, _notice: &AttemptNotice<'_>, _now: time::Instant) -> RetryVerdict {
-        RetryVerdict::Retry
+        RetryVerdict::Retry { avoid: Vec::new() }
     }
 
     fn note_death(&self, _order: &CompletionOrder, _upstream: &str, _now: time::Instant) {}
@@ -273,6 +281,7 @@
             &self.order.request,
             format!("attempt {attempt}: {}", describe(&route)),
         );
+        self.core.gate.note_route(&self.order, &route);
         let guard = FlightGuard::new(&self.core, &route);
         let recent = self.core.routes.lock().recent_gap(&route);
         let begun = time::Instant::now();
@@ -445,6 +454,7 @@
         LineOutcome::Failed(attempt::AttemptFailure::Stage {
             hop: fault.fault_hop,
             refused: fault.refused,
+            unreached: fault.unreached,
         })
     }
 
@@ -507,8 +517,9 @@
                     sent: !matches!(failure, attempt::AttemptFailure::NotSent { .. }),
                     progress: last.is_some(),
                 };
-                if let RetryVerdict::Refuse(error) = self.core.gate.may_retry(&notice, now).await {
-                    return Err(error);
+                match self.core.gate.may_retry(&notice, now).await {
+                    RetryVerdict::Refuse(error) => return Err(error),
+                    RetryVerdict::Retry { avoid } => self.policy.avoid_also(avoid),
                 }
                 self.core.metrics.retries.inc();
                 pause
--- a/arbutusfold/tests/suspect.rs
+++ b/arbutusfold/tests/suspect.rs
@@ -39,6 +39,7 @@
         run,
         lasts: LASTS,
         burnt: burnt.to_vec(),
+        pardon: None,
     }
 }
 
@@ -131,6 +132,7 @@
             organisation: "novia-lima".to_owned(),
             assigned: nodes.0.clone(),
             lasts: LASTS,
+            pardon: None,
         };
         let event = host::SuspectEvent::Begin(run, request);
         verdicts.extend(node.handle(event, &nodes, now));
@@ -147,6 +149,45 @@
     );
 }
 
+/// Runs a request until it is refused; each run crashes its upstream, after
+/// new tokens where `progress` says so. Returns the number of crashes.
+fn crash_until_refused(progress: impl Fn(usize) -> bool) -> usize {
+    let now = time::Instant::now();
+    let nodes = Assigned(hosts(&["n1"]));
+    let mut node = host::SuspectHost::new("n1".to_owned(), 1);
+    for crashes in 0..20 {
+        let run = node.number();
+        let request = claim::RunRequest {
+            fingerprint: print(),
+            organisation: "novia-lima".to_owned(),
+            assigned: nodes.0.clone(),
+            lasts: LASTS,
+            pardon: None,
+        };
+        let event = host::SuspectEvent::Begin(run, request);
+        if node.handle(event, &nodes, now) != [claim::ClaimAction::Start(run)] {
+            return crashes;
+        }
+        let mark = mark(&format!("u{crashes}"));
+        if progress(crashes) {
+            node.pardon(&print(), "novia-lima", &mark, now);
+        }
+        let end = suspect::RunEnd::Crashed(mark);
+        node.handle(host::SuspectEvent::End(run, end), &nodes, now);
+    }
+    panic!("no bound");
+}
+
+#[tokio::test(start_paused = true)]
+async fn crashes_after_new_tokens_are_pardoned_twice() {
+    // Before the first token; at one later token; after tokens each time;
+    // the worst order.
+    assert_eq!(crash_until_refused(|_| false), 2);
+    assert_eq!(crash_until_refused(|crashes| crashes == 0), 3);
+    assert_eq!(crash_until_refused(|_| true), 4);
+    assert_eq!(crash_until_refused(|crashes| crashes % 2 == 1), 6);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_crash_that_was_none_gives_the_permit_back() {
     let now = time::Instant::now();
@@ -205,3 +246,28 @@
         Some(isolation::IsolationAnswer::Turn { run: 2, .. })
     ));
 }
+
+#[test]
+fn a_permit_from_another_node_costs_few_bytes() {
+    let run = 1_800_000_000_000_000;
+    let messages = [
+        suspect::SuspectMessage::Claim(ask(run, &[])),
+        suspect::SuspectMessage::Verdict {
+            run,
+            verdict: suspect::PermitVerdict::Granted,
+            burnt: Vec::new(),
+        },
+        suspect::SuspectMessage::End {
+            fingerprint: print(),
+            run,
+            end: suspect::RunEnd::Answered,
+        },
+        suspect::SuspectMessage::Noted(run),
+    ];
+    let bytes: Vec<_> = messages
+        .iter()
+        .map(|message| postcard::to_stdvec(message).unwrap().len())
+        .collect();
+    println!("claim, verdict, end, noted: {bytes:?} bytes");
+    assert!(bytes.iter().sum::<usize>() <= 120, "{bytes:?}");
+}
--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -285,6 +285,7 @@
             attempt: self.attempt,
             fault_hop: hop.unwrap_or(0),
             refused: false,
+            unreached: false,
         };
         // A node that gave the attempt up has closed its end.
         let _ = self.sender.send(EngineMessage::Fault(fault));
--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -519,6 +519,7 @@
         hop => attempt::AttemptFailure::Stage {
             hop,
             refused: fault.refused,
+            unreached: fault.unreached,
         },
     }
 }
