--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -5,10 +5,10 @@
 use std::time as std_time;
 
 use bytes::{Buf, Bytes, BytesMut};
-use derive_more::Display;
 use http_body_util::{BodyExt, Full};
 use tokio::time;
 
+use crate::attempt;
 use crate::caller;
 use crate::choose;
 use crate::client;
@@ -20,18 +20,6 @@
 use crate::stream;
 use crate::upstream;
 
-/// Attempts without a new token after which an answer is given up.
-const ATTEMPT_LIMIT: u32 = 6;
-
-/// Refusals of stale stages in a row after which an answer is given up.
-const REFUSAL_LIMIT: u32 = 32;
-
-/// Pause before the second attempt without a new token; it doubles from there.
-const BACKOFF_START: std_time::Duration = std_time::Duration::from_millis(10);
-
-/// Longest pause between two attempts.
-const BACKOFF_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
-
 /// Time between two looks for a route while none exists.
 const ROUTE_WAIT: std_time::Duration = std_time::Duration::from_millis(20);
 
@@ -44,8 +32,8 @@
 /// Bytes of text for one token of a prompt.
 const BYTES_PER_TOKEN: usize = 4;
 
-/// How much sooner than its timer a stall may be due before the timer is set anew.
-const WATCH_SLACK: std_time::Duration = std_time::Duration::from_millis(50);
+/// How much sooner than its timer a look may be due before the timer is set anew.
+const TIMER_SLACK: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// Time after which a caller that was refused for want of a route may come back.
 const REFUSAL_PAUSE: std_time::Duration = std_time::Duration::from_secs(1);
@@ -147,14 +135,7 @@
     order: CompletionOrder,
     answer: stream::AnswerState,
     open: Option<OpenAttempt>,
-    /// When the current attempt began.
-    begun: time::Instant,
-    /// Upstreams that failed since the last token.
-    avoid: Vec<id::UpstreamName>,
-    /// Failed attempts since the last token.
-    failures: u32,
-    /// Refused attempts since the last token.
-    refusals: u32,
+    policy: attempt::AttemptPolicy,
     ran: caller::RunOutcome,
     ended: bool,
 }
@@ -162,34 +143,46 @@
 struct OpenAttempt {
     body: hyper::body::Incoming,
     buffer: BytesMut,
-    /// Fires no earlier than `due`; moving it later takes no lock.
-    watch: pin::Pin<Box<time::Sleep>>,
-    due: time::Instant,
+    /// Fires at the next look at the silence or earlier; moving it later takes no lock.
+    timer: pin::Pin<Box<time::Sleep>>,
+    watch: attempt::SilenceWatch,
     meter: stream::GapMeter,
     guard: FlightGuard,
 }
 
 impl OpenAttempt {
-    fn set_due(&mut self, due: time::Instant) {
-        self.due = due;
-        let deadline = self.watch.deadline();
-        if due > deadline || due + WATCH_SLACK < deadline {
-            self.watch.as_mut().reset(due);
+    fn note_token(&mut self) {
+        let now = time::Instant::now();
+        self.meter.note(now);
+        self.guard.progress.note(now);
+        self.watch.note_token(&self.meter, now);
+        let next = self.watch.next();
+        let deadline = self.timer.deadline();
+        if next > deadline || next + TIMER_SLACK < deadline {
+            self.timer.as_mut().reset(next);
         }
     }
 
     /// Returns the next frame, or `None` once the route is silent for too long.
-    async fn next_frame(&mut self) -> Option<FrameResult> {
+    async fn next_frame(&mut self, limit: time::Instant) -> Option<FrameResult> {
         loop {
             tokio::select! {
                 biased;
                 frame = self.body.frame() => return Some(frame),
-                () = &mut self.watch => {}
+                () = &mut self.timer => {}
             }
-            if time::Instant::now() >= self.due {
+            let now = time::Instant::now();
+            if now >= limit {
                 return None;
             }
-            self.watch.as_mut().reset(self.due);
+            if now >= self.watch.next() {
+                let keeper = self.guard.core.routes.lock();
+                let stalled = self.watch.has_stalled(&self.guard.route, &keeper, now);
+                if stalled {
+                    return None;
+                }
+            }
+            self.timer.as_mut().reset(self.watch.next().min(limit));
         }
     }
 }
@@ -223,50 +216,14 @@
     }
 }
 
-/// Why an attempt ended before its answer was complete.
-#[derive(Debug, Display)]
-enum AttemptFailure {
-    /// The first stage refused before anything ran.
-    #[display("the first stage refused")]
-    Refused,
-    /// The first stage cannot take work now.
-    #[display("the first stage answered {status}")]
-    Busy { status: u16 },
-    /// The first stage was not reached.
-    #[display("{reason}")]
-    NotSent { reason: String },
-    /// The first stage did not answer in time.
-    #[display("the first stage did not answer")]
-    Unanswered,
-    /// The connection to the first stage broke.
-    #[display("{reason}")]
-    Broken { reason: String },
-    /// An engine said which stage broke.
-    #[display("stage {hop} broke, refused: {refused}")]
-    Stage {
-        hop: usize,
-        refused: bool,
-        unreached: bool,
-    },
-    /// No token came in time.
-    #[display("the route stalled")]
-    Stalled,
-    /// The stream ended before the answer did.
-    #[display("the stream ended early")]
-    EndedEarly,
-    /// A token had no proof of its passage.
-    #[display("{_0}")]
-    Unproved(stream::ProofError),
-}
-
 /// What one line of a stream comes to.
 enum LineOutcome {
     Piece(AnswerPiece),
     Dropped,
-    Failed(AttemptFailure),
+    Failed(attempt::AttemptFailure),
 }
 
-type AttemptStep = Result<Option<AnswerPiece>, AttemptFailure>;
+type AttemptStep = Result<Option<AnswerPiece>, attempt::AttemptFailure>;
 
 impl CompletionDriver {
     /// Creates a driver that has not begun.
@@ -277,10 +234,7 @@
             order,
             answer,
             open: None,
-            begun: time::Instant::now(),
-            avoid: Vec::new(),
-            failures: 0,
-            refusals: 0,
+            policy: attempt::AttemptPolicy::default(),
             ran: caller::RunOutcome::No,
             ended: false,
         }
@@ -330,19 +284,20 @@
         self.core.gate.note_route(&self.order, &route);
         let guard = FlightGuard::new(&self.core, &route);
         let recent = self.core.routes.lock().recent_gap(&route);
-        self.begun = time::Instant::now();
+        let begun = time::Instant::now();
         let meter = stream::GapMeter::new(recent);
-        let limit = meter.first_limit(self.prompt_tokens()) * self.patience();
-        let due = (self.begun + limit).min(self.order.deadline);
+        let limit = meter.first_limit(self.prompt_tokens()) * self.policy.patience();
+        let due = (begun + limit).min(self.order.deadline);
         let opened = time::timeout_at(due, self.open_stream(route)).await;
+        let watch = attempt::SilenceWatch::new(begun, limit);
         Ok(match opened {
             Ok(Ok(body)) => {
                 self.note_ran(caller::RunOutcome::Unknown);
                 self.open = Some(OpenAttempt {
                     body,
                     buffer: BytesMut::new(),
-                    watch: Box::pin(time::sleep_until(due)),
-                    due,
+                    timer: Box::pin(time::sleep_until(watch.next())),
+                    watch,
                     meter,
                     guard,
                 });
@@ -351,29 +306,24 @@
             Ok(Err(error)) => Err(self.judge(error)),
             Err(_) => {
                 self.note_ran(caller::RunOutcome::Unknown);
-                Err(AttemptFailure::Unanswered)
+                Err(attempt::AttemptFailure::Unanswered)
             }
         })
     }
 
     /// Turns a failed call of the first stage into a failure of the attempt.
-    fn judge(&mut self, error: client::ClientError) -> AttemptFailure {
+    fn judge(&mut self, error: client::ClientError) -> attempt::AttemptFailure {
         match error {
-            client::ClientError::NotSent { reason } => AttemptFailure::NotSent { reason },
-            client::ClientError::Status { status: 409, .. } => AttemptFailure::Refused,
-            client::ClientError::Status { status, .. } => AttemptFailure::Busy { status },
+            client::ClientError::NotSent { reason } => attempt::AttemptFailure::NotSent { reason },
+            client::ClientError::Status { status: 409, .. } => attempt::AttemptFailure::Refused,
+            client::ClientError::Status { status, .. } => attempt::AttemptFailure::Busy { status },
             client::ClientError::Lost { reason } => {
                 self.note_ran(caller::RunOutcome::Unknown);
-                AttemptFailure::Broken { reason }
+                attempt::AttemptFailure::Broken { reason }
             }
         }
     }
 
-    /// Returns how many times longer than usual a route may be silent.
-    fn patience(&self) -> u32 {
-        1 << self.failures.min(3)
-    }
-
     /// Returns the tokens that the next attempt must compute before its first.
     fn prompt_tokens(&self) -> usize {
         self.order.prompt.len() / BYTES_PER_TOKEN + self.answer.delivered().len()
@@ -389,7 +339,7 @@
             model: &self.order.model.name,
             prompt: &self.order.prompt,
             previous: self.answer.route(),
-            avoid: &self.avoid,
+            avoid: self.policy.avoid(),
         };
         loop {
             let now = time::Instant::now();
@@ -459,36 +409,36 @@
                 LineOutcome::Failed(failure) => Err(failure),
             };
         }
-        match open.next_frame().await {
+        match open.next_frame(self.order.deadline).await {
             Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     open.buffer.extend_from_slice(&data);
                 }
                 Ok(None)
             }
-            Some(Some(Err(error))) => Err(AttemptFailure::Broken {
+            Some(Some(Err(error))) => Err(attempt::AttemptFailure::Broken {
                 reason: error.to_string(),
             }),
-            Some(None) => Err(AttemptFailure::EndedEarly),
-            None => Err(AttemptFailure::Stalled),
+            Some(None) => Err(attempt::AttemptFailure::EndedEarly),
+            None => Err(attempt::AttemptFailure::Stalled),
         }
     }
 
     fn take_line(&mut self, line: &[u8]) -> LineOutcome {
-        let token = match serde_json::from_slice::<upstream::StageToken>(line) {
+        let token = match serde_json::from_slice::<upstream::TokenView<'_>>(line) {
             Ok(token) => token,
             Err(error) => return self.take_fault(line, &error),
         };
         if let Err(error) = self.answer.accept(&token) {
             self.note_dropped(error.to_string());
             return match error.breaks_stream() {
-                true => LineOutcome::Failed(AttemptFailure::Unproved(error)),
+                true => LineOutcome::Failed(attempt::AttemptFailure::Unproved(error)),
                 false => LineOutcome::Dropped,
             };
         }
         self.note_token();
         LineOutcome::Piece(AnswerPiece {
-            text: token.text,
+            text: token.text.into_owned(),
             finish: token.finish,
         })
     }
@@ -501,7 +451,7 @@
             self.note_dropped(error.to_string());
             return LineOutcome::Dropped;
         };
-        LineOutcome::Failed(AttemptFailure::Stage {
+        LineOutcome::Failed(attempt::AttemptFailure::Stage {
             hop: fault.fault_hop,
             refused: fault.refused,
             unreached: fault.unreached,
@@ -518,119 +468,65 @@
 
     fn note_token(&mut self) {
         self.note_ran(caller::RunOutcome::Yes);
-        self.failures = 0;
-        self.refusals = 0;
+        self.policy.note_token();
         self.core.metrics.tokens.inc();
-        let now = time::Instant::now();
         if let Some(open) = &mut self.open {
-            open.meter.note(now);
-            open.guard.progress.note(now);
-            let due = now + open.meter.limit();
-            open.set_due(due.min(self.order.deadline));
+            open.note_token();
         }
     }
 
-    async fn fail_attempt(&mut self, failure: &AttemptFailure) -> Result<(), caller::CallerError> {
+    async fn fail_attempt(
+        &mut self,
+        failure: &attempt::AttemptFailure,
+    ) -> Result<(), caller::CallerError> {
+        let now = time::Instant::now();
         let last = self.open.take().and_then(|open| open.meter.last());
-        let progress = last.is_some();
-        if progress {
-            self.avoid.clear();
+        let failed = attempt::FailedAttempt {
+            route: self.answer.route(),
+            failure,
+            last,
+        };
+        let blame = {
+            let mut keeper = self.core.routes.lock();
+            self.policy.blame(&failed, &mut keeper, now)
+        };
+        let blamed = blame.hop.and_then(|hop| self.answer.route().get(hop));
+        if let Some(stage) = blamed.filter(|_| blame.died) {
+            self.core.gate.note_death(&self.order, &stage.upstream, now);
         }
-        let blamed = self.blame(failure, last.unwrap_or(self.begun));
         self.core.recorder.record(
             event::EventCode::AttemptFailed,
             &self.order.request,
             format!("attempt {}: {failure}", self.answer.attempt()),
         );
-        let now = time::Instant::now();
         if now >= self.order.deadline {
             return Err(self.give_up("the deadline has passed"));
         }
-        if matches!(failure, AttemptFailure::Refused) {
-            return self.allow_refusal().await;
-        }
-        self.failures += 1;
-        if self.failures >= ATTEMPT_LIMIT {
-            return Err(self.give_up("every attempt failed"));
-        }
-        let notice = AttemptNotice {
-            order: &self.order,
-            attempt: self.answer.attempt(),
-            ran: self.ran,
-            route: self.answer.route(),
-            blamed: blamed.and_then(|hop| self.answer.route().get(hop)),
-            sent: !matches!(failure, AttemptFailure::NotSent { .. }),
-            progress,
-        };
-        match self.core.gate.may_retry(&notice, now).await {
-            RetryVerdict::Refuse(error) => return Err(error),
-            RetryVerdict::Retry { avoid } => self.avoid.extend(avoid),
-        }
-        self.core.metrics.retries.inc();
-        self.back_off(self.failures).await;
-        Ok(())
-    }
-
-    /// A refused attempt ran nowhere, so it costs no retry.
-    async fn allow_refusal(&mut self) -> Result<(), caller::CallerError> {
-        self.refusals += 1;
-        if self.refusals >= REFUSAL_LIMIT {
-            return Err(self.give_up("every route was stale"));
-        }
-        self.back_off(self.refusals).await;
-        Ok(())
-    }
-
-    async fn back_off(&self, failures: u32) {
-        // The first failure in a row is answered at once.
-        let Some(doublings) = failures.checked_sub(2) else {
-            return;
-        };
-        let longest = (BACKOFF_START * (1 << doublings.min(8))).min(BACKOFF_LIMIT);
-        let pause = longest.mul_f64(rand::random_range(0.5..1.0));
-        time::sleep_until((time::Instant::now() + pause).min(self.order.deadline)).await;
-    }
-
-    /// Notes who failed and returns the stage where it is known.
-    ///
-    /// Nothing has passed the route since `since`.
-    fn blame(&mut self, failure: &AttemptFailure, since: time::Instant) -> Option<usize> {
-        let now = time::Instant::now();
-        let route = self.answer.route();
-        let mut keeper = self.core.routes.lock();
-        let (hop, died) = match failure {
-            AttemptFailure::Refused => {
-                keeper.note_refusal(&route.first()?.upstream, now);
-                self.avoid.push(route.first()?.upstream.clone());
-                return Some(0);
-            }
-            AttemptFailure::Stage {
-                hop, refused: true, ..
-            } => {
-                keeper.note_refusal(&route.get(*hop)?.upstream, now);
-                self.avoid.push(route.get(*hop)?.upstream.clone());
-                return Some(*hop);
-            }
-            AttemptFailure::Busy { .. }
-            | AttemptFailure::NotSent { .. }
-            | AttemptFailure::Unanswered => (0, false),
-            AttemptFailure::Broken { .. } => (0, true),
-            AttemptFailure::Stage { hop, unreached, .. } => (*hop, !unreached),
-            AttemptFailure::Stalled | AttemptFailure::EndedEarly | AttemptFailure::Unproved(_) => {
-                keeper.note_suspicion(route, since, now);
-                let names = route.iter().map(|stage| stage.upstream.clone());
-                self.avoid.extend(names);
-                return None;
+        // The generator may not be held over an await.
+        let step = self.policy.next(failure, &mut rand::rng());
+        let pause = match step {
+            attempt::NextStep::GiveUp(reason) => return Err(self.give_up(reason)),
+            attempt::NextStep::Again(pause) => pause,
+            attempt::NextStep::Retry(pause) => {
+                let notice = AttemptNotice {
+                    order: &self.order,
+                    attempt: self.answer.attempt(),
+                    ran: self.ran,
+                    route: self.answer.route(),
+                    blamed,
+                    sent: !matches!(failure, attempt::AttemptFailure::NotSent { .. }),
+                    progress: last.is_some(),
+                };
+                match self.core.gate.may_retry(&notice, now).await {
+                    RetryVerdict::Refuse(error) => return Err(error),
+                    RetryVerdict::Retry { avoid } => self.policy.avoid_also(avoid),
+                }
+                self.core.metrics.retries.inc();
+                pause
             }
         };
-        let name = &route.get(hop)?.upstream;
-        keeper.note_failure(name, now);
-        drop(keeper);
-        if died {
-            self.core.gate.note_death(&self.order, name, now);
-        }
-        self.avoid.push(name.clone());
-        Some(hop)
+        time::sleep_until((now + pause).min(self.order.deadline)).await;
+        Ok(())
     }
 
     /// Raises the outcome; what once ran cannot become undone.
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod address;
 pub mod admission;
+pub mod attempt;
 pub mod breaker;
 pub mod caller;
 pub mod check;
--- a/arbutusfold/src/stream.rs
+++ b/arbutusfold/src/stream.rs
@@ -26,6 +26,9 @@
 /// Gaps within which the next token must come.
 const GAP_MULTIPLE: f64 = 4.0;
 
+/// Gaps within which the next token usually comes.
+const USUAL_MULTIPLE: f64 = 2.0;
+
 /// Gaps within which the first token must come.
 const FIRST_MULTIPLE: f64 = 16.0;
 
@@ -74,6 +77,40 @@
     }
 }
 
+/// The texts of delivered tokens, kept as one.
+#[derive(Clone, Debug, Default)]
+pub struct DeliveredText {
+    text: String,
+    /// Where each token's text ends.
+    ends: Vec<usize>,
+}
+
+impl DeliveredText {
+    fn push(&mut self, text: &str) {
+        self.text.push_str(text);
+        self.ends.push(self.text.len());
+    }
+
+    /// Returns the number of tokens.
+    pub fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Tells whether there is no token.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// Returns the text of each token.
+    pub fn to_vec(&self) -> Vec<String> {
+        let starts = std::iter::once(&0).chain(&self.ends);
+        starts
+            .zip(&self.ends)
+            .map(|(start, end)| self.text[*start..*end].to_owned())
+            .collect()
+    }
+}
+
 /// The state of one answer over all its attempts.
 #[derive(Clone, Debug)]
 pub struct AnswerState {
@@ -81,7 +118,7 @@
     attempt: id::AttemptNumber,
     layers: id::LayerIndex,
     route: Vec<upstream::RouteStage>,
-    delivered: Vec<String>,
+    delivered: DeliveredText,
 }
 
 impl AnswerState {
@@ -92,7 +129,7 @@
             attempt: 0,
             layers,
             route: Vec::new(),
-            delivered: Vec::new(),
+            delivered: DeliveredText::default(),
         }
     }
 
@@ -103,8 +140,13 @@
         self.attempt
     }
 
+    /// Returns the request that is answered.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Returns the tokens that were delivered.
-    pub fn delivered(&self) -> &[String] {
+    pub fn delivered(&self) -> &DeliveredText {
         &self.delivered
     }
 
@@ -128,10 +170,10 @@
     /// # Errors
     ///
     /// [`ProofError`] tells why the token must not reach the caller.
-    pub fn accept(&mut self, token: &upstream::StageToken) -> Result<(), ProofError> {
+    pub fn accept(&mut self, token: &upstream::TokenView<'_>) -> Result<(), ProofError> {
         if token.request != self.request {
             return Err(ProofError::Crossed {
-                found: token.request.clone(),
+                found: token.request.clone().into_owned(),
             });
         }
         if token.attempt != self.attempt {
@@ -149,7 +191,7 @@
         if !covers_once(&token.proof, &self.route, self.layers) {
             return Err(ProofError::Passage);
         }
-        self.delivered.push(token.text.clone());
+        self.delivered.push(&token.text);
         Ok(())
     }
 }
@@ -215,6 +257,14 @@
         self.mean.map(std_time::Duration::from_secs_f64)
     }
 
+    /// Returns the silence after a token that is nothing unusual.
+    pub fn usual(&self) -> std_time::Duration {
+        let mean = self.mean.map(std_time::Duration::from_secs_f64);
+        mean.max(self.recent)
+            .unwrap_or_default()
+            .mul_f64(USUAL_MULTIPLE)
+    }
+
     /// Returns the silence after a token that counts as a stall.
     pub fn limit(&self) -> std_time::Duration {
         let recent = self.recent.map_or(0.0, |gap| gap.as_secs_f64());
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -6,11 +6,16 @@
 use crate::concurrency;
 use crate::config;
 use crate::crashing_request;
+use crate::decision_cost;
+use crate::domain_loss;
 use crate::fairness;
 use crate::fleet_limit;
 use crate::full_outage;
+use crate::latency;
 use crate::record;
 use crate::report;
+use crate::saturation;
+use crate::stage_death;
 
 /// A measurement that can be run by name.
 pub struct BenchScenario {
@@ -22,6 +27,26 @@
 
 /// Every scenario, in the order of the output.
 const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "saturation",
+        measure: saturation::measure,
+    },
+    BenchScenario {
+        name: "domain-loss",
+        measure: domain_loss::measure,
+    },
+    BenchScenario {
+        name: "stage-death",
+        measure: stage_death::measure,
+    },
+    BenchScenario {
+        name: "latency",
+        measure: latency::measure,
+    },
+    BenchScenario {
+        name: "decision-cost",
+        measure: decision_cost::measure,
+    },
     BenchScenario {
         name: "config",
         measure: config::measure,
