--- a/fuzz/tests/record_group.rs
+++ b/fuzz/tests/record_group.rs
@@ -86,3 +86,25 @@
     // The caller hears so within the time of four calls.
     assert!(begun.elapsed() < std_time::Duration::from_secs(7));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_lone_request_takes_two_transactions_and_one_round_trip_before_it_starts() {
+    let trip = std_time::Duration::from_millis(20);
+    let table = fake::FakeTable::new(1, trip);
+    let own = keeper(&table, "entry-1");
+    let begun = time::Instant::now();
+    let decision = own.start(&key(1), "digest", begun).await.unwrap();
+    assert!(begun.elapsed() <= trip * 3 / 2 + std_time::Duration::from_millis(2));
+    let record::RecordDecision::Run(permit) = decision else {
+        panic!("{decision:?}");
+    };
+    let answer = record::RecordedAnswer {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: vec![0xff, 0x00],
+    };
+    own.finish(permit, answer.clone()).await;
+    assert_eq!(table.commits(), 2);
+    let again = own.start(&key(1), "digest", begun).await.unwrap();
+    assert_eq!(again, record::RecordDecision::Replay(answer));
+}
