--- a/arbutusfold/src/repair.rs
+++ b/arbutusfold/src/repair.rs
@@ -223,7 +223,13 @@
         let free = pipeline.upstreams.iter().filter_map(|name| {
             let host = &self.hosts[self.find(name).ok()?];
             let spec = document.upstream(name)?;
-            self.offer(host, spec, model, lacking, &counts, pipeline.replicas, now)
+            let need = LayerNeed {
+                model,
+                lacking,
+                counts: &counts,
+                replicas: pipeline.replicas,
+            };
+            offer(host, spec, &need, now)
         });
         let best = free.min_by_key(|offer| {
             (
@@ -255,54 +261,6 @@
         })
     }
 
-    /// Returns what a host could load of a range, if it is free to.
-    #[allow(clippy::too_many_arguments)]
-    fn offer<'a>(
-        &self,
-        host: &'a RepairHost,
-        spec: &document::UpstreamSpec,
-        model: &document::ModelSpec,
-        lacking: CoverRange,
-        counts: &[u32],
-        replicas: u32,
-        now: time::Instant,
-    ) -> Option<HostOffer<'a>> {
-        let usable = host.is_steady(now) && !host.leaving && host.loading.is_none();
-        if !usable || spec.capacity_layers == 0 {
-            return None;
-        }
-        // Its layers must be held by enough others if it gives them up.
-        let surplus = host.held.iter().all(|held| {
-            held.model != model.name
-                || held.version != model.version
-                || indices(held.layers)
-                    .all(|layer| counts.get(layer).is_none_or(|count| *count > replicas))
-        });
-        if !surplus {
-            return None;
-        }
-        let width = (lacking.layers.to - lacking.layers.from).min(spec.capacity_layers);
-        let layers = upstream::LayerRange {
-            from: lacking.layers.from,
-            to: lacking.layers.from + width,
-        };
-        let present = host
-            .held
-            .iter()
-            .filter(|held| held.model == model.name && held.version == model.version)
-            .map(|held| {
-                let from = held.layers.from.max(layers.from);
-                held.layers.to.min(layers.to).saturating_sub(from)
-            })
-            .sum::<id::LayerIndex>();
-        Some(HostOffer {
-            name: &host.name,
-            layers,
-            fetched: width.saturating_sub(present),
-            rate: host.rate,
-        })
-    }
-
     /// Counts the runners that hold each layer or will.
     fn counts(
         &self,
@@ -354,6 +312,66 @@
     rate: u64,
 }
 
+/// What a range of layers needs.
+struct LayerNeed<'a> {
+    model: &'a document::ModelSpec,
+    lacking: CoverRange,
+    /// Runners of each layer of the model.
+    counts: &'a [u32],
+    replicas: u32,
+}
+
+impl LayerNeed<'_> {
+    fn is_same_model(&self, held: &upstream::HeldLayers) -> bool {
+        held.model == self.model.name && held.version == self.model.version
+    }
+
+    /// Tells whether enough others hold these layers.
+    fn is_surplus(&self, held: &upstream::HeldLayers) -> bool {
+        let plenty = |layer| {
+            self.counts
+                .get(layer)
+                .is_none_or(|count| *count > self.replicas)
+        };
+        !self.is_same_model(held) || indices(held.layers).all(plenty)
+    }
+}
+
+/// Returns what a host could load of a range, if it is free to.
+fn offer<'a>(
+    host: &'a RepairHost,
+    spec: &document::UpstreamSpec,
+    need: &LayerNeed<'_>,
+    now: time::Instant,
+) -> Option<HostOffer<'a>> {
+    let usable = host.is_steady(now) && !host.leaving && host.loading.is_none();
+    let surplus = host.held.iter().all(|held| need.is_surplus(held));
+    if !usable || !surplus || spec.capacity_layers == 0 {
+        return None;
+    }
+    let lacking = need.lacking.layers;
+    let width = (lacking.to - lacking.from).min(spec.capacity_layers);
+    let layers = upstream::LayerRange {
+        from: lacking.from,
+        to: lacking.from + width,
+    };
+    let present: id::LayerIndex = host
+        .held
+        .iter()
+        .filter(|held| need.is_same_model(held))
+        .map(|held| {
+            let from = held.layers.from.max(layers.from);
+            held.layers.to.min(layers.to).saturating_sub(from)
+        })
+        .sum();
+    Some(HostOffer {
+        name: &host.name,
+        layers,
+        fetched: width.saturating_sub(present),
+        rate: host.rate,
+    })
+}
+
 fn indices(layers: upstream::LayerRange) -> std::ops::Range<usize> {
     layers.from as usize..layers.to as usize
 }
