--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -64,4 +64,5 @@
 pub mod settings;
 pub mod stream;
 pub mod suspect;
+pub mod traffic;
 pub mod upstream;
--- a/arbutusfold/tests/admission.rs
+++ b/arbutusfold/tests/admission.rs
@@ -120,8 +120,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_request_that_cannot_finish_in_time_is_refused_at_once() {
     let mut bench = GateBench::new(1, 1_000);
-    bench.arrive("a", RequestPriority::Interactive, 1, 100);
-    bench.finish(1_000);
+    // Eight answers make the usual length known.
+    for _ in 0..8 {
+        bench.arrive("a", RequestPriority::Interactive, 1, 100);
+        bench.finish(1_000);
+    }
     // Each request takes one second; ten seconds of work wait.
     for _ in 0..11 {
         let actions = bench.arrive("a", RequestPriority::Interactive, 1, 100);
@@ -183,6 +186,15 @@
     assert_eq!(bench.gate.running(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_long_request_is_not_refused_before_the_usual_length_is_known() {
+    let mut bench = GateBench::new(2, 1_000);
+    bench.arrive("a", RequestPriority::Interactive, 1, 100);
+    bench.finish(10_000);
+    let actions = bench.arrive("a", RequestPriority::Interactive, 1, 5);
+    assert_eq!(refusal(&actions), None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn expected_work_is_learned_from_answers() {
     let mut bench = GateBench::new(1, 10);
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -2,7 +2,13 @@
 
 use anyhow::Context;
 
+use crate::admission_cost;
+use crate::concurrency;
 use crate::config;
+use crate::crashing_request;
+use crate::fairness;
+use crate::fleet_limit;
+use crate::full_outage;
 use crate::record;
 use crate::report;
 
@@ -20,6 +26,30 @@
         name: "config",
         measure: config::measure,
     },
+    BenchScenario {
+        name: "fairness",
+        measure: fairness::measure,
+    },
+    BenchScenario {
+        name: "fleet-limit",
+        measure: fleet_limit::measure,
+    },
+    BenchScenario {
+        name: "concurrency",
+        measure: concurrency::measure,
+    },
+    BenchScenario {
+        name: "full-outage",
+        measure: full_outage::measure,
+    },
+    BenchScenario {
+        name: "crashing-request",
+        measure: crashing_request::measure,
+    },
+    BenchScenario {
+        name: "admission-cost",
+        measure: admission_cost::measure,
+    },
     BenchScenario {
         name: "record",
         measure: record::measure,
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -217,6 +217,7 @@
         attempt: order.attempt,
         fault_hop: fault.hop,
         refused: fault.refused,
+        unreached: fault.unreached,
     };
     if let Some(line) = to_line(&fault) {
         // A node that went away needs no word of it.
@@ -290,6 +291,7 @@
 struct HopFault {
     hop: usize,
     refused: bool,
+    unreached: bool,
 }
 
 impl HopFault {
@@ -297,6 +299,7 @@
         Self {
             hop,
             refused: false,
+            unreached: false,
         }
     }
 }
@@ -333,7 +336,11 @@
         let request = http::Request::post(format!("http://{address}{PASS_PATH}"))
             .body(line_body(receiver))
             .map_err(|_| broken())?;
-        let response = state.client.request(request).await.map_err(|_| broken())?;
+        let response = state.client.request(request).await;
+        let response = response.map_err(|error| HopFault {
+            unreached: error.is_connect(),
+            ..broken()
+        })?;
         match response.status().as_u16() {
             200 => Ok(Some(Self {
                 hop,
@@ -345,6 +352,7 @@
             status => Err(HopFault {
                 hop,
                 refused: status == 409,
+                unreached: false,
             }),
         }
     }
