--- a/arbutusfold/src/console.rs
+++ b/arbutusfold/src/console.rs
@@ -18,7 +18,6 @@
 use crate::event;
 use crate::node;
 use crate::operate;
-use page::PageFrame;
 
 /// Path below which the console lives.
 pub const CONSOLE_PATH: &str = "/console";
@@ -107,9 +106,9 @@
         tokio::time::sleep(REFUSAL_PAUSE).await;
         refused = true;
     }
-    let frame = PageFrame {
+    let frame = page::PageFrame {
         title: "Sign in".to_owned(),
-        ..PageFrame::default()
+        ..page::PageFrame::default()
     };
     let status = match refused {
         true => http::StatusCode::UNAUTHORIZED,
@@ -189,8 +188,12 @@
     render(http::StatusCode::OK, &page)
 }
 
-fn frame(core: &node::NodeCore, session: &session::OperatorSession, title: &str) -> PageFrame {
-    PageFrame {
+fn frame(
+    core: &node::NodeCore,
+    session: &session::OperatorSession,
+    title: &str,
+) -> page::PageFrame {
+    page::PageFrame {
         title: title.to_owned(),
         operator: session.operator.clone(),
         host: core.settings.name.clone(),
@@ -227,10 +230,10 @@
 }
 
 fn refuse(core: &node::NodeCore, reason: &str) -> caller::CallerAnswer {
-    let frame = PageFrame {
+    let frame = page::PageFrame {
         title: "Refused".to_owned(),
         host: core.settings.name.clone(),
-        ..PageFrame::default()
+        ..page::PageFrame::default()
     };
     let page = page::MessagePage {
         frame,
--- a/arbutusfold/src/console/draft.rs
+++ b/arbutusfold/src/console/draft.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::check::{FieldKind, FieldSpec};
+use crate::check;
 use crate::id;
 use crate::schema;
 
@@ -43,7 +43,7 @@
     /// Name of the section.
     pub name: &'static str,
     /// Fields of an entry.
-    pub fields: &'static [FieldSpec],
+    pub fields: &'static [check::FieldSpec],
 }
 
 /// Returns the sections that forms edit, in the order of the document.
@@ -51,7 +51,7 @@
     schema::DOCUMENT
         .iter()
         .filter_map(|field| match field.kind {
-            FieldKind::List(_, FieldKind::Record(fields)) => Some(SectionSpec {
+            check::FieldKind::List(_, check::FieldKind::Record(fields)) => Some(SectionSpec {
                 name: field.name,
                 fields,
             }),
--- a/arbutusfold/src/console/form.rs
+++ b/arbutusfold/src/console/form.rs
@@ -1,6 +1,6 @@
 //! Forms of entries, made from the field schema.
 
-use crate::check::{self, FieldKind, FieldSpec};
+use crate::check;
 use crate::document;
 
 /// Beginning of the names of an entry's fields in a form.
@@ -81,7 +81,7 @@
 
 /// Returns the fields of an entry with its values and errors.
 pub fn fields_of(
-    fields: &'static [FieldSpec],
+    fields: &'static [check::FieldSpec],
     entry: &serde_json::Value,
     path: &str,
     issues: &[check::CheckIssue],
@@ -94,7 +94,7 @@
             input: input_of(&field.kind),
             value: text_of(&field.kind, &entry[field.name]),
             options: match field.kind {
-                FieldKind::Choice(words) => words,
+                check::FieldKind::Choice(words) => words,
                 _ => &[],
             },
             help: help_of(field),
@@ -107,7 +107,7 @@
 ///
 /// What does not fit its field stays as text, so that the check names it and
 /// the form shows it again.
-pub fn entry_of(fields: &'static [FieldSpec], form: &SentForm) -> serde_json::Value {
+pub fn entry_of(fields: &'static [check::FieldSpec], form: &SentForm) -> serde_json::Value {
     let mut entry = serde_json::Map::new();
     for field in fields {
         let typed = form.field(field.name).trim();
@@ -124,12 +124,12 @@
     entry.into()
 }
 
-fn value_of(field: &FieldSpec, typed: &str) -> Option<serde_json::Value> {
+fn value_of(field: &check::FieldSpec, typed: &str) -> Option<serde_json::Value> {
     match field.kind {
-        FieldKind::Flag => Some((typed == "true").into()),
-        FieldKind::List(_, kind) => Some(lines_of(kind, typed)),
+        check::FieldKind::Flag => Some((typed == "true").into()),
+        check::FieldKind::List(_, kind) => Some(lines_of(kind, typed)),
         _ if typed.is_empty() && !field.required => None,
-        FieldKind::Number(..) => Some(match typed.parse::<u64>() {
+        check::FieldKind::Number(..) => Some(match typed.parse::<u64>() {
             Ok(number) => number.into(),
             Err(_) => typed.into(),
         }),
@@ -137,34 +137,34 @@
     }
 }
 
-fn lines_of(kind: &FieldKind, typed: &str) -> serde_json::Value {
+fn lines_of(kind: &check::FieldKind, typed: &str) -> serde_json::Value {
     let lines = typed.lines().map(str::trim).filter(|line| !line.is_empty());
     match kind {
-        FieldKind::Record(fields) => lines.map(|line| record_of(fields, line)).collect(),
+        check::FieldKind::Record(fields) => lines.map(|line| record_of(fields, line)).collect(),
         _ => lines.map(serde_json::Value::from).collect(),
     }
 }
 
-fn record_of(fields: &[FieldSpec], line: &str) -> serde_json::Value {
+fn record_of(fields: &[check::FieldSpec], line: &str) -> serde_json::Value {
     let words = line.split_whitespace().map(serde_json::Value::from);
     let names = fields.iter().map(|field| field.name.to_owned());
     serde_json::Value::Object(names.zip(words).collect())
 }
 
-fn input_of(kind: &FieldKind) -> InputKind {
+fn input_of(kind: &check::FieldKind) -> InputKind {
     match kind {
-        FieldKind::Flag => InputKind::Tick,
-        FieldKind::Choice(_) => InputKind::Choice,
-        FieldKind::List(..) => InputKind::Lines,
+        check::FieldKind::Flag => InputKind::Tick,
+        check::FieldKind::Choice(_) => InputKind::Choice,
+        check::FieldKind::List(..) => InputKind::Lines,
         _ => InputKind::Line,
     }
 }
 
-fn text_of(kind: &FieldKind, value: &serde_json::Value) -> String {
+fn text_of(kind: &check::FieldKind, value: &serde_json::Value) -> String {
     match (kind, value) {
         (_, serde_json::Value::Null) => String::new(),
         (_, serde_json::Value::String(text)) => text.clone(),
-        (FieldKind::List(_, kind), serde_json::Value::Array(list)) => {
+        (check::FieldKind::List(_, kind), serde_json::Value::Array(list)) => {
             let lines: Vec<_> = list.iter().map(|value| line_of(kind, value)).collect();
             lines.join("\n")
         }
@@ -172,9 +172,9 @@
     }
 }
 
-fn line_of(kind: &FieldKind, value: &serde_json::Value) -> String {
+fn line_of(kind: &check::FieldKind, value: &serde_json::Value) -> String {
     match kind {
-        FieldKind::Record(fields) => {
+        check::FieldKind::Record(fields) => {
             let words: Vec<_> = fields
                 .iter()
                 .filter_map(|field| value[field.name].as_str())
@@ -185,16 +185,20 @@
     }
 }
 
-fn help_of(field: &FieldSpec) -> String {
+fn help_of(field: &check::FieldSpec) -> String {
     let allowed = match field.kind {
-        FieldKind::List(_, FieldKind::Record(fields)) => {
+        check::FieldKind::List(_, check::FieldKind::Record(fields)) => {
             let names: Vec<_> = fields.iter().map(|field| field.name).collect();
             format!("one a line: {}", names.join(" "))
         }
-        FieldKind::List(_, kind) => format!("one a line: {}", check::allowed(kind)),
+        check::FieldKind::List(_, kind) => format!("one a line: {}", check::allowed(kind)),
         kind => check::allowed(&kind),
     };
-    match field.required || matches!(field.kind, FieldKind::List(..) | FieldKind::Flag) {
+    match field.required
+        || matches!(
+            field.kind,
+            check::FieldKind::List(..) | check::FieldKind::Flag
+        ) {
         true => allowed,
         false => format!("{allowed}; empty for the default"),
     }
--- a/arbutusfold/src/schema.rs
+++ b/arbutusfold/src/schema.rs
@@ -3,7 +3,7 @@
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
 
-use crate::check::{self, FieldKind, FieldSpec};
+use crate::check;
 use crate::place;
 
 /// Most layers that a model may have.
@@ -25,87 +25,117 @@
 const RATE_LIMIT: u64 = 1 << 48;
 
 /// Fields of [`crate::document::ModelSpec`].
-pub const MODEL: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::PathName),
-    FieldSpec::required("layers", FieldKind::Number(1, LAYERS_LIMIT)),
-    FieldSpec::required("version", FieldKind::PathName),
+pub const MODEL: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::PathName),
+    check::FieldSpec::required("layers", check::FieldKind::Number(1, LAYERS_LIMIT)),
+    check::FieldSpec::required("version", check::FieldKind::PathName),
 ];
 
 /// Fields of [`crate::document::PipelineSpec`].
-pub const PIPELINE: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::Name),
-    FieldSpec::required("model", FieldKind::PathName),
-    FieldSpec::required("upstreams", FieldKind::List(1, &FieldKind::Name)),
-    FieldSpec::optional("replicas", FieldKind::Number(1, REPLICAS_LIMIT)),
+pub const PIPELINE: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required("model", check::FieldKind::PathName),
+    check::FieldSpec::required(
+        "upstreams",
+        check::FieldKind::List(1, &check::FieldKind::Name),
+    ),
+    check::FieldSpec::optional("replicas", check::FieldKind::Number(1, REPLICAS_LIMIT)),
 ];
 
 /// Fields of [`crate::document::UpstreamSpec`].
-pub const UPSTREAM: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::Name),
-    FieldSpec::required("address", FieldKind::Address),
-    FieldSpec::required("domain", FieldKind::Name),
-    FieldSpec::optional("accelerator", FieldKind::Text),
-    FieldSpec::optional("capacity_layers", FieldKind::Number(0, LAYERS_LIMIT)),
-    FieldSpec::optional("checks_fencing", FieldKind::Flag),
+pub const UPSTREAM: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required("address", check::FieldKind::Address),
+    check::FieldSpec::required("domain", check::FieldKind::Name),
+    check::FieldSpec::optional("accelerator", check::FieldKind::Text),
+    check::FieldSpec::optional("capacity_layers", check::FieldKind::Number(0, LAYERS_LIMIT)),
+    check::FieldSpec::optional("checks_fencing", check::FieldKind::Flag),
 ];
 
 /// Fields of [`crate::document::ServiceSpec`].
-pub const SERVICE: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::Name),
-    FieldSpec::required("upstreams", FieldKind::List(1, &FieldKind::Name)),
-    FieldSpec::optional(
+pub const SERVICE: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required(
+        "upstreams",
+        check::FieldKind::List(1, &check::FieldKind::Name),
+    ),
+    check::FieldSpec::optional(
         "non_idempotent",
-        FieldKind::List(0, &FieldKind::Record(CALL)),
+        check::FieldKind::List(0, &check::FieldKind::Record(CALL)),
+    ),
+    check::FieldSpec::optional(
+        "deadline_ms",
+        check::FieldKind::Number(1, DEADLINE_LIMIT_MS),
     ),
-    FieldSpec::optional("deadline_ms", FieldKind::Number(1, DEADLINE_LIMIT_MS)),
 ];
 
 /// Fields of [`crate::document::CallSpec`].
-pub const CALL: &[FieldSpec] = &[
-    FieldSpec::required("method", FieldKind::Method),
-    FieldSpec::required("path", FieldKind::Path),
+pub const CALL: &[check::FieldSpec] = &[
+    check::FieldSpec::required("method", check::FieldKind::Method),
+    check::FieldSpec::required("path", check::FieldKind::Path),
 ];
 
 /// Fields of [`crate::document::OrganisationSpec`].
-pub const ORGANISATION: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::Name),
-    FieldSpec::required("key_digests", FieldKind::List(0, &FieldKind::Hex)),
-    FieldSpec::optional("weight", FieldKind::Number(1, WEIGHT_LIMIT)),
-    FieldSpec::optional(
+pub const ORGANISATION: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required(
+        "key_digests",
+        check::FieldKind::List(0, &check::FieldKind::Hex),
+    ),
+    check::FieldSpec::optional("weight", check::FieldKind::Number(1, WEIGHT_LIMIT)),
+    check::FieldSpec::optional(
         "priority",
-        FieldKind::Choice(&["urgent", "interactive", "background"]),
+        check::FieldKind::Choice(&["urgent", "interactive", "background"]),
+    ),
+    check::FieldSpec::optional("tokens_per_second", check::FieldKind::Number(0, RATE_LIMIT)),
+    check::FieldSpec::optional(
+        "requests_per_second",
+        check::FieldKind::Number(0, RATE_LIMIT),
+    ),
+    check::FieldSpec::optional(
+        "deadline_ms",
+        check::FieldKind::Number(1, DEADLINE_LIMIT_MS),
     ),
-    FieldSpec::optional("tokens_per_second", FieldKind::Number(0, RATE_LIMIT)),
-    FieldSpec::optional("requests_per_second", FieldKind::Number(0, RATE_LIMIT)),
-    FieldSpec::optional("deadline_ms", FieldKind::Number(1, DEADLINE_LIMIT_MS)),
 ];
 
 /// Fields of [`crate::document::LinkSpec`].
-pub const LINK: &[FieldSpec] = &[
-    FieldSpec::required("from", FieldKind::Name),
-    FieldSpec::required("to", FieldKind::Name),
-    FieldSpec::required("delay_us", FieldKind::Number(0, DELAY_LIMIT_US)),
-    FieldSpec::optional("bytes_per_second", FieldKind::Number(0, RATE_LIMIT)),
+pub const LINK: &[check::FieldSpec] = &[
+    check::FieldSpec::required("from", check::FieldKind::Name),
+    check::FieldSpec::required("to", check::FieldKind::Name),
+    check::FieldSpec::required("delay_us", check::FieldKind::Number(0, DELAY_LIMIT_US)),
+    check::FieldSpec::optional("bytes_per_second", check::FieldKind::Number(0, RATE_LIMIT)),
 ];
 
 /// Fields of [`crate::document::ConfigDocument`].
-pub const DOCUMENT: &[FieldSpec] = &[
-    FieldSpec::required("models", FieldKind::List(0, &FieldKind::Record(MODEL))),
-    FieldSpec::required(
+pub const DOCUMENT: &[check::FieldSpec] = &[
+    check::FieldSpec::required(
+        "models",
+        check::FieldKind::List(0, &check::FieldKind::Record(MODEL)),
+    ),
+    check::FieldSpec::required(
         "pipelines",
-        FieldKind::List(0, &FieldKind::Record(PIPELINE)),
+        check::FieldKind::List(0, &check::FieldKind::Record(PIPELINE)),
     ),
-    FieldSpec::required(
+    check::FieldSpec::required(
         "upstreams",
-        FieldKind::List(0, &FieldKind::Record(UPSTREAM)),
+        check::FieldKind::List(0, &check::FieldKind::Record(UPSTREAM)),
     ),
-    FieldSpec::optional("services", FieldKind::List(0, &FieldKind::Record(SERVICE))),
-    FieldSpec::required(
+    check::FieldSpec::optional(
+        "services",
+        check::FieldKind::List(0, &check::FieldKind::Record(SERVICE)),
+    ),
+    check::FieldSpec::required(
         "organisations",
-        FieldKind::List(0, &FieldKind::Record(ORGANISATION)),
+        check::FieldKind::List(0, &check::FieldKind::Record(ORGANISATION)),
+    ),
+    check::FieldSpec::optional(
+        "links",
+        check::FieldKind::List(0, &check::FieldKind::Record(LINK)),
+    ),
+    check::FieldSpec::optional(
+        "domains",
+        check::FieldKind::List(0, &check::FieldKind::Name),
     ),
-    FieldSpec::optional("links", FieldKind::List(0, &FieldKind::Record(LINK))),
-    FieldSpec::optional("domains", FieldKind::List(0, &FieldKind::Name)),
 ];
 
 /// Sections of a document, with their entries and cross references.
--- a/arbutusfold/src/settings.rs
+++ b/arbutusfold/src/settings.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
-use crate::check::{self, FieldKind, FieldSpec};
+use crate::check;
 use crate::id;
 use crate::place;
 
@@ -78,33 +78,39 @@
 const BODY_LIMIT_MOST_BYTES: u64 = 64 << 20;
 
 /// Fields of [`OperatorToken`].
-pub const OPERATOR_TOKEN: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::Name),
-    FieldSpec::required("digest", FieldKind::Hex),
+pub const OPERATOR_TOKEN: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required("digest", check::FieldKind::Hex),
 ];
 
 /// Fields of [`NodeSettings`].
-pub const NODE_SETTINGS: &[FieldSpec] = &[
-    FieldSpec::required("name", FieldKind::Name),
-    FieldSpec::required("region", FieldKind::Name),
-    FieldSpec::required("domain", FieldKind::Name),
-    FieldSpec::required("callers", FieldKind::Address),
-    FieldSpec::required("operators", FieldKind::Address),
-    FieldSpec::required("peers", FieldKind::Address),
-    FieldSpec::optional("seeds", FieldKind::List(0, &FieldKind::Address)),
-    FieldSpec::required("platform", FieldKind::Address),
-    FieldSpec::required("peer_keys", FieldKind::List(1, &FieldKind::Hex)),
-    FieldSpec::optional(
+pub const NODE_SETTINGS: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required("region", check::FieldKind::Name),
+    check::FieldSpec::required("domain", check::FieldKind::Name),
+    check::FieldSpec::required("callers", check::FieldKind::Address),
+    check::FieldSpec::required("operators", check::FieldKind::Address),
+    check::FieldSpec::required("peers", check::FieldKind::Address),
+    check::FieldSpec::optional(
+        "seeds",
+        check::FieldKind::List(0, &check::FieldKind::Address),
+    ),
+    check::FieldSpec::required("platform", check::FieldKind::Address),
+    check::FieldSpec::required(
+        "peer_keys",
+        check::FieldKind::List(1, &check::FieldKind::Hex),
+    ),
+    check::FieldSpec::optional(
         "operator_tokens",
-        FieldKind::List(0, &FieldKind::Record(OPERATOR_TOKEN)),
+        check::FieldKind::List(0, &check::FieldKind::Record(OPERATOR_TOKEN)),
     ),
-    FieldSpec::optional("answer_keep_ms", FieldKind::Number(1, TIME_LIMIT_MS)),
-    FieldSpec::optional("stop_limit_ms", FieldKind::Number(1, TIME_LIMIT_MS)),
-    FieldSpec::optional(
+    check::FieldSpec::optional("answer_keep_ms", check::FieldKind::Number(1, TIME_LIMIT_MS)),
+    check::FieldSpec::optional("stop_limit_ms", check::FieldKind::Number(1, TIME_LIMIT_MS)),
+    check::FieldSpec::optional(
         "body_limit_bytes",
-        FieldKind::Number(BODY_LIMIT_LEAST_BYTES, BODY_LIMIT_MOST_BYTES),
+        check::FieldKind::Number(BODY_LIMIT_LEAST_BYTES, BODY_LIMIT_MOST_BYTES),
     ),
-    FieldSpec::optional("log_json", FieldKind::Flag),
+    check::FieldSpec::optional("log_json", check::FieldKind::Flag),
 ];
 
 fn default_answer_keep() -> time::Duration {
