--- a/arbutusfold/src/health/driver.rs
+++ b/arbutusfold/src/health/driver.rs
@@ -215,7 +215,10 @@
             .engines
             .get_json::<upstream::EngineReport>(address, upstream::REPORT_PATH);
         let outcome = match time::timeout(REPORT_TIME_LIMIT, asked).await {
-            Ok(Ok(report)) => AskOutcome::Report(Box::new(report)),
+            Ok(Ok(report)) => {
+                core.traffic.note_report(&upstream, report.incarnation);
+                AskOutcome::Report(Box::new(report))
+            }
             Ok(Err(client::ClientError::NotSent { .. })) => AskOutcome::Refused,
             Ok(Err(_)) | Err(_) => AskOutcome::Silent,
         };
--- a/arbutusfold/src/suspect/host.rs
+++ b/arbutusfold/src/suspect/host.rs
@@ -64,6 +64,17 @@
         self.desk.number()
     }
 
+    /// Pardons a crash after new tokens, if the request may be pardoned.
+    pub fn pardon(
+        &mut self,
+        fingerprint: &suspect::RequestFingerprint,
+        organisation: &str,
+        mark: &suspect::CrashMark,
+        now: time::Instant,
+    ) {
+        self.keeper.pardon(fingerprint, organisation, mark, now);
+    }
+
     /// Tells whether a crash is known under a request.
     pub fn is_suspect(&self, fingerprint: &suspect::RequestFingerprint) -> bool {
         !self.keeper.burnt(fingerprint).is_empty()
@@ -103,7 +114,8 @@
         actions: &mut Vec<claim::ClaimAction>,
     ) {
         match event {
-            SuspectEvent::Begin(run, request) => {
+            SuspectEvent::Begin(run, mut request) => {
+                request.pardon = self.keeper.pardon_of(&request.fingerprint).cloned();
                 if self.keeper.is_proven(&request.fingerprint, now) {
                     self.desk.begin_free(run, request, now);
                     actions.push(claim::ClaimAction::Start(run));
--- a/arbutusfold/src/upstream.rs
+++ b/arbutusfold/src/upstream.rs
@@ -125,6 +125,9 @@
     pub fault_hop: usize,
     /// Whether that stage refused before it ran anything.
     pub refused: bool,
+    /// Whether no connection to that stage was made, so that it ran nothing.
+    #[serde(default)]
+    pub unreached: bool,
 }
 
 /// A range of layers that an engine holds.
