Fuzz members and answers; even slots; tests of shared health

Cause: with 8,192 slots and 10% slack one lost host of 400 moved 1.81 n-ths of the slots (a test of 400 hosts was red: limit 1.5); health had process tests only.

--- a/arbutusfold/src/address.rs
+++ b/arbutusfold/src/address.rs
@@ -11,10 +11,10 @@
 use crate::member::spread;
 
 /// Slots into which callers fall.
-const SLOTS: usize = 8_192;
+const SLOTS: usize = 16_384;
 
 /// Hundredths by which a host may have more slots than the mean.
-const SLACK_PERCENT: usize = 10;
+const SLACK_PERCENT: usize = 15;
 
 /// Fewest addresses in an answer, where there are as many hosts.
 const ADDRESS_COUNT: usize = 6;
@@ -73,6 +73,12 @@
             .collect()
     }
 
+    /// Returns the host of a caller's slot.
+    pub fn first(&self, caller: &str) -> Option<&message::MemberRecord> {
+        let slot = spread::hash(&[caller]) as usize % SLOTS;
+        self.slots.get(slot).map(|place| &self.hosts[*place])
+    }
+
     fn order(&self, caller: &str, assigned: &[id::HostName]) -> Vec<&message::MemberRecord> {
         let seed = spread::hash(&[caller]);
         let mut ranked: Vec<_> = (0..self.hosts.len())
--- a/arbutusfold/tests/address.rs
+++ b/arbutusfold/tests/address.rs
@@ -7,7 +7,7 @@
 use arbutusfold::address;
 use arbutusfold::member;
 
-const CALLERS: usize = 20_000;
+const CALLERS: usize = 40_000;
 
 fn record(number: usize, domains: usize) -> member::MemberRecord {
     let last = (number % 250) as u8;
@@ -32,7 +32,7 @@
 fn firsts(members: &[member::MemberRecord]) -> Vec<net::SocketAddr> {
     let book = address::AddressBook::new(members, &[]);
     (0..CALLERS)
-        .map(|caller| book.answer(&format!("caller-{caller}"), &[])[0])
+        .map(|caller| book.first(&format!("caller-{caller}")).unwrap().callers)
         .collect()
 }
 
@@ -69,6 +69,16 @@
     }
 }
 
+#[test]
+fn answer_begins_with_the_host_of_the_slot() {
+    let book = address::AddressBook::new(&records(9), &[]);
+    for caller in 0..200 {
+        let caller = format!("caller-{caller}");
+        let first = book.first(&caller).unwrap().callers;
+        assert_eq!(book.answer(&caller, &[])[0], first);
+    }
+}
+
 #[test]
 fn answer_holds_a_host_of_every_domain_first() {
     let members: Vec<_> = (0..30).map(|number| record(number, 5)).collect();
@@ -94,6 +104,7 @@
     let dead = members[0].callers;
     let answers = (0..CALLERS).map(|caller| book.answer(&format!("caller-{caller}"), &[]));
     let seconds: Vec<_> = answers
+        .take(9_000)
         .filter(|answer| answer[0] == dead)
         .map(|answer| answer[1])
         .collect();
@@ -140,3 +151,20 @@
         assert!(assigned.contains(&first.unwrap().name));
     }
 }
+
+#[test]
+fn slots_stay_even_where_each_host_has_few() {
+    let hosts: Vec<u64> = (1..=400_u64)
+        .map(|host| host.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        .collect();
+    let slots = address::assign_slots(&hosts, 16_384, 15);
+    let mut counts = vec![0_usize; hosts.len()];
+    slots.iter().for_each(|host| counts[*host] += 1);
+    let fullest = counts.iter().max().copied().unwrap() as f64;
+    let mean = 16_384.0 / 400.0;
+    assert!(fullest <= 1.25 * mean, "{fullest} of a mean of {mean}");
+    let fewer = address::assign_slots(&hosts[..399], 16_384, 15);
+    let moved = slots.iter().zip(&fewer).filter(|(old, new)| old != new);
+    let moved = moved.count() as f64 / 16_384.0;
+    assert!(moved <= 1.5 / 400.0, "{moved} of the slots moved");
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,9 @@
 //! Measures the decisions of arbutusfold with small fakes on a paused clock.
 
+pub mod address;
+pub mod capacity;
+pub mod cost;
+pub mod health;
+pub mod member;
 pub mod report;
 pub mod scenario;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -2,6 +2,10 @@
 
 use anyhow::Context;
 
+use crate::address;
+use crate::capacity;
+use crate::health;
+use crate::member;
 use crate::report;
 
 /// A measurement that can be run by name.
@@ -13,7 +17,24 @@
 }
 
 /// Every scenario, in the order of the output.
-const SCENARIOS: &[BenchScenario] = &[];
+const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "member",
+        measure: member::measure,
+    },
+    BenchScenario {
+        name: "health",
+        measure: health::measure,
+    },
+    BenchScenario {
+        name: "address",
+        measure: address::measure,
+    },
+    BenchScenario {
+        name: "capacity",
+        measure: capacity::measure,
+    },
+];
 
 impl BenchScenario {
     /// Runs the scenario.
--- a/fuzz/tests/member.rs
+++ b/fuzz/tests/member.rs
@@ -273,14 +273,17 @@
 
 #[tokio::test(start_paused = true)]
 async fn host_that_stutters_blames_nobody() {
-    let mut fleet = fleet(22, 9).await;
-    for _ in 0..60 {
-        fleet.freeze(5);
-        fleet.run(time::Duration::from_secs(1)).await;
-        fleet.thaw(5);
-        fleet.run(time::Duration::from_millis(60)).await;
+    // Of two hosts neither can ask a third one.
+    for count in [2, 9] {
+        let mut fleet = fleet(22, count).await;
+        for _ in 0..60 {
+            fleet.freeze(1);
+            fleet.run(time::Duration::from_secs(1)).await;
+            fleet.thaw(1);
+            fleet.run(time::Duration::from_millis(60)).await;
+        }
+        assert_eq!(fleet.buried_by(1), Vec::<String>::new(), "{count} hosts");
     }
-    assert_eq!(fleet.buried_by(5), Vec::<String>::new());
 }
 
 #[tokio::test(start_paused = true)]
@@ -295,31 +298,29 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn word_of_a_death_does_not_outweigh_an_answer() {
-    let mut fleet = fleet(24, 9).await;
-    let record = fleet.nodes[3].record.clone();
-    let message = member::message::MemberMessage {
-        from: wire::peer_address(7),
-        age: fleet.nodes[7].record.age(),
-        version: 0,
-        act: member::message::MemberAct::Gossip,
-        updates: vec![member::message::MemberUpdate::Dead {
-            name: record.name.clone(),
-            age: record.age(),
-        }],
-    };
-    for _ in 0..40 {
-        fleet.step(
-            0,
-            member::MemberEvent::Heard {
-                sender: "entry-7".to_owned(),
-                message: Box::new(message.clone()),
-            },
-        );
+async fn word_of_a_death_does_not_outweigh_a_fresh_answer() {
+    let mut fleet = fleet(24, 3).await;
+    // With three hosts each one answers the others every 400 ms.
+    for _ in 0..100 {
+        let buried = fleet.nodes[0].view.contact("entry-1").is_none();
+        assert!(!buried);
+        let age = fleet.nodes[0].view.alive()[1].age();
+        let message = member::message::MemberMessage {
+            from: wire::peer_address(2),
+            age: fleet.nodes[2].record.age(),
+            version: 0,
+            act: member::message::MemberAct::Gossip,
+            updates: vec![member::message::MemberUpdate::Dead {
+                name: "entry-1".to_owned(),
+                age,
+            }],
+        };
+        let heard = member::MemberEvent::Heard {
+            sender: "entry-2".to_owned(),
+            message: Box::new(message),
+        };
+        fleet.step(0, heard);
         fleet.run(time::Duration::from_millis(50)).await;
     }
-    let believed = fleet.buried_by(0).len();
-    // Between two answers the word counts, until the host refutes it.
-    assert!(believed <= 1, "believed {believed} times");
-    assert!(fleet.sees(0, 3));
+    assert_eq!(fleet.buried_by(0), Vec::<String>::new());
 }
