Bury the last other host; end a doubt with its answer

Cause, found by tests: where nobody could be asked, a probe was dropped after four rounds and never came to its twelve, so of two hosts the survivor never saw the death of the other. A node that had doubted an upstream went on showing its own old report after the doubt ended.

Change: a probe stays open until it is answered or its peer is dead; a doubter that does not watch drops its own report once answered. The reset of probes after a pause is taken out: with it and without it a host that stutters buries nobody, since answers wait for it and another node must confirm; lateness makes rounds longer, by at most 0.2 s each way.

--- a/arbutusfold/src/health.rs
+++ b/arbutusfold/src/health.rs
@@ -401,6 +401,10 @@
         watch.doubted &= report.is_none();
         let news = watch.take(report, now);
         out.extend(watch.show(now));
+        if !watch.own && !watch.doubted {
+            // From here on the watchers' words count again.
+            watch.first_hand = None;
+        }
         if !watch.own || news == words::WordNews::None {
             return;
         }
--- a/arbutusfold/src/probe.rs
+++ b/arbutusfold/src/probe.rs
@@ -27,8 +27,8 @@
 /// Failed rounds after which a peer counts as dead where nobody could be asked.
 const ALONE_ROUNDS: u32 = 12;
 
-/// Silence of the own loop from which it counts as paused.
-const PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
+/// Most lateness of the own loop that makes rounds longer.
+const LAG_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
 
 /// Number that ties an answer to its probe.
 pub type ProbeNonce = u64;
@@ -76,9 +76,10 @@
     },
 }
 
-/// Whether this node's own loop runs as it should.
+/// How late this node's own loop runs.
 ///
-/// A node that was paused or runs late is itself the likely cause of silence.
+/// A node that runs late hears answers late, so its rounds last longer. A
+/// node that was paused finds answers waiting, and needs others to confirm.
 #[derive(Clone, Debug, Default)]
 struct OwnHealth {
     seen: Option<time::Instant>,
@@ -86,14 +87,13 @@
 }
 
 impl OwnHealth {
-    /// Notes that the loop runs and tells whether it was paused before.
-    fn observe(&mut self, now: time::Instant) -> bool {
+    fn observe(&mut self, now: time::Instant) {
         let gap = self
             .seen
             .map_or(std_time::Duration::ZERO, |seen| now.duration_since(seen));
         self.seen = Some(now);
-        self.lag = (self.lag * 7 / 8).max(gap.saturating_sub(TICK_PERIOD));
-        gap > PAUSE_LIMIT
+        let late = gap.saturating_sub(TICK_PERIOD).min(LAG_LIMIT);
+        self.lag = (self.lag * 7 / 8).max(late);
     }
 }
 
@@ -106,16 +106,9 @@
 }
 
 impl ProbeSet {
-    /// Notes that the loop runs; after a pause every open probe starts again.
-    pub fn observe(&mut self, now: time::Instant) -> bool {
-        let paused = self.health.observe(now);
-        if paused {
-            for probe in &mut self.open {
-                probe.failed = 0;
-                probe.restart(now);
-            }
-        }
-        paused
+    /// Notes that the loop runs.
+    pub fn observe(&mut self, now: time::Instant) {
+        self.health.observe(now);
     }
 
     /// Opens a probe of a peer unless one is open.
@@ -186,6 +179,7 @@
     /// too. Then this node hears others, so the silence is not its own fault.
     pub fn due(&mut self, now: time::Instant) -> Vec<ProbeStep> {
         let mut steps = Vec::new();
+        let mut dead = Vec::new();
         let stretch = self.health.lag * 2;
         for probe in &mut self.open {
             let age = now.duration_since(probe.started);
@@ -201,6 +195,7 @@
             }
             probe.failed += u32::from(probe.confirmed || probe.alone);
             if probe.failed >= probe.limit() {
+                dead.push(nonce);
                 steps.push(ProbeStep::Dead { target });
                 continue;
             }
@@ -211,7 +206,7 @@
             probe.restart(now);
             steps.push(ProbeStep::Ask { target, nonce });
         }
-        self.open.retain(|held| held.failed < held.limit());
+        self.open.retain(|held| !dead.contains(&held.nonce));
         steps
     }
 }
--- a/arbutusfold/tests/health.rs
+++ b/arbutusfold/tests/health.rs
@@ -236,14 +236,22 @@
     world.run(seconds(5));
     let watchers = world.watchers(2);
     let doubter = (0..18).find(|node| !watchers.contains(node)).unwrap();
-    world.cut_off.push(doubter);
-    world.give(doubter, HealthEvent::Doubted("runner-02".to_owned()));
-    world.run(seconds(3));
-    assert_eq!(world.shown[&(2, doubter)], None);
-    assert_eq!(world.shows(2, Some(false)), 17);
-    world.cut_off.clear();
-    world.run(seconds(3));
-    assert_eq!(world.shows(2, Some(false)), 18);
+    // The doubt comes at every moment between two showings.
+    for _ in 0..11 {
+        world.run(STEP);
+        world.cut_off.push(doubter);
+        world.give(doubter, HealthEvent::Doubted("runner-02".to_owned()));
+        world.shown.remove(&(2, doubter));
+        for _ in 0..20 {
+            world.run(STEP);
+            let shown = world.shown.get(&(2, doubter)).copied().flatten();
+            assert_eq!(shown, None, "hearsay is shown in spite of the doubt");
+        }
+        assert_eq!(world.shows(2, Some(false)), 17);
+        world.cut_off.clear();
+        world.run(seconds(3));
+        assert_eq!(world.shows(2, Some(false)), 18);
+    }
 }
 
 #[test]
--- a/fuzz/src/wire.rs
+++ b/fuzz/src/wire.rs
@@ -274,9 +274,11 @@
         self.nodes[node].state = NodeState::Frozen;
     }
 
-    /// Lets a paused node go on; what waited for it arrives at once.
+    /// Lets a paused node go on; it looks at what is due before what waited
+    /// for it arrives.
     pub fn thaw(&mut self, node: usize) {
         self.nodes[node].state = NodeState::Running;
+        self.step(node, member::MemberEvent::Tick);
         let waiting = std::mem::take(&mut self.nodes[node].waiting);
         for bytes in waiting {
             self.hear(node, &bytes);
--- a/fuzz/tests/member.rs
+++ b/fuzz/tests/member.rs
@@ -40,6 +40,15 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn last_other_host_is_known_as_dead_though_nobody_can_confirm_it() {
+    let mut fleet = fleet(25, 2).await;
+    fleet.kill(1);
+    let limit = time::Duration::from_secs(4);
+    let known = fleet.run_until(limit, |fleet| !fleet.sees(0, 1)).await;
+    assert!(known.is_some(), "the last other host is not known as dead");
+}
+
 #[tokio::test(start_paused = true)]
 async fn no_live_host_is_declared_dead_while_messages_are_lost() {
     let mut fleet = fleet(12, 9).await;
