--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -24,6 +24,7 @@
 use crate::peer;
 use crate::platform;
 use crate::record;
+use crate::repair;
 use crate::route;
 use crate::serve;
 use crate::settings;
@@ -238,6 +239,7 @@
             received,
         )),
         tokio::spawn(loops::keep_routes(sync::Arc::clone(&core))),
+        tokio::spawn(repair::keep(sync::Arc::clone(&core))),
     ];
     let caller_core = sync::Arc::clone(&core);
     let serve_callers = tokio::spawn(serve::serve(
--- a/bench/src/address.rs
+++ b/bench/src/address.rs
@@ -133,10 +133,10 @@
     _rng: &mut rand_chacha::ChaCha8Rng,
 ) -> Vec<usize> {
     let rank = |caller: usize, host: usize| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&caller.to_le_bytes());
-        hasher.update(&host.to_le_bytes());
-        *hasher.finalize().as_bytes()
+        let mut mixed = (caller as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ host as u64;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
     };
     (0..callers)
         .map(|caller| {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod address;
 pub mod capacity;
+pub mod config;
 pub mod cost;
 pub mod health;
 pub mod member;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -4,6 +4,7 @@
 
 use crate::address;
 use crate::capacity;
+use crate::config;
 use crate::health;
 use crate::member;
 use crate::report;
@@ -34,6 +35,10 @@
         name: "capacity",
         measure: capacity::measure,
     },
+    BenchScenario {
+        name: "config",
+        measure: config::measure,
+    },
 ];
 
 impl BenchScenario {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod load;
 pub mod model;
+pub mod order;
 pub mod platform;
 pub mod server;
 pub mod service;
