Settle fleets for 90 s before traffic is counted

Cause: all 400 nodes start at once, and 20 s later their joins were still being told: 14.1 KB/s a node where 200 nodes spent 1.4.

--- a/bench/src/address.rs
+++ b/bench/src/address.rs
@@ -133,7 +133,7 @@
     _all: &[usize],
     _rng: &mut rand_chacha::ChaCha8Rng,
 ) -> Vec<usize> {
-    let slots = 16_384;
+    let slots: usize = 16_384;
     let bound = (slots * 115).div_ceil(100 * alive.len());
     let mut loads = vec![0; alive.len()];
     let table: Vec<_> = (0..slots)
--- a/bench/src/member.rs
+++ b/bench/src/member.rs
@@ -15,7 +15,7 @@
 const DELAY: time::Duration = time::Duration::from_millis(1);
 
 /// Time in which a fleet settles.
-const SETTLE: time::Duration = time::Duration::from_secs(20);
+const SETTLE: time::Duration = time::Duration::from_secs(90);
 
 /// Time over which traffic is counted.
 const STEADY: time::Duration = time::Duration::from_secs(30);
