--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod cost;
 pub mod health;
 pub mod member;
+pub mod record;
 pub mod report;
 pub mod scenario;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -7,6 +7,7 @@
 use crate::config;
 use crate::health;
 use crate::member;
+use crate::record;
 use crate::report;
 
 /// A measurement that can be run by name.
@@ -39,6 +40,10 @@
         name: "config",
         measure: config::measure,
     },
+    BenchScenario {
+        name: "record",
+        measure: record::measure,
+    },
 ];
 
 impl BenchScenario {
