Choose gossip neighbours anew when a record is news

The list of neighbours was renewed only once a pass of probes, up to 0.8 s.

Change: any new record clears the list, so the next rumour chooses from all members.

The new test on the paused clock passes with and without the change, so it does not show the cause; the process test does, by rate only.

--- a/arbutusfold/src/member/keeper/merge.rs
+++ b/arbutusfold/src/member/keeper/merge.rs
@@ -122,6 +122,8 @@
             }
         }
         self.changes += 1;
+        // Chosen anew, so that rumours reach a host that just joined.
+        self.neighbours.clear();
         let update = MemberUpdate::Alive(record);
         self.rumours.put(update.subject(), update);
     }
--- a/fuzz/tests/member.rs
+++ b/fuzz/tests/member.rs
@@ -228,6 +228,26 @@
     assert_eq!(gone(&fleet, 4), 8);
 }
 
+#[tokio::test(start_paused = true)]
+async fn host_that_just_joined_hears_at_once_that_another_leaves() {
+    for seed in 0..20 {
+        let mut fleet = fleet(seed, 9).await;
+        fleet.start_plain(9);
+        let limit = time::Duration::from_secs(2);
+        let met = fleet.run_until(limit, wire::FakeFleet::agrees).await;
+        assert!(met.is_some(), "the fresh host was not met");
+        // Its coming is no longer told when the other leaves.
+        fleet.run(time::Duration::from_millis(seed * 60)).await;
+        let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
+        fleet.step(0, leaving);
+        fleet.run(time::Duration::from_millis(300)).await;
+        for viewer in 0..10 {
+            let named = fleet.nodes[viewer].view.is_serving("entry-0");
+            assert!(!named, "{viewer} names a leaving host, seed {seed}");
+        }
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn regions_apart_for_an_hour_count_as_one_loss_each() {
     let mut fleet = wire::FakeFleet::new(21, 0.0, DELAY);
