--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -28,6 +28,7 @@
 use crate::route;
 use crate::serve;
 use crate::settings;
+use crate::traffic;
 use crate::upstream;
 
 mod flight;
@@ -85,7 +86,9 @@
     /// Messages to and from peers.
     pub post: sync::Arc<peer::PeerPost>,
     /// Decides about attempts after the first.
-    pub gate: Box<dyn complete::RetryGate>,
+    pub gate: sync::Arc<dyn complete::RetryGate>,
+    /// Admission, limits, retries and permits.
+    pub traffic: sync::Arc<traffic::TrafficDesk>,
     /// Client of model engines.
     pub engines: client::HttpClient,
     /// Client of plain services.
@@ -120,6 +123,14 @@
             sync::Arc::clone(&members),
         );
         let table = sync::Arc::new(platform::GuardedTable::new(table));
+        let post = sync::Arc::new(post);
+        let traffic = sync::Arc::new(traffic::TrafficDesk::new(
+            settings.name.clone(),
+            incarnation,
+            sync::Arc::clone(&recorder),
+            sync::Arc::clone(&members),
+            sync::Arc::clone(&post),
+        ));
         Self {
             incarnation,
             metrics: metric::MetricSet::default(),
@@ -137,9 +148,10 @@
             recorder,
             upstreams: upstream::UpstreamView::default(),
             members,
-            post: sync::Arc::new(post),
+            post,
             routes: route::RouteDesk::default(),
-            gate: Box::new(complete::OpenGate),
+            gate: sync::Arc::<traffic::TrafficDesk>::clone(&traffic),
+            traffic,
             engines: client::HttpClient::for_engines(),
             services: client::HttpClient::for_services(),
             health: sync::OnceLock::new(),
@@ -216,6 +228,7 @@
         core.settings.callers.to_string(),
     );
 
+    traffic::register(&core);
     let driver = start_members(&core);
     let listener: sync::Arc<dyn member::driver::MemberListener> =
         sync::Arc::new(loops::NodeListener {
@@ -229,6 +242,7 @@
     };
 
     let loops = [
+        tokio::spawn(traffic::keep(sync::Arc::clone(&core))),
         tokio::spawn(config::keep::run(sync::Arc::clone(&core))),
         tokio::spawn(loops::keep_records(sync::Arc::clone(&core))),
         tokio::spawn(sync::Arc::clone(&health).run()),
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -3,8 +3,14 @@
 use anyhow::Context;
 
 use crate::address;
+use crate::admission_cost;
 use crate::capacity;
+use crate::concurrency;
 use crate::config;
+use crate::crashing_request;
+use crate::fairness;
+use crate::fleet_limit;
+use crate::full_outage;
 use crate::health;
 use crate::member;
 use crate::record;
@@ -40,6 +46,30 @@
         name: "config",
         measure: config::measure,
     },
+    BenchScenario {
+        name: "fairness",
+        measure: fairness::measure,
+    },
+    BenchScenario {
+        name: "fleet-limit",
+        measure: fleet_limit::measure,
+    },
+    BenchScenario {
+        name: "concurrency",
+        measure: concurrency::measure,
+    },
+    BenchScenario {
+        name: "full-outage",
+        measure: full_outage::measure,
+    },
+    BenchScenario {
+        name: "crashing-request",
+        measure: crashing_request::measure,
+    },
+    BenchScenario {
+        name: "admission-cost",
+        measure: admission_cost::measure,
+    },
     BenchScenario {
         name: "record",
         measure: record::measure,
