Say "unknown" where a resend is refused before its record is read

Cause: a host without configuration refused a resent deposit with `ran: no`, though the first sending had run. Every refusal before the record is read said so; only the ones of admission did not.

Change: an error carries whether the record was read; a request with an idempotency key that was refused before that is told "unknown". Engines know a completion by an id that the node draws: a caller may choose one request id for many requests, and the proof of a token would then not tell their crossed tokens apart.

Seen: a_resend_to_a_host_without_configuration_is_not_told_that_nothing_ran was red (left (503, "no"), right (503, "unknown")) and passes; 14 tests of records, streams, admission and malformed requests pass.

The engines' id has no test that failed first: the stand-in keeps streams apart by connection and never crosses requests of one id.

--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -25,6 +25,9 @@
 /// Header that carries a request id in and out.
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// Header that names a request if it is sent again.
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
 /// Longest request id that a caller may choose, in characters.
 const REQUEST_ID_LIMIT: usize = 128;
 
@@ -68,6 +71,8 @@
     pub ran: RunOutcome,
     /// Time after which to come back.
     pub pause: Option<std_time::Duration>,
+    /// Whether `ran` also holds for earlier sendings under the same key.
+    pub settled: bool,
 }
 
 impl CallerError {
@@ -79,6 +84,24 @@
             message: message.to_owned(),
             ran: RunOutcome::No,
             pause: None,
+            settled: false,
+        }
+    }
+
+    /// Notes that the record was read.
+    pub fn with_record(mut self) -> Self {
+        self.settled = true;
+        self
+    }
+
+    /// Returns the error for a request with an idempotency key.
+    ///
+    /// What was refused before the record was read may be a resend of a
+    /// request that ran.
+    fn for_keyed(self) -> Self {
+        match (self.settled, self.ran) {
+            (false, RunOutcome::No) => self.with_ran(RunOutcome::Unknown),
+            _ => self,
         }
     }
 
@@ -145,8 +168,13 @@
         .map_or_else(id::fresh_request, str::to_owned);
     let first_version = request.version() < http::Version::HTTP_2;
     let flight = node::FlightCount::new(&core, &request_id);
+    let keyed = request.headers().contains_key(IDEMPOTENCY_HEADER);
     let outcome = dispatch(&core, &request_id, request, flight).await;
     let mut answer = outcome.unwrap_or_else(|error| {
+        let error = match keyed {
+            true => error.for_keyed(),
+            false => error,
+        };
         refuse(&core, &request_id, &error);
         error.to_answer()
     });
@@ -563,7 +591,7 @@
         path: format!("/{below}"),
         content_type: header("content-type").unwrap_or_else(|| "application/json".to_owned()),
         received: time::Instant::now(),
-        idempotency: header("idempotency-key"),
+        idempotency: header(IDEMPOTENCY_HEADER),
         body: Bytes::new(),
     };
     call.body = read_body(core, request).await?;
@@ -582,11 +610,7 @@
         deadline: call.received + spec.deadline_ms,
     };
     let entered = core.traffic.enter(&entry).await;
-    let mut pass = entered.map_err(|error| match marked {
-        // A call under the same key may have run before.
-        true => error.with_ran(RunOutcome::Unknown),
-        false => error,
-    })?;
+    let mut pass = entered?;
     // The call goes on when the caller leaves: its outcome must be recorded.
     let core_held = sync::Arc::clone(core);
     let document = config.document.clone();
--- a/arbutusfold/src/complete.rs
+++ b/arbutusfold/src/complete.rs
@@ -228,7 +228,9 @@
 impl CompletionDriver {
     /// Creates a driver that has not begun.
     pub fn new(core: sync::Arc<node::NodeCore>, order: CompletionOrder) -> Self {
-        let answer = stream::AnswerState::new(order.request.clone(), order.model.layers);
+        // Callers may choose one id for many requests, which would not tell
+        // crossed answers apart; so engines know the request by its own.
+        let answer = stream::AnswerState::new(id::fresh_request(), order.model.layers);
         Self {
             core,
             order,
@@ -367,7 +369,7 @@
     ) -> Result<hyper::body::Incoming, client::ClientError> {
         let address = route[0].address;
         let request = upstream::StageRequest {
-            request: self.order.request.clone(),
+            request: self.answer.request().to_owned(),
             attempt: self.answer.attempt(),
             model: self.order.model.name.clone(),
             priority: self.order.priority,
--- a/arbutusfold/src/service.rs
+++ b/arbutusfold/src/service.rs
@@ -135,7 +135,9 @@
             RunOutcome::Unknown,
         ),
     };
-    let failed = caller::CallerError::new(status, code, &error.to_string()).with_ran(ran);
+    let failed = caller::CallerError::new(status, code, &error.to_string())
+        .with_ran(ran)
+        .with_record();
     match error {
         record::MarkedError::Reused => failed,
         // Asking again with the same key is safe and gets the first answer.
--- a/standin/tests/fleet_record.rs
+++ b/standin/tests/fleet_record.rs
@@ -177,3 +177,25 @@
     assert_eq!(refused["error"]["ran"], "unknown");
     assert!(counts(&fleet).await.values().all(|count| *count == 1));
 }
+
+#[tokio::test]
+async fn a_resend_to_a_host_without_configuration_is_not_told_that_nothing_ran() {
+    let mut fleet = start("fresh").await;
+    let (status, _) = deposit(&fleet, 0, "deposit-1").await;
+    assert_eq!(status, 200);
+    // The store is out, and no peer is known to the fresh host.
+    let outage = fault::FaultPlan {
+        outage: true,
+        ..fault::FaultPlan::default()
+    };
+    set_faults(fleet.platform, outage).await;
+    let known = std::mem::take(&mut fleet.nodes);
+    let fresh = fleet.start_node(7).unwrap();
+    fleet.nodes.push(fresh);
+    fleet::await_http(fleet.nodes[0].operators, "/health")
+        .await
+        .unwrap();
+    let (status, answer) = deposit(&fleet, 0, "deposit-1").await;
+    assert_eq!((status, &answer["error"]["ran"]), (503, &"unknown".into()));
+    drop(known);
+}
