Split the callers' listener by duty

The request id of a stream was cut back out of the completion's id, which took too much off an id that itself began with "cmpl-".

Change: `caller/error.rs` and `caller/sse.rs`; the frame of an answer keeps the request id.

--- a/arbutusfold/src/caller.rs
+++ b/arbutusfold/src/caller.rs
@@ -1,12 +1,14 @@
 //! The listener that callers reach: addresses, models, completions, services.
 
+mod error;
+mod sse;
+
 use std::convert;
 use std::sync;
 use std::time as std_time;
 
 use bytes::Bytes;
-use futures_util::stream as futures_stream;
-use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators};
+use http_body_util::{BodyExt, Full, Limited, combinators};
 use hyper::body;
 use serde::{Deserialize, Serialize};
 use tokio::time;
@@ -20,7 +22,8 @@
 use crate::service;
 use crate::suspect;
 use crate::traffic;
-use crate::upstream;
+
+pub use error::{CallerError, RunOutcome};
 
 /// Header that carries a request id in and out.
 const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -37,113 +40,12 @@
 /// Most tokens that a caller may ask for.
 const MAX_TOKENS_LIMIT: id::TokenIndex = 32_768;
 
-/// Usual size of one server-sent event, in bytes.
-const EVENT_CAPACITY_BYTES: usize = 256;
-
 /// Body of an answer.
 pub type AnswerBody = combinators::UnsyncBoxBody<Bytes, convert::Infallible>;
 
 /// Answer to a caller.
 pub type CallerAnswer = http::Response<AnswerBody>;
 
-/// Whether a request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RunOutcome {
-    /// It did not run and will not.
-    No,
-    /// It ran, in whole or in part.
-    Yes,
-    /// It may have run.
-    Unknown,
-}
-
-/// An error as callers see it.
-#[derive(Clone, Debug)]
-pub struct CallerError {
-    /// HTTP status.
-    pub status: http::StatusCode,
-    /// Stable code.
-    pub code: &'static str,
-    /// Message for people.
-    pub message: String,
-    /// Whether the request ran.
-    pub ran: RunOutcome,
-    /// Time after which to come back.
-    pub pause: Option<std_time::Duration>,
-    /// Whether `ran` also holds for earlier sendings under the same key.
-    pub settled: bool,
-}
-
-impl CallerError {
-    /// Creates an error for a request that did not run.
-    pub fn new(status: http::StatusCode, code: &'static str, message: &str) -> Self {
-        Self {
-            status,
-            code,
-            message: message.to_owned(),
-            ran: RunOutcome::No,
-            pause: None,
-            settled: false,
-        }
-    }
-
-    /// Notes that the record was read.
-    pub fn with_record(mut self) -> Self {
-        self.settled = true;
-        self
-    }
-
-    /// Returns the error for a request with an idempotency key.
-    ///
-    /// What was refused before the record was read may be a resend of a
-    /// request that ran.
-    fn for_keyed(self) -> Self {
-        match (self.settled, self.ran) {
-            (false, RunOutcome::No) => self.with_ran(RunOutcome::Unknown),
-            _ => self,
-        }
-    }
-
-    /// Sets whether the request ran.
-    pub fn with_ran(mut self, ran: RunOutcome) -> Self {
-        self.ran = ran;
-        self
-    }
-
-    /// Sets the time after which to come back.
-    pub fn with_pause(mut self, pause: std_time::Duration) -> Self {
-        self.pause = Some(pause);
-        self
-    }
-
-    /// Returns the error as JSON.
-    pub fn to_json(&self) -> serde_json::Value {
-        let mut error = serde_json::json!({
-            "code": self.code,
-            "message": self.message,
-            "type": "arbutusfold_error",
-            "ran": self.ran,
-        });
-        if let Some(pause) = self.pause {
-            error["retry_after_ms"] = serde_json::json!(pause.as_millis() as u64);
-        }
-        serde_json::json!({ "error": error })
-    }
-
-    fn to_answer(&self) -> CallerAnswer {
-        let mut answer = json_answer(self.status, &self.to_json());
-        if let Some(pause) = self.pause {
-            // The header counts whole seconds; rounding up never calls back early.
-            let seconds = pause.as_millis().div_ceil(1_000) as u64;
-            answer
-                .headers_mut()
-                .insert(http::header::RETRY_AFTER, http::HeaderValue::from(seconds));
-        }
-        answer
-    }
-}
-
 /// Body of a completion request; fields that other servers know are passed over.
 #[derive(Debug, Deserialize)]
 struct CompletionBody {
@@ -359,16 +261,12 @@
         max_tokens,
         deadline,
     };
-    let frame = AnswerFrame {
-        id: format!("cmpl-{request_id}"),
-        created: event::wall_millis() / 1_000,
-        model: model.name.clone(),
-    };
+    let frame = sse::AnswerFrame::new(request_id, &model.name);
     let mut driver = complete::CompletionDriver::new(sync::Arc::clone(core), order);
     if asked.stream {
         // The first piece is awaited so that a refusal keeps its HTTP status.
         let first = driver.next().await?;
-        return Ok(stream_answer(core, driver, frame, first, flight, pass));
+        return Ok(sse::stream_answer(core, driver, frame, first, flight, pass));
     }
     let mut text = String::new();
     let mut finish = None;
@@ -381,11 +279,7 @@
     }
     pass.note_answered();
     finished(core, request_id, tokens);
-    let usage = TokenUsage {
-        prompt_tokens: 0,
-        completion_tokens: tokens,
-        total_tokens: tokens,
-    };
+    let usage = sse::TokenUsage::new(tokens);
     let answer = frame.object(&text, finish, Some(usage));
     Ok(json_answer(http::StatusCode::OK, &answer))
 }
@@ -399,167 +293,6 @@
     );
 }
 
-/// What every piece of one answer repeats.
-struct AnswerFrame {
-    id: String,
-    created: u64,
-    model: id::ModelName,
-}
-
-/// A completion as callers see it, whole or one piece of it.
-#[derive(Serialize)]
-struct CompletionObject<'a> {
-    id: &'a str,
-    object: &'static str,
-    created: u64,
-    model: &'a str,
-    choices: [CompletionChoice<'a>; 1],
-    #[serde(skip_serializing_if = "Option::is_none")]
-    usage: Option<TokenUsage>,
-}
-
-#[derive(Serialize)]
-struct CompletionChoice<'a> {
-    text: &'a str,
-    index: u32,
-    logprobs: Option<()>,
-    finish_reason: Option<&'static str>,
-}
-
-#[derive(Serialize)]
-struct TokenUsage {
-    prompt_tokens: u64,
-    completion_tokens: u64,
-    total_tokens: u64,
-}
-
-impl AnswerFrame {
-    fn object<'a>(
-        &'a self,
-        text: &'a str,
-        finish: Option<upstream::FinishReason>,
-        usage: Option<TokenUsage>,
-    ) -> CompletionObject<'a> {
-        CompletionObject {
-            id: &self.id,
-            object: "text_completion",
-            created: self.created,
-            model: &self.model,
-            choices: [CompletionChoice {
-                text,
-                index: 0,
-                logprobs: None,
-                finish_reason: finish.map(upstream::FinishReason::as_str),
-            }],
-            usage,
-        }
-    }
-
-    fn to_event(&self, piece: &complete::AnswerPiece) -> Bytes {
-        let object = self.object(&piece.text, piece.finish, None);
-        let mut event = Vec::with_capacity(EVENT_CAPACITY_BYTES);
-        event.extend_from_slice(b"data: ");
-        // Strings and numbers always serialize into memory.
-        let _ = serde_json::to_writer(&mut event, &object);
-        event.extend_from_slice(b"\n\n");
-        Bytes::from(event)
-    }
-}
-
-struct StreamState {
-    core: sync::Arc<node::NodeCore>,
-    driver: complete::CompletionDriver,
-    frame: AnswerFrame,
-    first: Option<complete::AnswerPiece>,
-    tokens: u64,
-    phase: StreamPhase,
-    request: id::RequestId,
-    /// Given up as soon as the answer is complete or failed.
-    pass: Option<traffic::EntryPass>,
-    _flight: node::FlightCount,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum StreamPhase {
-    Pieces,
-    Done,
-    Closed,
-}
-
-fn stream_answer(
-    core: &sync::Arc<node::NodeCore>,
-    driver: complete::CompletionDriver,
-    frame: AnswerFrame,
-    first: Option<complete::AnswerPiece>,
-    flight: node::FlightCount,
-    pass: traffic::EntryPass,
-) -> CallerAnswer {
-    // A box keeps the stream from moving the whole state at each token.
-    let state = Box::new(StreamState {
-        core: sync::Arc::clone(core),
-        driver,
-        request: frame.id.trim_start_matches("cmpl-").to_owned(),
-        frame,
-        first,
-        tokens: 0,
-        phase: StreamPhase::Pieces,
-        pass: Some(pass),
-        _flight: flight,
-    });
-    let frames = futures_stream::unfold(state, |mut state| async move {
-        let data = next_event(&mut state).await?;
-        Some((Ok(body::Frame::data(data)), state))
-    });
-    let mut answer = http::Response::new(StreamBody::new(frames).boxed_unsync());
-    answer.headers_mut().insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static("text/event-stream"),
-    );
-    answer.headers_mut().insert(
-        http::header::CACHE_CONTROL,
-        http::HeaderValue::from_static("no-cache"),
-    );
-    answer
-}
-
-async fn next_event(state: &mut StreamState) -> Option<Bytes> {
-    match state.phase {
-        StreamPhase::Closed => return None,
-        StreamPhase::Done => {
-            state.phase = StreamPhase::Closed;
-            finished(&state.core, &state.request, state.tokens);
-            return Some(Bytes::from_static(b"data: [DONE]\n\n"));
-        }
-        StreamPhase::Pieces => {}
-    }
-    let piece = match state.first.take() {
-        Some(piece) => Ok(Some(piece)),
-        None => state.driver.next().await,
-    };
-    match piece {
-        Ok(Some(piece)) => {
-            state.tokens += 1;
-            if let Some(pass) = &mut state.pass {
-                pass.note_token();
-            }
-            if piece.finish.is_some() {
-                state.phase = StreamPhase::Done;
-                if let Some(mut pass) = state.pass.take() {
-                    pass.note_answered();
-                }
-            }
-            Some(state.frame.to_event(&piece))
-        }
-        Ok(None) => None,
-        Err(error) => {
-            state.phase = StreamPhase::Closed;
-            state.pass = None;
-            refuse(&state.core, &state.request, &error);
-            Some(Bytes::from(format!("data: {}\n\n", error.to_json())))
-        }
-    }
-}
-
 async fn services(
     core: &sync::Arc<node::NodeCore>,
     config: &config::ForceDocument,
