Give the platform's stand-in its stores and a list of hosts that lags

Cause: the stand-in had the table service only; its list of hosts could not be set.

Change: `depot`: objects, a weight store whose fetches share one rate, a list of hosts that shows a change after its lag.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the platform, model engines and plain services.
 
 pub mod batch;
+pub mod depot;
 pub mod engine;
 pub mod fault;
 pub mod fleet;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -1,22 +1,22 @@
-//! Stand-in for the platform: table service and host list.
+//! Stand-in for the platform: table service, stores and host list.
 
 use std::collections;
 use std::net;
 use std::sync;
 
-use arbutusfold::platform::{
-    CommitOutcome, ListedHost, ReadQuery, ScanQuery, TableRow, TableTransaction,
-};
+use arbutusfold::platform::{CommitOutcome, ReadQuery, ScanQuery, TableRow, TableTransaction};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
 use hyper::body;
 
+use crate::depot;
 use crate::fault;
 use crate::server;
 
-/// Rows and hosts in memory.
+/// Rows in memory.
 #[derive(Clone, Debug, Default)]
 pub struct TableStore {
     rows: collections::BTreeMap<(String, String), TableRow>,
-    hosts: Vec<ListedHost>,
     commits: u64,
     last_version: u64,
 }
@@ -90,14 +90,64 @@
 /// When the address cannot be opened.
 pub async fn run(address: net::SocketAddr) -> anyhow::Result<()> {
     let store = sync::Arc::new(sync::Mutex::new(TableStore::default()));
+    let depot = sync::Arc::new(depot::PlatformDepot::default());
     let faults = fault::FaultSwitch::default();
     let switch = faults.clone();
     server::serve(address, faults, move |request| {
-        answer(sync::Arc::clone(&store), switch.clone(), request)
+        let store = sync::Arc::clone(&store);
+        let depot = sync::Arc::clone(&depot);
+        let switch = switch.clone();
+        async move {
+            match request.uri().path().starts_with("/tables/") {
+                true => answer(store, switch, request).await,
+                false => answer_depot(&store, &depot, request).await,
+            }
+        }
     })
     .await
 }
 
+async fn answer_depot(
+    store: &sync::Mutex<TableStore>,
+    depot: &depot::PlatformDepot,
+    request: http::Request<body::Incoming>,
+) -> server::StandinAnswer {
+    let path = request.uri().path().to_owned();
+    let object = path.strip_prefix("/objects/");
+    let answer = match (request.method().as_str(), path.as_str(), object) {
+        ("PUT", _, Some(key)) => {
+            let object = request.into_body().collect().await.ok()?.to_bytes();
+            depot.put(key, object);
+            server::status(200)
+        }
+        ("GET", _, Some(key)) => match depot.get(key) {
+            Some(object) => bytes_answer(object),
+            None => server::status(404),
+        },
+        (_, "/weights/fetch", _) => {
+            let fetch = server::read_json(request).await?;
+            depot.fetch(&fetch).await;
+            server::status(200)
+        }
+        (_, "/hosts/change", _) => {
+            let change = server::read_json(request).await?;
+            depot.change_hosts(change);
+            server::status(200)
+        }
+        (_, "/hosts", _) => server::json(&depot.hosts()),
+        (_, "/commits", _) => {
+            let store = store.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            server::json(&store.commits())
+        }
+        _ => server::status(404),
+    };
+    Some(answer)
+}
+
+fn bytes_answer(object: Bytes) -> http::Response<server::AnswerBody> {
+    http::Response::new(Full::new(object).boxed_unsync())
+}
+
 async fn answer(
     store: sync::Arc<sync::Mutex<TableStore>>,
     faults: fault::FaultSwitch,
@@ -125,8 +175,6 @@
             }
             server::json(&outcome)
         }
-        "/hosts" => server::json(&lock().hosts),
-        "/commits" => server::json(&lock().commits()),
         _ => server::status(404),
     };
     Some(answer)
