Start the fleets of the membership tests by one function

Change: `TestFleet::start_joined`; settings, waits and every assertion stay as they were.

Left: fleets of other shapes keep their own options, which differ; the duplicate starts of the fuzz state machines share a shape, not a meaning.

--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -35,6 +35,9 @@
 /// IP numbers that one process uses in turn.
 const HOST_NUMBERS: u32 = 250;
 
+/// Longest wait for the nodes of a fresh fleet to know each other.
+const JOIN_LIMIT: time::Duration = time::Duration::from_secs(10);
+
 /// Longest wait for a process to become ready.
 const READY_LIMIT: time::Duration = time::Duration::from_secs(20);
 
@@ -221,6 +224,29 @@
         Ok(fleet)
     }
 
+    /// Starts nodes over three failure domains and waits until all know each other.
+    ///
+    /// # Errors
+    ///
+    /// When a process cannot be started or the nodes do not meet in time.
+    pub async fn start_joined(name: &str, nodes: usize) -> anyhow::Result<Self> {
+        let directory = std::env::temp_dir().join(format!("arbutusfold-{name}-{}", process::id()));
+        let fleet = Self::start(FleetOptions {
+            nodes,
+            domains: 3,
+            layers: 6,
+            ranges: 2,
+            replicas: 2,
+            step: time::Duration::from_millis(1),
+            answer_keep: time::Duration::from_secs(1),
+            directory,
+        })
+        .await?;
+        fleet.submit(0, &fleet.document()).await?;
+        fleet.await_members(JOIN_LIMIT).await?;
+        Ok(fleet)
+    }
+
     /// Starts a node at new addresses, seeded with the nodes that run.
     ///
     /// # Errors
--- a/standin/tests/fleet_kill.rs
+++ b/standin/tests/fleet_kill.rs
@@ -11,24 +11,7 @@
 const BACK_LIMIT: time::Duration = time::Duration::from_secs(1);
 
 async fn start(name: &str) -> fleet::TestFleet {
-    let directory = std::env::temp_dir().join(format!("arbutusfold-{name}-{}", std::process::id()));
-    let options = fleet::FleetOptions {
-        nodes: 9,
-        domains: 3,
-        layers: 6,
-        ranges: 2,
-        replicas: 2,
-        step: time::Duration::from_millis(1),
-        answer_keep: time::Duration::from_secs(1),
-        directory,
-    };
-    let fleet = fleet::TestFleet::start(options).await.unwrap();
-    fleet.submit(0, &fleet.document()).await.unwrap();
-    fleet
-        .await_members(time::Duration::from_secs(10))
-        .await
-        .unwrap();
-    fleet
+    fleet::TestFleet::start_joined(name, 9).await.unwrap()
 }
 
 /// Number of hosts to fail in turn; `make fleet-long` sets all nine.
--- a/standin/tests/fleet_member.rs
+++ b/standin/tests/fleet_member.rs
@@ -7,24 +7,7 @@
 use arbutusfold_standin::{fault, fleet};
 
 async fn start(name: &str) -> fleet::TestFleet {
-    let directory = std::env::temp_dir().join(format!("arbutusfold-{name}-{}", std::process::id()));
-    let options = fleet::FleetOptions {
-        nodes: 9,
-        domains: 3,
-        layers: 6,
-        ranges: 2,
-        replicas: 2,
-        step: time::Duration::from_millis(1),
-        answer_keep: time::Duration::from_secs(1),
-        directory,
-    };
-    let fleet = fleet::TestFleet::start(options).await.unwrap();
-    fleet.submit(0, &fleet.document()).await.unwrap();
-    fleet
-        .await_members(time::Duration::from_secs(10))
-        .await
-        .unwrap();
-    fleet
+    fleet::TestFleet::start_joined(name, 9).await.unwrap()
 }
 
 async fn complete(node: &fleet::FleetNode, request: &str) -> u16 {
