--- a/arbutusfold/src/check.rs
+++ b/arbutusfold/src/check.rs
@@ -43,6 +43,8 @@
     Flag,
     /// Whole number from the first to the last one.
     Number(u64, u64),
+    /// Number with or without a fraction, from the first to the last one.
+    Decimal(f64, f64),
     /// One of the given words.
     Choice(&'static [&'static str]),
     /// List of at least so many values.
@@ -336,6 +338,10 @@
             .value
             .parse::<u64>()
             .is_ok_and(|number| (*least..=*most).contains(&number)),
+        (FieldKind::Decimal(least, most), ast::Value::NumberLit(number)) => number
+            .value
+            .parse::<f64>()
+            .is_ok_and(|number| (*least..=*most).contains(&number)),
         (kind, ast::Value::StringLit(text)) => fits_text(&text.value, kind),
         _ => false,
     }
@@ -386,6 +392,7 @@
         FieldKind::Flag => "true or false".to_owned(),
         FieldKind::Number(least, u64::MAX) => format!("a whole number from {least}"),
         FieldKind::Number(least, most) => format!("a whole number from {least} to {most}"),
+        FieldKind::Decimal(least, most) => format!("a number from {least} to {most}"),
         FieldKind::Choice(words) => format!("one of {}", words.join(", ")),
         FieldKind::List(0, _) => "a list".to_owned(),
         FieldKind::List(least, _) => format!("a list of at least {least}"),
--- a/arbutusfold/src/command.rs
+++ b/arbutusfold/src/command.rs
@@ -5,15 +5,22 @@
 use std::path;
 
 use anyhow::Context;
-use arbutusfold::{document, id, node, settings};
+use arbutusfold::gateway::settings as gateway_settings;
+use arbutusfold::{document, event, gateway, id, node, settings};
 use bpaf::Bpaf;
 use slog::Drain;
 use tokio::signal::unix;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::exit::{CommandError, ExitReason};
 use crate::remote;
 
+/// Time between two looks whether the settings file changed.
+const SETTINGS_PERIOD: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Log lines that may wait to be written; more are dropped and counted.
+const LOG_LINES: usize = 1_024;
+
 /// Router of pipelines over mixed accelerators.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -25,12 +32,22 @@
         #[bpaf(positional("SETTINGS"), complete_shell(bpaf::ShellComp::File { mask: None }))]
         settings: path::PathBuf,
     },
+    /// Run a node on the users' platform until SIGTERM or SIGINT
+    #[bpaf(command)]
+    Gateway {
+        /// File with the gateway's settings
+        #[bpaf(positional("SETTINGS"), complete_shell(bpaf::ShellComp::File { mask: None }))]
+        settings: path::PathBuf,
+    },
     /// Check settings and configuration documents and print every error
     #[bpaf(command)]
     Check {
         /// File with settings of a node; may be repeated
         #[bpaf(long, argument("SETTINGS"), many)]
         settings: Vec<path::PathBuf>,
+        /// File with settings of a gateway; may be repeated
+        #[bpaf(long, argument("SETTINGS"), many)]
+        gateway: Vec<path::PathBuf>,
         /// Files with configuration documents
         #[bpaf(positional("DOCUMENT"), many)]
         documents: Vec<path::PathBuf>,
@@ -144,10 +161,12 @@
 pub fn run(command: CliCommand) -> Result<(), CommandError> {
     match command {
         CliCommand::Node { settings } => run_node(&settings),
+        CliCommand::Gateway { settings } => run_gateway(&settings),
         CliCommand::Check {
             settings,
+            gateway,
             documents,
-        } => check(&settings, &documents),
+        } => check(&settings, &gateway, &documents),
         CliCommand::Digest => digest(),
         CliCommand::Config { config_command } => wait(remote::run_config(config_command)),
         CliCommand::Audit {
@@ -180,9 +199,13 @@
     runtime.block_on(work)
 }
 
-fn check(settings: &[path::PathBuf], documents: &[path::PathBuf]) -> Result<(), CommandError> {
-    if settings.is_empty() && documents.is_empty() {
-        let message = "name a DOCUMENT or --settings=SETTINGS";
+fn check(
+    settings: &[path::PathBuf],
+    gateways: &[path::PathBuf],
+    documents: &[path::PathBuf],
+) -> Result<(), CommandError> {
+    if settings.is_empty() && gateways.is_empty() && documents.is_empty() {
+        let message = "name a DOCUMENT, --settings=SETTINGS or --gateway=SETTINGS";
         return Err(CommandError::new(ExitReason::Usage, message));
     }
     let mut refused = Vec::new();
@@ -190,6 +213,10 @@
         let checked = settings::parse_file(&path.display().to_string(), &read(path)?);
         refused.extend(checked.err().map(|error| error.to_string()));
     }
+    for path in gateways {
+        let checked = gateway_settings::parse_file(&path.display().to_string(), &read(path)?);
+        refused.extend(checked.err().map(|error| error.to_string()));
+    }
     for path in documents {
         let checked = document::parse_file(&path.display().to_string(), &read(path)?);
         refused.extend(checked.err().map(|error| error.to_string()));
@@ -221,6 +248,11 @@
 }
 
 async fn serve(settings: settings::NodeSettings, logger: slog::Logger) -> anyhow::Result<()> {
+    Ok(node::run(settings, logger, count_stops()?).await?)
+}
+
+/// Counts the signals that ask the process to stop.
+fn count_stops() -> anyhow::Result<watch::Receiver<u32>> {
     let (sender, receiver) = watch::channel(0);
     let mut term = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
@@ -233,7 +265,81 @@
             sender.send_modify(|signals| *signals += 1);
         }
     });
-    Ok(node::run(settings, logger, receiver).await?)
+    Ok(receiver)
+}
+
+fn run_gateway(path: &path::Path) -> Result<(), CommandError> {
+    let settings = gateway_settings::parse_file(&path.display().to_string(), &read(path)?)
+        .map_err(|error| CommandError::new(ExitReason::Refused, error.to_string()))?;
+    let logger = open_platform_log(&settings.name);
+    // The hosts give a process a part of one core, so more threads only cost.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(anyhow::Error::from)?;
+    let path = path.to_owned();
+    let work = async {
+        let reload = watch_settings(path, settings.clone(), logger.clone())?;
+        Ok::<_, anyhow::Error>(gateway::run(settings, logger, count_stops()?, reload).await?)
+    };
+    Ok(runtime.block_on(work)?)
+}
+
+/// Reads the settings again on SIGHUP and when the file changed.
+fn watch_settings(
+    path: path::PathBuf,
+    settings: gateway_settings::GatewaySettings,
+    logger: slog::Logger,
+) -> anyhow::Result<mpsc::Receiver<gateway_settings::GatewaySettings>> {
+    let (sender, receiver) = mpsc::channel(1);
+    let mut hang_up = unix::signal(unix::SignalKind::hangup())?;
+    let recorder = event::EventRecorder::keeping(logger, 0);
+    let name = settings.name.clone();
+    tokio::spawn(async move {
+        let mut held = settings;
+        let mut refused = String::new();
+        let mut ticks = tokio::time::interval(SETTINGS_PERIOD);
+        loop {
+            tokio::select! {
+                _ = hang_up.recv() => {}
+                _ = ticks.tick() => {}
+            }
+            let file = path.display().to_string();
+            let fresh = read(&path).map_err(|error| format!("{error:#}"));
+            let fresh = fresh.and_then(|text| {
+                gateway_settings::parse_file(&file, &text).map_err(|error| error.to_string())
+            });
+            match fresh {
+                Ok(fresh) if fresh == held => {}
+                Ok(fresh) => {
+                    let detail = format!("seeds={:?}", fresh.seeds);
+                    recorder.record(event::EventCode::SettingsReloaded, &name, detail);
+                    held = fresh.clone();
+                    if sender.send(fresh).await.is_err() {
+                        return;
+                    }
+                }
+                Err(error) if error == refused => {}
+                Err(error) => {
+                    recorder.record(event::EventCode::SettingsRefused, &name, error.clone());
+                    refused = error;
+                }
+            }
+        }
+    });
+    Ok(receiver)
+}
+
+/// Opens the log of a gateway: JSON on the standard output, written by a
+/// thread of its own that drops lines rather than let the node wait.
+fn open_platform_log(host: &str) -> slog::Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(LOG_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    slog::Logger::root(drain, slog::o!("host" => host.to_owned()))
 }
 
 fn open_log(json: bool, host: &str) -> slog::Logger {
--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -54,10 +54,22 @@
     TokenDropped = 202, Warning;
     /// The routes of a model were planned anew.
     RoutesPlanned = 203, Info;
+    /// A stream goes on at another path.
+    StreamResumed = 204, Warning;
+    /// A caller left before its answer was complete.
+    CallerLeft = 205, Info;
     /// An upstream began to report.
     UpstreamFound = 210, Info;
     /// An upstream stopped answering.
     UpstreamLost = 211, Warning;
+    /// An upstream leaves and gets no more requests.
+    UpstreamLeaving = 212, Info;
+    /// An upstream changed its layers or started anew.
+    UpstreamChanged = 213, Info;
+    /// An upstream is passed over for a while.
+    UpstreamAvoided = 214, Warning;
+    /// An entry of an upstream could not be read.
+    UpstreamUnreadable = 215, Warning;
     /// A request was refused because its organisation's limit was reached.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
@@ -128,6 +140,18 @@
     HostSuperseded = 705, Warning;
     /// A request was cut by the end of a stop.
     StopCut = 710, Warning;
+    /// The settings were read again.
+    SettingsReloaded = 711, Info;
+    /// Changed settings were refused.
+    SettingsRefused = 712, Warning;
+    /// The platform's store does not answer.
+    StoreLost = 800, Warning;
+    /// The platform's store answers again.
+    StoreRegained = 801, Info;
+    /// The store dropped its history and is read whole.
+    StoreReread = 802, Info;
+    /// Rows of the store came from a peer.
+    RowsFromPeer = 803, Info;
 }
 
 impl EventCode {
@@ -156,14 +180,21 @@
 #[derive(Debug)]
 pub struct EventRecorder {
     logger: slog::Logger,
+    kept: usize,
     ring: sync::Mutex<collections::VecDeque<EventRecord>>,
 }
 
 impl EventRecorder {
     /// Creates a recorder that logs to `logger`.
     pub fn new(logger: slog::Logger) -> Self {
+        Self::keeping(logger, RING_EVENTS)
+    }
+
+    /// Creates a recorder that keeps the latest `kept` events.
+    pub fn keeping(logger: slog::Logger, kept: usize) -> Self {
         Self {
             logger,
+            kept,
             ring: sync::Mutex::new(collections::VecDeque::new()),
         }
     }
@@ -203,7 +234,7 @@
             .ring
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
-        if ring.len() == RING_EVENTS {
+        if ring.len() >= self.kept {
             ring.pop_front();
         }
         ring.push_back(record);
--- /dev/null
+++ b/arbutusfold/src/gateway/core.rs
@@ -0,0 +1,305 @@
+//! What the slices of one gateway share.
+
+use std::sync;
+use std::sync::atomic;
+use std::time as std_time;
+
+use arbutusfold_platform::{document, store};
+use tokio::time;
+
+use crate::event;
+use crate::gateway::budget;
+use crate::gateway::fleet;
+use crate::gateway::metrics;
+use crate::gateway::mirror;
+use crate::gateway::routing;
+use crate::gateway::settings;
+use crate::id;
+use crate::member;
+use crate::peer;
+use crate::settings as node_settings;
+
+/// Events that a gateway keeps in memory.
+const KEPT_EVENTS: usize = 1_024;
+
+/// Longest time for a call of the store.
+const STORE_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_200);
+
+/// State of one gateway.
+pub struct GatewayCore {
+    /// Settings of the process.
+    pub settings: settings::GatewaySettings,
+    /// Events.
+    pub recorder: sync::Arc<event::EventRecorder>,
+    /// Metrics.
+    pub metrics: metrics::GatewayMetrics,
+    /// Client of the platform's store.
+    pub store: store::StoreClient,
+    /// Peers as this node knows them.
+    pub members: sync::Arc<member::MemberView>,
+    /// Messages to and from peers.
+    pub post: sync::Arc<peer::PeerPost>,
+    /// Runners as this node knows them.
+    pub fleet: sync::Mutex<fleet::RunnerFleet>,
+    /// Retries that this node may send.
+    pub budget: sync::Mutex<budget::RetryBudget>,
+    mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
+    routing: sync::RwLock<Option<sync::Arc<routing::RoutingTable>>>,
+    /// When the store answered again after it was lost.
+    regained: sync::Mutex<Option<time::Instant>>,
+    store_lost: atomic::AtomicBool,
+    stopping: atomic::AtomicBool,
+}
+
+impl GatewayCore {
+    /// Creates the state of a node that has heard nothing yet.
+    pub fn new(settings: settings::GatewaySettings, logger: slog::Logger) -> Self {
+        let members = sync::Arc::new(member::MemberView::default());
+        let keys = settings
+            .peer_keys
+            .iter()
+            .filter_map(|key| node_settings::decode_key(key));
+        let post = peer::PeerPost::new(
+            settings.name.clone(),
+            settings.peers,
+            id::fresh_incarnation(),
+            peer::MessageSigner::new(keys.collect()),
+            sync::Arc::clone(&members),
+        );
+        let policy = budget::BudgetPolicy {
+            share: settings.retry_share,
+            extra: settings.retry_extra,
+            window: settings.retry_window_s,
+        };
+        Self {
+            recorder: sync::Arc::new(event::EventRecorder::keeping(logger, KEPT_EVENTS)),
+            metrics: metrics::GatewayMetrics::default(),
+            store: store::StoreClient::new(settings.store, STORE_LIMIT),
+            members,
+            post: sync::Arc::new(post),
+            fleet: sync::Mutex::default(),
+            budget: sync::Mutex::new(budget::RetryBudget::new(policy)),
+            mirrors: sync::Mutex::default(),
+            routing: sync::RwLock::default(),
+            regained: sync::Mutex::default(),
+            store_lost: atomic::AtomicBool::new(false),
+            stopping: atomic::AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Records an event.
+    pub fn note(&self, code: event::EventCode, subject: &str, detail: impl Into<String>) {
+        self.recorder.record(code, subject, detail);
+    }
+
+    /// Returns what the process listens on and speaks to.
+    pub fn describe(&self) -> String {
+        let settings = &self.settings;
+        format!(
+            "version={} domain={} callers={} peers={} store={}",
+            env!("CARGO_PKG_VERSION"),
+            settings.domain,
+            settings.callers,
+            settings.peers,
+            settings.store
+        )
+    }
+
+    /// Returns the document in force.
+    pub fn routing(&self) -> Option<sync::Arc<routing::RoutingTable>> {
+        let held = self.routing.read();
+        held.unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+
+    /// Returns the version of the document in force, 0 for none.
+    pub fn document_version(&self) -> id::DocumentVersion {
+        self.routing().map_or(0, |table| table.version())
+    }
+
+    /// Tells whether callers may be sent to this node.
+    pub fn is_ready(&self) -> bool {
+        let runners = self.with_mirror(store::WatchedTable::Runners, |mirror| mirror.is_complete());
+        !self.is_stopping() && runners && self.routing().is_some()
+    }
+
+    /// Tells whether this node stops and callers should go elsewhere.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Begins the stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns a number that grows with every row that this node learns.
+    pub fn latest(&self) -> u64 {
+        let mirrors = lock(&self.mirrors);
+        mirrors.iter().map(mirror::TableMirror::latest).sum()
+    }
+
+    /// Looks into the copy of a table.
+    pub fn with_mirror<T>(
+        &self,
+        table: store::WatchedTable,
+        look: impl FnOnce(&mirror::TableMirror) -> T,
+    ) -> T {
+        look(&lock(&self.mirrors)[place(table)])
+    }
+
+    /// Takes changed rows.
+    pub fn merge(&self, table: store::WatchedTable, rows: Vec<mirror::MirrorRow>) {
+        let changes = lock(&self.mirrors)[place(table)].merge(rows);
+        self.absorb(table, &changes);
+    }
+
+    /// Takes a whole table as of a version.
+    pub fn replace(
+        &self,
+        table: store::WatchedTable,
+        rows: Vec<mirror::MirrorRow>,
+        version: store::RowVersion,
+    ) {
+        let changes = lock(&self.mirrors)[place(table)].replace(rows, version);
+        self.absorb(table, &changes);
+    }
+
+    /// Notes whether the store answered.
+    pub fn note_store(&self, answered: bool, cause: &str) {
+        let lost = self.store_lost.swap(!answered, atomic::Ordering::Relaxed);
+        if lost != answered {
+            return;
+        }
+        let code = match answered {
+            true => event::EventCode::StoreRegained,
+            false => event::EventCode::StoreLost,
+        };
+        if answered {
+            *lock(&self.regained) = Some(time::Instant::now());
+        }
+        self.note(code, "store", cause);
+    }
+
+    /// Tells whether the store does not answer now.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Does what time alone brings.
+    pub fn tick(&self, now: time::Instant) {
+        let news = lock(&self.fleet).expire(now);
+        news.into_iter().for_each(|news| self.note_news(news));
+        let nodes = self.members.fleet_size();
+        lock(&self.budget).note_nodes(nodes);
+    }
+
+    /// Returns what membership tells of this node at its start.
+    pub fn member_record(&self) -> member::MemberRecord {
+        member::MemberRecord {
+            name: self.settings.name.clone(),
+            incarnation: self.post.incarnation(),
+            revision: 1,
+            region: self.settings.region.clone(),
+            domain: self.settings.domain.clone(),
+            callers: self.settings.callers,
+            peers: self.settings.peers,
+            version: 0,
+            phase: member::MemberPhase::Joining,
+        }
+    }
+
+    fn absorb(&self, table: store::WatchedTable, changes: &[mirror::RowChange]) {
+        match table {
+            store::WatchedTable::Operator => changes
+                .iter()
+                .filter(|change| change.row.key == store::WatchedTable::DOCUMENT_KEY)
+                .for_each(|change| self.put_in_force(&change.row)),
+            store::WatchedTable::Runners => {
+                let now = time::Instant::now();
+                let lapsing = self.is_lapsing(now);
+                for change in changes {
+                    let news = lock(&self.fleet).update(change, lapsing, now);
+                    news.into_iter().for_each(|news| self.note_news(news));
+                }
+            }
+        }
+    }
+
+    /// Tells whether entries of runners may be missing because of an outage.
+    fn is_lapsing(&self, now: time::Instant) -> bool {
+        let regained = *lock(&self.regained);
+        let late = regained
+            .is_some_and(|regained| now.saturating_duration_since(regained) < fleet::LAPSE_GRACE);
+        late || self.is_store_lost()
+    }
+
+    fn put_in_force(&self, row: &mirror::MirrorRow) {
+        let Some(value) = &row.value else { return };
+        let document = match document::decode(value) {
+            Ok(document) => document,
+            Err(error) => {
+                let subject = format!("row version {}", row.version);
+                self.note(event::EventCode::ConfigRefused, &subject, error.to_string());
+                return;
+            }
+        };
+        let held = self.document_version();
+        if document.version <= held {
+            let detail = format!("in force: {held}");
+            let subject = document.version.to_string();
+            self.note(event::EventCode::ConfigBehind, &subject, detail);
+            return;
+        }
+        let detail = format!(
+            "row_version={} before={held} routes={} services={}",
+            row.version,
+            document.routes.len(),
+            document.services.len()
+        );
+        let version = document.version;
+        let table = sync::Arc::new(routing::RoutingTable::new(document));
+        *self
+            .routing
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner) = Some(table);
+        self.metrics.document_version.set(version as i64);
+        self.note(
+            event::EventCode::ConfigInForce,
+            &version.to_string(),
+            detail,
+        );
+    }
+
+    fn note_news(&self, news: fleet::FleetNews) {
+        match news {
+            fleet::FleetNews::Found(id, detail) => {
+                self.note(event::EventCode::UpstreamFound, &id, detail);
+            }
+            fleet::FleetNews::Leaving(id) => {
+                self.note(event::EventCode::UpstreamLeaving, &id, "");
+            }
+            fleet::FleetNews::Lost(id, cause) => {
+                self.note(event::EventCode::UpstreamLost, &id, cause);
+            }
+            fleet::FleetNews::Changed(id, detail) => {
+                self.note(event::EventCode::UpstreamChanged, &id, detail);
+            }
+            fleet::FleetNews::Unreadable(id, reason) => {
+                self.note(event::EventCode::UpstreamUnreadable, &id, reason);
+            }
+        }
+    }
+}
+
+fn place(table: store::WatchedTable) -> usize {
+    match table {
+        store::WatchedTable::Operator => 0,
+        store::WatchedTable::Runners => 1,
+    }
+}
+
+/// Locks state that no panic leaves half changed.
+pub(crate) fn lock<T>(held: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    held.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/exchange.rs
@@ -0,0 +1,155 @@
+//! Rows of the store from node to node.
+//!
+//! Membership carries how much each node knows. A node that hears of more
+//! waits a moment for the store, and then asks the node that knows it.
+
+use std::sync;
+use std::time as std_time;
+
+use arbutusfold_platform::store;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use crate::event;
+use crate::gateway::core;
+use crate::gateway::mirror;
+use crate::id;
+use crate::member;
+use crate::peer;
+
+/// Time that the store's own feed has before a peer is asked.
+const FEED_HEADSTART: std_time::Duration = std_time::Duration::from_millis(150);
+
+/// A message about rows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum MirrorMessage {
+    /// Asks for what changed after these versions, by table.
+    Ask(Vec<store::RowVersion>),
+    /// Rows of one table.
+    Rows {
+        /// Place of the table in [`store::WatchedTable::ALL`].
+        table: usize,
+        /// Version as of which the rows are all there are; `None` where they
+        /// are changes only.
+        whole: Option<store::RowVersion>,
+        /// The rows.
+        rows: Vec<mirror::MirrorRow>,
+    },
+}
+
+/// Hears from membership that a peer knows more.
+pub struct PeerListener {
+    core: sync::Arc<core::GatewayCore>,
+}
+
+impl PeerListener {
+    /// Creates the listener of a node.
+    pub fn new(core: sync::Arc<core::GatewayCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl member::driver::MemberListener for PeerListener {
+    fn newer(&self, latest: id::DocumentVersion, from: &str) {
+        let core = sync::Arc::clone(&self.core);
+        let from = from.to_owned();
+        tokio::spawn(async move {
+            time::sleep(FEED_HEADSTART).await;
+            if core.latest() < latest {
+                send(&core, &from, &MirrorMessage::Ask(positions(&core)));
+            }
+        });
+    }
+
+    fn superseded(&self) {
+        if !self.core.is_stopping() {
+            self.core.begin_stop();
+            let name = &self.core.settings.name;
+            self.core.note(event::EventCode::HostSuperseded, name, "");
+        }
+    }
+}
+
+/// Takes messages about rows.
+pub struct MirrorHandler {
+    core: sync::Arc<core::GatewayCore>,
+}
+
+impl MirrorHandler {
+    /// Creates the handler of a node.
+    pub fn new(core: sync::Arc<core::GatewayCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl peer::MessageHandler for MirrorHandler {
+    fn handle(&self, sender: &str, body: &[u8]) {
+        // What a later release added is not understood and dropped.
+        let Ok(message) = postcard::from_bytes::<MirrorMessage>(body) else {
+            return;
+        };
+        match message {
+            MirrorMessage::Ask(after) => {
+                for (place, after) in after.into_iter().enumerate() {
+                    if let Some(answer) = answer(&self.core, place, after) {
+                        send(&self.core, sender, &answer);
+                    }
+                }
+            }
+            MirrorMessage::Rows { table, whole, rows } => {
+                let Some(name) = store::WatchedTable::ALL.get(table).copied() else {
+                    return;
+                };
+                let detail = format!("table={table} rows={} from={sender}", rows.len());
+                self.core
+                    .note(event::EventCode::RowsFromPeer, "store", detail);
+                match whole {
+                    Some(version) => self.core.replace(name, rows, version),
+                    None => self.core.merge(name, rows),
+                }
+            }
+        }
+    }
+}
+
+fn positions(core: &core::GatewayCore) -> Vec<store::RowVersion> {
+    let tables = store::WatchedTable::ALL.into_iter();
+    let latest = |mirror: &mirror::TableMirror| match mirror.is_complete() {
+        true => mirror.latest(),
+        false => 0,
+    };
+    tables
+        .map(|table| core.with_mirror(table, latest))
+        .collect()
+}
+
+/// Returns what a node that knows a table up to `after` lacks.
+fn answer(
+    core: &core::GatewayCore,
+    place: usize,
+    after: store::RowVersion,
+) -> Option<MirrorMessage> {
+    let table = store::WatchedTable::ALL.get(place).copied()?;
+    core.with_mirror(table, |mirror| {
+        let changed = mirror.since(after).filter(|_| after > 0);
+        let message = match changed {
+            Some(rows) => MirrorMessage::Rows {
+                table: place,
+                whole: None,
+                rows,
+            },
+            None => MirrorMessage::Rows {
+                table: place,
+                whole: Some(mirror.latest()),
+                rows: mirror.rows().cloned().collect(),
+            },
+        };
+        (mirror.is_complete() && mirror.latest() > after).then_some(message)
+    })
+}
+
+fn send(core: &core::GatewayCore, to: &str, message: &MirrorMessage) {
+    if let Ok(body) = postcard::to_stdvec(message) {
+        core.post.post(to, peer::MessageKind::Mirror, &body);
+    }
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -0,0 +1,285 @@
+//! Runners as one node knows them: their entries, its own load on them and
+//! what it saw of them.
+
+use std::net;
+use std::time as std_time;
+
+use arbutusfold_platform::{runner, store};
+use tokio::time;
+
+use crate::gateway::mirror;
+use crate::id;
+
+/// Time for which an entry that went away around an outage of the store still
+/// counts: the platform restores the entries of live runners in about 2 s.
+pub const LAPSE_GRACE: std_time::Duration = std_time::Duration::from_millis(2_300);
+
+/// First time for which a runner that failed is passed over.
+const AVOID_START: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Longest time for which a runner that failed is passed over.
+const AVOID_LIMIT: std_time::Duration = std_time::Duration::from_secs(8);
+
+/// Weight of the latest result in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+/// A runner with this node's load on it.
+#[derive(Clone, Debug)]
+pub struct RunnerState {
+    /// Its entry in the store.
+    pub record: runner::RunnerRecord,
+    /// Version of the entry.
+    pub version: store::RowVersion,
+    /// Requests of this node under way there.
+    pub in_flight: u32,
+    /// Tokens of context of these, times the layers that they pass there.
+    pub token_layers: u64,
+    /// Share of failures among the latest results, from 0 to 1.
+    pub failing: f64,
+    /// When an event came of any stream that passes it.
+    progress: Option<time::Instant>,
+    failures: u32,
+    avoided: Option<time::Instant>,
+    /// Set when it answered that it does not hold the layers of its entry.
+    disproved: bool,
+    /// Until when it counts although its entry is gone.
+    lapse: Option<time::Instant>,
+}
+
+impl RunnerState {
+    /// Tells whether requests may be sent to it at all.
+    pub fn is_usable(&self, now: time::Instant) -> bool {
+        !self.record.leaving && self.lapse.is_none_or(|until| now < until)
+    }
+
+    /// Tells whether it is passed over as long as there are others.
+    pub fn is_avoided(&self, now: time::Instant) -> bool {
+        self.avoided.is_some_and(|until| now < until)
+    }
+
+    /// Returns the layers that it holds as far as known.
+    pub fn layers(&self) -> Option<runner::LayerSpan> {
+        let layers = self.record.layers.filter(|_| !self.disproved);
+        layers.filter(|layers| !layers.is_empty())
+    }
+
+    /// Tells whether a restart or an order changed what it holds.
+    fn is_changed(&self, record: &runner::RunnerRecord) -> bool {
+        self.record.born_ms != record.born_ms || self.record.layers != record.layers
+    }
+}
+
+/// What changed in the fleet, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetNews {
+    /// A runner appeared.
+    Found(id::UpstreamName, String),
+    /// A runner leaves.
+    Leaving(id::UpstreamName),
+    /// A runner's entry is gone.
+    Lost(id::UpstreamName, &'static str),
+    /// A runner started anew or holds other layers.
+    Changed(id::UpstreamName, String),
+    /// An entry could not be read and names no runner.
+    Unreadable(id::UpstreamName, String),
+}
+
+/// The runners of all services.
+#[derive(Clone, Debug, Default)]
+pub struct RunnerFleet {
+    /// Runners by id.
+    runners: Vec<RunnerState>,
+}
+
+impl RunnerFleet {
+    /// Takes a changed entry; `lapsing` is set around an outage of the store.
+    pub fn update(
+        &mut self,
+        change: &mirror::RowChange,
+        lapsing: bool,
+        now: time::Instant,
+    ) -> Option<FleetNews> {
+        let row = &change.row;
+        let Some(value) = &row.value else {
+            return self.remove(&row.key, lapsing, now);
+        };
+        match runner::decode_record(&row.key, value) {
+            Ok(record) => self.put(record, row.version),
+            Err(error) => {
+                self.remove(&row.key, false, now);
+                Some(FleetNews::Unreadable(row.key.clone(), error.to_string()))
+            }
+        }
+    }
+
+    /// Drops runners whose entries did not come back after an outage.
+    pub fn expire(&mut self, now: time::Instant) -> Vec<FleetNews> {
+        let is_over = |state: &RunnerState| state.lapse.is_some_and(|until| now >= until);
+        let over = self.runners.iter().filter(|state| is_over(state));
+        let news = over.map(|state| FleetNews::Lost(state.record.id.clone(), "not restored"));
+        let news = news.collect();
+        self.runners.retain(|state| !is_over(state));
+        news
+    }
+
+    /// Returns every runner, by id.
+    pub fn runners(&self) -> &[RunnerState] {
+        &self.runners
+    }
+
+    /// Returns a runner.
+    pub fn get(&self, id: &str) -> Option<&RunnerState> {
+        self.place(id).ok().map(|place| &self.runners[place])
+    }
+
+    /// Returns the id of the runner at an address.
+    pub fn at(&self, address: net::SocketAddr) -> Option<&id::UpstreamName> {
+        let mut runners = self.runners.iter();
+        let found = runners.find(|state| state.record.address == address);
+        found.map(|state| &state.record.id)
+    }
+
+    /// Notes a request that begins at a runner.
+    pub fn begin(&mut self, id: &str, token_layers: u64) {
+        if let Some(state) = self.find(id) {
+            state.in_flight += 1;
+            state.token_layers += token_layers;
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn end(&mut self, id: &str, token_layers: u64) {
+        if let Some(state) = self.find(id) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            state.token_layers = state.token_layers.saturating_sub(token_layers);
+        }
+    }
+
+    /// Notes that an event came of a stream that passes a runner.
+    pub fn note_progress(&mut self, id: &str, now: time::Instant) {
+        if let Some(state) = self.find(id) {
+            state.progress = Some(now);
+        }
+    }
+
+    /// Returns how long no event came of any stream that passes a runner.
+    pub fn silence(&self, id: &str, now: time::Instant) -> Option<std_time::Duration> {
+        let progress = self.get(id)?.progress?;
+        Some(now.saturating_duration_since(progress))
+    }
+
+    /// Notes a request that a runner answered well.
+    pub fn note_success(&mut self, id: &str) {
+        if let Some(state) = self.find(id) {
+            state.failures = 0;
+            state.failing *= 1.0 - FAILURE_WEIGHT;
+            state.avoided = None;
+        }
+    }
+
+    /// Notes a failure and returns for how long the runner is passed over.
+    pub fn note_failure(&mut self, id: &str, now: time::Instant) -> Option<std_time::Duration> {
+        let state = self.find(id)?;
+        state.failing += FAILURE_WEIGHT * (1.0 - state.failing);
+        let pause = (AVOID_START * (1 << state.failures.min(8))).min(AVOID_LIMIT);
+        state.failures += 1;
+        state.avoided = Some(now + pause);
+        Some(pause)
+    }
+
+    /// Notes a failed answer of a runner that otherwise works.
+    pub fn note_error(&mut self, id: &str) {
+        if let Some(state) = self.find(id) {
+            state.failing += FAILURE_WEIGHT * (1.0 - state.failing);
+        }
+    }
+
+    /// Notes that a runner does not hold the layers of its entry.
+    pub fn disprove(&mut self, id: &str) {
+        if let Some(state) = self.find(id) {
+            state.disproved = true;
+        }
+    }
+
+    fn put(
+        &mut self,
+        record: runner::RunnerRecord,
+        version: store::RowVersion,
+    ) -> Option<FleetNews> {
+        match self.place(&record.id) {
+            Ok(place) => {
+                let state = &mut self.runners[place];
+                let id = record.id.clone();
+                let left = record.leaving && !state.record.leaving;
+                let changed = state.is_changed(&record);
+                if state.record.born_ms != record.born_ms {
+                    state.failures = 0;
+                    state.failing = 0.0;
+                    state.avoided = None;
+                    state.progress = None;
+                }
+                let detail = describe(&record);
+                state.disproved &= !changed;
+                state.record = record;
+                state.version = version;
+                state.lapse = None;
+                match (left, changed) {
+                    (true, _) => Some(FleetNews::Leaving(id)),
+                    (false, true) => Some(FleetNews::Changed(id, detail)),
+                    (false, false) => None,
+                }
+            }
+            Err(place) => {
+                let news = FleetNews::Found(record.id.clone(), describe(&record));
+                let state = RunnerState {
+                    record,
+                    version,
+                    in_flight: 0,
+                    token_layers: 0,
+                    failing: 0.0,
+                    progress: None,
+                    failures: 0,
+                    avoided: None,
+                    disproved: false,
+                    lapse: None,
+                };
+                self.runners.insert(place, state);
+                Some(news)
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &str, lapsing: bool, now: time::Instant) -> Option<FleetNews> {
+        let place = self.place(id).ok()?;
+        if lapsing && !self.runners[place].record.leaving {
+            self.runners[place].lapse = Some(now + LAPSE_GRACE);
+            return None;
+        }
+        self.runners.remove(place);
+        Some(FleetNews::Lost(id.to_owned(), "entry removed"))
+    }
+
+    fn find(&mut self, id: &str) -> Option<&mut RunnerState> {
+        let place = self.place(id).ok()?;
+        Some(&mut self.runners[place])
+    }
+
+    fn place(&self, id: &str) -> Result<usize, usize> {
+        self.runners
+            .binary_search_by(|state| state.record.id.as_str().cmp(id))
+    }
+}
+
+fn describe(record: &runner::RunnerRecord) -> String {
+    let layers = record.layers.map_or("none".to_owned(), |layers| {
+        format!("{}-{}", layers.from, layers.to)
+    });
+    format!(
+        "service={} address={} domain={} card={} layers={layers} born_ms={}",
+        record.service,
+        record.address,
+        record.domain,
+        record.card.as_deref().unwrap_or("unknown"),
+        record.born_ms.unwrap_or(0),
+    )
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/forward.rs
@@ -0,0 +1,313 @@
+//! From a caller's request to its answer.
+
+use std::convert;
+use std::sync;
+use std::time as std_time;
+
+use arbutusfold_platform::{document, head};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body;
+use rand::RngExt;
+use tokio::time;
+
+use crate::event;
+use crate::gateway::answer;
+use crate::gateway::core;
+use crate::gateway::core::lock;
+use crate::gateway::metrics;
+use crate::gateway::routing;
+use crate::gateway::runs;
+use crate::gateway::stream;
+
+/// Time that is kept back from a deadline for the answer's way to the caller.
+const ANSWER_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
+
+/// Time after which callers return to a node that has no document yet.
+const PAUSE_UNREADY: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Answers one request of a caller.
+pub async fn answer(
+    core: sync::Arc<core::GatewayCore>,
+    request: http::Request<body::Incoming>,
+) -> Result<answer::GatewayAnswer, convert::Infallible> {
+    let started = time::Instant::now();
+    let head = head::decode_caller(request.headers());
+    let request_id = head.request.clone();
+    core.metrics.in_flight.inc();
+    let _flight = FlightCount(sync::Arc::clone(&core));
+    let watch = LeaveWatch::new(&core, &request_id, started);
+    let mut answer = match admit(&core, head, request, started).await {
+        Ok(run) => serve(run).await,
+        Err(refusal) => {
+            let detail = format!(
+                "status={} cause={} document={} ms={}",
+                refusal.status.as_u16(),
+                refusal.cause,
+                core.document_version(),
+                started.elapsed().as_millis()
+            );
+            core.note(event::EventCode::RequestRefused, &request_id, detail);
+            count(&core, "none", refusal.status);
+            refusal.to_answer()
+        }
+    };
+    watch.disarm();
+    if core.is_stopping() {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    Ok(answer)
+}
+
+/// Counts a request as in flight while it lives.
+struct FlightCount(sync::Arc<core::GatewayCore>);
+
+impl Drop for FlightCount {
+    fn drop(&mut self) {
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+/// Logs a caller that leaves before it gets the head of its answer.
+struct LeaveWatch {
+    core: sync::Arc<core::GatewayCore>,
+    request: String,
+    started: time::Instant,
+    armed: bool,
+}
+
+impl LeaveWatch {
+    fn new(core: &sync::Arc<core::GatewayCore>, request: &str, started: time::Instant) -> Self {
+        Self {
+            core: sync::Arc::clone(core),
+            request: request.to_owned(),
+            started,
+            armed: true,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for LeaveWatch {
+    fn drop(&mut self) {
+        if self.armed {
+            self.core.metrics.abandoned.inc();
+            let detail = format!("before an answer ms={}", self.started.elapsed().as_millis());
+            self.core
+                .note(event::EventCode::CallerLeft, &self.request, detail);
+        }
+    }
+}
+
+/// Reads a request and finds its route.
+async fn admit(
+    core: &sync::Arc<core::GatewayCore>,
+    head: head::CallerHead,
+    request: http::Request<body::Incoming>,
+    started: time::Instant,
+) -> Result<runs::CallerRun, answer::GatewayRefusal> {
+    let Some(table) = core.routing() else {
+        let cause = "no document is known yet";
+        return Err(answer::GatewayRefusal::not_run(cause, PAUSE_UNREADY));
+    };
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let verdict = table.decide(host, parts.uri.path(), head.key.as_deref());
+    let refuse = |status, cause: &str| Err(answer::GatewayRefusal::failed(status, cause));
+    let (rule, organisation, priority) = match verdict {
+        routing::RouteVerdict::Allowed {
+            rule,
+            organisation,
+            priority,
+        } => (rule.clone(), organisation.map(str::to_owned), priority),
+        routing::RouteVerdict::NoRoute => {
+            return refuse(
+                http::StatusCode::NOT_FOUND,
+                "no route for this host and path",
+            );
+        }
+        routing::RouteVerdict::KeyUnknown => {
+            return refuse(
+                http::StatusCode::UNAUTHORIZED,
+                "the key is missing or unknown",
+            );
+        }
+    };
+    if head.request.is_empty() {
+        return refuse(http::StatusCode::BAD_REQUEST, "the request has no id");
+    }
+    let deadline = head.deadline.unwrap_or(rule.timeout).min(rule.timeout);
+    let limit = started + deadline.saturating_sub(ANSWER_MARGIN);
+    let body = read(body, table.limits().body_bytes, limit).await?;
+    let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
+    lock(&core.budget).note_request(&service, started);
+    Ok(runs::CallerRun {
+        core: sync::Arc::clone(core),
+        table,
+        rule,
+        service,
+        head,
+        parts,
+        body,
+        organisation,
+        priority,
+        started,
+        limit,
+        excluded: Vec::new(),
+        runs: 0,
+        sends: 0,
+        trail: String::new(),
+    })
+}
+
+async fn read(
+    body: body::Incoming,
+    limit_bytes: usize,
+    limit: time::Instant,
+) -> Result<Bytes, answer::GatewayRefusal> {
+    let whole = Limited::new(body, limit_bytes).collect();
+    match time::timeout_at(limit, whole).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(answer::GatewayRefusal::failed(
+                http::StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too long",
+            ))
+        }
+        Ok(Err(error)) => {
+            let cause = format!("the body broke off: {error}");
+            Err(answer::GatewayRefusal::failed(
+                http::StatusCode::BAD_REQUEST,
+                cause,
+            ))
+        }
+        Err(_) => {
+            let cause = "the body did not come in time";
+            Err(answer::GatewayRefusal::failed(
+                http::StatusCode::REQUEST_TIMEOUT,
+                cause,
+            ))
+        }
+    }
+}
+
+async fn serve(run: runs::CallerRun) -> answer::GatewayAnswer {
+    let core = sync::Arc::clone(&run.core);
+    match run.rule.kind {
+        document::RouteKind::Streaming => stream::serve(run).await,
+        document::RouteKind::Idempotent | document::RouteKind::NonIdempotent => {
+            let mut run = run;
+            let result = serve_plain(&mut run).await;
+            finish(&core, &run, result)
+        }
+    }
+}
+
+/// Ends a request whose answer is there as a whole, or refused.
+pub fn finish(
+    core: &core::GatewayCore,
+    run: &runs::CallerRun,
+    result: Result<answer::GatewayAnswer, answer::GatewayRefusal>,
+) -> answer::GatewayAnswer {
+    core.metrics
+        .total_seconds
+        .observe(run.started.elapsed().as_secs_f64());
+    match result {
+        Ok(answer) => {
+            let status = answer.status();
+            let detail = format!("status={} {}", status.as_u16(), run.describe());
+            run.note(event::EventCode::RequestAnswered, detail);
+            count(core, &run.service, status);
+            answer
+        }
+        Err(refusal) => {
+            let detail = format!(
+                "status={} cause={} {}",
+                refusal.status.as_u16(),
+                refusal.cause,
+                run.describe()
+            );
+            run.note(event::EventCode::RequestRefused, detail);
+            count(core, &run.service, refusal.status);
+            refusal.to_answer()
+        }
+    }
+}
+
+/// Counts a request that ended.
+pub fn count(core: &core::GatewayCore, service: &str, status: http::StatusCode) {
+    let labels = metrics::OutcomeLabels {
+        service: service.to_owned(),
+        status: status.as_u16(),
+    };
+    core.metrics.requests.get_or_create(&labels).inc();
+}
+
+/// Gets the answer of a plain service as a whole, before any of it is passed on.
+async fn serve_plain(
+    run: &mut runs::CallerRun,
+) -> Result<answer::GatewayAnswer, answer::GatewayRefusal> {
+    let mut failed: Option<answer::GatewayAnswer> = None;
+    loop {
+        if run.time_left().is_zero() {
+            return failed.ok_or_else(|| run.time_over());
+        }
+        let Some(target) = run.choose() else {
+            return failed.ok_or_else(|| run.refuse("no runner of the service is left"));
+        };
+        let guard = runs::RunGuard::new(&run.core, &target);
+        let outcome = run.send(&target, None).await;
+        let (ran, cause) = match outcome {
+            runs::SendOutcome::Head { response, link } => {
+                let (parts, body) = response.into_parts();
+                let read = arbutusfold_platform::link::read_body(body, runs::ANSWER_LIMIT_BYTES);
+                let read = time::timeout(run.time_left(), read).await;
+                drop(link);
+                match read {
+                    Ok(Ok(bytes)) if parts.status.is_server_error() => {
+                        lock(&run.core.fleet).note_error(&target.runners[0]);
+                        run.exclude(&target.runners[0]);
+                        failed = Some(pass_on(&parts, bytes));
+                        (true, format!("status {}", parts.status.as_u16()))
+                    }
+                    Ok(Ok(bytes)) => {
+                        lock(&run.core.fleet).note_success(&target.runners[0]);
+                        return Ok(pass_on(&parts, bytes));
+                    }
+                    Ok(Err(error)) => {
+                        let cause = error.to_string();
+                        run.fail(&target.runners[0], &cause);
+                        (true, cause)
+                    }
+                    Err(_) => return Err(run.time_over()),
+                }
+            }
+            runs::SendOutcome::NotRun { cause } => (false, cause),
+            runs::SendOutcome::Broken { cause } => (true, cause),
+            runs::SendOutcome::TimedOut => {
+                run.fail(&target.runners[0], "no answer in time");
+                return failed.ok_or_else(|| run.time_over());
+            }
+        };
+        drop(guard);
+        let detail = format!("ran={ran} cause={cause} {}", run.describe());
+        run.note(event::EventCode::AttemptFailed, detail);
+        if !run.may_send_again(ran) {
+            return failed.ok_or_else(|| run.refuse(&cause));
+        }
+    }
+}
+
+/// Returns a runner's answer as the caller is to get it.
+pub fn pass_on(parts: &http::response::Parts, bytes: Bytes) -> answer::GatewayAnswer {
+    let mut answer = http::Response::new(answer::whole(bytes));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = head::encode_answer(&parts.headers);
+    answer.headers_mut().remove(http::header::CONTENT_LENGTH);
+    answer
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -0,0 +1,103 @@
+//! Counters and latency histograms of a gateway.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::{counter, family, gauge, histogram};
+use prometheus_client::registry;
+
+/// Bounds of latency buckets in seconds: from a fifth of the shortest
+/// objective to the longest deadline in use.
+const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
+];
+
+/// Labels of a count of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// Service that was asked.
+    pub service: String,
+    /// HTTP status towards the caller.
+    pub status: u16,
+}
+
+/// Metrics of a gateway with the registry that shows them.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: registry::Registry,
+    /// Requests that ended, by service and status.
+    pub requests: family::Family<OutcomeLabels, counter::Counter>,
+    /// Requests in flight.
+    pub in_flight: gauge::Gauge,
+    /// Sends to a runner after the first of a request.
+    pub retries: counter::Counter,
+    /// Streams that went on at another path.
+    pub resumed: counter::Counter,
+    /// Callers that left before the end of their answer.
+    pub abandoned: counter::Counter,
+    /// Orders sent to runners.
+    pub orders: counter::Counter,
+    /// Calls to the platform's store.
+    pub store_calls: counter::Counter,
+    /// Version of the document in force.
+    pub document_version: gauge::Gauge,
+    /// Time to the first event or the whole plain answer, in seconds.
+    pub first_seconds: histogram::Histogram,
+    /// Time to the end of an answer, in seconds.
+    pub total_seconds: histogram::Histogram,
+    /// Longest pause between two events of a stream, in seconds.
+    pub gap_seconds: histogram::Histogram,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let latency = || histogram::Histogram::new(LATENCY_BOUNDS_S);
+        let mut set = Self {
+            registry: registry::Registry::with_prefix("arbutusfold"),
+            requests: family::Family::default(),
+            in_flight: gauge::Gauge::default(),
+            retries: counter::Counter::default(),
+            resumed: counter::Counter::default(),
+            abandoned: counter::Counter::default(),
+            orders: counter::Counter::default(),
+            store_calls: counter::Counter::default(),
+            document_version: gauge::Gauge::default(),
+            first_seconds: latency(),
+            total_seconds: latency(),
+            gap_seconds: latency(),
+        };
+        let registry = &mut set.registry;
+        registry.register("requests", "Requests that ended", set.requests.clone());
+        registry.register("in_flight", "Requests in flight", set.in_flight.clone());
+        registry.register("retries", "Sends after the first", set.retries.clone());
+        registry.register("resumed", "Streams resumed elsewhere", set.resumed.clone());
+        registry.register(
+            "abandoned",
+            "Callers that left early",
+            set.abandoned.clone(),
+        );
+        registry.register("orders", "Orders sent to runners", set.orders.clone());
+        registry.register("store_calls", "Calls to the store", set.store_calls.clone());
+        let version = set.document_version.clone();
+        registry.register(
+            "document_version",
+            "Version of the document in force",
+            version,
+        );
+        let first = set.first_seconds.clone();
+        registry.register("first_seconds", "Time to the first event or answer", first);
+        let total = set.total_seconds.clone();
+        registry.register("total_seconds", "Time to the end of an answer", total);
+        let gap = set.gap_seconds.clone();
+        registry.register("gap_seconds", "Longest pause between two events", gap);
+        set
+    }
+}
+
+impl GatewayMetrics {
+    /// Returns every metric in the OpenMetrics text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -0,0 +1,146 @@
+//! A node's copy of the store's watched tables.
+//!
+//! Rows come from the store or from peers. A row's version decides which
+//! copy is newer, so rows may come twice, late and in any order.
+
+use arbutusfold_platform::store;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// Removed rows that a table remembers, so that peers hear of them.
+const REMOVED_LIMIT: usize = 1_024;
+
+/// A row as peers pass it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MirrorRow {
+    /// Key inside its table.
+    pub key: String,
+    /// Version of the last change.
+    pub version: store::RowVersion,
+    /// Content, or `None` once removed.
+    pub value: Option<Bytes>,
+}
+
+/// A row that changed, with its content before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowChange {
+    /// The row as it is now.
+    pub row: MirrorRow,
+    /// Its content before, if there was one.
+    pub before: Option<Bytes>,
+}
+
+/// Copy of one table.
+#[derive(Clone, Debug, Default)]
+pub struct TableMirror {
+    /// Rows and removed rows, by key.
+    rows: Vec<MirrorRow>,
+    /// Highest version among the rows.
+    latest: store::RowVersion,
+    /// Version up to which removed rows were forgotten.
+    forgotten: store::RowVersion,
+    /// Whether the table was ever read whole.
+    complete: bool,
+}
+
+impl TableMirror {
+    /// Tells whether the table was ever read whole, from the store or a peer.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Returns the highest version among the rows.
+    pub fn latest(&self) -> store::RowVersion {
+        self.latest
+    }
+
+    /// Returns the content of a row.
+    pub fn get(&self, key: &str) -> Option<&MirrorRow> {
+        let place = self.place(key).ok()?;
+        Some(&self.rows[place]).filter(|row| row.value.is_some())
+    }
+
+    /// Returns the rows that are there.
+    pub fn rows(&self) -> impl Iterator<Item = &MirrorRow> {
+        self.rows.iter().filter(|row| row.value.is_some())
+    }
+
+    /// Takes rows and returns those whose content changed.
+    pub fn merge(&mut self, rows: impl IntoIterator<Item = MirrorRow>) -> Vec<RowChange> {
+        let changes = rows.into_iter().filter_map(|row| self.merge_row(row));
+        let changes = changes.collect();
+        self.forget();
+        changes
+    }
+
+    /// Takes the whole table as of a version; rows that it lacks are removed.
+    pub fn replace(&mut self, rows: Vec<MirrorRow>, version: store::RowVersion) -> Vec<RowChange> {
+        let mut keys: Vec<_> = rows.iter().map(|row| row.key.clone()).collect();
+        keys.sort_unstable();
+        let removed: Vec<_> = self
+            .rows
+            .iter()
+            .filter(|held| held.value.is_some() && held.version <= version)
+            .filter(|held| keys.binary_search(&held.key).is_err())
+            .map(|held| MirrorRow {
+                key: held.key.clone(),
+                version: version.max(held.version + 1),
+                value: None,
+            })
+            .collect();
+        self.complete = true;
+        self.merge(rows.into_iter().chain(removed))
+    }
+
+    /// Returns the rows that changed after a version, or `None` when removed
+    /// rows of that time were forgotten.
+    pub fn since(&self, version: store::RowVersion) -> Option<Vec<MirrorRow>> {
+        let changed = self.rows.iter().filter(|row| row.version > version);
+        (version >= self.forgotten).then(|| changed.cloned().collect())
+    }
+
+    fn merge_row(&mut self, row: MirrorRow) -> Option<RowChange> {
+        self.latest = self.latest.max(row.version);
+        match self.place(&row.key) {
+            Ok(place) if self.rows[place].version >= row.version => None,
+            Ok(place) => {
+                let before = std::mem::replace(&mut self.rows[place], row.clone()).value;
+                (before != row.value).then_some(RowChange { row, before })
+            }
+            Err(place) => {
+                self.rows.insert(place, row.clone());
+                row.value
+                    .is_some()
+                    .then_some(RowChange { row, before: None })
+            }
+        }
+    }
+
+    /// Forgets the oldest removed rows over the limit.
+    fn forget(&mut self) {
+        let removed = self.rows.iter().filter(|row| row.value.is_none());
+        let mut versions: Vec<_> = removed.map(|row| row.version).collect();
+        if versions.len() <= REMOVED_LIMIT {
+            return;
+        }
+        versions.sort_unstable();
+        let limit = versions[versions.len() - REMOVED_LIMIT];
+        self.rows
+            .retain(|row| row.value.is_some() || row.version >= limit);
+        self.forgotten = self.forgotten.max(limit);
+    }
+
+    fn place(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| row.key.as_str().cmp(key))
+    }
+}
+
+impl From<store::StoredRow> for MirrorRow {
+    fn from(row: store::StoredRow) -> Self {
+        Self {
+            key: row.key,
+            version: row.version,
+            value: row.value,
+        }
+    }
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/routing.rs
@@ -0,0 +1,161 @@
+//! Which route a request takes, and for which organisation.
+
+use arbutusfold_platform::document;
+
+use crate::id;
+
+/// A key with the place of its organisation.
+#[derive(Clone, Debug)]
+struct KeyOwner {
+    key: String,
+    organisation: usize,
+}
+
+/// The operator's document, made ready for look-ups.
+#[derive(Clone, Debug)]
+pub struct RoutingTable {
+    version: id::DocumentVersion,
+    /// Routes by host, the longest prefixes first.
+    routes: Vec<document::RouteRule>,
+    /// Services by name.
+    services: Vec<document::ServiceSpec>,
+    /// `None` where no keys are needed.
+    organisations: Option<Vec<document::OrganisationKeys>>,
+    /// Keys in ascending order.
+    keys: Vec<KeyOwner>,
+    limits: document::CallerLimits,
+}
+
+/// What the document says of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RouteVerdict<'a> {
+    /// It takes this route.
+    Allowed {
+        /// The route.
+        rule: &'a document::RouteRule,
+        /// Organisation that its key belongs to.
+        organisation: Option<&'a str>,
+        /// Rank, 0 is first.
+        priority: u8,
+    },
+    /// No route holds for its host and path.
+    NoRoute,
+    /// Its route needs a key that the document holds.
+    KeyUnknown,
+}
+
+impl RoutingTable {
+    /// Makes a document ready for look-ups.
+    pub fn new(document: document::RoutingDocument) -> Self {
+        let mut routes = document.routes;
+        routes.sort_by(|one, other| {
+            let longer = other.prefix.len().cmp(&one.prefix.len());
+            one.host.cmp(&other.host).then(longer)
+        });
+        let mut services = document.services;
+        services.sort_by(|one, other| one.name.cmp(&other.name));
+        let organisations = document.organisations;
+        let mut keys: Vec<_> = organisations
+            .iter()
+            .flatten()
+            .enumerate()
+            .flat_map(|(organisation, spec)| {
+                let owner = move |key: &String| KeyOwner {
+                    key: key.clone(),
+                    organisation,
+                };
+                spec.keys.iter().map(owner)
+            })
+            .collect();
+        keys.sort_by(|one, other| one.key.cmp(&other.key));
+        Self {
+            version: document.version,
+            routes,
+            services,
+            organisations,
+            keys,
+            limits: document.limits,
+        }
+    }
+
+    /// Returns the version of the document.
+    pub fn version(&self) -> id::DocumentVersion {
+        self.version
+    }
+
+    /// Returns the limits towards callers.
+    pub fn limits(&self) -> &document::CallerLimits {
+        &self.limits
+    }
+
+    /// Returns the services, by name.
+    pub fn services(&self) -> &[document::ServiceSpec] {
+        &self.services
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&document::ServiceSpec> {
+        let found = self
+            .services
+            .binary_search_by(|spec| spec.name.as_str().cmp(name));
+        found.ok().map(|place| &self.services[place])
+    }
+
+    /// Tells which route a request takes.
+    pub fn decide(&self, host: &str, path: &str, key: Option<&str>) -> RouteVerdict<'_> {
+        let Some(rule) = self.route(host, path) else {
+            return RouteVerdict::NoRoute;
+        };
+        let open = RouteVerdict::Allowed {
+            rule,
+            organisation: None,
+            priority: rule.priority,
+        };
+        let Some(organisations) = &self.organisations else {
+            return open;
+        };
+        match key.and_then(|key| self.owner(key)) {
+            Some(owner) => {
+                let spec = &organisations[owner];
+                RouteVerdict::Allowed {
+                    rule,
+                    organisation: Some(&spec.name),
+                    priority: spec.priority.unwrap_or(rule.priority),
+                }
+            }
+            None if rule.public => open,
+            None => RouteVerdict::KeyUnknown,
+        }
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&document::RouteRule> {
+        // A host may be named with its port.
+        let host = host.split(':').next().unwrap_or_default();
+        let host = host.to_ascii_lowercase();
+        let start = self.routes.partition_point(|rule| rule.host < host);
+        self.routes[start..]
+            .iter()
+            .take_while(|rule| rule.host == host)
+            .find(|rule| path.starts_with(&rule.prefix))
+    }
+
+    fn owner(&self, key: &str) -> Option<usize> {
+        let found = self
+            .keys
+            .binary_search_by(|owner| owner.key.as_str().cmp(key));
+        found.ok().map(|place| self.keys[place].organisation)
+    }
+}
+
+/// Chooses a service of a route; `draw` is a random number from 0 to 1.
+pub fn choose_service(rule: &document::RouteRule, draw: f64) -> &str {
+    let total: f64 = rule.services.iter().map(|share| share.weight).sum();
+    let mut rest = draw * total;
+    let mut weighted = rule.services.iter().filter(|share| share.weight > 0.0);
+    let chosen = weighted.clone().find(|share| {
+        rest -= share.weight;
+        rest < 0.0
+    });
+    let chosen = chosen.or_else(|| weighted.next_back());
+    chosen.map_or("", |share| &share.service)
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/runs.rs
@@ -0,0 +1,498 @@
+//! One request of a caller and its sends to runners.
+
+use std::sync;
+use std::time as std_time;
+
+use arbutusfold_platform::{document, head, link, runner};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body;
+use rand::RngExt;
+use tokio::time;
+
+use crate::event;
+use crate::gateway::answer;
+use crate::gateway::core;
+use crate::gateway::core::lock;
+use crate::gateway::fleet;
+use crate::gateway::path;
+use crate::gateway::routing;
+use crate::id;
+use crate::member;
+
+/// Longest time to connect to a runner; a live one takes a few milliseconds.
+const CONNECT_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// Sends of one request, those included that runners turned away.
+const SEND_LIMIT: u32 = 5;
+
+/// Least time left with which a request is sent.
+const LEAST_TIME: std_time::Duration = std_time::Duration::from_millis(20);
+
+/// Part of the spread of random factors on the cost of stages.
+const JITTER: f64 = 0.1;
+
+/// Longest answer of a plain service in bytes.
+pub const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+
+/// Shortest time after which a refused caller is asked to return.
+pub const PAUSE_SHORT: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// A request of a caller with what was done for it.
+pub struct CallerRun {
+    /// State of the node.
+    pub core: sync::Arc<core::GatewayCore>,
+    /// Document that was in force when it came.
+    pub table: sync::Arc<routing::RoutingTable>,
+    /// Its route.
+    pub rule: document::RouteRule,
+    /// Service that it goes to.
+    pub service: id::ServiceName,
+    /// Its head.
+    pub head: head::CallerHead,
+    /// Its head as sent.
+    pub parts: http::request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Organisation that its key belongs to.
+    pub organisation: Option<id::OrganisationName>,
+    /// Rank, 0 is first.
+    pub priority: u8,
+    /// When it came.
+    pub started: time::Instant,
+    /// When its final answer is due.
+    pub limit: time::Instant,
+    /// Runners that are not tried again.
+    pub excluded: Vec<id::UpstreamName>,
+    /// Sends that ran or may have run.
+    pub runs: u32,
+    /// All sends.
+    pub sends: u32,
+    /// Runners of the latest send, for the log.
+    pub trail: String,
+}
+
+/// Where a request is sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunTarget {
+    /// Runners in order; the first one gets the request.
+    pub runners: Vec<id::UpstreamName>,
+    /// Path for the head; empty where one runner does all.
+    pub path: Vec<head::PathPart>,
+    /// Address of the first runner.
+    pub address: std::net::SocketAddr,
+    /// Tokens of context times layers, by runner.
+    pub load: Vec<u64>,
+}
+
+/// What became of one send.
+#[derive(Debug)]
+pub enum SendOutcome {
+    /// The runner answered; the answer may still break off.
+    Head {
+        /// Head and unread body.
+        response: http::Response<body::Incoming>,
+        /// Connection that carries it.
+        link: link::HttpLink,
+    },
+    /// It did not run.
+    NotRun {
+        /// Cause.
+        cause: String,
+    },
+    /// It may have run and brought no answer.
+    Broken {
+        /// Cause.
+        cause: String,
+    },
+    /// No answer came in the time it had.
+    TimedOut,
+}
+
+/// Counts a send as under way at its runners while it lives.
+pub struct RunGuard {
+    core: sync::Arc<core::GatewayCore>,
+    load: Vec<(id::UpstreamName, u64)>,
+}
+
+impl RunGuard {
+    /// Counts a send.
+    pub fn new(core: &sync::Arc<core::GatewayCore>, target: &RunTarget) -> Self {
+        let load: Vec<_> = target
+            .runners
+            .iter()
+            .cloned()
+            .zip(target.load.iter().copied())
+            .collect();
+        let mut fleet = lock(&core.fleet);
+        load.iter().for_each(|(id, load)| fleet.begin(id, *load));
+        drop(fleet);
+        Self {
+            core: sync::Arc::clone(core),
+            load,
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut fleet = lock(&self.core.fleet);
+        self.load.iter().for_each(|(id, load)| fleet.end(id, *load));
+    }
+}
+
+impl CallerRun {
+    /// Tells whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.rule.kind {
+            document::RouteKind::Idempotent => true,
+            document::RouteKind::NonIdempotent => false,
+            document::RouteKind::Streaming => self.rule.resumable,
+        }
+    }
+
+    /// Returns the time left until its final answer is due.
+    pub fn time_left(&self) -> std_time::Duration {
+        self.limit.saturating_duration_since(time::Instant::now())
+    }
+
+    /// Tells whether one more send may follow, and pays for it.
+    pub fn may_send_again(&self, ran: bool) -> bool {
+        let allowed = match ran {
+            true => self.is_repeatable() && self.runs < self.rule.attempts,
+            false => true,
+        };
+        let possible = allowed && self.sends < SEND_LIMIT && self.time_left() > LEAST_TIME;
+        if !possible {
+            return false;
+        }
+        let paid = lock(&self.core.budget).take(&self.service, time::Instant::now());
+        match paid {
+            true => {
+                self.core.metrics.retries.inc();
+            }
+            false => {
+                let detail = format!("service={} budget spent", self.service);
+                self.note(event::EventCode::RetryRefused, detail);
+            }
+        }
+        paid
+    }
+
+    /// Records an event about the request.
+    pub fn note(&self, code: event::EventCode, detail: impl Into<String>) {
+        self.core.note(code, &self.head.request, detail);
+    }
+
+    /// Describes the request for the log.
+    pub fn describe(&self) -> String {
+        format!(
+            "route={} service={} organisation={} document={} priority={} runs={} sends={} runners={} ms={}",
+            self.rule.name,
+            self.service,
+            self.organisation.as_deref().unwrap_or("none"),
+            self.table.version(),
+            self.priority,
+            self.runs,
+            self.sends,
+            self.trail,
+            self.started.elapsed().as_millis(),
+        )
+    }
+
+    /// Chooses where to send the request.
+    pub fn choose(&self) -> Option<RunTarget> {
+        let spec = self.table.service(&self.service);
+        match spec.and_then(|spec| spec.engine.as_ref()) {
+            Some(engine) => self.choose_path(engine),
+            None => self.choose_runner(),
+        }
+    }
+
+    /// Chooses a runner of a plain service by load, failures and distance.
+    fn choose_runner(&self) -> Option<RunTarget> {
+        let now = time::Instant::now();
+        let fleet = lock(&self.core.fleet);
+        let cost = |state: &fleet::RunnerState| {
+            let busy = f64::from(state.in_flight) / f64::from(state.record.slots);
+            let far = state.record.domain != self.core.settings.domain;
+            let avoided = state.is_avoided(now);
+            busy + 4.0 * state.failing + 0.5 * f64::from(far) + 100.0 * f64::from(avoided)
+        };
+        let usable = self.usable(&fleet, now);
+        let best = usable.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
+        Some(RunTarget {
+            runners: vec![best.record.id.clone()],
+            path: Vec::new(),
+            address: best.record.address,
+            load: vec![0],
+        })
+    }
+
+    /// Chooses a path over the runners of a model.
+    fn choose_path(&self, engine: &document::EngineSpec) -> Option<RunTarget> {
+        let now = time::Instant::now();
+        let members = self.core.members.alive();
+        let fleet = lock(&self.core.fleet);
+        let states: Vec<_> = self.usable(&fleet, now).collect();
+        let mut domains: Vec<_> = states.iter().map(|state| &state.record.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let offers: Vec<_> = states
+            .iter()
+            .enumerate()
+            .filter_map(|(place, state)| {
+                let domain = domains.binary_search(&&state.record.domain).ok()?;
+                offer(engine, state, place, domain, &members, now)
+            })
+            .collect();
+        let query = path::PathQuery {
+            engine,
+            domain: domains.binary_search(&&self.core.settings.domain).ok(),
+            prompt: self
+                .head
+                .prompt_tokens
+                .map_or(engine.prompt_tokens, f64::from),
+            answer: self.expected_answer(engine),
+        };
+        let mut rng = rand::rng();
+        let jitter = || 1.0 + JITTER * rng.random::<f64>();
+        let chosen = path::choose(&offers, &query, jitter)?;
+        let first = chosen.stages.first()?;
+        let single = chosen.stages.len() == 1 && engine.cards.is_empty();
+        let tokens = query.prompt + query.answer;
+        let part = |stage: &path::PathStage| head::PathPart {
+            address: states[stage.place].record.address,
+            layers: stage.layers,
+        };
+        let id = |stage: &path::PathStage| states[stage.place].record.id.clone();
+        let load = |stage: &path::PathStage| (tokens * f64::from(stage.layers.len())) as u64;
+        Some(RunTarget {
+            address: states[first.place].record.address,
+            runners: chosen.stages.iter().map(id).collect(),
+            path: match single {
+                true => Vec::new(),
+                false => chosen.stages.iter().map(part).collect(),
+            },
+            load: chosen.stages.iter().map(load).collect(),
+        })
+    }
+
+    fn usable<'a>(
+        &'a self,
+        fleet: &'a fleet::RunnerFleet,
+        now: time::Instant,
+    ) -> impl Iterator<Item = &'a fleet::RunnerState> {
+        fleet.runners().iter().filter(move |state| {
+            state.record.service == self.service
+                && state.is_usable(now)
+                && !self.excluded.contains(&state.record.id)
+        })
+    }
+
+    /// Tokens of the answer as expected.
+    fn expected_answer(&self, engine: &document::EngineSpec) -> f64 {
+        let limit = self.head.answer_limit.map_or(f64::MAX, f64::from);
+        let usual = match engine.answer_tokens > 0.0 {
+            true => engine.answer_tokens,
+            false => limit,
+        };
+        self.head.answer_hint.map_or(usual, f64::from).min(limit)
+    }
+
+    /// Sends the request once and waits for the head of its answer.
+    ///
+    /// A stream goes on after `resume_after`.
+    pub async fn send(&mut self, target: &RunTarget, resume_after: Option<u64>) -> SendOutcome {
+        self.sends += 1;
+        self.trail = target.runners.join(">");
+        let connect = CONNECT_LIMIT.min(self.time_left());
+        let mut link = match link::HttpLink::open(target.address, connect).await {
+            Ok(link) => link,
+            Err(error) => {
+                let cause = error.to_string();
+                self.fail(&target.runners[0], &cause);
+                return SendOutcome::NotRun { cause };
+            }
+        };
+        let Some(request) = self.encode(target, resume_after) else {
+            let cause = "the request cannot be passed on".to_owned();
+            return SendOutcome::NotRun { cause };
+        };
+        let answer = time::timeout(self.time_left(), link.send(request)).await;
+        let response = match answer {
+            Err(_) => {
+                self.runs += 1;
+                return SendOutcome::TimedOut;
+            }
+            Ok(Err(error)) => {
+                self.runs += 1;
+                let cause = error.to_string();
+                self.fail(&target.runners[0], &cause);
+                return SendOutcome::Broken { cause };
+            }
+            Ok(Ok(response)) => response,
+        };
+        self.judge(target, response, link)
+    }
+
+    fn encode(
+        &self,
+        target: &RunTarget,
+        resume_after: Option<u64>,
+    ) -> Option<http::Request<Full<Bytes>>> {
+        let runner_head = head::RunnerHead {
+            deadline: self.time_left(),
+            runner: &target.runners[0],
+            organisation: self.organisation.as_deref(),
+            path: &target.path,
+            priority: Some(self.priority),
+            resume_after,
+        };
+        let uri = self.parts.uri.path_and_query()?.as_str();
+        let mut request = http::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = uri.parse().ok()?;
+        *request.headers_mut() = head::encode_runner(&self.parts.headers, &runner_head);
+        Some(request)
+    }
+
+    fn judge(
+        &mut self,
+        target: &RunTarget,
+        response: http::Response<body::Incoming>,
+        link: link::HttpLink,
+    ) -> SendOutcome {
+        let (status, headers) = (response.status(), response.headers());
+        if head::is_foreign(headers, &self.head.request) {
+            self.runs += 1;
+            let cause = "answer to another request".to_owned();
+            self.fail(&target.runners[0], &cause);
+            return SendOutcome::Broken { cause };
+        }
+        if head::is_not_run(status, headers) {
+            let fault = head::fault_address(headers);
+            let cause = self.blame(target, status, fault);
+            return SendOutcome::NotRun { cause };
+        }
+        self.runs += 1;
+        let whole = head::is_proved(headers) && !head::is_encoded(headers);
+        if status.is_success() && !whole {
+            let cause = "answer without the runner's proof".to_owned();
+            self.fail(&target.runners[0], &cause);
+            return SendOutcome::Broken { cause };
+        }
+        SendOutcome::Head { response, link }
+    }
+
+    /// Notes the runner that turned the request away.
+    fn blame(
+        &mut self,
+        target: &RunTarget,
+        status: http::StatusCode,
+        fault: Option<std::net::SocketAddr>,
+    ) -> String {
+        let named = target
+            .path
+            .iter()
+            .position(|part| Some(part.address) == fault)
+            .unwrap_or(0);
+        let id = target.runners[named].clone();
+        let cause = format!("status {} of {id}", status.as_u16());
+        if status == http::StatusCode::MISDIRECTED_REQUEST {
+            lock(&self.core.fleet).disprove(&id);
+        }
+        self.fail(&id, &cause);
+        cause
+    }
+
+    /// Notes that a runner failed the request and leaves it out from now on.
+    pub fn fail(&mut self, id: &str, cause: &str) {
+        let now = time::Instant::now();
+        let pause = lock(&self.core.fleet).note_failure(id, now);
+        if let Some(pause) = pause {
+            let detail = format!(
+                "request={} pause_ms={} cause={cause}",
+                self.head.request,
+                pause.as_millis()
+            );
+            self.core
+                .note(event::EventCode::UpstreamAvoided, id, detail);
+        }
+        self.exclude(id);
+    }
+
+    /// Leaves a runner out from now on.
+    pub fn exclude(&mut self, id: &str) {
+        if !self.excluded.iter().any(|held| held == id) {
+            self.excluded.push(id.to_owned());
+        }
+    }
+
+    /// Returns the refusal of a request that cannot be sent now.
+    pub fn refuse(&self, cause: &str) -> answer::GatewayRefusal {
+        match self.runs {
+            0 => answer::GatewayRefusal::not_run(cause, PAUSE_SHORT),
+            _ => answer::GatewayRefusal::failed(http::StatusCode::BAD_GATEWAY, cause),
+        }
+    }
+
+    /// Returns the refusal of a request whose time is over.
+    pub fn time_over(&self) -> answer::GatewayRefusal {
+        let cause = "no answer in time";
+        match self.runs {
+            0 => answer::GatewayRefusal::not_run(cause, PAUSE_SHORT),
+            _ => answer::GatewayRefusal::failed(http::StatusCode::GATEWAY_TIMEOUT, cause),
+        }
+    }
+}
+
+/// Returns what a runner offers to a path, if it holds layers.
+fn offer(
+    engine: &document::EngineSpec,
+    state: &fleet::RunnerState,
+    place: usize,
+    domain: usize,
+    members: &[member::MemberRecord],
+    now: time::Instant,
+) -> Option<path::StageOffer> {
+    let whole = runner::LayerSpan {
+        from: 0,
+        to: engine.layers,
+    };
+    let layers = match engine.cards.is_empty() {
+        true => state.layers().unwrap_or(whole),
+        false => state.layers()?,
+    };
+    let card = state.record.card.as_deref().and_then(|name| {
+        let found = engine
+            .cards
+            .binary_search_by(|card| card.name.as_str().cmp(name));
+        found.ok().map(|place| &engine.cards[place])
+    });
+    // Other nodes of the runner's domain send it about as much as this one.
+    let nodes = members
+        .iter()
+        .filter(|record| record.domain == state.record.domain)
+        .count()
+        .max(1) as f64;
+    let capacity = match card {
+        Some(card) => {
+            let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
+            let token_layer = engine.token_bytes / f64::from(engine.layers);
+            free_mb * 1e6 / token_layer.max(1.0)
+        }
+        None => engine.context_tokens as f64 * f64::from(engine.layers),
+    };
+    let avoided = state.is_avoided(now);
+    Some(path::StageOffer {
+        place,
+        domain,
+        layers,
+        step_factor: card.map_or(1.0, |card| card.step_factor),
+        read_factor: card.map_or(1.0, |card| card.read_factor),
+        streams: f64::from(state.in_flight) * nodes,
+        room: capacity - state.token_layers as f64 * nodes,
+        penalty_ms: path::AVOIDED_MS * f64::from(avoided) + path::FAILING_MS * state.failing,
+    })
+}
--- /dev/null
+++ b/arbutusfold/src/gateway/settings.rs
@@ -0,0 +1,148 @@
+//! Settings of a gateway: JSON with comments, checked whole at start.
+
+use std::net;
+use std::time;
+
+use jsonc_parser::ast;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use crate::check;
+use crate::id;
+use crate::place;
+use crate::settings;
+
+/// Longest time that settings may name, in milliseconds.
+const TIME_LIMIT_MS: f64 = 24.0 * 60.0 * 60.0 * 1_000.0;
+
+/// Most retries that settings may grant beyond the share.
+const RETRY_LIMIT: f64 = 1e9;
+
+/// Settings of a gateway.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of the host, unique in the fleet.
+    pub name: id::HostName,
+    /// Region of the host.
+    pub region: id::RegionName,
+    /// Failure domain of the host.
+    pub domain: id::DomainName,
+    /// Address on which callers are served.
+    pub callers: net::SocketAddr,
+    /// Address on which the platform asks whether the node is ready.
+    pub ready: net::SocketAddr,
+    /// Address on which callers ask where to connect.
+    pub directory: net::SocketAddr,
+    /// Address on which peers are heard.
+    pub peers: net::SocketAddr,
+    /// Address on which metrics are shown.
+    pub metrics: net::SocketAddr,
+    /// Addresses of peers to meet first.
+    #[serde(default)]
+    pub seeds: Vec<net::SocketAddr>,
+    /// Address of the platform's store.
+    pub store: net::SocketAddr,
+    /// Keys for messages between peers in hexadecimal; the first one signs.
+    pub peer_keys: Vec<String>,
+    /// How long callers may keep an address answer.
+    #[serde(default = "default_answer_keep")]
+    #[serde_as(as = "serde_with::DurationMilliSecondsWithFrac<f64>")]
+    pub answer_keep_ms: time::Duration,
+    /// Longest time a graceful stop may take.
+    #[serde(default = "default_stop_limit")]
+    #[serde_as(as = "serde_with::DurationSecondsWithFrac<f64>")]
+    pub stop_limit_s: time::Duration,
+    /// Time within which a lost dependency must be noticed.
+    #[serde(default = "default_contact")]
+    #[serde_as(as = "serde_with::DurationMilliSecondsWithFrac<f64>")]
+    pub contact_ms: time::Duration,
+    /// Retries a service may get for each request.
+    #[serde(default = "default_retry_share")]
+    pub retry_share: f64,
+    /// Retries that the fleet may send a service beyond the share.
+    #[serde(default)]
+    pub retry_extra: f64,
+    /// Time over which retries are counted.
+    #[serde(default = "default_retry_window")]
+    #[serde_as(as = "serde_with::DurationSecondsWithFrac<f64>")]
+    pub retry_window_s: time::Duration,
+}
+
+const MILLISECONDS: check::FieldKind = check::FieldKind::Decimal(1.0, TIME_LIMIT_MS);
+const SECONDS: check::FieldKind = check::FieldKind::Decimal(0.001, TIME_LIMIT_MS / 1_000.0);
+
+/// Fields of [`GatewaySettings`].
+pub const GATEWAY_SETTINGS: &[check::FieldSpec] = &[
+    check::FieldSpec::required("name", check::FieldKind::Name),
+    check::FieldSpec::required("region", check::FieldKind::Name),
+    check::FieldSpec::required("domain", check::FieldKind::Name),
+    check::FieldSpec::required("callers", check::FieldKind::Address),
+    check::FieldSpec::required("ready", check::FieldKind::Address),
+    check::FieldSpec::required("directory", check::FieldKind::Address),
+    check::FieldSpec::required("peers", check::FieldKind::Address),
+    check::FieldSpec::required("metrics", check::FieldKind::Address),
+    check::FieldSpec::optional(
+        "seeds",
+        check::FieldKind::List(0, &check::FieldKind::Address),
+    ),
+    check::FieldSpec::required("store", check::FieldKind::Address),
+    check::FieldSpec::required(
+        "peer_keys",
+        check::FieldKind::List(1, &check::FieldKind::Hex),
+    ),
+    check::FieldSpec::optional("answer_keep_ms", MILLISECONDS),
+    check::FieldSpec::optional("stop_limit_s", SECONDS),
+    check::FieldSpec::optional("contact_ms", MILLISECONDS),
+    check::FieldSpec::optional("retry_share", check::FieldKind::Decimal(0.0, 10.0)),
+    check::FieldSpec::optional("retry_extra", check::FieldKind::Decimal(0.0, RETRY_LIMIT)),
+    check::FieldSpec::optional("retry_window_s", SECONDS),
+];
+
+fn default_answer_keep() -> time::Duration {
+    time::Duration::from_secs(2)
+}
+
+fn default_stop_limit() -> time::Duration {
+    time::Duration::from_secs(8)
+}
+
+fn default_contact() -> time::Duration {
+    time::Duration::from_secs(3)
+}
+
+fn default_retry_share() -> f64 {
+    0.1
+}
+
+fn default_retry_window() -> time::Duration {
+    time::Duration::from_secs(10)
+}
+
+/// Parses settings; errors name `file`.
+///
+/// # Errors
+///
+/// [`settings::SettingsError`] names every place with what was found and what
+/// is allowed.
+pub fn parse_file(file: &str, text: &str) -> Result<GatewaySettings, settings::SettingsError> {
+    let value = check::parse(file, text, GATEWAY_SETTINGS, check_settings)?;
+    serde_json::from_value(value).map_err(|error| {
+        let found = error.to_string();
+        check::report_whole(file, found, "settings of a gateway").into()
+    })
+}
+
+fn check_settings(object: &ast::Object<'_>, context: &mut check::CheckContext<'_>) {
+    let root = place::PlacedObject {
+        object,
+        path: String::new(),
+    };
+    let listeners: Vec<_> = ["callers", "ready", "directory", "peers", "metrics"]
+        .into_iter()
+        .filter_map(|name| root.text(name))
+        .collect();
+    place::require_unique(context, &listeners, "an address of its own");
+    place::require_unique(context, &root.texts("peer_keys"), "each key once");
+}
--- a/arbutusfold/src/lib.rs
+++ b/arbutusfold/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod drain;
 pub mod event;
 mod flow;
+pub mod gateway;
 pub mod gossip;
 pub mod health;
 pub mod id;
--- a/arbutusfold/src/peer/envelope.rs
+++ b/arbutusfold/src/peer/envelope.rs
@@ -34,16 +34,19 @@
     Demand = 4,
     /// Requests suspected of crashing upstreams.
     Suspect = 5,
+    /// Rows of the platform's store, for hosts that are cut off from it.
+    Mirror = 6,
 }
 
 impl MessageKind {
     /// Every kind that this release knows.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Membership,
         Self::Health,
         Self::Config,
         Self::Demand,
         Self::Suspect,
+        Self::Mirror,
     ];
 
     /// Returns the number of the kind.
--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -15,8 +15,6 @@
 use tokio::time;
 use tokio_io_timeout::TimeoutStream;
 
-use crate::caller;
-
 /// Time to wait before accepting again after the system refused.
 const ACCEPT_PAUSE: std_time::Duration = std_time::Duration::from_millis(20);
 
@@ -51,14 +49,16 @@
 }
 
 /// Serves connections until `closed`, then lets each finish by its own rules.
-pub async fn serve<A, F>(
+pub async fn serve<A, F, B>(
     listener: net::TcpListener,
     limits: ServeLimits,
     mut closed: watch::Receiver<bool>,
     answer: A,
 ) where
     A: Fn(http::Request<body::Incoming>) -> F + Clone + Send + 'static,
-    F: future::Future<Output = Result<caller::CallerAnswer, convert::Infallible>> + Send + 'static,
+    F: future::Future<Output = Result<http::Response<B>, convert::Infallible>> + Send + 'static,
+    B: body::Body<Data = bytes::Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let builder = builder(&limits);
     let watcher = graceful::GracefulShutdown::new();
