Keep paths inside a failure domain and share load between nodes

Cause: nodes knew only their own load, so all chose the same fast stages; their contexts filled the memory and requests waited about 1 s for room. Crossing paths shared one pipe. The first layout was planned before all runners were known.

Ruled out: too little compute (events take 32 ms before and after).

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod layout;
+pub mod load_share;
 pub mod metrics;
 pub mod mirror;
 pub mod path;
@@ -101,6 +102,11 @@
         sync::Arc::new(exchange::MirrorHandler::new(sync::Arc::clone(&core))),
     );
 
+    core.post.register(
+        peer::MessageKind::RunnerLoad,
+        sync::Arc::new(load_share::LoadHandler::new(sync::Arc::clone(&core))),
+    );
+
     let mut loops = watch_store::spawn(&core);
     loops.extend([
         tokio::spawn(keep_members(
@@ -110,6 +116,7 @@
             reload,
         )),
         tokio::spawn(steward::keep(sync::Arc::clone(&core))),
+        tokio::spawn(load_share::keep(sync::Arc::clone(&core))),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
         serve_metrics(&core, metrics, &closed),
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -10,6 +10,7 @@
 use crate::event;
 use crate::gateway::budget;
 use crate::gateway::fleet;
+use crate::gateway::load_share;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::routing;
@@ -41,6 +42,8 @@
     pub post: sync::Arc<peer::PeerPost>,
     /// Runners as this node knows them.
     pub fleet: sync::Mutex<fleet::RunnerFleet>,
+    /// Load of the peers on runners.
+    pub loads: sync::Mutex<load_share::LoadBook>,
     /// Retries that this node may send.
     pub budget: sync::Mutex<budget::RetryBudget>,
     mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
@@ -78,6 +81,7 @@
             members,
             post: sync::Arc::new(post),
             fleet: sync::Mutex::default(),
+            loads: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy)),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -11,7 +11,7 @@
 
 /// Factor on the time that a request's activations take on the shared pipe
 /// between failure domains; others wait behind them.
-const PIPE_SHARE_FACTOR: f64 = 8.0;
+const PIPE_SHARE_FACTOR: f64 = 60.0;
 
 /// Extra time of a stage whose memory is full, in milliseconds: it outweighs
 /// any difference of speed.
@@ -162,7 +162,8 @@
     } else {
         0.0
     };
-    events * (pass + HOP_MS) + read * (1.0 + batch / 2.0) + full + offer.penalty_ms
+    // A stream mostly finds a pass under way and waits for half of it.
+    events * (1.5 * pass + HOP_MS) + read * (1.0 + batch / 2.0) + full + offer.penalty_ms
 }
 
 fn cuts_of(offers: &[StageOffer], layers: u32) -> Vec<u32> {
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -18,7 +18,6 @@
 use crate::gateway::path;
 use crate::gateway::routing;
 use crate::id;
-use crate::member;
 
 /// Longest time to connect to a runner; a live one takes a few milliseconds.
 const CONNECT_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
@@ -32,6 +31,10 @@
 /// Part of the spread of random factors on the cost of stages.
 const JITTER: f64 = 0.1;
 
+/// Part of a runner's memory for contexts that paths fill; what is told of
+/// loads is late and lengths are guesses.
+const MEMORY_PART: f64 = 0.85;
+
 /// Longest answer of a plain service in bytes.
 pub const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
@@ -232,7 +235,7 @@
     /// Chooses a path over the runners of a model.
     fn choose_path(&self, engine: &document::EngineSpec) -> Option<RunTarget> {
         let now = time::Instant::now();
-        let members = self.core.members.alive();
+        let loads = lock(&self.core.loads);
         let fleet = lock(&self.core.fleet);
         let states: Vec<_> = self.usable(&fleet, now).collect();
         let mut domains: Vec<_> = states.iter().map(|state| &state.record.domain).collect();
@@ -243,7 +246,14 @@
             .enumerate()
             .filter_map(|(place, state)| {
                 let domain = domains.binary_search(&&state.record.domain).ok()?;
-                offer(engine, state, place, domain, &members, now)
+                offer(
+                    engine,
+                    state,
+                    place,
+                    domain,
+                    loads.of(&state.record.id),
+                    now,
+                )
             })
             .collect();
         let query = path::PathQuery {
@@ -453,7 +463,7 @@
     state: &fleet::RunnerState,
     place: usize,
     domain: usize,
-    members: &[member::MemberRecord],
+    (peer_streams, peer_token_layers): (u32, u64),
     now: time::Instant,
 ) -> Option<path::StageOffer> {
     let whole = runner::LayerSpan {
@@ -470,12 +480,6 @@
             .binary_search_by(|card| card.name.as_str().cmp(name));
         found.ok().map(|place| &engine.cards[place])
     });
-    // Other nodes of the runner's domain send it about as much as this one.
-    let nodes = members
-        .iter()
-        .filter(|record| record.domain == state.record.domain)
-        .count()
-        .max(1) as f64;
     let capacity = match card {
         Some(card) => {
             let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
@@ -491,8 +495,8 @@
         layers,
         step_factor: card.map_or(1.0, |card| card.step_factor),
         read_factor: card.map_or(1.0, |card| card.read_factor),
-        streams: f64::from(state.in_flight) * nodes,
-        room: capacity - state.token_layers as f64 * nodes,
+        streams: f64::from(state.in_flight + peer_streams),
+        room: MEMORY_PART * capacity - (state.token_layers + peer_token_layers) as f64,
         penalty_ms: path::AVOIDED_MS * f64::from(avoided) + path::FAILING_MS * state.failing,
     })
 }
--- a/arbutusfold/src/gateway/steward.rs
+++ b/arbutusfold/src/gateway/steward.rs
@@ -25,6 +25,10 @@
 /// Time that nodes have at first to find each other and the runners.
 const START_PAUSE: std_time::Duration = std_time::Duration::from_millis(600);
 
+/// Time without a new runner after which the first layout is planned: the
+/// fastest runners are to be among those that are known.
+const SETTLE_PAUSE: std_time::Duration = std_time::Duration::from_millis(1_000);
+
 /// Time for which a need must last before the next node in line acts.
 const LINE_PAUSE: std_time::Duration = std_time::Duration::from_millis(1_500);
 
@@ -70,6 +74,8 @@
     pending: Vec<PendingLoad>,
     /// Since when runners without layers are seen.
     needed: Option<time::Instant>,
+    /// Runners of the last look, and since when there are as many.
+    settled: (usize, time::Instant),
 }
 
 /// Keeps the layout of all models.
@@ -80,6 +86,7 @@
         fencing: None,
         pending: Vec::new(),
         needed: None,
+        settled: (0, time::Instant::now()),
     };
     let mut ticks = time::interval(LOOK_PERIOD);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -176,6 +183,13 @@
             true => usize::MAX,
             false => (engine.loads_at_once as usize).saturating_sub(loading),
         };
+        let first = slots.iter().all(|slot| slot.layers.is_none());
+        if self.settled.0 != slots.len() {
+            self.settled = (slots.len(), now);
+        }
+        if first && now.saturating_duration_since(self.settled.1) < SETTLE_PAUSE {
+            return Vec::new();
+        }
         let choices = layout::plan(engine, &slots).into_iter().take(at_once);
         choices
             .map(|choice| WantedLoad {
--- a/arbutusfold/src/peer/envelope.rs
+++ b/arbutusfold/src/peer/envelope.rs
@@ -36,17 +36,20 @@
     Suspect = 5,
     /// Rows of the platform's store, for hosts that are cut off from it.
     Mirror = 6,
+    /// Load of a node on runners.
+    RunnerLoad = 7,
 }
 
 impl MessageKind {
     /// Every kind that this release knows.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Membership,
         Self::Health,
         Self::Config,
         Self::Demand,
         Self::Suspect,
         Self::Mirror,
+        Self::RunnerLoad,
     ];
 
     /// Returns the number of the kind.
