Withhold extra retries from a process that just started

Now a process takes only the share of its requests for one window. Test: gateway_budget, restarted_node_takes_no_extra_for_a_window. Sends of one request are 4 at most (5 before).

--- a/arbutusfold/src/gateway/budget.rs
+++ b/arbutusfold/src/gateway/budget.rs
@@ -40,19 +40,23 @@
 /// The retry budgets of one node, by service.
 ///
 /// Each node takes its part of the extra retries by the largest fleet that it
-/// ever saw, so the parts add up while nodes are lost or cut off.
+/// ever saw, so the parts add up while nodes are lost or cut off. A process
+/// that just started does not know what the one before it sent, so it takes
+/// none of the extra for a whole window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     policy: BudgetPolicy,
+    started: time::Instant,
     nodes: usize,
     services: Vec<ServiceBudget>,
 }
 
 impl RetryBudget {
     /// Creates budgets from which nothing was taken.
-    pub fn new(policy: BudgetPolicy) -> Self {
+    pub fn new(policy: BudgetPolicy, started: time::Instant) -> Self {
         Self {
             policy,
+            started,
             nodes: 1,
             services: Vec::new(),
         }
@@ -70,7 +74,10 @@
 
     /// Takes one retry, if one is left.
     pub fn take(&mut self, service: &str, now: time::Instant) -> bool {
-        let extra = self.policy.extra / self.nodes as f64;
+        let extra = match now.saturating_duration_since(self.started) < self.policy.window {
+            true => 0.0,
+            false => self.policy.extra / self.nodes as f64,
+        };
         let share = self.policy.share;
         self.span(service, now);
         let place = self.place(service);
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -82,7 +82,7 @@
             post: sync::Arc::new(post),
             fleet: sync::Mutex::default(),
             loads: sync::Mutex::default(),
-            budget: sync::Mutex::new(budget::RetryBudget::new(policy)),
+            budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
             regained: sync::Mutex::default(),
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -23,7 +23,7 @@
 const CONNECT_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
 
 /// Sends of one request, those included that runners turned away.
-const SEND_LIMIT: u32 = 5;
+const SEND_LIMIT: u32 = 4;
 
 /// Least time left with which a request is sent.
 const LEAST_TIME: std_time::Duration = std_time::Duration::from_millis(20);
--- /dev/null
+++ b/arbutusfold/tests/gateway_budget.rs
@@ -0,0 +1,59 @@
+//! Retry budgets of a gateway.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time as std_time;
+
+use arbutusfold::gateway::budget;
+use tokio::time;
+
+const SERVICE: &str = "assistant";
+
+const POLICY: budget::BudgetPolicy = budget::BudgetPolicy {
+    share: 0.2,
+    extra: 70.0,
+    window: std_time::Duration::from_secs(10),
+};
+
+fn taken(budget: &mut budget::RetryBudget, now: time::Instant) -> usize {
+    (0..1_000).take_while(|_| budget.take(SERVICE, now)).count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_take_parts_that_add_up_to_the_fleets_budget() {
+    let started = time::Instant::now();
+    let now = started + POLICY.window;
+    let mut sum = 0;
+    for _ in 0..7 {
+        let mut budget = budget::RetryBudget::new(POLICY, started);
+        budget.note_nodes(7);
+        // A fleet that seems smaller, as when others are cut off, gives no more.
+        budget.note_nodes(1);
+        (0..100).for_each(|_| budget.note_request(SERVICE, now));
+        sum += taken(&mut budget, now);
+    }
+    let allowed = POLICY.share * 700.0 + POLICY.extra;
+    assert!(sum > 0 && sum as f64 <= allowed, "{sum} of {allowed}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn restarted_node_takes_no_extra_for_a_window() {
+    let started = time::Instant::now();
+    let mut budget = budget::RetryBudget::new(POLICY, started);
+    let soon = started + std_time::Duration::from_millis(500);
+    assert_eq!(taken(&mut budget, soon), 0);
+    (0..100).for_each(|_| budget.note_request(SERVICE, soon));
+    let allowed = (POLICY.share * 100.0) as usize;
+    assert!((1..=allowed).contains(&taken(&mut budget, soon)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn budget_comes_back_after_the_window() {
+    let started = time::Instant::now();
+    let mut budget = budget::RetryBudget::new(POLICY, started);
+    budget.note_nodes(1);
+    let now = started + POLICY.window;
+    let first = taken(&mut budget, now);
+    assert_eq!(taken(&mut budget, now + POLICY.window / 2), 0);
+    assert_eq!(taken(&mut budget, now + POLICY.window * 2), first);
+}
