Let one node of each failure domain speak for the others

Now the lead of each domain adds up the loads of its nodes, watches the store, exchanges both with the other leads and passes on changed rows; a node that hears no lead in touch with the store watches it itself.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -28,7 +28,8 @@
 pub mod fleet;
 pub mod forward;
 pub mod layout;
-pub mod load_share;
+pub mod lead;
+pub mod lead_driver;
 pub mod metrics;
 pub mod mirror;
 pub mod path;
@@ -103,8 +104,8 @@
     );
 
     core.post.register(
-        peer::MessageKind::RunnerLoad,
-        sync::Arc::new(load_share::LoadHandler::new(sync::Arc::clone(&core))),
+        peer::MessageKind::Lead,
+        sync::Arc::new(lead_driver::LeadHandler::new(sync::Arc::clone(&core))),
     );
 
     let mut loops = watch_store::spawn(&core);
@@ -116,7 +117,7 @@
             reload,
         )),
         tokio::spawn(steward::keep(sync::Arc::clone(&core))),
-        tokio::spawn(load_share::keep(sync::Arc::clone(&core))),
+        tokio::spawn(lead_driver::keep(sync::Arc::clone(&core))),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
         serve_metrics(&core, metrics, &closed),
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -10,7 +10,7 @@
 use crate::event;
 use crate::gateway::budget;
 use crate::gateway::fleet;
-use crate::gateway::load_share;
+use crate::gateway::lead;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::routing;
@@ -42,8 +42,8 @@
     pub post: sync::Arc<peer::PeerPost>,
     /// Runners as this node knows them.
     pub fleet: sync::Mutex<fleet::RunnerFleet>,
-    /// Load of the peers on runners.
-    pub loads: sync::Mutex<load_share::LoadBook>,
+    /// What nodes and leads of failure domains told.
+    pub leads: sync::Mutex<lead::LeadBook>,
     /// Retries that this node may send.
     pub budget: sync::Mutex<budget::RetryBudget>,
     mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
@@ -51,6 +51,11 @@
     /// When the store answered again after it was lost.
     regained: sync::Mutex<Option<time::Instant>>,
     store_lost: atomic::AtomicBool,
+    /// When the store answered last.
+    store_heard: sync::Mutex<Option<time::Instant>>,
+    leading: atomic::AtomicBool,
+    /// When a peer was asked for rows.
+    asked: sync::Mutex<Option<time::Instant>>,
     stopping: atomic::AtomicBool,
 }
 
@@ -81,12 +86,15 @@
             members,
             post: sync::Arc::new(post),
             fleet: sync::Mutex::default(),
-            loads: sync::Mutex::default(),
+            leads: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
             regained: sync::Mutex::default(),
             store_lost: atomic::AtomicBool::new(false),
+            store_heard: sync::Mutex::default(),
+            leading: atomic::AtomicBool::new(false),
+            asked: sync::Mutex::default(),
             stopping: atomic::AtomicBool::new(false),
             settings,
         }
@@ -153,24 +161,37 @@
     }
 
     /// Takes changed rows.
-    pub fn merge(&self, table: store::WatchedTable, rows: Vec<mirror::MirrorRow>) {
+    ///
+    /// Returns the rows whose content changed.
+    pub fn merge(
+        &self,
+        table: store::WatchedTable,
+        rows: Vec<mirror::MirrorRow>,
+    ) -> Vec<mirror::MirrorRow> {
         let changes = lock(&self.mirrors)[place(table)].merge(rows);
         self.absorb(table, &changes);
+        changes.into_iter().map(|change| change.row).collect()
     }
 
     /// Takes a whole table as of a version.
+    ///
+    /// Returns the rows whose content changed.
     pub fn replace(
         &self,
         table: store::WatchedTable,
         rows: Vec<mirror::MirrorRow>,
         version: store::RowVersion,
-    ) {
+    ) -> Vec<mirror::MirrorRow> {
         let changes = lock(&self.mirrors)[place(table)].replace(rows, version);
         self.absorb(table, &changes);
+        changes.into_iter().map(|change| change.row).collect()
     }
 
     /// Notes whether the store answered.
     pub fn note_store(&self, answered: bool, cause: &str) {
+        if answered {
+            *lock(&self.store_heard) = Some(time::Instant::now());
+        }
         let lost = self.store_lost.swap(!answered, atomic::Ordering::Relaxed);
         if lost != answered {
             return;
@@ -190,6 +211,41 @@
         self.store_lost.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns the milliseconds since the store answered.
+    pub fn store_age_ms(&self, now: time::Instant) -> u32 {
+        let heard = *lock(&self.store_heard);
+        let age = heard.map(|heard| now.saturating_duration_since(heard).as_millis());
+        age.and_then(|age| u32::try_from(age).ok())
+            .unwrap_or(u32::MAX)
+    }
+
+    /// Tells whether a peer may be asked for rows, at most once in a period.
+    pub fn may_ask(&self, period: std_time::Duration) -> bool {
+        let now = time::Instant::now();
+        let mut asked = lock(&self.asked);
+        let due = asked.is_none_or(|asked| now.saturating_duration_since(asked) >= period);
+        if due {
+            *asked = Some(now);
+        }
+        due
+    }
+
+    /// Notes whether this node leads its failure domain.
+    pub fn set_leading(&self, leading: bool) {
+        self.leading.store(leading, atomic::Ordering::Relaxed);
+    }
+
+    /// Tells whether this node leads its failure domain.
+    pub fn is_leading(&self) -> bool {
+        self.leading.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Tells whether this node is to watch the store itself.
+    pub fn is_watching(&self, now: time::Instant) -> bool {
+        let patience = self.settings.contact_ms.mul_f64(lead::PATIENCE_PART);
+        self.is_leading() || !lock(&self.leads).is_led(patience, now)
+    }
+
     /// Does what time alone brings.
     pub fn tick(&self, now: time::Instant) {
         let news = lock(&self.fleet).expire(now);
--- a/arbutusfold/src/gateway/exchange.rs
+++ b/arbutusfold/src/gateway/exchange.rs
@@ -1,7 +1,8 @@
 //! Rows of the store from node to node.
 //!
-//! Membership carries how much each node knows. A node that hears of more
-//! waits a moment for the store, and then asks the node that knows it.
+//! A lead that learns of changed rows passes them on to the nodes of its
+//! failure domain. Leads and membership also tell how much a node knows, and
+//! a node that knows less asks.
 
 use std::sync;
 use std::time as std_time;
@@ -17,8 +18,11 @@
 use crate::member;
 use crate::peer;
 
-/// Time that the store's own feed has before a peer is asked.
-const FEED_HEADSTART: std_time::Duration = std_time::Duration::from_millis(150);
+/// Time that the own lead has before another peer is asked.
+const FEED_HEADSTART: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// Shortest time between two questions of a node.
+const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(150);
 
 /// A message about rows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -56,7 +60,7 @@
         tokio::spawn(async move {
             time::sleep(FEED_HEADSTART).await;
             if core.latest() < latest {
-                send(&core, &from, &MirrorMessage::Ask(positions(&core)));
+                ask(&core, &from);
             }
         });
     }
@@ -106,12 +110,40 @@
                 match whole {
                     Some(version) => self.core.replace(name, rows, version),
                     None => self.core.merge(name, rows),
-                }
+                };
             }
         }
     }
 }
 
+/// Asks a peer for the rows that this node lacks.
+pub fn ask(core: &core::GatewayCore, peer: &str) {
+    if core.may_ask(ASK_PERIOD) {
+        send(core, peer, &MirrorMessage::Ask(positions(core)));
+    }
+}
+
+/// Passes changed rows on to the other nodes of the failure domain.
+pub fn pass_on(core: &core::GatewayCore, table: store::WatchedTable, rows: Vec<mirror::MirrorRow>) {
+    if rows.is_empty() || !core.is_leading() {
+        return;
+    }
+    let place = store::WatchedTable::ALL
+        .iter()
+        .position(|one| *one == table);
+    let message = MirrorMessage::Rows {
+        table: place.unwrap_or(0),
+        whole: None,
+        rows,
+    };
+    let settings = &core.settings;
+    let members = core.members.alive();
+    let nodes = members
+        .iter()
+        .filter(|record| record.domain == settings.domain && record.name != settings.name);
+    nodes.for_each(|record| send(core, &record.name, &message));
+}
+
 fn positions(core: &core::GatewayCore) -> Vec<store::RowVersion> {
     let tables = store::WatchedTable::ALL.into_iter();
     let latest = |mirror: &mirror::TableMirror| match mirror.is_complete() {
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -15,6 +15,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::fleet;
+use crate::gateway::lead;
 use crate::gateway::path;
 use crate::gateway::routing;
 use crate::id;
@@ -235,7 +236,7 @@
     /// Chooses a path over the runners of a model.
     fn choose_path(&self, engine: &document::EngineSpec) -> Option<RunTarget> {
         let now = time::Instant::now();
-        let loads = lock(&self.core.loads);
+        let leads = lock(&self.core.leads);
         let fleet = lock(&self.core.fleet);
         let states: Vec<_> = self.usable(&fleet, now).collect();
         let mut domains: Vec<_> = states.iter().map(|state| &state.record.domain).collect();
@@ -246,14 +247,7 @@
             .enumerate()
             .filter_map(|(place, state)| {
                 let domain = domains.binary_search(&&state.record.domain).ok()?;
-                offer(
-                    engine,
-                    state,
-                    place,
-                    domain,
-                    loads.of(&state.record.id),
-                    now,
-                )
+                offer(engine, state, place, domain, &leads.others(state.key), now)
             })
             .collect();
         let query = path::PathQuery {
@@ -463,7 +457,7 @@
     state: &fleet::RunnerState,
     place: usize,
     domain: usize,
-    (peer_streams, peer_token_layers): (u32, u64),
+    others: &lead::RunnerLoad,
     now: time::Instant,
 ) -> Option<path::StageOffer> {
     let whole = runner::LayerSpan {
@@ -495,8 +489,8 @@
         layers,
         step_factor: card.map_or(1.0, |card| card.step_factor),
         read_factor: card.map_or(1.0, |card| card.read_factor),
-        streams: f64::from(state.in_flight + peer_streams),
-        room: MEMORY_PART * capacity - (state.token_layers + peer_token_layers) as f64,
+        streams: f64::from(state.in_flight + others.in_flight),
+        room: MEMORY_PART * capacity - (state.token_layers + others.token_layers) as f64,
         penalty_ms: path::AVOIDED_MS * f64::from(avoided) + path::FAILING_MS * state.failing,
     })
 }
--- a/arbutusfold/src/gateway/watch_store.rs
+++ b/arbutusfold/src/gateway/watch_store.rs
@@ -8,6 +8,7 @@
 
 use crate::event;
 use crate::gateway::core;
+use crate::gateway::exchange;
 use crate::gateway::mirror;
 
 /// First pause after a failed call.
@@ -17,8 +18,16 @@
 /// the store is back.
 const PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_millis(400);
 
-/// Part of the time to notice a lost dependency for which one call waits.
-const WAIT_PART: f64 = 0.6;
+/// Longest pause of a node that does not lead: a fleet of them must not press
+/// a store that is down.
+const PAUSE_LIMIT_NODE: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// Time between two looks whether this node is to watch the store.
+const IDLE_PERIOD: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Part of the time to notice a lost dependency for which one call waits; it
+/// leaves a word of the lead time to arrive before nodes doubt it.
+const WAIT_PART: f64 = 0.25;
 
 /// Starts the watch of each table.
 pub fn spawn(core: &sync::Arc<core::GatewayCore>) -> Vec<task::JoinHandle<()>> {
@@ -32,7 +41,21 @@
     let wait = core.settings.contact_ms.mul_f64(WAIT_PART);
     let mut position: Option<store::RowVersion> = None;
     let mut pause = PAUSE_START;
+    let mut watched = false;
     loop {
+        if !core.is_watching(time::Instant::now()) {
+            watched = false;
+            time::sleep(IDLE_PERIOD).await;
+            continue;
+        }
+        // What a peer told meanwhile need not be asked for again.
+        let held = core.with_mirror(table, |mirror| {
+            mirror.is_complete().then_some(mirror.latest())
+        });
+        if !watched {
+            position = held;
+            watched = true;
+        }
         core.metrics.store_calls.inc();
         let answer = match position {
             Some(after) => core.store.changes(table, after, wait).await,
@@ -43,10 +66,11 @@
                 core.note_store(true, "answered");
                 pause = PAUSE_START;
                 let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
-                match position {
+                let changed = match position {
                     Some(_) => core.merge(table, rows),
                     None => core.replace(table, rows, page.version),
-                }
+                };
+                exchange::pass_on(&core, table, changed);
                 position = position.max(Some(page.version));
             }
             Err(store::StoreError::HistoryLost) => {
@@ -57,7 +81,11 @@
             Err(error) => {
                 core.note_store(false, &error.to_string());
                 time::sleep(pause).await;
-                pause = (pause * 2).min(PAUSE_LIMIT);
+                let limit = match core.is_leading() {
+                    true => PAUSE_LIMIT,
+                    false => PAUSE_LIMIT_NODE,
+                };
+                pause = (pause * 2).min(limit);
             }
         }
     }
--- a/arbutusfold/src/peer/envelope.rs
+++ b/arbutusfold/src/peer/envelope.rs
@@ -36,8 +36,8 @@
     Suspect = 5,
     /// Rows of the platform's store, for hosts that are cut off from it.
     Mirror = 6,
-    /// Load of a node on runners.
-    RunnerLoad = 7,
+    /// Words between nodes and the leads of their failure domains.
+    Lead = 7,
 }
 
 impl MessageKind {
@@ -49,7 +49,7 @@
         Self::Demand,
         Self::Suspect,
         Self::Mirror,
-        Self::RunnerLoad,
+        Self::Lead,
     ];
 
     /// Returns the number of the kind.
