--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -58,6 +58,8 @@
     StreamResumed = 204, Warning;
     /// A caller left before its answer was complete.
     CallerLeft = 205, Info;
+    /// A running stream is led over other runners.
+    StreamRerouted = 206, Warning;
     /// An upstream began to report.
     UpstreamFound = 210, Info;
     /// An upstream stopped answering.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -34,6 +34,7 @@
 pub mod mirror;
 pub mod path;
 pub mod routing;
+pub mod runner_call;
 pub mod runs;
 pub mod settings;
 pub mod stall;
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -21,6 +21,9 @@
 /// Longest time for which a runner that failed is passed over.
 const AVOID_LIMIT: std_time::Duration = std_time::Duration::from_secs(8);
 
+/// Time for which a runner that turned a request away is passed over.
+const REFUSED_PAUSE: std_time::Duration = std_time::Duration::from_millis(400);
+
 /// Weight of the latest result in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -190,6 +193,15 @@
         Some(pause)
     }
 
+    /// Notes that a runner turned a request away, as one does that is short of
+    /// memory for a moment.
+    pub fn note_refusal(&mut self, id: &str, now: time::Instant) {
+        if let Some(state) = self.find(id) {
+            let until = now + REFUSED_PAUSE;
+            state.avoided = Some(state.avoided.map_or(until, |held| held.max(until)));
+        }
+    }
+
     /// Notes a failed answer of a runner that otherwise works.
     pub fn note_error(&mut self, id: &str) {
         if let Some(state) = self.find(id) {
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -257,8 +257,9 @@
         if run.time_left().is_zero() {
             return failed.ok_or_else(|| run.time_over());
         }
-        let Some(target) = run.choose() else {
-            return failed.ok_or_else(|| run.refuse("no runner of the service is left"));
+        let target = match run.choose() {
+            Ok(target) => target,
+            Err(lack) => return failed.ok_or_else(|| run.refuse(&lack.to_string())),
         };
         let guard = runs::RunGuard::new(&run.core, &target);
         let outcome = run.send(&target, None).await;
--- a/arbutusfold/src/gateway/layout.rs
+++ b/arbutusfold/src/gateway/layout.rs
@@ -7,8 +7,11 @@
 
 use arbutusfold_platform::{document, runner};
 
-/// Part of a runner's memory that layers may fill; the rest holds contexts.
-const LAYER_PART: f64 = 0.82;
+/// Part of a runner's memory that layers are to fill; the rest holds contexts.
+const LAYER_PART: f64 = 0.65;
+
+/// Part of a runner's memory that layers may fill at most.
+const LAYER_PART_MOST: f64 = 0.85;
 
 /// Weight of copies in other failure domains against those in the own one.
 const REMOTE_WEIGHT: f64 = 0.1;
@@ -115,7 +118,7 @@
         .zip(&all)
         .map(|(near, all)| gain(near) + REMOTE_WEIGHT * gain(all))
         .collect();
-    let most = unit_layers(engine, card.memory_mb);
+    let most = span_layers(engine, cuts, card.memory_mb);
     let mut best: Option<(f64, runner::LayerSpan)> = None;
     for from in 0..gains.len() {
         let ends = (from + 1..cuts.len()).take_while(|end| cuts[*end] - cuts[from] <= most);
@@ -170,6 +173,14 @@
     (fits as u32).clamp(1, engine.layers)
 }
 
+/// Most layers of one runner: as many units as come nearest to its part.
+fn span_layers(engine: &document::EngineSpec, cuts: &[u32], memory_mb: f64) -> u32 {
+    let unit = f64::from(engine.layers) / (cuts.len() - 1) as f64;
+    let layers = memory_mb / engine.layer_mb.max(0.001);
+    let nearest = LAYER_PART * layers + unit / 2.0;
+    nearest.min(LAYER_PART_MOST * layers).max(1.0).floor() as u32
+}
+
 fn card_of<'a>(
     engine: &'a document::EngineSpec,
     slot: &LayoutSlot,
--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -53,7 +53,10 @@
 pub struct PathQuery<'a> {
     /// Engine of the service.
     pub engine: &'a document::EngineSpec,
-    /// Place of the node's failure domain, if any runner is there.
+    /// Layers that the path is to cover.
+    pub layers: runner::LayerSpan,
+    /// Place of the failure domain that the path is entered from, if any
+    /// runner is there.
     pub domain: Option<usize>,
     /// Tokens of the prompt.
     pub prompt: f64,
@@ -89,7 +92,7 @@
     domain_before: usize,
 }
 
-/// Chooses the cheapest path, or none when some layer has no holder.
+/// Chooses the cheapest path over the layers, or none when one has no holder.
 ///
 /// `jitter` returns factors near 1 that keep nodes from choosing alike.
 pub fn choose(
@@ -97,7 +100,7 @@
     query: &PathQuery<'_>,
     mut jitter: impl FnMut() -> f64,
 ) -> Option<ChosenPath> {
-    let cuts = cuts_of(offers, query.engine.layers);
+    let cuts = cuts_of(offers, query.layers);
     let last = cuts.len() - 1;
     let domains = offers.iter().map(|offer| offer.domain + 1).max()?;
     let factors: Vec<_> = offers.iter().map(|_| jitter()).collect();
@@ -166,13 +169,13 @@
     events * (1.5 * pass + HOP_MS) + read * (1.0 + batch / 2.0) + full + offer.penalty_ms
 }
 
-fn cuts_of(offers: &[StageOffer], layers: u32) -> Vec<u32> {
+fn cuts_of(offers: &[StageOffer], layers: runner::LayerSpan) -> Vec<u32> {
     let ends = offers
         .iter()
         .flat_map(|offer| [offer.layers.from, offer.layers.to]);
     let mut cuts: Vec<_> = ends
-        .chain([0, layers])
-        .filter(|cut| *cut <= layers)
+        .chain([layers.from, layers.to])
+        .filter(|cut| (layers.from..=layers.to).contains(cut))
         .collect();
     cuts.sort_unstable();
     cuts.dedup();
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -5,6 +5,7 @@
 
 use arbutusfold_platform::{document, head, link, runner};
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::Full;
 use hyper::body;
 use rand::RngExt;
@@ -39,8 +40,11 @@
 /// Longest answer of a plain service in bytes.
 pub const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
-/// Shortest time after which a refused caller is asked to return.
-pub const PAUSE_SHORT: std_time::Duration = std_time::Duration::from_millis(300);
+/// Shortest time after which a caller refused at a model is asked to return.
+const PAUSE_MODEL: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// Time after which a caller refused at a plain service is asked to return.
+const PAUSE_SHORT: std_time::Duration = std_time::Duration::from_millis(300);
 
 /// A request of a caller with what was done for it.
 pub struct CallerRun {
@@ -76,11 +80,32 @@
     pub trail: String,
 }
 
+/// Why a request cannot be sent now.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum PathLack {
+    /// Some layer or the service has no runner left.
+    #[display("no runner is left")]
+    NoHolder,
+    /// The memory of all runners of some layer is taken.
+    #[display("the memory of the runners is taken")]
+    MemoryFull,
+}
+
+/// One runner on a path.
+#[derive(Clone, Debug, PartialEq)]
+struct RunStage {
+    runner: id::UpstreamName,
+    domain: id::DomainName,
+    part: head::PathPart,
+}
+
 /// Where a request is sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunTarget {
     /// Runners in order; the first one gets the request.
     pub runners: Vec<id::UpstreamName>,
+    /// Their failure domains.
+    pub domains: Vec<id::DomainName>,
     /// Path for the head; empty where one runner does all.
     pub path: Vec<head::PathPart>,
     /// Address of the first runner.
@@ -89,6 +114,37 @@
     pub load: Vec<u64>,
 }
 
+impl RunTarget {
+    /// Returns the target over these stages for so many tokens of context, or
+    /// none where it has no stage or too many.
+    fn new(stages: Vec<RunStage>, engine: &document::EngineSpec, tokens: f64) -> Option<Self> {
+        let first = stages.first()?;
+        if stages.len() > head::PATH_PART_LIMIT {
+            return None;
+        }
+        let single = stages.len() == 1 && engine.cards.is_empty();
+        let load = |stage: &RunStage| (tokens * f64::from(stage.part.layers.len())) as u64;
+        Some(Self {
+            address: first.part.address,
+            runners: stages.iter().map(|stage| stage.runner.clone()).collect(),
+            domains: stages.iter().map(|stage| stage.domain.clone()).collect(),
+            load: stages.iter().map(load).collect(),
+            path: match single {
+                true => Vec::new(),
+                false => stages.iter().map(|stage| stage.part).collect(),
+            },
+        })
+    }
+
+    fn stage(&self, place: usize) -> RunStage {
+        RunStage {
+            runner: self.runners[place].clone(),
+            domain: self.domains[place].clone(),
+            part: self.path[place],
+        }
+    }
+}
+
 /// What became of one send.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -205,11 +261,15 @@
     }
 
     /// Chooses where to send the request.
-    pub fn choose(&self) -> Option<RunTarget> {
+    ///
+    /// # Errors
+    ///
+    /// [`PathLack`] when it cannot be sent anywhere now.
+    pub fn choose(&self) -> Result<RunTarget, PathLack> {
         let spec = self.table.service(&self.service);
         match spec.and_then(|spec| spec.engine.as_ref()) {
             Some(engine) => self.choose_path(engine),
-            None => self.choose_runner(),
+            None => self.choose_runner().ok_or(PathLack::NoHolder),
         }
     }
 
@@ -227,6 +287,7 @@
         let best = usable.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
         Some(RunTarget {
             runners: vec![best.record.id.clone()],
+            domains: vec![best.record.domain.clone()],
             path: Vec::new(),
             address: best.record.address,
             load: vec![0],
@@ -234,52 +295,99 @@
     }
 
     /// Chooses a path over the runners of a model.
-    fn choose_path(&self, engine: &document::EngineSpec) -> Option<RunTarget> {
+    ///
+    /// The refusal tells callers when to return, if all memory is taken.
+    fn choose_path(&self, engine: &document::EngineSpec) -> Result<RunTarget, PathLack> {
+        let layers = runner::LayerSpan {
+            from: 0,
+            to: engine.layers,
+        };
+        let stages = self.plan_stages(engine, layers, &self.core.settings.domain, &[])?;
+        RunTarget::new(stages, engine, self.tokens(engine)).ok_or(PathLack::NoHolder)
+    }
+
+    /// Chooses other runners for the silent stages of a run.
+    ///
+    /// The first stage stays, since it holds the connection.
+    pub fn choose_detour(&self, target: &RunTarget, silent: &[usize]) -> Option<RunTarget> {
+        let engine = self.table.service(&self.service)?.engine.as_ref()?;
+        if silent.contains(&0) || target.path.is_empty() {
+            return None;
+        }
+        let mut stages: Vec<RunStage> = Vec::new();
+        let mut place = 0;
+        while place < target.path.len() {
+            let from = target.path[place].layers.from;
+            if !silent.contains(&place) {
+                stages.push(target.stage(place));
+                place += 1;
+                continue;
+            }
+            while place < target.path.len() && silent.contains(&place) {
+                place += 1;
+            }
+            let layers = runner::LayerSpan {
+                from,
+                to: target.path[place - 1].layers.to,
+            };
+            let domain = stages.last().map(|stage| stage.domain.clone())?;
+            let other = self.plan_stages(engine, layers, &domain, &target.runners);
+            stages.extend(other.ok()?);
+        }
+        RunTarget::new(stages, engine, self.tokens(engine))
+    }
+
+    /// Plans stages over some layers, without the runners that are `taken`.
+    fn plan_stages(
+        &self,
+        engine: &document::EngineSpec,
+        layers: runner::LayerSpan,
+        domain: &str,
+        taken: &[id::UpstreamName],
+    ) -> Result<Vec<RunStage>, PathLack> {
         let now = time::Instant::now();
         let leads = lock(&self.core.leads);
         let fleet = lock(&self.core.fleet);
-        let states: Vec<_> = self.usable(&fleet, now).collect();
-        let mut domains: Vec<_> = states.iter().map(|state| &state.record.domain).collect();
+        let usable = self.usable(&fleet, now);
+        let states: Vec<_> = usable
+            .filter(|state| !taken.contains(&state.record.id))
+            .collect();
+        let mut domains: Vec<_> = states
+            .iter()
+            .map(|state| state.record.domain.as_str())
+            .collect();
         domains.sort_unstable();
         domains.dedup();
         let offers: Vec<_> = states
             .iter()
             .enumerate()
             .filter_map(|(place, state)| {
-                let domain = domains.binary_search(&&state.record.domain).ok()?;
+                let domain = domains.binary_search(&state.record.domain.as_str()).ok()?;
                 offer(engine, state, place, domain, &leads.others(state.key), now)
             })
             .collect();
         let query = path::PathQuery {
             engine,
-            domain: domains.binary_search(&&self.core.settings.domain).ok(),
-            prompt: self
-                .head
-                .prompt_tokens
-                .map_or(engine.prompt_tokens, f64::from),
+            layers,
+            domain: domains.binary_search(&domain).ok(),
+            prompt: self.prompt(engine),
             answer: self.expected_answer(engine),
         };
         let mut rng = rand::rng();
         let jitter = || 1.0 + JITTER * rng.random::<f64>();
-        let chosen = path::choose(&offers, &query, jitter)?;
-        let first = chosen.stages.first()?;
-        let single = chosen.stages.len() == 1 && engine.cards.is_empty();
-        let tokens = query.prompt + query.answer;
-        let part = |stage: &path::PathStage| head::PathPart {
-            address: states[stage.place].record.address,
-            layers: stage.layers,
-        };
-        let id = |stage: &path::PathStage| states[stage.place].record.id.clone();
-        let load = |stage: &path::PathStage| (tokens * f64::from(stage.layers.len())) as u64;
-        Some(RunTarget {
-            address: states[first.place].record.address,
-            runners: chosen.stages.iter().map(id).collect(),
-            path: match single {
-                true => Vec::new(),
-                false => chosen.stages.iter().map(part).collect(),
+        let chosen = path::choose(&offers, &query, jitter).ok_or(PathLack::NoHolder)?;
+        if chosen.cost_ms >= path::FULL_MEMORY_MS {
+            return Err(PathLack::MemoryFull);
+        }
+        let stage = |stage: &path::PathStage| RunStage {
+            runner: states[stage.place].record.id.clone(),
+            domain: states[stage.place].record.domain.clone(),
+            part: head::PathPart {
+                address: states[stage.place].record.address,
+                layers: stage.layers,
             },
-            load: chosen.stages.iter().map(load).collect(),
-        })
+        };
+        Ok(chosen.stages.iter().map(stage).collect())
     }
 
     fn usable<'a>(
@@ -294,6 +402,16 @@
         })
     }
 
+    fn prompt(&self, engine: &document::EngineSpec) -> f64 {
+        let prompt = self.head.prompt_tokens;
+        prompt.map_or(engine.prompt_tokens, f64::from)
+    }
+
+    /// Tokens of context that the request takes.
+    fn tokens(&self, engine: &document::EngineSpec) -> f64 {
+        self.prompt(engine) + self.expected_answer(engine)
+    }
+
     /// Tokens of the answer as expected.
     fn expected_answer(&self, engine: &document::EngineSpec) -> f64 {
         let limit = self.head.answer_limit.map_or(f64::MAX, f64::from);
@@ -403,10 +521,14 @@
             .unwrap_or(0);
         let id = target.runners[named].clone();
         let cause = format!("status {} of {id}", status.as_u16());
+        let now = time::Instant::now();
+        let mut fleet = lock(&self.core.fleet);
         if status == http::StatusCode::MISDIRECTED_REQUEST {
-            lock(&self.core.fleet).disprove(&id);
+            fleet.disprove(&id);
         }
-        self.fail(&id, &cause);
+        fleet.note_refusal(&id, now);
+        drop(fleet);
+        self.exclude(&id);
         cause
     }
 
@@ -433,10 +555,20 @@
         }
     }
 
+    /// Returns when a refused caller is to come back: a model has room again
+    /// once streams that run now have ended, a plain service much sooner.
+    fn pause(&self) -> std_time::Duration {
+        let spec = self.table.service(&self.service);
+        match spec.is_some_and(|spec| spec.engine.is_some()) {
+            true => PAUSE_MODEL.mul_f64(1.0 + rand::rng().random::<f64>()),
+            false => PAUSE_SHORT,
+        }
+    }
+
     /// Returns the refusal of a request that cannot be sent now.
     pub fn refuse(&self, cause: &str) -> answer::GatewayRefusal {
         match self.runs {
-            0 => answer::GatewayRefusal::not_run(cause, PAUSE_SHORT),
+            0 => answer::GatewayRefusal::not_run(cause, self.pause()),
             _ => answer::GatewayRefusal::failed(http::StatusCode::BAD_GATEWAY, cause),
         }
     }
@@ -445,7 +577,7 @@
     pub fn time_over(&self) -> answer::GatewayRefusal {
         let cause = "no answer in time";
         match self.runs {
-            0 => answer::GatewayRefusal::not_run(cause, PAUSE_SHORT),
+            0 => answer::GatewayRefusal::not_run(cause, self.pause()),
             _ => answer::GatewayRefusal::failed(http::StatusCode::GATEWAY_TIMEOUT, cause),
         }
     }
--- a/arbutusfold/src/gateway/stall.rs
+++ b/arbutusfold/src/gateway/stall.rs
@@ -34,6 +34,11 @@
     Leave(Vec<usize>),
 }
 
+/// Tells whether a silence is long enough to look into.
+pub fn is_long(gap: time::Duration, policy: SilencePolicy) -> bool {
+    gap >= policy.usual * GAP_FACTOR
+}
+
 /// Judges a stream that was silent for `gap`.
 ///
 /// `stages` holds, for each runner of the path, how long no stream through it
@@ -43,7 +48,7 @@
     stages: &[Option<time::Duration>],
     policy: SilencePolicy,
 ) -> StallVerdict {
-    if gap < policy.usual * GAP_FACTOR {
+    if !is_long(gap, policy) {
         return StallVerdict::Wait;
     }
     let limit = gap.mul_f64(SHARED_SILENCE);
--- a/arbutusfold/src/gateway/steward.rs
+++ b/arbutusfold/src/gateway/steward.rs
@@ -10,13 +10,14 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold_platform::{document, link, order, runner, store};
+use arbutusfold_platform::{document, order, runner, store};
 use tokio::time;
 
 use crate::event;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::layout;
+use crate::gateway::runner_call;
 use crate::id;
 
 /// Time between two looks at the layout.
@@ -32,8 +33,8 @@
 /// Time for which a need must last before the next node in line acts.
 const LINE_PAUSE: std_time::Duration = std_time::Duration::from_millis(1_500);
 
-/// Longest time for a call to a runner.
-const CALL_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
+/// Longest time for a runner's report.
+const REPORT_LIMIT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
 /// Factor on the time of a load after which it counts as failed.
 const LOAD_SLACK: u32 = 4;
@@ -41,9 +42,6 @@
 /// Time added to that, for the report of the load's end to arrive.
 const LOAD_REPORT: std_time::Duration = std_time::Duration::from_secs(4);
 
-/// Longest report of a runner in bytes.
-const REPORT_LIMIT_BYTES: usize = 1 << 20;
-
 /// Table of the project's own rows in the store.
 const DUTY_TABLE: &str = "arbutusfold-duties";
 
@@ -258,7 +256,7 @@
     async fn order(&self, wanted: &WantedLoad, fencing: id::FencingNumber) -> OrderResult {
         let core = &self.core;
         let id = &wanted.record.id;
-        let report = match report(&wanted.record).await {
+        let report = match runner_call::report(wanted.record.address, REPORT_LIMIT).await {
             Ok(report) => report,
             Err(cause) => {
                 core.note(
@@ -295,7 +293,8 @@
             report.orders,
             wanted.load.as_millis()
         );
-        match send(&wanted.record, &place, guard).await {
+        let record = &wanted.record;
+        match runner_call::order(record.address, &record.id, &place, guard).await {
             Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds) => {
                 core.note(event::EventCode::OrderTaken, id, detail);
                 OrderResult::Taken
@@ -338,38 +337,3 @@
     /// Another node acts under a higher fencing token.
     Fenced,
 }
-
-async fn report(record: &runner::RunnerRecord) -> Result<runner::RunnerReport, String> {
-    let request = order::encode_report_call(record.address).map_err(|error| error.to_string())?;
-    let call = async {
-        let mut link = link::HttpLink::open(record.address, CALL_LIMIT).await?;
-        let response = link.send(request).await?;
-        link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
-    };
-    let body = time::timeout(CALL_LIMIT, call)
-        .await
-        .map_err(|_| "no answer in time".to_owned())?
-        .map_err(|error| error.to_string())?;
-    runner::decode_report(&body).map_err(|error| error.to_string())
-}
-
-async fn send(
-    record: &runner::RunnerRecord,
-    order: &order::RunnerOrder,
-    guard: order::OrderGuard,
-) -> Result<order::OrderAnswer, String> {
-    let request = order::encode(record.address, &record.id, order, guard)
-        .map_err(|error| error.to_string())?;
-    let call = async {
-        let mut link = link::HttpLink::open(record.address, CALL_LIMIT).await?;
-        let response = link.send(request).await?;
-        Ok::<_, link::LinkError>(order::decode(response.status()))
-    };
-    match time::timeout(CALL_LIMIT, call).await {
-        Ok(Ok(answer)) => Ok(answer),
-        // Nothing was sent, so nothing was ordered.
-        Ok(Err(link::LinkError::NotConnected { .. })) => Ok(order::OrderAnswer::Refused(0)),
-        Ok(Err(error)) => Err(error.to_string()),
-        Err(_) => Err("no answer in time".to_owned()),
-    }
-}
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time as std_time;
 
-use arbutusfold_platform::{head, link};
+use arbutusfold_platform::{head, link, order, runner};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body;
@@ -14,13 +14,23 @@
 use crate::gateway::core::lock;
 use crate::gateway::event_stream;
 use crate::gateway::forward;
+use crate::gateway::runner_call;
 use crate::gateway::runs;
 use crate::gateway::stall;
-use crate::id;
 
 /// Time between two looks at a silent stream.
 const SILENCE_TICK: std_time::Duration = std_time::Duration::from_millis(100);
 
+/// Time between two questions to the first runner of a silent stream.
+const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(250);
+
+/// Longest time for the answer to such a question; a live runner takes a few
+/// milliseconds.
+const REPORT_LIMIT: std_time::Duration = std_time::Duration::from_millis(250);
+
+/// How often one run may be led over other runners.
+const DETOUR_LIMIT: u32 = 3;
+
 /// Events that may wait for a slow caller.
 const EVENT_BUFFER: usize = 32;
 
@@ -43,12 +53,16 @@
 struct StreamRun {
     body: body::Incoming,
     _link: link::HttpLink,
-    _guard: runs::RunGuard,
-    runners: Vec<id::UpstreamName>,
+    guard: runs::RunGuard,
+    target: runs::RunTarget,
     splitter: event_stream::EventSplitter,
     /// When the latest event came, or the run began.
     active: time::Instant,
     begun: bool,
+    /// When the first runner was asked what the stream waits for.
+    asked: Option<time::Instant>,
+    /// How often it was led over other runners.
+    detours: u32,
 }
 
 /// What comes next in a run.
@@ -218,7 +232,7 @@
                 StreamStep::Broken(cause) => cause,
                 StreamStep::Stalled(silent) => stream.leave(&mut self.run, &silent),
             };
-            let from = stream.runners.join(">");
+            let from = stream.target.runners.join(">");
             drop(stream);
             let detail = format!("ran=true cause={cause} {}", self.run.describe());
             self.run.note(event::EventCode::AttemptFailed, detail);
@@ -254,8 +268,9 @@
         if run.time_left().is_zero() {
             return Err(run.time_over());
         }
-        let Some(target) = run.choose() else {
-            return Err(run.refuse("no path covers all layers"));
+        let target = match run.choose() {
+            Ok(target) => target,
+            Err(lack) => return Err(run.refuse(&lack.to_string())),
         };
         let guard = runs::RunGuard::new(&run.core, &target);
         let (ran, cause) = match run.send(&target, cursor.last()).await {
@@ -264,11 +279,13 @@
                 let mut stream = StreamRun {
                     body,
                     _link: link,
-                    _guard: guard,
-                    runners: target.runners,
+                    guard,
+                    target,
                     splitter: event_stream::EventSplitter::default(),
                     active: time::Instant::now(),
                     begun: false,
+                    asked: None,
+                    detours: 0,
                 };
                 match stream.first(run, cursor).await {
                     Ok(first) => {
@@ -345,7 +362,7 @@
                 return StreamStep::Event(event);
             }
             if self.splitter.is_overfull() {
-                run.fail(&self.runners[0], "an event is too long");
+                run.fail(&self.target.runners[0], "an event is too long");
                 return StreamStep::Broken("an event is too long".to_owned());
             }
             match time::timeout(SILENCE_TICK, self.body.frame()).await {
@@ -356,24 +373,30 @@
                 }
                 Ok(Some(Err(error))) => {
                     let cause = format!("the runner broke off: {error}");
-                    run.fail(&self.runners[0], &cause);
+                    run.fail(&self.target.runners[0], &cause);
                     return StreamStep::Broken(cause);
                 }
                 Ok(None) if self.splitter.is_partial() => {
                     let cause = "the runner ended in the middle of an event".to_owned();
-                    run.fail(&self.runners[0], &cause);
+                    run.fail(&self.target.runners[0], &cause);
                     return StreamStep::Broken(cause);
                 }
                 Ok(None) => {
                     let mut fleet = lock(&run.core.fleet);
-                    self.runners.iter().for_each(|id| fleet.note_success(id));
+                    self.target
+                        .runners
+                        .iter()
+                        .for_each(|id| fleet.note_success(id));
                     return StreamStep::Ended;
                 }
                 Err(_) => {
                     if run.time_left().is_zero() {
                         return StreamStep::TimeOver;
                     }
-                    if let Some(silent) = self.silent(run) {
+                    let Some(silent) = self.silent(run).await else {
+                        continue;
+                    };
+                    if !self.detour(run, &silent).await {
                         return StreamStep::Stalled(silent);
                     }
                 }
@@ -386,43 +409,111 @@
         self.active = now;
         self.begun = true;
         let mut fleet = lock(&run.core.fleet);
-        self.runners
+        self.target
+            .runners
             .iter()
             .for_each(|id| fleet.note_progress(id, now));
     }
 
-    /// Returns the places of the runners that seem at fault, if it is time to leave.
-    fn silent(&self, run: &runs::CallerRun) -> Option<Vec<usize>> {
+    /// Returns the places of the runners at fault, if it is time to leave.
+    async fn silent(&mut self, run: &runs::CallerRun) -> Option<Vec<usize>> {
+        let policy = self.policy(run);
+        let silence = self.active.elapsed();
+        if !stall::is_long(silence, policy) {
+            return None;
+        }
+        if self.asked.is_none_or(|asked| asked.elapsed() >= ASK_PERIOD) {
+            self.asked = Some(time::Instant::now());
+            let report = runner_call::report(self.target.address, REPORT_LIMIT).await;
+            if let Some(place) = self.fault_of(&run.head.request, report) {
+                return Some(vec![place]);
+            }
+        }
         let now = time::Instant::now();
+        let fleet = lock(&run.core.fleet);
+        let runners = self.target.runners.iter();
+        let stages: Vec<_> = runners.map(|id| fleet.silence(id, now)).collect();
+        match stall::judge(self.active.elapsed(), &stages, policy) {
+            stall::StallVerdict::Wait => None,
+            stall::StallVerdict::Leave(places) => Some(places),
+        }
+    }
+
+    fn policy(&self, run: &runs::CallerRun) -> stall::SilencePolicy {
         let objective = run.rule.objective.unwrap_or(DEFAULT_OBJECTIVE);
         let gap = run.rule.gap_objective.unwrap_or(DEFAULT_GAP);
-        let policy = stall::SilencePolicy {
+        stall::SilencePolicy {
             usual: if self.begun { gap } else { objective },
             patience: PATIENCE_LEAST
                 .max(objective * PATIENCE_OBJECTIVES)
                 .max(gap * PATIENCE_GAPS),
+        }
+    }
+
+    /// Returns the place of the runner that the first one waits for, or of the
+    /// first one itself when it does not answer.
+    fn fault_of(
+        &self,
+        request: &str,
+        report: Result<runner::RunnerReport, String>,
+    ) -> Option<usize> {
+        let Ok(report) = report else { return Some(0) };
+        let mut stalled = report.stalled.iter();
+        let address = stalled
+            .find(|stalled| stalled.request == request)?
+            .address?;
+        let mut parts = self.target.path.iter();
+        parts.position(|part| part.address == address)
+    }
+
+    /// Leads the stream over other runners in place of the silent ones.
+    async fn detour(&mut self, run: &mut runs::CallerRun, silent: &[usize]) -> bool {
+        if silent.is_empty() || silent.contains(&0) || self.detours >= DETOUR_LIMIT {
+            return false;
+        }
+        self.detours += 1;
+        for place in silent {
+            run.fail(&self.target.runners[*place], "silent");
+        }
+        let Some(target) = run.choose_detour(&self.target, silent) else {
+            return false;
         };
-        let fleet = lock(&run.core.fleet);
-        let stages: Vec<_> = self
-            .runners
-            .iter()
-            .map(|id| fleet.silence(id, now))
-            .collect();
-        let silence = now.saturating_duration_since(self.active);
-        match stall::judge(silence, &stages, policy) {
-            stall::StallVerdict::Wait => None,
-            stall::StallVerdict::Leave(places) => Some(places),
+        let reroute = order::RunnerOrder::Reroute {
+            request: run.head.request.clone(),
+            path: target.path.clone(),
+        };
+        run.core.metrics.orders.inc();
+        let (first, guard) = (&target.runners[0], order::OrderGuard::default());
+        let answer = runner_call::order(target.address, first, &reroute, guard).await;
+        let detail = format!(
+            "silence_ms={} from={} to={} answer={answer:?}",
+            self.active.elapsed().as_millis(),
+            self.target.runners.join(">"),
+            target.runners.join(">")
+        );
+        run.note(event::EventCode::StreamRerouted, detail);
+        let taken = matches!(
+            answer,
+            Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds)
+        );
+        if taken {
+            self.guard = runs::RunGuard::new(&run.core, &target);
+            run.trail = target.runners.join(">");
+            self.target = target;
+            // The new stages read all tokens so far before the next event.
+            self.active = time::Instant::now();
         }
+        taken
     }
 
     /// Notes the silent runners and returns the cause for the log.
     fn leave(&self, run: &mut runs::CallerRun, silent: &[usize]) -> String {
         let ids: Vec<_> = silent
             .iter()
-            .filter_map(|place| self.runners.get(*place))
+            .filter_map(|place| self.target.runners.get(*place))
             .collect();
         // Where all are silent nobody knows which one is at fault.
-        match ids.len() < self.runners.len() {
+        match ids.len() < self.target.runners.len() {
             true => ids.iter().for_each(|id| run.fail(id, "silent")),
             false => ids.iter().for_each(|id| run.exclude(id)),
         }
--- /dev/null
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -0,0 +1,154 @@
+//! Runners as one node knows them.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time as std_time;
+
+use arbutusfold::gateway::{fleet, mirror};
+use bytes::Bytes;
+use tokio::time;
+
+const MS: std_time::Duration = std_time::Duration::from_millis(1);
+
+fn entry(state: &str, born: u64, layers: &str) -> Bytes {
+    Bytes::from(format!(
+        r#"{{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"{state}",
+        "born":{born},"type":"l4","models":[{{"name":"m"{layers}}}]}}"#
+    ))
+}
+
+const LAYERS: &str = r#","layers":{"from":0,"target":10}"#;
+
+fn change(version: u64, value: Option<Bytes>) -> mirror::RowChange {
+    mirror::RowChange {
+        row: mirror::MirrorRow {
+            key: "i-1".to_owned(),
+            version,
+            value,
+        },
+        before: None,
+    }
+}
+
+fn known(now: time::Instant) -> fleet::RunnerFleet {
+    let mut fleet = fleet::RunnerFleet::default();
+    let found = fleet.update(&change(1, Some(entry("ready", 1, LAYERS))), false, now);
+    assert!(matches!(found, Some(fleet::FleetNews::Found(..))));
+    fleet
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_runner_gets_no_requests() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    let news = fleet.update(&change(2, Some(entry("draining", 1, LAYERS))), false, now);
+    assert_eq!(news, Some(fleet::FleetNews::Leaving("i-1".to_owned())));
+    assert!(!fleet.get("i-1").unwrap().is_usable(now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn runner_that_started_anew_holds_nothing_of_before() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    fleet.note_failure("i-1", now);
+    fleet.note_progress("i-1", now);
+    let news = fleet.update(&change(2, Some(entry("ready", 9, ""))), false, now);
+    assert!(matches!(news, Some(fleet::FleetNews::Changed(..))));
+    let state = fleet.get("i-1").unwrap();
+    assert_eq!(state.layers(), None);
+    assert!(!state.is_avoided(now) && state.failing == 0.0);
+    assert_eq!(fleet.silence("i-1", now), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn runner_that_lacks_its_layers_is_disproved_until_its_entry_changes() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    fleet.disprove("i-1");
+    assert_eq!(fleet.get("i-1").unwrap().layers(), None);
+    fleet.update(&change(2, Some(entry("ready", 1, LAYERS))), false, now);
+    assert_eq!(fleet.get("i-1").unwrap().layers(), None);
+    let other = r#","layers":{"from":10,"target":20}"#;
+    fleet.update(&change(3, Some(entry("ready", 1, other))), false, now);
+    assert!(fleet.get("i-1").unwrap().layers().is_some());
+}
+
+/// Entries lapse while the store is away and come back within two seconds.
+#[tokio::test(start_paused = true)]
+async fn entry_that_lapsed_with_the_store_counts_until_the_grace_is_over() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    assert_eq!(fleet.update(&change(2, None), true, now), None);
+    assert!(fleet.get("i-1").unwrap().is_usable(now + MS * 2_000));
+    assert!(fleet.expire(now + MS * 2_000).is_empty());
+    let over = now + fleet::LAPSE_GRACE;
+    assert!(!fleet.get("i-1").unwrap().is_usable(over));
+    assert_eq!(fleet.expire(over).len(), 1);
+    assert!(fleet.get("i-1").is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_that_came_back_counts_on() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    fleet.update(&change(2, None), true, now);
+    fleet.update(
+        &change(3, Some(entry("ready", 1, LAYERS))),
+        false,
+        now + MS * 900,
+    );
+    assert!(fleet.expire(now + MS * 9_000).is_empty());
+    assert!(fleet.get("i-1").unwrap().is_usable(now + MS * 9_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_that_leaves_or_goes_while_the_store_is_well_is_gone_at_once() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    assert!(fleet.update(&change(2, None), false, now).is_some());
+    assert!(fleet.get("i-1").is_none());
+    let mut fleet = known(now);
+    fleet.update(&change(2, Some(entry("draining", 1, LAYERS))), false, now);
+    fleet.update(&change(3, None), true, now);
+    assert!(fleet.get("i-1").is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn unreadable_entry_names_no_runner_and_hurts_no_other() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    let mut bad = change(2, Some(Bytes::from_static(b"\xff\x00")));
+    bad.row.key = "i-2".to_owned();
+    let news = fleet.update(&bad, false, now);
+    assert!(matches!(news, Some(fleet::FleetNews::Unreadable(..))));
+    assert_eq!(fleet.runners().len(), 1);
+    bad.row.key = "i-1".to_owned();
+    fleet.update(&bad, false, now);
+    assert!(fleet.runners().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn failures_in_a_row_are_passed_over_for_longer_and_a_success_ends_it() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    let first = fleet.note_failure("i-1", now).unwrap();
+    let second = fleet.note_failure("i-1", now).unwrap();
+    assert!(second > first);
+    assert!(fleet.get("i-1").unwrap().is_avoided(now));
+    fleet.note_success("i-1");
+    assert!(!fleet.get("i-1").unwrap().is_avoided(now));
+    assert_eq!(fleet.note_failure("i-1", now), Some(first));
+}
+
+#[tokio::test(start_paused = true)]
+async fn load_is_counted_while_requests_are_under_way() {
+    let now = time::Instant::now();
+    let mut fleet = known(now);
+    fleet.begin("i-1", 700);
+    fleet.begin("i-1", 300);
+    fleet.end("i-1", 700);
+    let state = fleet.get("i-1").unwrap();
+    assert_eq!((state.in_flight, state.token_layers), (1, 300));
+    // The end of a request at a runner that is gone is no one's business.
+    fleet.end("i-9", 5);
+}
--- /dev/null
+++ b/arbutusfold/tests/gateway_lead.rs
@@ -0,0 +1,126 @@
+//! Leads of failure domains and what they tell.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time as std_time;
+
+use arbutusfold::gateway::lead;
+use arbutusfold::member;
+use tokio::time;
+
+const PATIENCE: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+fn record(name: &str, domain: &str, phase: member::MemberPhase) -> member::MemberRecord {
+    member::MemberRecord {
+        name: name.to_owned(),
+        incarnation: 1,
+        revision: 1,
+        region: "r".to_owned(),
+        domain: domain.to_owned(),
+        callers: "127.0.0.1:1".parse().unwrap(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        version: 0,
+        phase,
+    }
+}
+
+fn load(runner: lead::RunnerKey, in_flight: u32) -> lead::RunnerLoad {
+    lead::RunnerLoad {
+        runner,
+        in_flight,
+        token_layers: u64::from(in_flight) * 100,
+    }
+}
+
+fn word(loads: Vec<lead::RunnerLoad>, store_age_ms: u32) -> lead::LeadWord {
+    lead::LeadWord {
+        loads,
+        store_age_ms,
+        latest: 7,
+    }
+}
+
+#[test]
+fn each_domain_has_one_lead_and_a_leaving_node_gives_it_up() {
+    let names = ["n1", "n2", "n3", "n4", "n5", "n6"];
+    let mut members: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(place, name)| {
+            let domain = ["a", "b"][place % 2];
+            record(name, domain, member::MemberPhase::Serving)
+        })
+        .collect();
+    let leads: Vec<_> = lead::leads(&members).into_iter().cloned().collect();
+    let domains: Vec<_> = leads.iter().map(|record| record.domain.as_str()).collect();
+    assert_eq!(domains, ["a", "b"]);
+    let first = members
+        .iter()
+        .position(|record| record.name == leads[0].name);
+    members[first.unwrap()].phase = member::MemberPhase::Leaving;
+    let after = lead::leads(&members);
+    assert_ne!(after[0].name, leads[0].name);
+    assert_eq!(after[1].name, leads[1].name);
+}
+
+#[tokio::test(start_paused = true)]
+async fn loads_of_nodes_and_domains_add_up_without_the_own() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    book.hear(
+        "n2",
+        lead::LeadMessage::Node(vec![load(1, 2), load(3, 1)]),
+        now,
+    );
+    book.hear(
+        "m1",
+        lead::LeadMessage::Domain(word(vec![load(3, 10)], 50)),
+        now,
+    );
+    let own = vec![load(1, 4)];
+    let domain = book.domain_word(word(own.clone(), 80));
+    assert_eq!(domain.loads, [load(1, 6), load(3, 1)]);
+    let fleet = book.fleet_word(&domain, now);
+    assert_eq!(fleet.loads, [load(1, 6), load(3, 11)]);
+    assert_eq!(fleet.store_age_ms, 50);
+    book.note_told(own);
+    book.hear("n1", lead::LeadMessage::Fleet(fleet), now);
+    assert_eq!(book.others(1).in_flight, 2);
+    assert_eq!(book.others(3).in_flight, 11);
+    assert_eq!(book.others(9).in_flight, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_nodes_are_forgotten() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    book.hear("n2", lead::LeadMessage::Node(vec![load(1, 2)]), now);
+    let period = lead::period(3);
+    book.forget(period, now + period * 2);
+    assert_eq!(book.domain_word(word(Vec::new(), 0)).loads.len(), 1);
+    book.forget(period, now + period * 6);
+    assert!(book.domain_word(word(Vec::new(), 0)).loads.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_watches_the_store_when_no_lead_reaches_it() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    assert!(!book.is_led(PATIENCE, now));
+    book.hear("n1", lead::LeadMessage::Fleet(word(Vec::new(), 300)), now);
+    assert!(book.is_led(PATIENCE, now));
+    assert!(!book.is_led(PATIENCE, now + PATIENCE));
+    book.hear("n1", lead::LeadMessage::Fleet(word(Vec::new(), 5_000)), now);
+    assert!(!book.is_led(PATIENCE, now));
+}
+
+#[test]
+fn work_of_a_lead_does_not_grow_with_its_domain() {
+    let messages = |nodes: usize| 2.0 * nodes as f64 / lead::period(nodes).as_secs_f64();
+    assert!(
+        messages(300) <= 1.01 * messages(20),
+        "{} {}",
+        messages(300),
+        messages(20)
+    );
+}
--- /dev/null
+++ b/arbutusfold/tests/gateway_mirror.rs
@@ -0,0 +1,82 @@
+//! Copies of the store's tables.
+
+#![allow(clippy::unwrap_used)]
+
+use arbutusfold::gateway::mirror;
+use bytes::Bytes;
+
+fn row(key: &str, version: u64, value: Option<&str>) -> mirror::MirrorRow {
+    mirror::MirrorRow {
+        key: key.to_owned(),
+        version,
+        value: value.map(|text| Bytes::copy_from_slice(text.as_bytes())),
+    }
+}
+
+fn content(table: &mirror::TableMirror) -> Vec<(String, u64)> {
+    let rows = table.rows();
+    rows.map(|row| (row.key.clone(), row.version)).collect()
+}
+
+#[test]
+fn rows_that_come_late_or_twice_change_nothing() {
+    let mut table = mirror::TableMirror::default();
+    assert_eq!(table.merge([row("a", 5, Some("new"))]).len(), 1);
+    assert!(table.merge([row("a", 5, Some("new"))]).is_empty());
+    assert!(table.merge([row("a", 3, Some("old"))]).is_empty());
+    assert!(table.merge([row("a", 4, None)]).is_empty());
+    assert_eq!(content(&table), [("a".to_owned(), 5)]);
+    assert_eq!(table.latest(), 5);
+}
+
+#[test]
+fn rewritten_row_with_the_same_content_is_no_change() {
+    let mut table = mirror::TableMirror::default();
+    table.merge([row("a", 5, Some("same"))]);
+    assert!(table.merge([row("a", 9, Some("same"))]).is_empty());
+    assert_eq!(table.latest(), 9);
+}
+
+#[test]
+fn whole_table_removes_what_it_lacks_but_not_later_rows() {
+    let mut table = mirror::TableMirror::default();
+    table.merge([row("gone", 2, Some("x")), row("later", 20, Some("y"))]);
+    assert!(!table.is_complete());
+    let changes = table.replace(vec![row("kept", 4, Some("z"))], 10);
+    let keys: Vec<_> = changes
+        .iter()
+        .map(|change| change.row.key.as_str())
+        .collect();
+    assert_eq!(keys, ["kept", "gone"]);
+    assert!(table.is_complete());
+    assert_eq!(
+        content(&table),
+        [("kept".to_owned(), 4), ("later".to_owned(), 20)]
+    );
+    // A removal that a whole table showed cannot be undone by an old row.
+    assert!(table.merge([row("gone", 3, Some("x"))]).is_empty());
+}
+
+#[test]
+fn peers_get_changes_and_removals_after_a_version() {
+    let mut table = mirror::TableMirror::default();
+    table.merge([row("a", 1, Some("x")), row("b", 2, Some("y"))]);
+    table.merge([row("a", 7, None)]);
+    let changes = table.since(1).unwrap();
+    let seen: Vec<_> = changes
+        .iter()
+        .map(|row| (row.key.as_str(), row.version, row.value.is_some()))
+        .collect();
+    assert_eq!(seen, [("a", 7, false), ("b", 2, true)]);
+}
+
+#[test]
+fn forgotten_removals_call_for_the_whole_table() {
+    let mut table = mirror::TableMirror::default();
+    for version in 1..5_000 {
+        table.merge([row(&format!("key-{version}"), version, Some("x"))]);
+        table.merge([row(&format!("key-{version}"), version + 1, None)]);
+    }
+    assert!(table.since(10).is_none());
+    assert!(table.since(4_999).is_some());
+}
--- /dev/null
+++ b/arbutusfold/tests/gateway_settings.rs
@@ -0,0 +1,86 @@
+//! Settings of a gateway and addresses for callers.
+
+#![allow(clippy::unwrap_used)]
+
+use arbutusfold::gateway::{entry, settings};
+use arbutusfold::member;
+
+const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+fn text(extra: &str) -> String {
+    format!(
+        r#"{{
+        // As the platform fills in the template.
+        "name": "front-a-1", "region": "r", "domain": "a",
+        "callers": "10.0.0.1:1", "ready": "10.0.0.1:2", "directory": "10.0.0.1:3",
+        "peers": "10.0.0.1:4", "metrics": "10.0.0.1:5", "store": "10.9.0.1:6",
+        "seeds": ["10.0.0.1:4", "10.0.0.2:4"], "peer_keys": ["{KEY}"],
+        {extra}
+    }}"#
+    )
+}
+
+#[test]
+fn template_in_use_gives_good_settings() {
+    let given = r#""contact_ms": 3000, "stop_limit_s": 8.5, "retry_share": 0.2,
+        "retry_extra": 198, "retry_window_s": 10,"#;
+    let parsed = settings::parse_file("test", &text(given)).unwrap();
+    assert_eq!(parsed.stop_limit_s.as_millis(), 8_500);
+    assert_eq!((parsed.retry_share, parsed.retry_extra), (0.2, 198.0));
+    let parsed = settings::parse_file("test", &text("")).unwrap();
+    assert_eq!(parsed.contact_ms.as_millis(), 3_000);
+}
+
+#[test]
+fn every_fault_is_named_with_its_place() {
+    let bad = text(r#""retry_share": "much", "stop_limit_s": -1, "colour": 3,"#)
+        .replace("10.9.0.1:6", "the store")
+        .replace("10.0.0.1:3", "10.0.0.1:2");
+    let error = settings::parse_file("gateway.jsonc", &bad)
+        .unwrap_err()
+        .to_string();
+    for part in [
+        "retry_share",
+        "stop_limit_s",
+        "colour",
+        "store",
+        "an address of its own",
+    ] {
+        assert!(error.contains(part), "{part} in {error}");
+    }
+    assert!(error.lines().all(|line| line.starts_with("gateway.jsonc:")));
+    assert!(settings::parse_file("test", "{").is_err());
+    assert!(settings::parse_file("test", "").is_err());
+}
+
+fn record(name: &str, domain: &str, phase: member::MemberPhase) -> member::MemberRecord {
+    let port = name.bytes().map(u16::from).sum::<u16>();
+    member::MemberRecord {
+        name: name.to_owned(),
+        incarnation: 1,
+        revision: 1,
+        region: "r".to_owned(),
+        domain: domain.to_owned(),
+        callers: format!("10.0.0.1:{port}").parse().unwrap(),
+        peers: "10.0.0.1:4".parse().unwrap(),
+        version: 0,
+        phase,
+    }
+}
+
+#[test]
+fn callers_get_nodes_of_their_domain_or_all_where_too_few_serve_there() {
+    let serving = member::MemberPhase::Serving;
+    let members = [
+        record("n1", "a", serving),
+        record("n2", "a", serving),
+        record("n3", "b", serving),
+        record("n4", "b", member::MemberPhase::Leaving),
+        record("n5", "c", member::MemberPhase::Joining),
+    ];
+    assert_eq!(entry::choose(&members, Some("a")).len(), 2);
+    assert_eq!(entry::choose(&members, Some("b")).len(), 3);
+    assert_eq!(entry::choose(&members, Some("unknown")).len(), 3);
+    assert_eq!(entry::choose(&members, None).len(), 3);
+    assert!(entry::choose(&members[3..], None).is_empty());
+}
--- /dev/null
+++ b/arbutusfold/tests/gateway_world/mod.rs
@@ -0,0 +1,64 @@
+//! A deployment like those of the users, for tests of decisions.
+
+#![allow(dead_code)]
+
+use std::time;
+
+use arbutusfold::gateway::layout;
+use arbutusfold_platform::document;
+
+/// An engine of 80 layers on three kinds of cards.
+pub fn engine() -> document::EngineSpec {
+    let card = |name: &str, memory_mb, step_factor, read_factor| document::CardSpec {
+        name: name.to_owned(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    document::EngineSpec {
+        slots: 192,
+        stride: 3,
+        step_ms: 1.0,
+        sequence_ms: 0.007,
+        context_ms: 0.01,
+        read_per_second: 100_000.0,
+        loads_at_once: 5,
+        prompt_tokens: 800.0,
+        answer_tokens: 200.0,
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 900_000.0,
+        context_tokens: 100_000,
+        activation_bytes: 45_000.0,
+        pipe_mbps: Some(22_000.0),
+        load: time::Duration::from_secs(14),
+        model: "assistant".to_owned(),
+        cards: vec![
+            card("large", 72_000.0, 2.4, 3.2),
+            card("middle", 43_000.0, 5.6, 2.7),
+            card("small", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+/// A runner without layers.
+pub fn slot(domain: &str, card: &str) -> layout::LayoutSlot {
+    layout::LayoutSlot {
+        domain: domain.to_owned(),
+        card: card.to_owned(),
+        layers: None,
+    }
+}
+
+/// 33 runners without layers in three domains.
+pub fn small_fleet() -> Vec<layout::LayoutSlot> {
+    let counts = [("a", [2, 2, 5]), ("b", [1, 3, 8]), ("c", [1, 6, 5])];
+    let cards = ["large", "middle", "small"];
+    let mut slots = Vec::new();
+    for (domain, counts) in counts {
+        for (card, count) in cards.into_iter().zip(counts) {
+            slots.extend((0..count).map(|_| slot(domain, card)));
+        }
+    }
+    slots
+}
