Add stand-ins for the users' platform and a soak of real processes

platform/standin holds the platform's store and runners; soak/ starts the gateways as processes and brings faults about from outside: signals, faults of the stand-ins and of loopback proxies. It checks what callers and runners see: answers whole and of their own request, events in order, calls that may not repeat run once, refused calls not at all, documents never forgotten, stops graceful, service back within 12 s.

Found: a gateway that got SIGTERM while it started ended by the signal (seeds 4 and 12); its handlers are now set up first.

--- a/arbutusfold/src/command.rs
+++ b/arbutusfold/src/command.rs
@@ -279,8 +279,9 @@
         .map_err(anyhow::Error::from)?;
     let path = path.to_owned();
     let work = async {
+        let stops = count_stops()?;
         let reload = watch_settings(path, settings.clone(), logger.clone())?;
-        Ok::<_, anyhow::Error>(gateway::run(settings, logger, count_stops()?, reload).await?)
+        Ok::<_, anyhow::Error>(gateway::run(settings, logger, stops, reload).await?)
     };
     Ok(runtime.block_on(work)?)
 }
--- /dev/null
+++ b/soak/src/caller.rs
@@ -0,0 +1,162 @@
+//! Callers and what they are promised.
+
+use std::net;
+use std::time;
+
+use arbutusfold_platform::link;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+
+/// Longest time that a caller waits.
+const DEADLINE: time::Duration = time::Duration::from_secs(6);
+
+/// Tokens of an answer; the runners put three into an event.
+const ANSWER_TOKENS: u64 = 45;
+
+/// Events of an answer.
+const ANSWER_EVENTS: u64 = ANSWER_TOKENS / 3;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A stream of a model.
+    Stream,
+    /// A call that may run at most once.
+    Post,
+    /// A call that may run again.
+    Get,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A whole and right answer.
+    Served,
+    /// The promise that it has not run and never will.
+    NotRun(u16),
+    /// Another failure, which promises nothing.
+    Failed(String),
+    /// An answer that breaks a promise.
+    Wrong(String),
+}
+
+/// A call with its end.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Id of the request.
+    pub request: String,
+    /// What was asked for.
+    pub kind: CallKind,
+    /// What became of it.
+    pub end: CallEnd,
+}
+
+/// Makes one call and checks its answer.
+pub async fn call(node: net::SocketAddr, request: String, kind: CallKind, key: &str) -> CallRecord {
+    let end = tokio::time::timeout(DEADLINE, send(node, &request, kind, key)).await;
+    let end = end.unwrap_or_else(|_| CallEnd::Failed("no answer in time".to_owned()));
+    CallRecord { request, kind, end }
+}
+
+async fn send(node: net::SocketAddr, request: &str, kind: CallKind, key: &str) -> CallEnd {
+    let failed = |error: link::LinkError| CallEnd::Failed(error.to_string());
+    let mut link = match link::HttpLink::open(node, time::Duration::from_secs(1)).await {
+        Ok(link) => link,
+        Err(error) => return failed(error),
+    };
+    let (method, path) = match kind {
+        CallKind::Stream => ("POST", "/model/write"),
+        CallKind::Post => ("POST", "/post/hold"),
+        CallKind::Get => ("GET", "/get/look"),
+    };
+    let call = http::Request::builder()
+        .method(method)
+        .uri(path)
+        .header("Host", "desk.example")
+        .header("Request-Id", request)
+        .header("Token-Count", format!("100,{ANSWER_TOKENS}"))
+        .header("Deadline-Ms", DEADLINE.as_millis().to_string())
+        .header("Authorization", format!("Bearer {key}"))
+        .body(Full::new(Bytes::from_static(b"order")));
+    let Ok(call) = call else {
+        return CallEnd::Wrong("the call cannot be made".to_owned());
+    };
+    let response = match link.send(call).await {
+        Ok(response) => response,
+        Err(error) => return failed(error),
+    };
+    let status = response.status().as_u16();
+    match status {
+        200 => {}
+        408 | 421 | 429 | 503 => return CallEnd::NotRun(status),
+        401 | 404 => return CallEnd::Wrong(format!("status {status}")),
+        _ => return CallEnd::Failed(format!("status {status}")),
+    }
+    let stamp = response.headers().get("response-stamp");
+    if stamp.is_none_or(|stamp| stamp.as_bytes() != request.as_bytes()) {
+        return CallEnd::Wrong("the proof belongs to another request".to_owned());
+    }
+    let mut body = response.into_body();
+    let mut text = Vec::new();
+    let whole = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => text.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    let expected = expected_body(kind, method, path);
+    match (whole, text == expected.as_bytes()) {
+        (true, true) => CallEnd::Served,
+        (false, _) if expected.as_bytes().starts_with(&text) => {
+            CallEnd::Failed("the answer broke off".to_owned())
+        }
+        _ => CallEnd::Wrong(format!(
+            "whole {whole}, {} of {} bytes",
+            text.len(),
+            expected.len()
+        )),
+    }
+}
+
+fn expected_body(kind: CallKind, method: &str, path: &str) -> String {
+    match kind {
+        CallKind::Stream => (1..=ANSWER_EVENTS)
+            .map(|event| format!("id: {event}\ndata: {path} {event}\n\n"))
+            .collect(),
+        CallKind::Post | CallKind::Get => format!("{method} {path}"),
+    }
+}
+
+/// Asks a node for a path that a version of the document brought, and returns
+/// whether the node knows it.
+pub async fn knows(node: net::SocketAddr, path: &str, request: &str, key: &str) -> Option<bool> {
+    let limit = time::Duration::from_secs(1);
+    let mut link = link::HttpLink::open(node, limit).await.ok()?;
+    let call = http::Request::get(path)
+        .header("Host", "desk.example")
+        .header("Request-Id", request)
+        .header("Deadline-Ms", "1000")
+        .header("Authorization", format!("Bearer {key}"))
+        .body(Full::default())
+        .ok()?;
+    let response = tokio::time::timeout(limit, link.send(call)).await.ok()?;
+    match response.ok()?.status().as_u16() {
+        404 => Some(false),
+        200 => Some(true),
+        _ => None,
+    }
+}
+
+/// Tells whether a node says that it is ready.
+pub async fn is_ready(node: net::SocketAddr) -> bool {
+    let limit = time::Duration::from_millis(500);
+    let ask = async {
+        let mut link = link::HttpLink::open(node, limit).await.ok()?;
+        let call = http::Request::get("/v1/ready").header("Host", "node");
+        let response = link.send(call.body(Full::default()).ok()?).await.ok()?;
+        Some(response.status().is_success())
+    };
+    let answered = tokio::time::timeout(limit, ask).await;
+    answered.ok().flatten().unwrap_or(false)
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,100 @@
+//! Plays seeds of the soak.
+
+use std::path;
+use std::time;
+
+use arbutusfold_soak::{plan, world};
+use bpaf::Bpaf;
+use tokio::task;
+
+/// Randomised faults against real gateway processes.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct SoakOptions {
+    /// The gateway program
+    #[bpaf(
+        long,
+        argument("FILE"),
+        fallback(path::PathBuf::from("target/debug/arbutusfold"))
+    )]
+    program: path::PathBuf,
+    /// Folder for settings and logs; those of passed seeds are removed
+    #[bpaf(long, argument("FOLDER"), fallback(path::PathBuf::from("target/soak")))]
+    folder: path::PathBuf,
+    /// First seed
+    #[bpaf(long, argument("SEED"), fallback(1))]
+    first: u64,
+    /// Number of seeds
+    #[bpaf(long, argument("COUNT"), fallback(10))]
+    seeds: u64,
+    /// Seeds at the same time
+    #[bpaf(long, argument("COUNT"), fallback(3))]
+    jobs: usize,
+    /// Gateways
+    #[bpaf(long, argument("COUNT"), fallback(4))]
+    nodes: usize,
+    /// Runners
+    #[bpaf(long, argument("COUNT"), fallback(10))]
+    runners: usize,
+    /// Faults
+    #[bpaf(long, argument("COUNT"), fallback(12))]
+    faults: usize,
+    /// Seconds in which faults begin
+    #[bpaf(long, argument("SECONDS"), fallback(6))]
+    seconds: u64,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let options = soak_options().run();
+    let size = plan::SoakSize {
+        nodes: options.nodes,
+        runners: options.runners,
+        time: time::Duration::from_secs(options.seconds),
+        faults: options.faults,
+    };
+    let mut seeds = options.first..options.first + options.seeds;
+    let mut playing = task::JoinSet::new();
+    let mut failed = 0;
+    loop {
+        while playing.len() < options.jobs.max(1)
+            && let Some(seed) = seeds.next()
+        {
+            let (program, folder) = (options.program.clone(), options.folder.clone());
+            playing
+                .spawn(async move { (seed, world::run_seed(&program, &folder, seed, size).await) });
+        }
+        let Some(done) = playing.join_next().await else {
+            break;
+        };
+        let (seed, result) = done?;
+        let report = match result {
+            Ok(report) => report,
+            Err(error) => world::SeedReport {
+                broken: vec![format!("{error:#}")],
+                ..world::SeedReport::default()
+            },
+        };
+        let [served, not_run, other] = report.calls;
+        println!(
+            "seed {seed}: {served} served, {not_run} not run, {other} failed, {} runs, {} broken",
+            report.runs,
+            report.broken.len()
+        );
+        match report.broken.is_empty() {
+            true => std::fs::remove_dir_all(options.folder.join(format!("seed-{seed}")))?,
+            false => {
+                failed += 1;
+                for broken in report.broken.iter().take(10) {
+                    println!("    {broken}");
+                }
+            }
+        }
+    }
+    println!(
+        "{} seeds played, {failed} with a broken promise",
+        options.seeds
+    );
+    anyhow::ensure!(failed == 0, "{failed} seeds broke a promise");
+    Ok(())
+}
--- /dev/null
+++ b/soak/src/process.rs
@@ -0,0 +1,163 @@
+//! One gateway process, started and ended by its id.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::time;
+
+use anyhow::Context;
+use nix::sys::signal;
+use nix::unistd;
+
+/// Key that all gateways of a soak share.
+const PEER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+/// Longest time that a gateway may take to stop, in seconds.
+const STOP_LIMIT_S: u64 = 4;
+
+/// Ports of a gateway on its own loopback address.
+const CALLERS_PORT: u16 = 8_001;
+const READY_PORT: u16 = 8_002;
+const DIRECTORY_PORT: u16 = 8_003;
+const PEERS_PORT: u16 = 8_004;
+const METRICS_PORT: u16 = 8_005;
+
+/// Where a gateway runs.
+#[derive(Clone, Debug)]
+pub struct GatewaySpec {
+    /// Name of the host.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Loopback address of its own.
+    pub ip: net::Ipv4Addr,
+    /// Where it reaches the store.
+    pub store: net::SocketAddr,
+    /// Loopback addresses of the gateways to meet first.
+    pub seeds: Vec<net::Ipv4Addr>,
+}
+
+impl GatewaySpec {
+    /// Address on which it serves callers.
+    pub fn callers(&self) -> net::SocketAddr {
+        (self.ip, CALLERS_PORT).into()
+    }
+
+    /// Address on which it tells whether it is ready.
+    pub fn ready(&self) -> net::SocketAddr {
+        (self.ip, READY_PORT).into()
+    }
+
+    fn settings(&self) -> String {
+        let seeds: Vec<_> = self
+            .seeds
+            .iter()
+            .map(|ip| format!("\"{ip}:{PEERS_PORT}\""))
+            .collect();
+        let ip = self.ip;
+        format!(
+            r#"{{"name": "{}", "region": "loopback", "domain": "{}",
+            "callers": "{ip}:{CALLERS_PORT}", "ready": "{ip}:{READY_PORT}",
+            "directory": "{ip}:{DIRECTORY_PORT}", "peers": "{ip}:{PEERS_PORT}",
+            "metrics": "{ip}:{METRICS_PORT}", "seeds": [{}], "store": "{}",
+            "peer_keys": ["{PEER_KEY}"], "stop_limit_s": {STOP_LIMIT_S},
+            "retry_share": 0.2, "retry_extra": 200}}"#,
+            self.name,
+            self.domain,
+            seeds.join(", "),
+            self.store
+        )
+    }
+}
+
+/// A running gateway; dropping it kills the process.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    child: process::Child,
+    log: path::PathBuf,
+}
+
+impl GatewayProcess {
+    /// Starts a gateway; its log is appended to a file in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// When the program cannot be started.
+    pub fn start(
+        program: &path::Path,
+        spec: &GatewaySpec,
+        folder: &path::Path,
+    ) -> anyhow::Result<Self> {
+        let settings = folder.join(format!("{}.jsonc", spec.name));
+        fs::write(&settings, spec.settings()).context("cannot write settings")?;
+        let log = folder.join(format!("{}.log", spec.name));
+        let output = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&log)?;
+        let child = process::Command::new(program)
+            .arg("gateway")
+            .arg(&settings)
+            .stdin(process::Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        Ok(Self { child, log })
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Errors
+    ///
+    /// When the process is gone.
+    pub fn signal(&self, signal: signal::Signal) -> anyhow::Result<()> {
+        let id = unistd::Pid::from_raw(i32::try_from(self.child.id())?);
+        signal::kill(id, signal).context("cannot signal")
+    }
+
+    /// Returns the exit status, if the process ended.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    pub fn ended(&mut self) -> anyhow::Result<Option<process::ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
+    /// Waits until the process ended, at most `limit`.
+    pub async fn wait(&mut self, limit: time::Duration) -> Option<process::ExitStatus> {
+        let deadline = tokio::time::Instant::now() + limit;
+        while tokio::time::Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // Both fail only when it ended before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the file that holds its log.
+    pub fn log(&self) -> &path::Path {
+        &self.log
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
