Survey slow runners by the leads; leave stops and unready nodes more time

Cause: a runner that is 3 to 12 times slower kept its requests, since only its own report tells. Leads ask the runners of their domain once a second and tell the factor with the loads; paths count it. Two processes were killed at the end of their grace, so the stop leaves 2 s for the way out; a node without a document asks callers back after 2 s, since most return only once.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -72,6 +72,8 @@
     UpstreamAvoided = 214, Warning;
     /// An entry of an upstream could not be read.
     UpstreamUnreadable = 215, Warning;
+    /// The number of slow runners of a failure domain changed.
+    SlowRunners = 216, Info;
     /// A request was refused because its organisation's limit was reached.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -40,13 +40,15 @@
 pub mod stall;
 pub mod steward;
 pub mod stream;
+pub mod survey;
 pub mod watch_store;
 
 /// Time in which the last messages to peers leave.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(50);
 
-/// Part of the longest stop that is left for the last messages and the exit.
-const STOP_MARGIN: std::time::Duration = std::time::Duration::from_millis(500);
+/// Part of the longest stop that is left for telling peers, for the last
+/// messages and for the exit of a process with a small part of a core.
+const STOP_MARGIN: std::time::Duration = std::time::Duration::from_millis(2_000);
 
 /// Longest time that an idle connection of a caller is kept. Callers reuse
 /// connections for most of the operator's limit, which may change while the
@@ -119,6 +121,7 @@
         )),
         tokio::spawn(steward::keep(sync::Arc::clone(&core))),
         tokio::spawn(lead_driver::keep(sync::Arc::clone(&core))),
+        tokio::spawn(survey::keep(sync::Arc::clone(&core))),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
         serve_metrics(&core, metrics, &closed),
@@ -232,7 +235,7 @@
 ) {
     let settings = &core.settings;
     let keep = settings.answer_keep_ms;
-    let limit = settings.stop_limit_s.saturating_sub(keep + STOP_MARGIN * 2);
+    let limit = settings.stop_limit_s.saturating_sub(keep + STOP_MARGIN);
     let mut keeper = drain::DrainKeeper::new(keep, limit);
     loop {
         let wakes = keeper.wakes();
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -23,8 +23,9 @@
 /// Time that is kept back from a deadline for the answer's way to the caller.
 const ANSWER_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
 
-/// Time after which callers return to a node that has no document yet.
-const PAUSE_UNREADY: std_time::Duration = std_time::Duration::from_millis(500);
+/// Time after which callers return to a node that has no document yet: it
+/// waits for the store, and most callers return only once.
+const PAUSE_UNREADY: std_time::Duration = std_time::Duration::from_millis(2_000);
 
 /// Answers one request of a caller.
 pub async fn answer(
--- a/arbutusfold/src/gateway/lead.rs
+++ b/arbutusfold/src/gateway/lead.rs
@@ -43,6 +43,24 @@
     pub token_layers: u64,
 }
 
+/// A runner that is slower than usual.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowRunner {
+    /// The runner.
+    pub runner: RunnerKey,
+    /// Factor on its usual times, in tenths.
+    pub tenths: u16,
+}
+
+impl SlowRunner {
+    /// Notes that a runner takes `factor` times as long as usual.
+    pub fn new(runner: RunnerKey, factor: f64) -> Self {
+        // A number out of range becomes the nearest one.
+        let tenths = (factor * 10.0).round() as u16;
+        Self { runner, tenths }
+    }
+}
+
 /// What nodes and leads tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeadMessage {
@@ -59,6 +77,8 @@
 pub struct LeadWord {
     /// Load by runner.
     pub loads: Vec<RunnerLoad>,
+    /// Runners that are slow, by key.
+    pub slow: Vec<SlowRunner>,
     /// Milliseconds since the lead heard the store, or another lead did.
     pub store_age_ms: u32,
     /// A number that grows with every row of the store that the lead knows.
@@ -84,6 +104,8 @@
     fleet: Option<HeardWord>,
     /// Own load as the lead counted it last.
     told: Vec<RunnerLoad>,
+    /// Slow runners by this node's own survey, by key.
+    survey: Vec<SlowRunner>,
 }
 
 impl LeadBook {
@@ -126,6 +148,7 @@
         let nodes = self.nodes.iter().map(|held| &held.word.loads);
         LeadWord {
             loads: add_up(nodes.chain([&own.loads])),
+            slow: self.survey.clone(),
             ..own
         }
     }
@@ -136,6 +159,12 @@
         let ages = others().map(|held| held.word.store_age_ms.saturating_add(age_ms(held, now)));
         LeadWord {
             loads: add_up(others().map(|held| &held.word.loads).chain([&domain.loads])),
+            slow: {
+                let slow = others().flat_map(|held| &held.word.slow);
+                let mut slow: Vec<_> = slow.chain(&domain.slow).copied().collect();
+                slow.sort_unstable_by_key(|slow| slow.runner);
+                slow
+            },
             store_age_ms: ages.fold(domain.store_age_ms, u32::min),
             latest: others().fold(domain.latest, |latest, held| latest.max(held.word.latest)),
         }
@@ -156,6 +185,26 @@
         }
     }
 
+    /// Notes the slow runners of a survey, by key.
+    pub fn note_survey(&mut self, slow: Vec<SlowRunner>) {
+        self.survey = slow;
+    }
+
+    /// Returns the slow runners of the latest own survey.
+    pub fn survey(&self) -> &[SlowRunner] {
+        &self.survey
+    }
+
+    /// Returns the factor on a runner's usual times; 1 where none is told.
+    pub fn slowness(&self, runner: RunnerKey) -> f64 {
+        let slow = self.fleet.as_ref().map(|held| &held.word.slow);
+        let found = slow.and_then(|slow| {
+            let place = slow.binary_search_by_key(&runner, |slow| slow.runner);
+            place.ok().map(|place| f64::from(slow[place].tenths) / 10.0)
+        });
+        found.unwrap_or(1.0)
+    }
+
     /// Tells whether a lead was heard that had the store's answer within `patience`.
     pub fn is_led(&self, patience: std_time::Duration, now: time::Instant) -> bool {
         self.fleet.as_ref().is_some_and(|held| {
--- a/arbutusfold/src/gateway/lead_driver.rs
+++ b/arbutusfold/src/gateway/lead_driver.rs
@@ -40,6 +40,7 @@
     let mut book = lock(&core.leads);
     let domain_word = book.domain_word(lead::LeadWord {
         loads: loads.clone(),
+        slow: Vec::new(),
         store_age_ms: core.store_age_ms(now),
         latest: core.latest(),
     });
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -363,7 +363,7 @@
             .enumerate()
             .filter_map(|(place, state)| {
                 let domain = domains.binary_search(&state.record.domain.as_str()).ok()?;
-                offer(engine, state, place, domain, &leads.others(state.key), now)
+                offer(engine, state, place, domain, &leads, now)
             })
             .collect();
         let query = path::PathQuery {
@@ -589,7 +589,7 @@
     state: &fleet::RunnerState,
     place: usize,
     domain: usize,
-    others: &lead::RunnerLoad,
+    leads: &lead::LeadBook,
     now: time::Instant,
 ) -> Option<path::StageOffer> {
     let whole = runner::LayerSpan {
@@ -614,13 +614,15 @@
         }
         None => engine.context_tokens as f64 * f64::from(engine.layers),
     };
+    let others = leads.others(state.key);
+    let slowness = leads.slowness(state.key);
     let avoided = state.is_avoided(now);
     Some(path::StageOffer {
         place,
         domain,
         layers,
-        step_factor: card.map_or(1.0, |card| card.step_factor),
-        read_factor: card.map_or(1.0, |card| card.read_factor),
+        step_factor: slowness * card.map_or(1.0, |card| card.step_factor),
+        read_factor: slowness * card.map_or(1.0, |card| card.read_factor),
         streams: f64::from(state.in_flight + others.in_flight),
         room: MEMORY_PART * capacity - (state.token_layers + others.token_layers) as f64,
         penalty_ms: path::AVOIDED_MS * f64::from(avoided) + path::FAILING_MS * state.failing,
--- a/arbutusfold/src/gateway/watch_store.rs
+++ b/arbutusfold/src/gateway/watch_store.rs
@@ -20,7 +20,7 @@
 
 /// Longest pause of a node that does not lead: a fleet of them must not press
 /// a store that is down.
-const PAUSE_LIMIT_NODE: std_time::Duration = std_time::Duration::from_millis(1_000);
+const PAUSE_LIMIT_NODE: std_time::Duration = std_time::Duration::from_millis(3_000);
 
 /// Time between two looks whether this node is to watch the store.
 const IDLE_PERIOD: std_time::Duration = std_time::Duration::from_millis(200);
--- a/arbutusfold/tests/gateway_lead.rs
+++ b/arbutusfold/tests/gateway_lead.rs
@@ -35,6 +35,7 @@
 fn word(loads: Vec<lead::RunnerLoad>, store_age_ms: u32) -> lead::LeadWord {
     lead::LeadWord {
         loads,
+        slow: Vec::new(),
         store_age_ms,
         latest: 7,
     }
@@ -114,6 +115,22 @@
     assert!(!book.is_led(PATIENCE, now));
 }
 
+#[tokio::test(start_paused = true)]
+async fn slow_runners_of_all_domains_are_told_to_all() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    let mut other = word(Vec::new(), 10);
+    other.slow = vec![lead::SlowRunner::new(2, 12.0)];
+    book.hear("m1", lead::LeadMessage::Domain(other), now);
+    book.note_survey(vec![lead::SlowRunner::new(7, 3.0)]);
+    let domain = book.domain_word(word(Vec::new(), 10));
+    let fleet = book.fleet_word(&domain, now);
+    book.hear("n1", lead::LeadMessage::Fleet(fleet), now);
+    assert_eq!(book.slowness(2), 12.0);
+    assert_eq!(book.slowness(7), 3.0);
+    assert_eq!(book.slowness(1), 1.0);
+}
+
 #[test]
 fn work_of_a_lead_does_not_grow_with_its_domain() {
     let messages = |nodes: usize| 2.0 * nodes as f64 / lead::period(nodes).as_secs_f64();
--- a/arbutusfold/tests/gateway_path.rs
+++ b/arbutusfold/tests/gateway_path.rs
@@ -123,6 +123,20 @@
     assert!(choose(&offers, 0).unwrap().cost_ms >= path::FULL_MEMORY_MS);
 }
 
+/// Spell of slow runners: their stages cost what they take now.
+#[test]
+fn slow_runner_is_passed_by_while_others_hold_its_layers() {
+    let mut offers = offers();
+    for _ in 0..4 {
+        let chosen = choose(&offers, 0).unwrap();
+        let slow = chosen.stages[0].place;
+        offers[slow].step_factor *= 12.0;
+        offers[slow].read_factor *= 12.0;
+        let other = choose(&offers, 0).unwrap();
+        assert!(other.stages.iter().all(|stage| stage.place != slow));
+    }
+}
+
 /// Tokens of context that fit each layer over all runners, at the least layer.
 fn memory_bound(offers: &[path::StageOffer]) -> f64 {
     let fits = |layer: u32| {
