Wait for an answer's head only as long as another send may follow

Cause: where answers are lost without a reset, a request waited for its head until its caller left after 2 s; silent stages of one path were all blamed, though most only wait for another, and then passed over by everyone; rows of runners that lapse one by one made every watching node call the store for each (2,900 calls in 6 s).

Change: a send that may be followed by another waits two objectives, then asks its first runner whom it waits for; only a lone silent runner is blamed; a watch gathers changes for 60 ms (250 ms at a node that does not lead); a lead's survey names runners without a report; nine tenths of the retry budget are used.

--- a/arbutusfold/src/gateway/budget.rs
+++ b/arbutusfold/src/gateway/budget.rs
@@ -10,7 +10,7 @@
 const WINDOW_SPANS: u32 = 10;
 
 /// Part of the budget that is used, since windows of others begin elsewhere.
-const USED_PART: f64 = 0.8;
+const USED_PART: f64 = 0.9;
 
 /// How many retries the fleet may send to one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -19,6 +19,7 @@
 use crate::gateway::lead;
 use crate::gateway::path;
 use crate::gateway::routing;
+use crate::gateway::runner_call;
 use crate::id;
 
 /// Longest time to connect to a runner; a live one takes a few milliseconds.
@@ -27,6 +28,9 @@
 /// Sends of one request, those included that runners turned away.
 const SEND_LIMIT: u32 = 4;
 
+/// Objectives for which a send waits for its answer while another may follow.
+const HEAD_OBJECTIVES: u32 = 2;
+
 /// Least time left with which a request is sent.
 const LEAST_TIME: std_time::Duration = std_time::Duration::from_millis(20);
 
@@ -136,6 +140,15 @@
         })
     }
 
+    /// Returns the place of the runner that the first one says it waits for.
+    pub fn fault_of(&self, request: &str, report: &runner::RunnerReport) -> Option<usize> {
+        let mut stalled = report.stalled.iter();
+        let address = stalled
+            .find(|stalled| stalled.request == request)?
+            .address?;
+        self.path.iter().position(|part| part.address == address)
+    }
+
     fn stage(&self, place: usize) -> RunStage {
         RunStage {
             runner: self.runners[place].clone(),
@@ -441,8 +454,15 @@
             let cause = "the request cannot be passed on".to_owned();
             return SendOutcome::NotRun { cause };
         };
-        let answer = time::timeout(self.time_left(), link.send(request)).await;
+        let limit = self.head_limit();
+        let answer = time::timeout(limit, link.send(request)).await;
         let response = match answer {
+            Err(_) if !self.time_left().is_zero() => {
+                self.runs += 1;
+                let cause = format!("no answer in {} ms", limit.as_millis());
+                self.find_fault(target, &cause).await;
+                return SendOutcome::Broken { cause };
+            }
             Err(_) => {
                 self.runs += 1;
                 return SendOutcome::TimedOut;
@@ -458,6 +478,30 @@
         self.judge(target, response, link)
     }
 
+    /// Returns how long this send may wait for the head of an answer: to the
+    /// end where it is the last one, less where another may follow.
+    fn head_limit(&self) -> std_time::Duration {
+        let last = !self.is_repeatable() || self.runs + 1 >= self.rule.attempts;
+        let objective = self.rule.objective.filter(|_| !last);
+        let limit = objective.map_or(self.time_left(), |objective| objective * HEAD_OBJECTIVES);
+        limit.min(self.time_left())
+    }
+
+    /// Leaves out the runner that a send without an answer waited for.
+    async fn find_fault(&mut self, target: &RunTarget, cause: &str) {
+        let first = &target.runners[0];
+        if target.path.is_empty() {
+            return self.fail(first, cause);
+        }
+        match runner_call::report(target.address, CONNECT_LIMIT).await {
+            Err(cause) => self.fail(first, &cause),
+            Ok(report) => match target.fault_of(&self.head.request, &report) {
+                Some(place) => self.fail(&target.runners[place], cause),
+                None => self.exclude(first),
+            },
+        }
+    }
+
     fn encode(
         &self,
         target: &RunTarget,
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time as std_time;
 
-use arbutusfold_platform::{head, link, order, runner};
+use arbutusfold_platform::{head, link, order};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body;
@@ -425,7 +425,11 @@
         if self.asked.is_none_or(|asked| asked.elapsed() >= ASK_PERIOD) {
             self.asked = Some(time::Instant::now());
             let report = runner_call::report(self.target.address, REPORT_LIMIT).await;
-            if let Some(place) = self.fault_of(&run.head.request, report) {
+            let place = match report {
+                Ok(report) => self.target.fault_of(&run.head.request, &report),
+                Err(_) => Some(0),
+            };
+            if let Some(place) = place {
                 return Some(vec![place]);
             }
         }
@@ -450,31 +454,13 @@
         }
     }
 
-    /// Returns the place of the runner that the first one waits for, or of the
-    /// first one itself when it does not answer.
-    fn fault_of(
-        &self,
-        request: &str,
-        report: Result<runner::RunnerReport, String>,
-    ) -> Option<usize> {
-        let Ok(report) = report else { return Some(0) };
-        let mut stalled = report.stalled.iter();
-        let address = stalled
-            .find(|stalled| stalled.request == request)?
-            .address?;
-        let mut parts = self.target.path.iter();
-        parts.position(|part| part.address == address)
-    }
-
     /// Leads the stream over other runners in place of the silent ones.
     async fn detour(&mut self, run: &mut runs::CallerRun, silent: &[usize]) -> bool {
         if silent.is_empty() || silent.contains(&0) || self.detours >= DETOUR_LIMIT {
             return false;
         }
         self.detours += 1;
-        for place in silent {
-            run.fail(&self.target.runners[*place], "silent");
-        }
+        self.blame(run, silent);
         let Some(target) = run.choose_detour(&self.target, silent) else {
             return false;
         };
@@ -506,17 +492,26 @@
         taken
     }
 
+    /// Leaves silent runners out; a lone one is told to be at fault.
+    fn blame(&self, run: &mut runs::CallerRun, silent: &[usize]) {
+        let runners = &self.target.runners;
+        match silent {
+            [place] if *place < runners.len() => run.fail(&runners[*place], "silent"),
+            // Where several are silent most of them only wait for another.
+            _ => silent
+                .iter()
+                .filter_map(|place| runners.get(*place))
+                .for_each(|id| run.exclude(id)),
+        }
+    }
+
     /// Notes the silent runners and returns the cause for the log.
     fn leave(&self, run: &mut runs::CallerRun, silent: &[usize]) -> String {
         let ids: Vec<_> = silent
             .iter()
             .filter_map(|place| self.target.runners.get(*place))
             .collect();
-        // Where all are silent nobody knows which one is at fault.
-        match ids.len() < self.target.runners.len() {
-            true => ids.iter().for_each(|id| run.fail(id, "silent")),
-            false => ids.iter().for_each(|id| run.exclude(id)),
-        }
+        self.blame(run, silent);
         let names: Vec<_> = ids.iter().map(|id| id.as_str()).collect();
         format!(
             "silent for {} ms at {}",
--- a/arbutusfold/src/gateway/survey.rs
+++ b/arbutusfold/src/gateway/survey.rs
@@ -23,6 +23,12 @@
 /// Factor on its usual times from which a runner is told to be slow.
 const SLOW_FACTOR: f64 = 1.2;
 
+/// Factor that stands for a runner without a report.
+const UNREACHED_FACTOR: f64 = 50.0;
+
+/// Part of the runners beyond which missing reports are a fault of this node.
+const UNREACHED_PART: f64 = 0.34;
+
 /// Surveys the runners while this node leads its failure domain.
 pub async fn keep(core: sync::Arc<core::GatewayCore>) {
     let mut ticks = time::interval(SURVEY_PERIOD);
@@ -60,14 +66,26 @@
         .collect();
     let reports = asked.iter().map(|(key, address)| async move {
         let report = runner_call::report(*address, REPORT_LIMIT).await;
-        // A runner without a report is found by its streams.
-        let factor = report.ok()?.slowness;
-        (factor >= SLOW_FACTOR).then(|| lead::SlowRunner::new(*key, factor))
+        (*key, report.ok().map(|report| report.slowness))
     });
-    let mut slow: Vec<_> = futures_util::future::join_all(reports)
-        .await
-        .into_iter()
-        .flatten()
+    let found = futures_util::future::join_all(reports).await;
+    judge(&found)
+}
+
+/// Returns the slow runners; a factor is missing where no report came.
+pub fn judge(found: &[(lead::RunnerKey, Option<f64>)]) -> Vec<lead::SlowRunner> {
+    let unreached = found.iter().filter(|(_, factor)| factor.is_none()).count();
+    let own_fault = unreached as f64 > UNREACHED_PART * found.len() as f64;
+    let missing = match own_fault {
+        true => 1.0,
+        false => UNREACHED_FACTOR,
+    };
+    let factors = found
+        .iter()
+        .map(|(key, factor)| (*key, factor.unwrap_or(missing)));
+    let mut slow: Vec<_> = factors
+        .filter(|(_, factor)| *factor >= SLOW_FACTOR)
+        .map(|(key, factor)| lead::SlowRunner::new(key, factor))
         .collect();
     slow.sort_unstable_by_key(|slow| slow.runner);
     slow
--- a/arbutusfold/src/gateway/watch_store.rs
+++ b/arbutusfold/src/gateway/watch_store.rs
@@ -22,6 +22,12 @@
 /// a store that is down.
 const PAUSE_LIMIT_NODE: std_time::Duration = std_time::Duration::from_millis(3_000);
 
+/// Pause after an answer, in which further changes gather.
+const BURST_PAUSE: std_time::Duration = std_time::Duration::from_millis(60);
+
+/// The same for a node that does not lead.
+const BURST_PAUSE_NODE: std_time::Duration = std_time::Duration::from_millis(250);
+
 /// Time between two looks whether this node is to watch the store.
 const IDLE_PERIOD: std_time::Duration = std_time::Duration::from_millis(200);
 
@@ -71,6 +77,12 @@
                     None => core.replace(table, rows, page.version),
                 };
                 exchange::pass_on(&core, table, changed);
+                // Changes come in bursts, as when runners register or lapse.
+                time::sleep(match core.is_leading() {
+                    true => BURST_PAUSE,
+                    false => BURST_PAUSE_NODE,
+                })
+                .await;
                 position = position.max(Some(page.version));
             }
             Err(store::StoreError::HistoryLost) => {
--- /dev/null
+++ b/arbutusfold/tests/gateway_survey.rs
@@ -0,0 +1,25 @@
+//! Surveys of slow and silent runners.
+
+use arbutusfold::gateway::{lead, survey};
+
+#[test]
+fn slow_and_silent_runners_are_told_and_usual_ones_not() {
+    let found = [
+        (5, Some(1.0)),
+        (3, Some(12.0)),
+        (4, None),
+        (9, Some(1.1)),
+        (1, Some(1.0)),
+    ];
+    let slow = survey::judge(&found);
+    let keys: Vec<_> = slow.iter().map(|slow| slow.runner).collect();
+    assert_eq!(keys, [3, 4]);
+    assert_eq!(slow[0], lead::SlowRunner::new(3, 12.0));
+    assert!(slow[1].tenths > slow[0].tenths);
+}
+
+#[test]
+fn lead_that_is_cut_off_accuses_no_runner() {
+    let found: Vec<_> = (0..10).map(|key| (key, (key < 6).then_some(1.0))).collect();
+    assert!(survey::judge(&found).is_empty());
+}
