--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -29,7 +29,7 @@
 const SEND_LIMIT: u32 = 4;
 
 /// Objectives for which a send waits for its answer while another may follow.
-const HEAD_OBJECTIVES: u32 = 2;
+const HEAD_OBJECTIVES: u32 = 3;
 
 /// Least time left with which a request is sent.
 const LEAST_TIME: std_time::Duration = std_time::Duration::from_millis(20);
