--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a fresh machine needs: `make demo` and `make test`.
 
-.PHONY: build demo test lint setup fuzz-long fleet-long measure client-test
+.PHONY: build demo test lint setup fuzz-long fleet-long soak measure client-test
 
 setup:
 	@scripts/setup
@@ -32,6 +32,11 @@
 	cargo build --workspace --bins
 	ARBUTUSFOLD_FLEET_ROUNDS=9 cargo test -p arbutusfold-standin --test fleet_kill --test fleet_stop -- --test-threads 1 --nocapture
 
+# Fifty seeds of randomised faults against gateway processes.
+soak: setup
+	cargo build --workspace --bins
+	target/debug/arbutusfold-soak --first 1000 --seeds 50
+
 # An ordinary client library against a fleet of processes; needs Python.
 client-test: setup
 	cargo build --workspace --bins
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -48,7 +48,7 @@
 
 /// Part of the longest stop that is left for telling peers, for the last
 /// messages and for the exit of a process with a small part of a core.
-const STOP_MARGIN: std::time::Duration = std::time::Duration::from_millis(2_000);
+const STOP_MARGIN: std::time::Duration = std::time::Duration::from_millis(1_300);
 
 /// Longest time that an idle connection of a caller is kept. Callers reuse
 /// connections for most of the operator's limit, which may change while the
--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -17,6 +17,10 @@
 /// any difference of speed.
 pub const FULL_MEMORY_MS: f64 = 60_000.0;
 
+/// Expected time from which a path is not worth trying: it has a full stage or
+/// several that failed lately, and an early refusal lets its caller return.
+pub const CROWDED_MS: f64 = 60_000.0;
+
 /// Extra time of a stage that failed lately, in milliseconds; it is taken
 /// only where no other stage is left.
 pub const AVOIDED_MS: f64 = 20_000.0;
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -90,9 +90,9 @@
     /// Some layer or the service has no runner left.
     #[display("no runner is left")]
     NoHolder,
-    /// The memory of all runners of some layer is taken.
-    #[display("the memory of the runners is taken")]
-    MemoryFull,
+    /// Every path leads over full memory or several failing runners.
+    #[display("every path is full or failing")]
+    Crowded,
 }
 
 /// One runner on a path.
@@ -309,7 +309,7 @@
 
     /// Chooses a path over the runners of a model.
     ///
-    /// The refusal tells callers when to return, if all memory is taken.
+    /// The refusal tells callers when to return, if every path is crowded.
     fn choose_path(&self, engine: &document::EngineSpec) -> Result<RunTarget, PathLack> {
         let layers = runner::LayerSpan {
             from: 0,
@@ -389,8 +389,8 @@
         let mut rng = rand::rng();
         let jitter = || 1.0 + JITTER * rng.random::<f64>();
         let chosen = path::choose(&offers, &query, jitter).ok_or(PathLack::NoHolder)?;
-        if chosen.cost_ms >= path::FULL_MEMORY_MS {
-            return Err(PathLack::MemoryFull);
+        if chosen.cost_ms >= path::CROWDED_MS {
+            return Err(PathLack::Crowded);
         }
         let stage = |stage: &path::PathStage| RunStage {
             runner: states[stage.place].record.id.clone(),
--- a/arbutusfold/tests/gateway_lead.rs
+++ b/arbutusfold/tests/gateway_lead.rs
@@ -141,3 +141,22 @@
         messages(20)
     );
 }
+
+#[test]
+fn word_of_a_lead_fits_the_budget_of_control() {
+    // 20 nodes a domain and 86 runners under load, of 7 KB a second.
+    let loads = (0..86_u32)
+        .map(|runner| lead::RunnerLoad {
+            runner: runner.wrapping_mul(0x9e37_79b9),
+            in_flight: 60,
+            token_layers: 1_000_000,
+        })
+        .collect();
+    let message = lead::LeadMessage::Fleet(word(loads, 500));
+    let bytes = postcard::to_stdvec(&message).unwrap().len();
+    let per_second = bytes as f64 / lead::period(20).as_secs_f64();
+    assert!(
+        per_second <= 7_000.0,
+        "{bytes} bytes, {per_second} a second"
+    );
+}
--- a/arbutusfold/tests/gateway_path.rs
+++ b/arbutusfold/tests/gateway_path.rs
@@ -120,7 +120,7 @@
     let third = choose(&offers, 0).unwrap();
     assert!(third.stages.iter().all(|stage| stage.place != failing));
     offers.iter_mut().for_each(|offer| offer.room = 0.0);
-    assert!(choose(&offers, 0).unwrap().cost_ms >= path::FULL_MEMORY_MS);
+    assert!(choose(&offers, 0).unwrap().cost_ms >= path::CROWDED_MS);
 }
 
 /// Spell of slow runners: their stages cost what they take now.
@@ -162,7 +162,7 @@
     let mut placed = 0;
     loop {
         let chosen = choose(&offers, placed % DOMAINS.len()).unwrap();
-        if chosen.cost_ms >= path::FULL_MEMORY_MS {
+        if chosen.cost_ms >= path::CROWDED_MS {
             break;
         }
         placed += 1;
