Keep what the soak speaks inside platform/

The soak's callers and its operator wrote names of the platform; they are stand-ins like the others and stand beside them now. No change of what is called or checked.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,7 +5,6 @@
 //! come from outside: signals to the processes, faults of the stand-ins and of
 //! the proxies. What callers and runners see is checked against the promises.
 
-pub mod caller;
 pub mod plan;
 pub mod process;
 pub mod proxy;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -7,12 +7,10 @@
 use std::time;
 
 use anyhow::Context;
-use arbutusfold_platform_standin::{runner, server, store};
+use arbutusfold_platform_standin::{caller, operator, runner, server, store};
 use nix::sys::signal;
-use serde_json::json;
 use tokio::task;
 
-use crate::caller;
 use crate::plan;
 use crate::process;
 use crate::proxy;
@@ -186,32 +184,15 @@
     /// Writes the next document; each adds a route and keeps the others.
     fn put_document(&self) {
         let version = 1 + self.documents.fetch_add(1, sync::atomic::Ordering::SeqCst);
-        let route = |prefix: String, kind: &str, service: &str| {
-            json!({ "name": prefix, "hostname": "desk.example", "prefix": prefix, "type": kind,
-                "timeoutMs": 6_000, "goalMs": 500, "gapAimMs": 200, "priority": 1,
-                "service": service, "maxAttempts": 2, "resumable": kind == "streaming",
-                "sessionAffinity": kind == "streaming" })
-        };
-        let mut routes = vec![
-            route("/model/".to_owned(), "streaming", "model"),
-            route("/post/".to_owned(), "non_idempotent", "plain"),
-            route("/get/".to_owned(), "idempotent", "plain"),
-        ];
-        routes.extend(
-            (1..=version).map(|version| route(format!("/v{version}/"), "idempotent", "plain")),
+        operator::put_document(
+            &self.store,
+            &operator::DocumentSpec {
+                version,
+                layers: LAYERS,
+                organisation: ORGANISATION,
+                key: KEY,
+            },
         );
-        let engine = json!({ "slots": 64, "kvTokenBytes": 918_000, "stride": 3, "step_ms": 1.0,
-            "per_seq_ms": 0.007, "context_per_k": 0.01, "read_per_s": 100_000.0,
-            "loads_at_once": 5, "usual": { "prompt": 100, "answer": 45 }, "layers": LAYERS,
-            "layerMb": 1_750.0, "activationBytes": 45_900, "pipeMbps": 22_000.0,
-            "models": [{ "name": "m", "loadS": 0.5 }],
-            "kinds": [{ "name": "card", "sizeMb": 72_000.0, "pace": 2.4, "readX": 3.2 }] });
-        let document = json!({ "version": version * 3, "routes": routes,
-            "services": [{ "name": "model", "maxConns": 500, "engine": engine },
-                { "name": "plain", "maxConns": 100 }],
-            "tenants": [{ "name": ORGANISATION, "apiKeys": [KEY], "priority": 1 }] });
-        let bytes = document.to_string().into_bytes();
-        self.store.put("op", "config", Some(bytes));
     }
 
     async fn wait_ready(&self) -> anyhow::Result<()> {
