Refuse changed rows behind a lost message

Cause: a lead passes on changed rows as they come. Rows now say after which version they changed; a copy that does not reach that far asks first. Ruled out: a late lead, since all other nodes of the domain knew.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -173,6 +173,21 @@
         changes.into_iter().map(|change| change.row).collect()
     }
 
+    /// Takes what changed after a version; refuses it where rows in between
+    /// are missing.
+    pub fn merge_after(
+        &self,
+        table: store::WatchedTable,
+        after: store::RowVersion,
+        rows: Vec<mirror::MirrorRow>,
+    ) -> bool {
+        let changes = lock(&self.mirrors)[place(table)].merge_after(after, rows);
+        if let Some(changes) = &changes {
+            self.absorb(table, changes);
+        }
+        changes.is_some()
+    }
+
     /// Takes a whole table as of a version.
     ///
     /// Returns the rows whose content changed.
--- a/arbutusfold/src/gateway/exchange.rs
+++ b/arbutusfold/src/gateway/exchange.rs
@@ -33,14 +33,22 @@
     Rows {
         /// Place of the table in [`store::WatchedTable::ALL`].
         table: usize,
-        /// Version as of which the rows are all there are; `None` where they
-        /// are changes only.
-        whole: Option<store::RowVersion>,
+        /// How far the rows reach.
+        extent: RowExtent,
         /// The rows.
         rows: Vec<mirror::MirrorRow>,
     },
 }
 
+/// How far rows reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowExtent {
+    /// They are all there are as of this version.
+    Whole(store::RowVersion),
+    /// They are what changed after this version.
+    After(store::RowVersion),
+}
+
 /// Hears from membership that a peer knows more.
 pub struct PeerListener {
     core: sync::Arc<core::GatewayCore>,
@@ -100,17 +108,28 @@
                     }
                 }
             }
-            MirrorMessage::Rows { table, whole, rows } => {
+            MirrorMessage::Rows {
+                table,
+                extent,
+                rows,
+            } => {
                 let Some(name) = store::WatchedTable::ALL.get(table).copied() else {
                     return;
                 };
                 let detail = format!("table={table} rows={} from={sender}", rows.len());
                 self.core
                     .note(event::EventCode::RowsFromPeer, "store", detail);
-                match whole {
-                    Some(version) => self.core.replace(name, rows, version),
-                    None => self.core.merge(name, rows),
-                };
+                match extent {
+                    RowExtent::Whole(version) => {
+                        self.core.replace(name, rows, version);
+                    }
+                    RowExtent::After(after) => {
+                        // A message before this one was lost.
+                        if !self.core.merge_after(name, after, rows) {
+                            ask(&self.core, sender);
+                        }
+                    }
+                }
             }
         }
     }
@@ -123,8 +142,14 @@
     }
 }
 
-/// Passes changed rows on to the other nodes of the failure domain.
-pub fn pass_on(core: &core::GatewayCore, table: store::WatchedTable, rows: Vec<mirror::MirrorRow>) {
+/// Passes on to the other nodes of the failure domain what changed after a
+/// version.
+pub fn pass_on(
+    core: &core::GatewayCore,
+    table: store::WatchedTable,
+    after: store::RowVersion,
+    rows: Vec<mirror::MirrorRow>,
+) {
     if rows.is_empty() || !core.is_leading() {
         return;
     }
@@ -133,7 +158,7 @@
         .position(|one| *one == table);
     let message = MirrorMessage::Rows {
         table: place.unwrap_or(0),
-        whole: None,
+        extent: RowExtent::After(after),
         rows,
     };
     let settings = &core.settings;
@@ -167,12 +192,12 @@
         let message = match changed {
             Some(rows) => MirrorMessage::Rows {
                 table: place,
-                whole: None,
+                extent: RowExtent::After(after),
                 rows,
             },
             None => MirrorMessage::Rows {
                 table: place,
-                whole: Some(mirror.latest()),
+                extent: RowExtent::Whole(mirror.latest()),
                 rows: mirror.rows().cloned().collect(),
             },
         };
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -73,6 +73,16 @@
         changes
     }
 
+    /// Takes what changed after a version, or nothing when this copy does not
+    /// reach that far: rows in between would be missed without a trace.
+    pub fn merge_after(
+        &mut self,
+        after: store::RowVersion,
+        rows: Vec<MirrorRow>,
+    ) -> Option<Vec<RowChange>> {
+        (self.latest >= after).then(|| self.merge(rows))
+    }
+
     /// Takes the whole table as of a version; rows that it lacks are removed.
     pub fn replace(&mut self, rows: Vec<MirrorRow>, version: store::RowVersion) -> Vec<RowChange> {
         let mut keys: Vec<_> = rows.iter().map(|row| row.key.clone()).collect();
--- a/arbutusfold/src/gateway/watch_store.rs
+++ b/arbutusfold/src/gateway/watch_store.rs
@@ -72,11 +72,12 @@
                 core.note_store(true, "answered");
                 pause = PAUSE_START;
                 let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
+                let before = core.with_mirror(table, mirror::TableMirror::latest);
                 let changed = match position {
                     Some(_) => core.merge(table, rows),
                     None => core.replace(table, rows, page.version),
                 };
-                exchange::pass_on(&core, table, changed);
+                exchange::pass_on(&core, table, before, changed);
                 // Changes come in bursts, as when runners register or lapse.
                 time::sleep(match core.is_leading() {
                     true => BURST_PAUSE,
--- a/arbutusfold/tests/gateway_mirror.rs
+++ b/arbutusfold/tests/gateway_mirror.rs
@@ -80,3 +80,17 @@
     assert!(table.since(10).is_none());
     assert!(table.since(4_999).is_some());
 }
+
+/// A lead passes changes on as they come, and a message may be lost. Without
+/// the check the copy would seem as new as the lead's and miss a row for good.
+#[test]
+fn changes_behind_a_lost_message_are_refused_until_the_gap_is_filled() {
+    let mut table = mirror::TableMirror::default();
+    table.replace(vec![row("a", 5, Some("ready"))], 5);
+    // The message with the change of version 6 is lost.
+    assert!(table.merge_after(6, vec![row("b", 7, Some("x"))]).is_none());
+    assert_eq!(table.latest(), 5);
+    let filled = vec![row("a", 6, Some("leaving")), row("b", 7, Some("x"))];
+    assert_eq!(table.merge_after(5, filled).unwrap().len(), 2);
+    assert_eq!(table.latest(), 7);
+}
