--- a/arbutusfold/src/gateway/steward.rs
+++ b/arbutusfold/src/gateway/steward.rs
@@ -177,11 +177,11 @@
         let loading = self.pending.len();
         // Before anything is loaded all loads may share the way: the last one
         // ends at the same time.
-        let at_once = match slots.iter().all(|slot| slot.layers.is_none()) {
+        let first = slots.iter().all(|slot| slot.layers.is_none());
+        let at_once = match first {
             true => usize::MAX,
             false => (engine.loads_at_once as usize).saturating_sub(loading),
         };
-        let first = slots.iter().all(|slot| slot.layers.is_none());
         if self.settled.0 != slots.len() {
             self.settled = (slots.len(), now);
         }
--- a/arbutusfold/src/gateway/watch_store.rs
+++ b/arbutusfold/src/gateway/watch_store.rs
@@ -54,12 +54,11 @@
             time::sleep(IDLE_PERIOD).await;
             continue;
         }
-        // What a peer told meanwhile need not be asked for again.
-        let held = core.with_mirror(table, |mirror| {
-            mirror.is_complete().then_some(mirror.latest())
-        });
         if !watched {
-            position = held;
+            // What a peer told meanwhile need not be asked for again.
+            position = core.with_mirror(table, |mirror| {
+                mirror.is_complete().then_some(mirror.latest())
+            });
             watched = true;
         }
         core.metrics.store_calls.inc();
