Name the keepers of permits to resends; keep a run's permit at its own node

Logs of the keepers showed two causes. While news of a fresh node spreads, a resend asks keepers of an older view; the one that is still a keeper is busy with the dead host's run, the other says that it keeps none, and the resend waits until views agree. And a node that comes to keep the second permit of a request that it runs under the first takes both with it when it dies.

Change: a verdict that grants nothing names the keepers by the view of the node that was asked, and they are asked too. When members change, a run moves to the permit that its own node has come to keep and gives the other back.

Ruled out: a stand-in for a silent keeper, which could grant a third permit. A granted verdict stays as short as it was but for one byte.

--- a/arbutusfold/src/suspect.rs
+++ b/arbutusfold/src/suspect.rs
@@ -97,6 +97,9 @@
         verdict: PermitVerdict,
         /// Burnt permits that the keeper knows of.
         burnt: Vec<BurntPermit>,
+        /// Keepers of the request by the keeper's view of the members, unless
+        /// it granted one.
+        keepers: Vec<id::HostName>,
     },
     /// To a keeper: a run ended.
     End {
--- a/arbutusfold/src/suspect/claim.rs
+++ b/arbutusfold/src/suspect/claim.rs
@@ -13,6 +13,9 @@
 /// Times that one keeper is asked before the other is.
 const TRIES: u32 = 1;
 
+/// Keepers that one run asks at most: those of two views of the members.
+const KEEPER_LIMIT: usize = 2 * suspect::PERMITS;
+
 /// Time between two rounds of claims while the permits are in use.
 const ROUND_PAUSE: std_time::Duration = std_time::Duration::from_millis(100);
 
@@ -162,6 +165,47 @@
         });
     }
 
+    /// Adds the keepers that another node names, to be asked last.
+    ///
+    /// While news of a member spreads, nodes differ in who keeps a permit.
+    pub fn note_keepers(&mut self, run: suspect::RunNumber, keepers: &[id::HostName]) {
+        let Some(place) = self.find(run) else { return };
+        let known = &mut self.runs[place].keepers;
+        for keeper in keepers {
+            if known.len() < KEEPER_LIMIT && !known.contains(keeper) {
+                known.push(keeper.clone());
+            }
+        }
+    }
+
+    /// Returns the claims of the runs that go on under other nodes' permits.
+    pub fn claims_elsewhere(&self) -> Vec<suspect::PermitClaim> {
+        self.runs
+            .iter()
+            .filter(|claim| match &claim.phase {
+                RunPhase::Running(keeper) => !keeper.is_empty() && *keeper != self.host,
+                _ => false,
+            })
+            .map(|claim| claim.claim(&[]))
+            .collect()
+    }
+
+    /// Puts a run under the permit of `keeper` and gives its former one back.
+    pub fn move_run(
+        &mut self,
+        run: suspect::RunNumber,
+        keeper: &str,
+        now: time::Instant,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let Some(place) = self.find(run) else { return };
+        let claim = &mut self.runs[place];
+        let phase = RunPhase::Running(keeper.to_owned());
+        if let RunPhase::Running(former) = std::mem::replace(&mut claim.phase, phase) {
+            claim.give_back(&former, suspect::PermitVerdict::Granted, now, actions);
+        }
+    }
+
     /// Takes a keeper's answer.
     pub fn hear(
         &mut self,
@@ -311,16 +355,19 @@
         if !self.unheard.contains(&keeper) {
             self.unheard.push(keeper.clone());
         }
-        let claim = suspect::PermitClaim {
+        let message = suspect::SuspectMessage::Claim(self.claim(burnt));
+        actions.push(ClaimAction::Send(keeper, message));
+    }
+
+    fn claim(&self, burnt: &[suspect::BurntPermit]) -> suspect::PermitClaim {
+        suspect::PermitClaim {
             fingerprint: self.request.fingerprint,
             organisation: self.request.organisation.clone(),
             run: self.run,
             lasts: self.request.lasts,
             burnt: burnt.to_vec(),
             pardon: self.request.pardon.clone(),
-        };
-        let message = suspect::SuspectMessage::Claim(claim);
-        actions.push(ClaimAction::Send(keeper, message));
+        }
     }
 
     /// Returns a permit that came too late to be used.
--- a/arbutusfold/src/suspect/host.rs
+++ b/arbutusfold/src/suspect/host.rs
@@ -141,7 +141,10 @@
                     actions.push(claim::ClaimAction::Send(node, message));
                 }
             }
-            SuspectEvent::Moved => self.tell_burnt(nodes, actions),
+            SuspectEvent::Moved => {
+                self.take_own_permits(nodes, now, actions);
+                self.tell_burnt(nodes, actions);
+            }
             SuspectEvent::Tick => {
                 self.keeper.tick(now);
                 let keeper = &self.keeper;
@@ -187,6 +190,29 @@
         }
     }
 
+    /// Moves runs to permits that this node has come to keep.
+    ///
+    /// Else this node's death would take both permits of such a run: the one
+    /// that it keeps and the one that it holds.
+    fn take_own_permits(
+        &mut self,
+        nodes: &dyn AssignedNodes,
+        now: time::Instant,
+        actions: &mut Vec<claim::ClaimAction>,
+    ) {
+        for claim in self.desk.claims_elsewhere() {
+            let assigned = nodes.assigned(&claim.organisation);
+            let keepers = suspect::keepers(&claim.fingerprint, &assigned);
+            if !keepers.contains(&self.host) {
+                continue;
+            }
+            let verdict = self.keeper.claim(&self.host, &claim, &keepers, now);
+            if verdict == suspect::PermitVerdict::Granted {
+                self.desk.move_run(claim.run, &self.host, now, actions);
+            }
+        }
+    }
+
     /// Tells the nodes of each suspect's organisation what is known of it.
     fn tell_burnt(&self, nodes: &dyn AssignedNodes, actions: &mut Vec<claim::ClaimAction>) {
         for (fingerprint, organisation, permit) in self.keeper.all_burnt() {
@@ -218,18 +244,25 @@
                 let assigned = nodes.assigned(&claim.organisation);
                 let keepers = suspect::keepers(&claim.fingerprint, &assigned);
                 let verdict = self.keeper.claim(from, &claim, &keepers, now);
+                let keepers = match verdict {
+                    suspect::PermitVerdict::Granted => Vec::new(),
+                    _ => keepers.to_vec(),
+                };
                 reply(suspect::SuspectMessage::Verdict {
                     run: claim.run,
                     verdict,
                     burnt: self.keeper.burnt(&claim.fingerprint).to_vec(),
+                    keepers,
                 });
             }
             suspect::SuspectMessage::Verdict {
                 run,
                 verdict,
                 burnt,
+                keepers,
             } => {
                 let known = self.merge(run, &burnt, now);
+                self.desk.note_keepers(run, &keepers);
                 self.desk.hear(from, run, verdict, &known, now, actions);
             }
             suspect::SuspectMessage::End {
--- a/arbutusfold/tests/suspect.rs
+++ b/arbutusfold/tests/suspect.rs
@@ -256,6 +256,7 @@
             run,
             verdict: suspect::PermitVerdict::Granted,
             burnt: Vec::new(),
+            keepers: Vec::new(),
         },
         suspect::SuspectMessage::End {
             fingerprint: print(),
@@ -271,3 +272,132 @@
     println!("claim, verdict, end, noted: {bytes:?} bytes");
     assert!(bytes.iter().sum::<usize>() <= 120, "{bytes:?}");
 }
+
+/// Delivers what nodes say to each other and returns what else follows, by node.
+fn settle(
+    nodes: &mut [(&str, host::SuspectHost, Assigned)],
+    from: &str,
+    actions: Vec<claim::ClaimAction>,
+    now: time::Instant,
+) -> Vec<claim::ClaimAction> {
+    let mut out = Vec::new();
+    let mut queue: std::collections::VecDeque<_> = actions
+        .into_iter()
+        .map(|action| (from.to_owned(), action))
+        .collect();
+    while let Some((from, action)) = queue.pop_front() {
+        let claim::ClaimAction::Send(to, message) = action else {
+            out.push(action);
+            continue;
+        };
+        // What goes to a node that is not in the list is lost.
+        if let Some((_, node, view)) = nodes.iter_mut().find(|(name, ..)| *name == to) {
+            let event = host::SuspectEvent::Hear(from, message);
+            let more = node.handle(event, view, now);
+            queue.extend(more.into_iter().map(|action| (to.clone(), action)));
+        }
+    }
+    out
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resend_finds_the_keeper_that_only_other_nodes_know_of() {
+    let now = time::Instant::now();
+    let old = hosts(&["n1", "n2", "n3"]);
+    let new = hosts(&["n1", "n2", "n3", "n4"]);
+    // A request whose first keeper is new and whose second one stays.
+    let request = (0_u32..)
+        .map(|number| suspect::fingerprint("novia-lima", "assistant", &number.to_le_bytes()))
+        .find(|request| suspect::keepers(request, &new)[0] == "n4")
+        .unwrap();
+    let [kept, replaced] = suspect::keepers(&request, &old);
+    let claimant = old
+        .iter()
+        .find(|name| **name != kept && **name != replaced)
+        .unwrap();
+    let mut nodes: Vec<_> = new
+        .iter()
+        .map(|name| {
+            // The claimant has not heard of the new node yet.
+            let view = if name == claimant { &old } else { &new };
+            let node = host::SuspectHost::new(name.clone(), 1);
+            (name.as_str(), node, Assigned(view.clone()))
+        })
+        .collect();
+    // A node that died meanwhile holds the permit of the keeper that stays.
+    let held = suspect::SuspectMessage::Claim(suspect::PermitClaim {
+        fingerprint: request,
+        ..ask(7, &[])
+    });
+    let event = host::SuspectEvent::Hear("dead".to_owned(), held);
+    let (_, node, view) = nodes.iter_mut().find(|(name, ..)| *name == kept).unwrap();
+    node.handle(event, view, now);
+    let (_, node, view) = nodes
+        .iter_mut()
+        .find(|(name, ..)| name == claimant)
+        .unwrap();
+    let run = node.number();
+    let begin = host::SuspectEvent::Begin(
+        run,
+        claim::RunRequest {
+            fingerprint: request,
+            organisation: "novia-lima".to_owned(),
+            assigned: old.clone(),
+            lasts: LASTS,
+            pardon: None,
+        },
+    );
+    let actions = node.handle(begin, view, now);
+    assert_eq!(
+        settle(&mut nodes, claimant, actions, now),
+        [claim::ClaimAction::Start(run)]
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_comes_to_keep_a_permit_runs_under_its_own() {
+    let now = time::Instant::now();
+    let old = hosts(&["n1", "n2", "n3", "n4"]);
+    let request = print();
+    let [kept, dead] = suspect::keepers(&request, &old);
+    let new: Vec<_> = old.iter().filter(|name| **name != dead).cloned().collect();
+    let heir = suspect::keepers(&request, &new)
+        .into_iter()
+        .find(|name| *name != kept)
+        .unwrap();
+    let last = new
+        .iter()
+        .find(|name| **name != kept && **name != heir)
+        .unwrap();
+    let mut nodes: Vec<_> = new
+        .iter()
+        .map(|name| {
+            let node = host::SuspectHost::new(name.clone(), 1);
+            (name.as_str(), node, Assigned(old.clone()))
+        })
+        .collect();
+    let begin = |nodes: &mut Vec<(&str, host::SuspectHost, Assigned)>, name: &str| {
+        let (_, node, view) = nodes.iter_mut().find(|(known, ..)| *known == name).unwrap();
+        let run = node.number();
+        let wanted = claim::RunRequest {
+            fingerprint: request,
+            organisation: "novia-lima".to_owned(),
+            assigned: view.0.clone(),
+            lasts: LASTS,
+            pardon: None,
+        };
+        let actions = node.handle(host::SuspectEvent::Begin(run, wanted), view, now);
+        settle(nodes, name, actions, now)
+    };
+    // The heir runs the request under the permit of the keeper that stays.
+    assert_eq!(begin(&mut nodes, &heir), [claim::ClaimAction::Start(2)]);
+    for name in &new {
+        let (_, node, view) = nodes.iter_mut().find(|(known, ..)| known == name).unwrap();
+        view.0 = new.clone();
+        let actions = node.handle(host::SuspectEvent::Moved, view, now);
+        settle(&mut nodes, name, actions, now);
+    }
+    // The heir dies, and no node knows it yet.
+    nodes.retain(|(name, ..)| *name != heir);
+    assert_eq!(begin(&mut nodes, last), [claim::ClaimAction::Start(2)]);
+}
--- a/standin/src/load.rs
+++ b/standin/src/load.rs
@@ -24,6 +24,8 @@
 /// A call that did not succeed at its first address.
 #[derive(Clone, Debug)]
 pub struct CallTrouble {
+    /// Time from the start of the callers to the begin of the first try.
+    pub began: std_time::Duration,
     /// What happened at each address tried.
     pub causes: Vec<String>,
     /// Time from the begin of the first try to the end of the whole answer.
@@ -70,6 +72,7 @@
         let result = sync::Arc::new(sync::Mutex::new(LoadResult::default()));
         let known: Vec<_> = fleet.nodes.iter().map(|node| node.callers).collect();
         let layers = fleet.options.layers;
+        let started = time::Instant::now();
         let tasks = (0..callers)
             .map(|number| {
                 let caller = FleetCaller {
@@ -77,6 +80,7 @@
                     known: known.clone(),
                     fresh_until: time::Instant::now(),
                     layers,
+                    started,
                 };
                 let stop = sync::Arc::clone(&stop);
                 tokio::spawn(caller.run(stop, sync::Arc::clone(&result)))
@@ -119,6 +123,7 @@
     known: Vec<net::SocketAddr>,
     fresh_until: time::Instant,
     layers: u32,
+    started: time::Instant,
 }
 
 impl FleetCaller {
@@ -177,8 +182,11 @@
                         result.answered += 1;
                         result.wrong += u64::from(text != expected);
                         if !causes.is_empty() {
-                            let recovery = begun.elapsed();
-                            result.troubles.push(CallTrouble { causes, recovery });
+                            result.troubles.push(CallTrouble {
+                                began: begun.duration_since(self.started),
+                                causes,
+                                recovery: begun.elapsed(),
+                            });
                         }
                         return;
                     }
