--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -32,6 +32,7 @@
 pub mod lead_driver;
 pub mod metrics;
 pub mod mirror;
+pub mod offer;
 pub mod path;
 pub mod routing;
 pub mod runner_call;
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -133,6 +133,11 @@
         &self.runners
     }
 
+    /// Returns the requests of this node under way, counted at each runner.
+    pub fn in_flight(&self) -> u32 {
+        self.runners.iter().map(|state| state.in_flight).sum()
+    }
+
     /// Returns a runner.
     pub fn get(&self, id: &str) -> Option<&RunnerState> {
         self.place(id).ok().map(|place| &self.runners[place])
--- a/arbutusfold/src/gateway/lead.rs
+++ b/arbutusfold/src/gateway/lead.rs
@@ -25,6 +25,13 @@
 /// Periods after which what was told is forgotten.
 const MEMORY_PERIODS: u32 = 5;
 
+/// Standard deviations of its own load by which a node tells growth from chance.
+const CHANCE_DEVIATIONS: f64 = 2.0;
+
+/// Runners that a request stands at, for the deviation of a count that adds
+/// each request at all of them.
+const USUAL_STAGES: f64 = 4.0;
+
 /// Part of the time to notice a lost dependency after which a node that heard
 /// of no contact with the store watches it itself.
 pub const PATIENCE_PART: f64 = 0.45;
@@ -102,8 +109,10 @@
     domains: Vec<HeardWord>,
     /// The latest word of the own lead.
     fleet: Option<HeardWord>,
-    /// Own load as the lead counted it last.
+    /// Own load as told last.
     told: Vec<RunnerLoad>,
+    /// Requests of the own load that the latest word of the lead counts.
+    counted: u32,
     /// Slow runners by this node's own survey, by key.
     survey: Vec<SlowRunner>,
 }
@@ -125,7 +134,10 @@
                 }),
             ),
             LeadMessage::Domain(word) => put(&mut self.domains, heard(word)),
-            LeadMessage::Fleet(word) => self.fleet = Some(heard(word)),
+            LeadMessage::Fleet(word) => {
+                self.fleet = Some(heard(word));
+                self.counted = total(&self.told);
+            }
         }
     }
 
@@ -185,6 +197,25 @@
         }
     }
 
+    /// Returns the load of all other nodes that no word counts yet, for each
+    /// own request, where `in_flight` are under way here and `nodes` serve.
+    ///
+    /// The other nodes' load is taken to have grown as the own one has since
+    /// the latest word. So nodes that start together, or that a burst meets
+    /// together, do not all choose the runners that were idle by that word.
+    pub fn unheard(&self, in_flight: u32, nodes: usize) -> f64 {
+        let others = nodes.saturating_sub(1) as f64;
+        let word = self.fleet.as_ref();
+        let mean = word.map_or(0.0, |held| f64::from(total(&held.word.loads))) / (others + 1.0);
+        let counted = word.map_or(0.0, |_| f64::from(self.counted)).max(mean);
+        let chance = CHANCE_DEVIATIONS * (USUAL_STAGES * counted).sqrt();
+        let grown = f64::from(in_flight) - counted - chance;
+        match grown > 0.0 {
+            true => others * grown / f64::from(in_flight),
+            false => 0.0,
+        }
+    }
+
     /// Notes the slow runners of a survey, by key.
     pub fn note_survey(&mut self, slow: Vec<SlowRunner>) {
         self.survey = slow;
@@ -266,6 +297,10 @@
     loads
 }
 
+fn total(loads: &[RunnerLoad]) -> u32 {
+    loads.iter().map(|load| load.in_flight).sum()
+}
+
 fn find(loads: &[RunnerLoad], runner: RunnerKey) -> RunnerLoad {
     let found = loads.binary_search_by_key(&runner, |load| load.runner);
     found.map(|place| loads[place]).unwrap_or_default()
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -16,7 +16,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::fleet;
-use crate::gateway::lead;
+use crate::gateway::offer;
 use crate::gateway::path;
 use crate::gateway::routing;
 use crate::gateway::runner_call;
@@ -37,10 +37,6 @@
 /// Part of the spread of random factors on the cost of stages.
 const JITTER: f64 = 0.1;
 
-/// Part of a runner's memory for contexts that paths fill; what is told of
-/// loads is late and lengths are guesses.
-const MEMORY_PART: f64 = 0.85;
-
 /// Longest answer of a plain service in bytes.
 pub const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
@@ -371,14 +367,6 @@
             .collect();
         domains.sort_unstable();
         domains.dedup();
-        let offers: Vec<_> = states
-            .iter()
-            .enumerate()
-            .filter_map(|(place, state)| {
-                let domain = domains.binary_search(&state.record.domain.as_str()).ok()?;
-                offer(engine, state, place, domain, &leads, now)
-            })
-            .collect();
         let query = path::PathQuery {
             engine,
             layers,
@@ -386,10 +374,29 @@
             prompt: self.prompt(engine),
             answer: self.expected_answer(engine),
         };
-        let mut rng = rand::rng();
-        let jitter = || 1.0 + JITTER * rng.random::<f64>();
-        let chosen = path::choose(&offers, &query, jitter).ok_or(PathLack::NoHolder)?;
-        if chosen.cost_ms >= path::CROWDED_MS {
+        let choose = |unheard: f64| {
+            let view = offer::OfferView {
+                engine,
+                leads: &leads,
+                unheard,
+                now,
+            };
+            let offers = states.iter().enumerate().filter_map(|(place, state)| {
+                let domain = domains.binary_search(&state.record.domain.as_str()).ok()?;
+                view.offer(state, place, domain)
+            });
+            let mut rng = rand::rng();
+            let jitter = || 1.0 + JITTER * rng.random::<f64>();
+            path::choose(&offers.collect::<Vec<_>>(), &query, jitter)
+        };
+        let is_crowded = |chosen: &path::ChosenPath| chosen.cost_ms >= path::CROWDED_MS;
+        let unheard = leads.unheard(fleet.in_flight(), self.core.members.fleet_size());
+        let mut chosen = choose(unheard).ok_or(PathLack::NoHolder)?;
+        // What is only estimated refuses nobody.
+        if unheard > 0.0 && is_crowded(&chosen) {
+            chosen = choose(0.0).ok_or(PathLack::NoHolder)?;
+        }
+        if is_crowded(&chosen) {
             return Err(PathLack::Crowded);
         }
         let stage = |stage: &path::PathStage| RunStage {
@@ -626,49 +633,3 @@
         }
     }
 }
-
-/// Returns what a runner offers to a path, if it holds layers.
-fn offer(
-    engine: &document::EngineSpec,
-    state: &fleet::RunnerState,
-    place: usize,
-    domain: usize,
-    leads: &lead::LeadBook,
-    now: time::Instant,
-) -> Option<path::StageOffer> {
-    let whole = runner::LayerSpan {
-        from: 0,
-        to: engine.layers,
-    };
-    let layers = match engine.cards.is_empty() {
-        true => state.layers().unwrap_or(whole),
-        false => state.layers()?,
-    };
-    let card = state.record.card.as_deref().and_then(|name| {
-        let found = engine
-            .cards
-            .binary_search_by(|card| card.name.as_str().cmp(name));
-        found.ok().map(|place| &engine.cards[place])
-    });
-    let capacity = match card {
-        Some(card) => {
-            let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
-            let token_layer = engine.token_bytes / f64::from(engine.layers);
-            free_mb * 1e6 / token_layer.max(1.0)
-        }
-        None => engine.context_tokens as f64 * f64::from(engine.layers),
-    };
-    let others = leads.others(state.key);
-    let slowness = leads.slowness(state.key);
-    let avoided = state.is_avoided(now);
-    Some(path::StageOffer {
-        place,
-        domain,
-        layers,
-        step_factor: slowness * card.map_or(1.0, |card| card.step_factor),
-        read_factor: slowness * card.map_or(1.0, |card| card.read_factor),
-        streams: f64::from(state.in_flight + others.in_flight),
-        room: MEMORY_PART * capacity - (state.token_layers + others.token_layers) as f64,
-        penalty_ms: path::AVOIDED_MS * f64::from(avoided) + path::FAILING_MS * state.failing,
-    })
-}
--- a/arbutusfold/tests/gateway_lead.rs
+++ b/arbutusfold/tests/gateway_lead.rs
@@ -160,3 +160,42 @@
         "{bytes} bytes, {per_second} a second"
     );
 }
+
+/// Common start: no word counts any request yet.
+#[tokio::test(start_paused = true)]
+async fn node_without_news_takes_the_others_to_do_as_it_does() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    assert_eq!(book.unheard(0, 60), 0.0);
+    assert_eq!(book.unheard(8, 60), 59.0);
+    // A fleet of one has no others.
+    assert_eq!(book.unheard(8, 1), 0.0);
+    // The word of the lead counts what was told; little came since.
+    book.note_told(vec![load(1, 8)]);
+    let fleet = word(vec![load(1, 480)], 0);
+    book.hear("lead", lead::LeadMessage::Fleet(fleet), now);
+    assert_eq!(book.unheard(9, 60), 0.0);
+}
+
+/// Burst: the own load doubles while the word is on its way.
+#[tokio::test(start_paused = true)]
+async fn growth_beyond_chance_is_expected_of_all_nodes() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    book.note_told(vec![load(1, 100)]);
+    let fleet = word(vec![load(1, 6_000)], 0);
+    book.hear("lead", lead::LeadMessage::Fleet(fleet), now);
+    assert_eq!(book.unheard(130, 60), 0.0);
+    let unheard = book.unheard(200, 60);
+    assert!((15.0..30.0).contains(&unheard), "{unheard}");
+}
+
+/// One node starts alone: the word already counts the load of the others.
+#[tokio::test(start_paused = true)]
+async fn lone_start_expects_no_growth_of_others() {
+    let now = time::Instant::now();
+    let mut book = lead::LeadBook::default();
+    let fleet = word(vec![load(1, 6_000)], 0);
+    book.hear("lead", lead::LeadMessage::Fleet(fleet), now);
+    assert_eq!(book.unheard(90, 60), 0.0);
+}
--- a/arbutusfold/tests/gateway_path.rs
+++ b/arbutusfold/tests/gateway_path.rs
@@ -4,7 +4,7 @@
 
 mod gateway_world;
 
-use arbutusfold::gateway::{layout, path};
+use arbutusfold::gateway::{layout, lead, path};
 use arbutusfold_platform::runner;
 use gateway_world::{engine, small_fleet};
 
@@ -174,3 +174,48 @@
     }
     assert!(placed as f64 >= 0.8 * bound, "{placed} of {bound}");
 }
+
+/// Herd after a common start: each node places its requests without a word of
+/// what the others place. Returns how many more than fit stand at the fullest
+/// runner.
+fn excess_after_herd(nodes: usize, each: usize, fleet_size: usize) -> f64 {
+    let tokens = 1_000.0;
+    let fresh = offers();
+    let mut placed = vec![0.0; fresh.len()];
+    for node in 0..nodes {
+        let book = lead::LeadBook::default();
+        let mut own = vec![(0.0, 0.0); fresh.len()];
+        for _ in 0..each {
+            let total: f64 = own.iter().map(|(streams, _)| streams).sum();
+            let alike = 1.0 + book.unheard(total as u32, fleet_size);
+            let mut seen = fresh.clone();
+            for (offer, (streams, held)) in seen.iter_mut().zip(&own) {
+                offer.streams += alike * streams;
+                offer.room -= alike * held;
+            }
+            let chosen = choose(&seen, node % DOMAINS.len()).unwrap();
+            for stage in &chosen.stages {
+                own[stage.place].0 += 1.0;
+                own[stage.place].1 += tokens * f64::from(stage.layers.len());
+            }
+        }
+        for (sum, (_, held)) in placed.iter_mut().zip(&own) {
+            *sum += held;
+        }
+    }
+    let excess = placed.iter().zip(&fresh).map(|(held, offer)| {
+        let request = tokens * f64::from(offer.layers.len());
+        (held - offer.room) / request
+    });
+    excess.fold(0.0, f64::max)
+}
+
+#[test]
+fn herd_after_a_common_start_spreads_over_the_fleet() {
+    // A node sees the others through its own requests only, so all of them may
+    // place one more than fits.
+    let nodes = 20;
+    assert!(excess_after_herd(nodes, 12, nodes) <= nodes as f64);
+    // Without the others in mind the best runners get several times that.
+    assert!(excess_after_herd(nodes, 12, 1) > 3.0 * nodes as f64);
+}
