--- a/arbutusfold/src/gateway/offer.rs
+++ b/arbutusfold/src/gateway/offer.rs
@@ -1,6 +1,8 @@
-//! What a runner offers to a path, by all that one node knows of it.
+//! What runners offer to a path, by all that one node knows of them.
 
 use arbutusfold_platform::{document, runner};
+use derive_more::Display;
+use rand::RngExt;
 use tokio::time;
 
 use crate::gateway::fleet;
@@ -11,6 +13,23 @@
 /// loads is late and lengths are guesses.
 const MEMORY_PART: f64 = 0.85;
 
+/// Part of the spread of random factors on the cost of stages.
+const JITTER: f64 = 0.1;
+
+/// Why a request cannot be sent now.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum PathLack {
+    /// Some layer or the service has no runner left.
+    #[display("no runner is left")]
+    NoHolder,
+    /// Every path leads over a runner without room for the context.
+    #[display("no path has room")]
+    Full,
+    /// Every path leads over several runners that failed lately.
+    #[display("every path leads over failing runners")]
+    Failing,
+}
+
 /// What one node knows when it chooses a path.
 #[derive(Clone, Copy, Debug)]
 pub struct OfferView<'a> {
@@ -25,10 +44,45 @@
 }
 
 impl OfferView<'_> {
+    /// Chooses a path over runners of these failure domains.
+    ///
+    /// # Errors
+    ///
+    /// [`PathLack`] when no path is worth a try.
+    pub fn choose(
+        &self,
+        states: &[&fleet::RunnerState],
+        domains: &[&str],
+        query: &path::PathQuery<'_>,
+    ) -> Result<path::ChosenPath, PathLack> {
+        let offers: Vec<_> = states
+            .iter()
+            .enumerate()
+            .filter_map(|(place, state)| {
+                let domain = domains.binary_search(&state.record.domain.as_str()).ok()?;
+                self.offer(state, place, domain)
+            })
+            .collect();
+        let mut rng = rand::rng();
+        let jitter = || 1.0 + JITTER * rng.random::<f64>();
+        let chosen = path::choose(&offers, query, jitter).ok_or(PathLack::NoHolder)?;
+        if chosen.cost_ms < path::CROWDED_MS {
+            return Ok(chosen);
+        }
+        let is_full = |stage: &path::PathStage| {
+            let offer = offers.iter().find(|offer| offer.place == stage.place);
+            offer.is_some_and(|offer| path::is_full(offer, stage.layers.len(), query))
+        };
+        match chosen.stages.iter().any(is_full) {
+            true => Err(PathLack::Full),
+            false => Err(PathLack::Failing),
+        }
+    }
+
     /// Returns what a runner offers, if it holds layers.
     ///
     /// `place` and `domain` are places in lists of the caller.
-    pub fn offer(
+    fn offer(
         &self,
         state: &fleet::RunnerState,
         place: usize,
--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -163,16 +163,16 @@
         true => offer.read_factor * share * query.prompt * 1_000.0 / engine.read_per_second,
         false => 0.0,
     };
-    let need = (query.prompt + query.answer) * f64::from(layers);
-    let full = if need > offer.room {
-        FULL_MEMORY_MS
-    } else {
-        0.0
-    };
+    let full = FULL_MEMORY_MS * f64::from(is_full(offer, layers, query));
     // A stream mostly finds a pass under way and waits for half of it.
     events * (1.5 * pass + HOP_MS) + read * (1.0 + batch / 2.0) + full + offer.penalty_ms
 }
 
+/// Tells whether a request has no room at a stage over so many layers.
+pub fn is_full(offer: &StageOffer, layers: u32, query: &PathQuery<'_>) -> bool {
+    (query.prompt + query.answer) * f64::from(layers) > offer.room
+}
+
 fn cuts_of(offers: &[StageOffer], layers: runner::LayerSpan) -> Vec<u32> {
     let ends = offers
         .iter()
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -5,7 +5,6 @@
 
 use arbutusfold_platform::{document, head, link, runner};
 use bytes::Bytes;
-use derive_more::Display;
 use http_body_util::Full;
 use hyper::body;
 use rand::RngExt;
@@ -34,9 +33,6 @@
 /// Least time left with which a request is sent.
 const LEAST_TIME: std_time::Duration = std_time::Duration::from_millis(20);
 
-/// Part of the spread of random factors on the cost of stages.
-const JITTER: f64 = 0.1;
-
 /// Longest answer of a plain service in bytes.
 pub const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
@@ -80,17 +76,6 @@
     pub trail: String,
 }
 
-/// Why a request cannot be sent now.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum PathLack {
-    /// Some layer or the service has no runner left.
-    #[display("no runner is left")]
-    NoHolder,
-    /// Every path leads over full memory or several failing runners.
-    #[display("every path is full or failing")]
-    Crowded,
-}
-
 /// One runner on a path.
 #[derive(Clone, Debug, PartialEq)]
 struct RunStage {
@@ -273,12 +258,12 @@
     ///
     /// # Errors
     ///
-    /// [`PathLack`] when it cannot be sent anywhere now.
-    pub fn choose(&self) -> Result<RunTarget, PathLack> {
+    /// [`offer::PathLack`] when it cannot be sent anywhere now.
+    pub fn choose(&self) -> Result<RunTarget, offer::PathLack> {
         let spec = self.table.service(&self.service);
         match spec.and_then(|spec| spec.engine.as_ref()) {
             Some(engine) => self.choose_path(engine),
-            None => self.choose_runner().ok_or(PathLack::NoHolder),
+            None => self.choose_runner().ok_or(offer::PathLack::NoHolder),
         }
     }
 
@@ -306,13 +291,13 @@
     /// Chooses a path over the runners of a model.
     ///
     /// The refusal tells callers when to return, if every path is crowded.
-    fn choose_path(&self, engine: &document::EngineSpec) -> Result<RunTarget, PathLack> {
+    fn choose_path(&self, engine: &document::EngineSpec) -> Result<RunTarget, offer::PathLack> {
         let layers = runner::LayerSpan {
             from: 0,
             to: engine.layers,
         };
         let stages = self.plan_stages(engine, layers, &self.core.settings.domain, &[])?;
-        RunTarget::new(stages, engine, self.tokens(engine)).ok_or(PathLack::NoHolder)
+        RunTarget::new(stages, engine, self.tokens(engine)).ok_or(offer::PathLack::NoHolder)
     }
 
     /// Chooses other runners for the silent stages of a run.
@@ -353,7 +338,7 @@
         layers: runner::LayerSpan,
         domain: &str,
         taken: &[id::UpstreamName],
-    ) -> Result<Vec<RunStage>, PathLack> {
+    ) -> Result<Vec<RunStage>, offer::PathLack> {
         let now = time::Instant::now();
         let leads = lock(&self.core.leads);
         let fleet = lock(&self.core.fleet);
@@ -381,24 +366,14 @@
                 unheard,
                 now,
             };
-            let offers = states.iter().enumerate().filter_map(|(place, state)| {
-                let domain = domains.binary_search(&state.record.domain.as_str()).ok()?;
-                view.offer(state, place, domain)
-            });
-            let mut rng = rand::rng();
-            let jitter = || 1.0 + JITTER * rng.random::<f64>();
-            path::choose(&offers.collect::<Vec<_>>(), &query, jitter)
+            view.choose(&states, &domains, &query)
         };
-        let is_crowded = |chosen: &path::ChosenPath| chosen.cost_ms >= path::CROWDED_MS;
         let unheard = leads.unheard(fleet.in_flight(), self.core.members.fleet_size());
-        let mut chosen = choose(unheard).ok_or(PathLack::NoHolder)?;
-        // What is only estimated refuses nobody.
-        if unheard > 0.0 && is_crowded(&chosen) {
-            chosen = choose(0.0).ok_or(PathLack::NoHolder)?;
-        }
-        if is_crowded(&chosen) {
-            return Err(PathLack::Crowded);
-        }
+        let chosen = match choose(unheard) {
+            // What is only estimated refuses nobody.
+            Err(_) if unheard > 0.0 => choose(0.0)?,
+            chosen => chosen?,
+        };
         let stage = |stage: &path::PathStage| RunStage {
             runner: states[stage.place].record.id.clone(),
             domain: states[stage.place].record.domain.clone(),
--- /dev/null
+++ b/arbutusfold/tests/gateway_offer.rs
@@ -0,0 +1,88 @@
+//! Why a request finds no path.
+
+#![allow(clippy::unwrap_used)]
+
+mod gateway_world;
+
+use arbutusfold::gateway::{fleet, lead, mirror, offer, path};
+use arbutusfold_platform::runner;
+use bytes::Bytes;
+use gateway_world::engine;
+use tokio::time;
+
+/// Three large runners that hold a third of the layers each.
+fn thirds(now: time::Instant) -> fleet::RunnerFleet {
+    let mut fleet = fleet::RunnerFleet::default();
+    for (number, (from, to)) in [(0, 27), (27, 54), (54, 80)].into_iter().enumerate() {
+        let entry = format!(
+            r#"{{"service":"s","address":"10.0.0.{number}:80","zone":"a","slots":4,"state":"ready",
+            "born":1,"type":"large","models":[{{"name":"m","layers":{{"from":{from},"target":{to}}}}}]}}"#
+        );
+        let row = mirror::MirrorRow {
+            key: format!("i-{number}"),
+            version: 1,
+            value: Some(Bytes::from(entry)),
+        };
+        fleet.update(&mirror::RowChange { row, before: None }, false, now);
+    }
+    fleet
+}
+
+fn choose(
+    fleet: &fleet::RunnerFleet,
+    unheard: f64,
+    now: time::Instant,
+) -> Result<path::ChosenPath, offer::PathLack> {
+    let engine = engine();
+    let query = path::PathQuery {
+        engine: &engine,
+        layers: runner::LayerSpan {
+            from: 0,
+            to: engine.layers,
+        },
+        domain: Some(0),
+        prompt: 800.0,
+        answer: 200.0,
+    };
+    let view = offer::OfferView {
+        engine: &engine,
+        leads: &lead::LeadBook::default(),
+        unheard,
+        now,
+    };
+    let states: Vec<_> = fleet.runners().iter().collect();
+    view.choose(&states, &["a"], &query)
+}
+
+#[tokio::test(start_paused = true)]
+async fn refusal_tells_whether_runners_are_missing_full_or_failing() {
+    let now = time::Instant::now();
+    let fleet = thirds(now);
+    assert_eq!(choose(&fleet, 0.0, now).unwrap().stages.len(), 3);
+
+    let mut full = fleet.clone();
+    full.begin("i-1", 10_000_000);
+    assert_eq!(choose(&full, 0.0, now), Err(offer::PathLack::Full));
+
+    let mut failing = fleet.clone();
+    for id in ["i-0", "i-1", "i-2"] {
+        failing.note_failure(id, now);
+    }
+    assert_eq!(choose(&failing, 0.0, now), Err(offer::PathLack::Failing));
+
+    let mut missing = fleet.clone();
+    missing.disprove("i-2");
+    assert_eq!(choose(&missing, 0.0, now), Err(offer::PathLack::NoHolder));
+}
+
+/// Common start: what this node began stands for what all others began.
+#[tokio::test(start_paused = true)]
+async fn unheard_load_takes_room_as_often_as_there_are_nodes() {
+    let now = time::Instant::now();
+    let mut fleet = thirds(now);
+    let free_mb = 72_000.0 - 27.0 * 1_750.0;
+    let fits = free_mb * 1e6 / (900_000.0 / 80.0);
+    fleet.begin("i-0", (fits / 50.0) as u64);
+    assert!(choose(&fleet, 0.0, now).is_ok());
+    assert_eq!(choose(&fleet, 49.0, now), Err(offer::PathLack::Full));
+}
