--- a/arbutusfold/src/gateway/lead.rs
+++ b/arbutusfold/src/gateway/lead.rs
@@ -206,6 +206,7 @@
     pub fn unheard(&self, in_flight: u32, nodes: usize) -> f64 {
         let others = nodes.saturating_sub(1) as f64;
         let word = self.fleet.as_ref();
+        // A node that has just started counts as much as any other in the word.
         let mean = word.map_or(0.0, |held| f64::from(total(&held.word.loads))) / (others + 1.0);
         let counted = word.map_or(0.0, |_| f64::from(self.counted)).max(mean);
         let chance = CHANCE_DEVIATIONS * (USUAL_STAGES * counted).sqrt();
--- a/arbutusfold/src/peer/transport.rs
+++ b/arbutusfold/src/peer/transport.rs
@@ -2,7 +2,6 @@
 
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::thread;
 use std::time as std_time;
 
@@ -94,7 +93,8 @@
     to: net::SocketAddr,
     socket: nng::Socket,
     dialer: nng::Dialer,
-    connected: sync::Arc<atomic::AtomicBool>,
+    /// The connection that stands.
+    pipe: sync::Arc<sync::Mutex<Option<nng::Pipe>>>,
     patience: DialPatience,
     used: time::Instant,
 }
@@ -105,18 +105,22 @@
         socket.set_opt::<nng::options::SendBufferSize>(SEND_BUFFER_MESSAGES)?;
         socket.set_opt::<nng::options::ReconnectMinTime>(Some(RECONNECT_START))?;
         socket.set_opt::<nng::options::ReconnectMaxTime>(Some(RECONNECT_LIMIT))?;
-        let connected = sync::Arc::new(atomic::AtomicBool::new(false));
-        let known = sync::Arc::clone(&connected);
-        socket.pipe_notify(move |_, event| match event {
-            nng::PipeEvent::AddPost => known.store(true, atomic::Ordering::Relaxed),
-            nng::PipeEvent::RemovePost => known.store(false, atomic::Ordering::Relaxed),
-            _ => {}
+        let pipe = sync::Arc::<sync::Mutex<Option<nng::Pipe>>>::default();
+        let known = sync::Arc::clone(&pipe);
+        socket.pipe_notify(move |pipe, event| {
+            let mut known = known.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            match event {
+                nng::PipeEvent::AddPost => *known = Some(pipe),
+                // An older connection may end after a fresh one stands.
+                nng::PipeEvent::RemovePost if *known == Some(pipe) => *known = None,
+                _ => {}
+            }
         })?;
         Ok(Self {
             to,
             dialer: dialer(&socket, to)?,
             socket,
-            connected,
+            pipe,
             patience: DialPatience::new(now),
             used: now,
         })
@@ -124,7 +128,11 @@
 
     /// Dials anew where the peer has not been reached for long.
     fn keep_dialling(&mut self, now: time::Instant) {
-        if self.connected.load(atomic::Ordering::Relaxed) {
+        let pipe = *self
+            .pipe
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if pipe.is_some() {
             self.patience.note_connected(now);
         } else if self.patience.is_over(now)
             && let Ok(fresh) = dialer(&self.socket, self.to)
