--- a/arbutusfold/src/member/keeper.rs
+++ b/arbutusfold/src/member/keeper.rs
@@ -41,7 +41,7 @@
 const FIRST_HAND: std_time::Duration = std_time::Duration::from_millis(600);
 
 /// Time between two tries to join while nobody is known.
-const ALONE_PERIOD: std_time::Duration = std_time::Duration::from_millis(150);
+const ALONE_PERIOD: std_time::Duration = std_time::Duration::from_millis(300);
 
 /// Time between two tries to meet a lost host or an unmet seed again.
 const REJOIN_PERIOD: std_time::Duration = std_time::Duration::from_secs(2);
--- a/arbutusfold/src/peer.rs
+++ b/arbutusfold/src/peer.rs
@@ -14,7 +14,7 @@
 pub mod transport;
 
 pub use envelope::{MessageKind, MessageSigner, OpenError, PeerEnvelope, ReplayGuard, SpreadTag};
-pub use transport::{DialPatience, NngTransport, PeerError, PeerTransport};
+pub use transport::{NngTransport, PeerError, PeerTransport};
 
 /// Hosts to which one node passes a message that is meant for all.
 const SPREAD_HOSTS: usize = 8;
--- a/arbutusfold/src/peer/transport.rs
+++ b/arbutusfold/src/peer/transport.rs
@@ -31,13 +31,6 @@
 /// First pause between two tries to reach a peer.
 const RECONNECT_START: std_time::Duration = std_time::Duration::from_millis(20);
 
-/// First time after which a try to connect is given up for a fresh one. A
-/// system repeats an unanswered opening only after a second.
-const DIAL_PATIENCE_START: std_time::Duration = std_time::Duration::from_millis(150);
-
-/// Longest time after which a try to connect is given up for a fresh one.
-const DIAL_PATIENCE_LIMIT: std_time::Duration = std_time::Duration::from_millis(2_400);
-
 /// Why the transport could not start.
 #[derive(Debug, Display, Error)]
 #[display("peer transport on {address}: {reason}")]
@@ -54,98 +47,13 @@
     fn send(&self, to: net::SocketAddr, message: &[u8]);
 }
 
-/// Tells when a try to connect is given up for a fresh one.
-///
-/// The patience doubles with each try, so that slow peers are met as well.
-#[derive(Clone, Copy, Debug)]
-pub struct DialPatience {
-    dialled: time::Instant,
-    patience: std_time::Duration,
-}
-
-impl DialPatience {
-    /// Begins with a first try.
-    pub fn new(now: time::Instant) -> Self {
-        Self {
-            dialled: now,
-            patience: DIAL_PATIENCE_START,
-        }
-    }
-
-    /// Tells whether a fresh try is due, and counts it.
-    pub fn is_over(&mut self, now: time::Instant) -> bool {
-        let over = now.saturating_duration_since(self.dialled) >= self.patience;
-        if over {
-            self.dialled = now;
-            self.patience = (self.patience * 2).min(DIAL_PATIENCE_LIMIT);
-        }
-        over
-    }
-
-    /// Notes that the connection stands; the next loss begins anew.
-    pub fn note_connected(&mut self, now: time::Instant) {
-        *self = Self::new(now);
-    }
-}
-
 /// A socket towards one peer.
 struct PeerSocket {
     to: net::SocketAddr,
     socket: nng::Socket,
-    dialer: nng::Dialer,
-    /// The connection that stands.
-    pipe: sync::Arc<sync::Mutex<Option<nng::Pipe>>>,
-    patience: DialPatience,
     used: time::Instant,
 }
 
-impl PeerSocket {
-    fn dial(to: net::SocketAddr, now: time::Instant) -> Result<Self, nng::Error> {
-        let socket = nng::Socket::new(nng::Protocol::Push0)?;
-        socket.set_opt::<nng::options::SendBufferSize>(SEND_BUFFER_MESSAGES)?;
-        socket.set_opt::<nng::options::ReconnectMinTime>(Some(RECONNECT_START))?;
-        socket.set_opt::<nng::options::ReconnectMaxTime>(Some(RECONNECT_LIMIT))?;
-        let pipe = sync::Arc::<sync::Mutex<Option<nng::Pipe>>>::default();
-        let known = sync::Arc::clone(&pipe);
-        socket.pipe_notify(move |pipe, event| {
-            let mut known = known.lock().unwrap_or_else(sync::PoisonError::into_inner);
-            match event {
-                nng::PipeEvent::AddPost => *known = Some(pipe),
-                // An older connection may end after a fresh one stands.
-                nng::PipeEvent::RemovePost if *known == Some(pipe) => *known = None,
-                _ => {}
-            }
-        })?;
-        Ok(Self {
-            to,
-            dialer: dialer(&socket, to)?,
-            socket,
-            pipe,
-            patience: DialPatience::new(now),
-            used: now,
-        })
-    }
-
-    /// Dials anew where the peer has not been reached for long.
-    fn keep_dialling(&mut self, now: time::Instant) {
-        let pipe = *self
-            .pipe
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        if pipe.is_some() {
-            self.patience.note_connected(now);
-        } else if self.patience.is_over(now)
-            && let Ok(fresh) = dialer(&self.socket, self.to)
-        {
-            std::mem::replace(&mut self.dialer, fresh).close();
-        }
-    }
-}
-
-fn dialer(socket: &nng::Socket, to: net::SocketAddr) -> Result<nng::Dialer, nng::Error> {
-    nng::Dialer::new(socket, &format!("tcp://{to}"), true)
-}
-
 /// The transport over nng: one listening socket, one dialled socket a peer.
 pub struct NngTransport {
     sockets: sync::Mutex<Vec<PeerSocket>>,
@@ -196,6 +104,15 @@
     }
 }
 
+fn dial(to: net::SocketAddr) -> Result<nng::Socket, nng::Error> {
+    let socket = nng::Socket::new(nng::Protocol::Push0)?;
+    socket.set_opt::<nng::options::SendBufferSize>(SEND_BUFFER_MESSAGES)?;
+    socket.set_opt::<nng::options::ReconnectMinTime>(Some(RECONNECT_START))?;
+    socket.set_opt::<nng::options::ReconnectMaxTime>(Some(RECONNECT_LIMIT))?;
+    socket.dial_async(&format!("tcp://{to}"))?;
+    Ok(socket)
+}
+
 /// Closes sockets that sent nothing for long, and the least used over the limit.
 fn close_idle(sockets: &mut Vec<PeerSocket>, now: time::Instant) {
     let (kept, idle) = std::mem::take(sockets)
@@ -223,17 +140,15 @@
             Ok(place) => place,
             Err(_) => {
                 close_idle(&mut sockets, now);
-                let Ok(socket) = PeerSocket::dial(to, now) else {
-                    return;
-                };
+                let Ok(socket) = dial(to) else { return };
                 let place = sockets.partition_point(|held| held.to < to);
-                sockets.insert(place, socket);
+                let used = now;
+                sockets.insert(place, PeerSocket { to, socket, used });
                 place
             }
         };
         let held = &mut sockets[place];
         held.used = now;
-        held.keep_dialling(now);
         // A full buffer drops the message, as a network may.
         let _ = held.socket.try_send(nng::Message::from(message));
     }
--- a/arbutusfold/tests/peer.rs
+++ b/arbutusfold/tests/peer.rs
@@ -4,12 +4,10 @@
 
 use std::net;
 use std::sync;
-use std::time as std_time;
 
 use arbutusfold::member;
 use arbutusfold::peer;
 use arbutusfold::peer::PeerTransport;
-use tokio::time;
 
 const OLD_KEY: [u8; 32] = [1; 32];
 const NEW_KEY: [u8; 32] = [2; 32];
@@ -260,27 +258,3 @@
     assert_eq!(members.nodes_for("novia-lima").len(), 12);
     assert_eq!(members.nodes_for("small").len(), 3);
 }
-
-/// A host without power answers nothing, and the system tries again only
-/// after a second.
-#[test]
-fn unanswered_tries_to_connect_give_way_to_fresh_ones() {
-    let start = time::Instant::now();
-    let mut patience = peer::DialPatience::new(start);
-    let later = |milliseconds| start + std_time::Duration::from_millis(milliseconds);
-    let due = |patience: &mut peer::DialPatience, times: &[u64]| {
-        let times = times.iter().filter(|at| patience.is_over(later(**at)));
-        times.copied().collect::<Vec<_>>()
-    };
-    let looks: Vec<_> = (0..12_000).step_by(10).collect();
-    let fresh = due(&mut patience, &looks);
-    assert!(
-        fresh.iter().filter(|at| **at <= 1_000).count() >= 2,
-        "{fresh:?}"
-    );
-    // Peers that take two seconds are met as well.
-    let longest = fresh.windows(2).map(|pair| pair[1] - pair[0]).max();
-    assert!(longest >= Some(2_000), "{fresh:?}");
-    patience.note_connected(later(20_000));
-    assert_eq!(due(&mut patience, &[20_100, 20_200]), [20_200]);
-}
