Obey removed entries within the contact time after a cut

A host cut off from 10.2 to 14.4 s heard the store again at 15.3 s (its call had to run out first) and took the entry that was removed at 14.2 s for one that lapsed with the store: it kept the runner till 17.6 s, and sent to it at 17.51 s, 0.08 s after it counted as in touch again.

Change: a node cannot tell an outage of the store from its own cut, so the grace ends within 0.9 of the contact time after the latest failed call began, the earliest end of a cut.

Ruled out: a shorter grace alone, as the call that runs out takes up to 1.2 s.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -48,8 +48,8 @@
     pub budget: sync::Mutex<budget::RetryBudget>,
     mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
     routing: sync::RwLock<Option<sync::Arc<routing::RoutingTable>>>,
-    /// When the store answered again after it was lost.
-    regained: sync::Mutex<Option<time::Instant>>,
+    /// The latest time without the store.
+    outage: sync::Mutex<Option<fleet::StoreOutage>>,
     store_lost: atomic::AtomicBool,
     /// When the store answered last.
     store_heard: sync::Mutex<Option<time::Instant>>,
@@ -90,7 +90,7 @@
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
-            regained: sync::Mutex::default(),
+            outage: sync::Mutex::default(),
             store_lost: atomic::AtomicBool::new(false),
             store_heard: sync::Mutex::default(),
             leading: atomic::AtomicBool::new(false),
@@ -202,10 +202,16 @@
         changes.into_iter().map(|change| change.row).collect()
     }
 
-    /// Notes whether the store answered.
-    pub fn note_store(&self, answered: bool, cause: &str) {
-        if answered {
-            *lock(&self.store_heard) = Some(time::Instant::now());
+    /// Notes whether the store answered a call that began at `asked`.
+    pub fn note_store(&self, answered: bool, asked: time::Instant, cause: &str) {
+        match answered {
+            true => *lock(&self.store_heard) = Some(time::Instant::now()),
+            false => {
+                *lock(&self.outage) = Some(fleet::StoreOutage {
+                    failed: asked,
+                    regained: None,
+                });
+            }
         }
         let lost = self.store_lost.swap(!answered, atomic::Ordering::Relaxed);
         if lost != answered {
@@ -215,17 +221,12 @@
             true => event::EventCode::StoreRegained,
             false => event::EventCode::StoreLost,
         };
-        if answered {
-            *lock(&self.regained) = Some(time::Instant::now());
+        if let Some(outage) = lock(&self.outage).as_mut().filter(|_| answered) {
+            outage.regained = Some(time::Instant::now());
         }
         self.note(code, "store", cause);
     }
 
-    /// Tells whether the store does not answer now.
-    pub fn is_store_lost(&self) -> bool {
-        self.store_lost.load(atomic::Ordering::Relaxed)
-    }
-
     /// Returns the milliseconds since the store answered.
     pub fn store_age_ms(&self, now: time::Instant) -> u32 {
         let heard = *lock(&self.store_heard);
@@ -292,23 +293,16 @@
                 .for_each(|change| self.put_in_force(&change.row)),
             store::WatchedTable::Runners => {
                 let now = time::Instant::now();
-                let lapsing = self.is_lapsing(now);
+                let outage = *lock(&self.outage);
+                let lapse = outage.and_then(|outage| outage.lapse(self.settings.contact_ms, now));
                 for change in changes {
-                    let news = lock(&self.fleet).update(change, lapsing, now);
+                    let news = lock(&self.fleet).update(change, lapse);
                     news.into_iter().for_each(|news| self.note_news(news));
                 }
             }
         }
     }
 
-    /// Tells whether entries of runners may be missing because of an outage.
-    fn is_lapsing(&self, now: time::Instant) -> bool {
-        let regained = *lock(&self.regained);
-        let late = regained
-            .is_some_and(|regained| now.saturating_duration_since(regained) < fleet::LAPSE_GRACE);
-        late || self.is_store_lost()
-    }
-
     fn put_in_force(&self, row: &mirror::MirrorRow) {
         let Some(value) = &row.value else { return };
         let document = match document::decode(value) {
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -15,6 +15,10 @@
 /// counts: the platform restores the entries of live runners in about 2 s.
 pub const LAPSE_GRACE: std_time::Duration = std_time::Duration::from_millis(2_300);
 
+/// Part of the time to notice a lost dependency within which a node that was
+/// cut off obeys what changed meanwhile; the rest is for the way of requests.
+const OBEY_PART: f64 = 0.9;
+
 /// First time for which a runner that failed is passed over.
 const AVOID_START: std_time::Duration = std_time::Duration::from_millis(500);
 
@@ -27,6 +31,32 @@
 /// Weight of the latest result in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
+/// A time without the store as one node saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreOutage {
+    /// When the latest call that failed began.
+    pub failed: time::Instant,
+    /// When the store answered again, if it did.
+    pub regained: Option<time::Instant>,
+}
+
+impl StoreOutage {
+    /// Returns until when an entry that goes away now still counts, or none
+    /// where it is gone.
+    ///
+    /// A node cannot tell whether the store was away, which takes entries of
+    /// live runners with it, or the node itself was cut off. In that case it
+    /// must obey within `contact` of the end of the cut, which came no sooner
+    /// than `failed`.
+    pub fn lapse(&self, contact: std_time::Duration, now: time::Instant) -> Option<time::Instant> {
+        let Some(regained) = self.regained else {
+            return Some(now + LAPSE_GRACE);
+        };
+        let until = (now + LAPSE_GRACE).min(self.failed + contact.mul_f64(OBEY_PART));
+        (now < until && now < regained + LAPSE_GRACE).then_some(until)
+    }
+}
+
 /// A runner with this node's load on it.
 #[derive(Clone, Debug)]
 pub struct RunnerState {
@@ -98,21 +128,21 @@
 }
 
 impl RunnerFleet {
-    /// Takes a changed entry; `lapsing` is set around an outage of the store.
+    /// Takes a changed entry; around an outage of the store one that goes away
+    /// counts until `lapse`.
     pub fn update(
         &mut self,
         change: &mirror::RowChange,
-        lapsing: bool,
-        now: time::Instant,
+        lapse: Option<time::Instant>,
     ) -> Option<FleetNews> {
         let row = &change.row;
         let Some(value) = &row.value else {
-            return self.remove(&row.key, lapsing, now);
+            return self.remove(&row.key, lapse);
         };
         match runner::decode_record(&row.key, value) {
             Ok(record) => self.put(record, row.version),
             Err(error) => {
-                self.remove(&row.key, false, now);
+                self.remove(&row.key, None);
                 Some(FleetNews::Unreadable(row.key.clone(), error.to_string()))
             }
         }
@@ -270,10 +300,10 @@
         }
     }
 
-    fn remove(&mut self, id: &str, lapsing: bool, now: time::Instant) -> Option<FleetNews> {
+    fn remove(&mut self, id: &str, lapse: Option<time::Instant>) -> Option<FleetNews> {
         let place = self.place(id).ok()?;
-        if lapsing && !self.runners[place].record.leaving {
-            self.runners[place].lapse = Some(now + LAPSE_GRACE);
+        if lapse.is_some() && !self.runners[place].record.leaving {
+            self.runners[place].lapse = lapse;
             return None;
         }
         self.runners.remove(place);
--- a/arbutusfold/src/gateway/watch_store.rs
+++ b/arbutusfold/src/gateway/watch_store.rs
@@ -62,13 +62,14 @@
             watched = true;
         }
         core.metrics.store_calls.inc();
+        let asked = time::Instant::now();
         let answer = match position {
             Some(after) => core.store.changes(table, after, wait).await,
             None => core.store.snapshot(table).await,
         };
         match answer {
             Ok(page) => {
-                core.note_store(true, "answered");
+                core.note_store(true, asked, "answered");
                 pause = PAUSE_START;
                 let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
                 let before = core.with_mirror(table, mirror::TableMirror::latest);
@@ -91,7 +92,7 @@
                 position = None;
             }
             Err(error) => {
-                core.note_store(false, &error.to_string());
+                core.note_store(false, asked, &error.to_string());
                 time::sleep(pause).await;
                 let limit = match core.is_leading() {
                     true => PAUSE_LIMIT,
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -30,9 +30,9 @@
     }
 }
 
-fn known(now: time::Instant) -> fleet::RunnerFleet {
+fn known() -> fleet::RunnerFleet {
     let mut fleet = fleet::RunnerFleet::default();
-    let found = fleet.update(&change(1, Some(entry("ready", 1, LAYERS))), false, now);
+    let found = fleet.update(&change(1, Some(entry("ready", 1, LAYERS))), None);
     assert!(matches!(found, Some(fleet::FleetNews::Found(..))));
     fleet
 }
@@ -40,8 +40,8 @@
 #[tokio::test(start_paused = true)]
 async fn leaving_runner_gets_no_requests() {
     let now = time::Instant::now();
-    let mut fleet = known(now);
-    let news = fleet.update(&change(2, Some(entry("draining", 1, LAYERS))), false, now);
+    let mut fleet = known();
+    let news = fleet.update(&change(2, Some(entry("draining", 1, LAYERS))), None);
     assert_eq!(news, Some(fleet::FleetNews::Leaving("i-1".to_owned())));
     assert!(!fleet.get("i-1").unwrap().is_usable(now));
 }
@@ -49,10 +49,10 @@
 #[tokio::test(start_paused = true)]
 async fn runner_that_started_anew_holds_nothing_of_before() {
     let now = time::Instant::now();
-    let mut fleet = known(now);
+    let mut fleet = known();
     fleet.note_failure("i-1", now);
     fleet.note_progress("i-1", now);
-    let news = fleet.update(&change(2, Some(entry("ready", 9, ""))), false, now);
+    let news = fleet.update(&change(2, Some(entry("ready", 9, ""))), None);
     assert!(matches!(news, Some(fleet::FleetNews::Changed(..))));
     let state = fleet.get("i-1").unwrap();
     assert_eq!(state.layers(), None);
@@ -62,14 +62,13 @@
 
 #[tokio::test(start_paused = true)]
 async fn runner_that_lacks_its_layers_is_disproved_until_its_entry_changes() {
-    let now = time::Instant::now();
-    let mut fleet = known(now);
+    let mut fleet = known();
     fleet.disprove("i-1");
     assert_eq!(fleet.get("i-1").unwrap().layers(), None);
-    fleet.update(&change(2, Some(entry("ready", 1, LAYERS))), false, now);
+    fleet.update(&change(2, Some(entry("ready", 1, LAYERS))), None);
     assert_eq!(fleet.get("i-1").unwrap().layers(), None);
     let other = r#","layers":{"from":10,"target":20}"#;
-    fleet.update(&change(3, Some(entry("ready", 1, other))), false, now);
+    fleet.update(&change(3, Some(entry("ready", 1, other))), None);
     assert!(fleet.get("i-1").unwrap().layers().is_some());
 }
 
@@ -77,8 +76,11 @@
 #[tokio::test(start_paused = true)]
 async fn entry_that_lapsed_with_the_store_counts_until_the_grace_is_over() {
     let now = time::Instant::now();
-    let mut fleet = known(now);
-    assert_eq!(fleet.update(&change(2, None), true, now), None);
+    let mut fleet = known();
+    assert_eq!(
+        fleet.update(&change(2, None), Some(now + fleet::LAPSE_GRACE)),
+        None
+    );
     assert!(fleet.get("i-1").unwrap().is_usable(now + MS * 2_000));
     assert!(fleet.expire(now + MS * 2_000).is_empty());
     let over = now + fleet::LAPSE_GRACE;
@@ -90,13 +92,9 @@
 #[tokio::test(start_paused = true)]
 async fn entry_that_came_back_counts_on() {
     let now = time::Instant::now();
-    let mut fleet = known(now);
-    fleet.update(&change(2, None), true, now);
-    fleet.update(
-        &change(3, Some(entry("ready", 1, LAYERS))),
-        false,
-        now + MS * 900,
-    );
+    let mut fleet = known();
+    fleet.update(&change(2, None), Some(now + fleet::LAPSE_GRACE));
+    fleet.update(&change(3, Some(entry("ready", 1, LAYERS))), None);
     assert!(fleet.expire(now + MS * 9_000).is_empty());
     assert!(fleet.get("i-1").unwrap().is_usable(now + MS * 9_000));
 }
@@ -104,33 +102,32 @@
 #[tokio::test(start_paused = true)]
 async fn entry_that_leaves_or_goes_while_the_store_is_well_is_gone_at_once() {
     let now = time::Instant::now();
-    let mut fleet = known(now);
-    assert!(fleet.update(&change(2, None), false, now).is_some());
+    let mut fleet = known();
+    assert!(fleet.update(&change(2, None), None).is_some());
     assert!(fleet.get("i-1").is_none());
-    let mut fleet = known(now);
-    fleet.update(&change(2, Some(entry("draining", 1, LAYERS))), false, now);
-    fleet.update(&change(3, None), true, now);
+    let mut fleet = known();
+    fleet.update(&change(2, Some(entry("draining", 1, LAYERS))), None);
+    fleet.update(&change(3, None), Some(now + fleet::LAPSE_GRACE));
     assert!(fleet.get("i-1").is_none());
 }
 
 #[tokio::test(start_paused = true)]
 async fn unreadable_entry_names_no_runner_and_hurts_no_other() {
-    let now = time::Instant::now();
-    let mut fleet = known(now);
+    let mut fleet = known();
     let mut bad = change(2, Some(Bytes::from_static(b"\xff\x00")));
     bad.row.key = "i-2".to_owned();
-    let news = fleet.update(&bad, false, now);
+    let news = fleet.update(&bad, None);
     assert!(matches!(news, Some(fleet::FleetNews::Unreadable(..))));
     assert_eq!(fleet.runners().len(), 1);
     bad.row.key = "i-1".to_owned();
-    fleet.update(&bad, false, now);
+    fleet.update(&bad, None);
     assert!(fleet.runners().is_empty());
 }
 
 #[tokio::test(start_paused = true)]
 async fn failures_in_a_row_are_passed_over_for_longer_and_a_success_ends_it() {
     let now = time::Instant::now();
-    let mut fleet = known(now);
+    let mut fleet = known();
     let first = fleet.note_failure("i-1", now).unwrap();
     let second = fleet.note_failure("i-1", now).unwrap();
     assert!(second > first);
@@ -142,8 +139,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn load_is_counted_while_requests_are_under_way() {
-    let now = time::Instant::now();
-    let mut fleet = known(now);
+    let mut fleet = known();
     fleet.begin("i-1", 700);
     fleet.begin("i-1", 300);
     fleet.end("i-1", 700);
@@ -152,3 +148,29 @@
     // The end of a request at a runner that is gone is no one's business.
     fleet.end("i-9", 5);
 }
+
+/// A node that was cut off learns of removed entries late, and obeys before
+/// it counts as in touch again.
+#[tokio::test(start_paused = true)]
+async fn node_that_was_cut_off_keeps_no_removed_runner_beyond_the_contact_time() {
+    let contact = 3_000 * MS;
+    let failed = time::Instant::now();
+    let regained = failed + 1_400 * MS;
+    let outage = fleet::StoreOutage {
+        failed,
+        regained: Some(regained),
+    };
+    let until = outage.lapse(contact, regained).unwrap();
+    assert!(until < failed + contact, "{:?}", until - failed);
+    // A store that is still away takes entries of live runners with it.
+    let away = fleet::StoreOutage {
+        failed,
+        regained: None,
+    };
+    assert_eq!(
+        away.lapse(contact, regained),
+        Some(regained + fleet::LAPSE_GRACE)
+    );
+    // Long after its return entries that go away are gone.
+    assert_eq!(outage.lapse(contact, regained + contact), None);
+}
--- a/arbutusfold/tests/gateway_offer.rs
+++ b/arbutusfold/tests/gateway_offer.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 /// Three large runners that hold a third of the layers each.
-fn thirds(now: time::Instant) -> fleet::RunnerFleet {
+fn thirds() -> fleet::RunnerFleet {
     let mut fleet = fleet::RunnerFleet::default();
     for (number, (from, to)) in [(0, 27), (27, 54), (54, 80)].into_iter().enumerate() {
         let entry = format!(
@@ -23,7 +23,7 @@
             version: 1,
             value: Some(Bytes::from(entry)),
         };
-        fleet.update(&mirror::RowChange { row, before: None }, false, now);
+        fleet.update(&mirror::RowChange { row, before: None }, None);
     }
     fleet
 }
@@ -57,7 +57,7 @@
 #[tokio::test(start_paused = true)]
 async fn refusal_tells_whether_runners_are_missing_full_or_failing() {
     let now = time::Instant::now();
-    let fleet = thirds(now);
+    let fleet = thirds();
     assert_eq!(choose(&fleet, 0.0, now).unwrap().stages.len(), 3);
 
     let mut full = fleet.clone();
@@ -79,7 +79,7 @@
 #[tokio::test(start_paused = true)]
 async fn unheard_load_takes_room_as_often_as_there_are_nodes() {
     let now = time::Instant::now();
-    let mut fleet = thirds(now);
+    let mut fleet = thirds();
     let free_mb = 72_000.0 - 27.0 * 1_750.0;
     let fits = free_mb * 1e6 / (900_000.0 / 80.0);
     fleet.begin("i-0", (fits / 50.0) as u64);
