Let node and gateway share their start, stop and listeners; look up cards once

The platform's path had written these again beside the product's own: - the loop of a graceful stop: drain::stop, with what to announce and to cut; - the start of the membership: member::driver::start; - opening a listener with its error: listen::ListenError; - the signer of the peer keys: settings::peer_signer; - the look-up of a card by its name, three times: EngineSpec::card, and the span of all layers: EngineSpec::all_layers; - the place of a watched table, by a match here and a search with a fallback to 0 there: WatchedTable::place; - the other nodes of the own failure domain, and posting an encoded message. Tests share their fixtures for members, path queries and run requests.

Dropped: the content before a change of a row, which nobody read. A peer that asks for rows and lacks none no longer costs a copy of the whole table.

The assertions of the tests are unchanged; error texts of listeners are the same.

--- a/arbutusfold/src/drain.rs
+++ b/arbutusfold/src/drain.rs
@@ -3,7 +3,8 @@
 use std::sync;
 use std::time as std_time;
 
-use tokio::time;
+use tokio::sync::watch;
+use tokio::{task, time};
 
 use crate::id;
 
@@ -139,3 +140,45 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
+
+/// Waits for the first signal and stops by the order that the keeper gives.
+///
+/// `announce` tells that the node leaves; `cut` names what the end cuts.
+pub async fn stop(
+    mut keeper: DrainKeeper,
+    mut signals: watch::Receiver<u32>,
+    closing: watch::Sender<bool>,
+    mut serving: task::JoinHandle<()>,
+    announce: impl Fn(),
+    cut: impl Fn(),
+) {
+    loop {
+        let wakes = keeper.wakes();
+        let event = tokio::select! {
+            // An error means that the sender is gone, which also ends the node.
+            _ = signals.changed() => DrainEvent::Signal,
+            _ = &mut serving, if !serving.is_finished() => DrainEvent::Closed,
+            () = sleep_until(wakes) => DrainEvent::Tick,
+        };
+        match keeper.handle(event, time::Instant::now()) {
+            Some(DrainAction::Announce) => announce(),
+            Some(DrainAction::Close) => {
+                let _ = closing.send(true);
+            }
+            Some(DrainAction::End { cut: cuts }) => {
+                if cuts {
+                    cut();
+                }
+                return;
+            }
+            None => {}
+        }
+    }
+}
+
+async fn sleep_until(wakes: Option<time::Instant>) {
+    match wakes {
+        Some(wakes) => time::sleep_until(wakes).await,
+        None => std::future::pending().await,
+    }
+}
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -63,13 +63,8 @@
 #[derive(Debug, Display, Error)]
 pub enum GatewayError {
     /// A listener could not be opened.
-    #[display("cannot listen on {address}: {reason}")]
-    Listen {
-        /// Address that was to be opened.
-        address: std::net::SocketAddr,
-        /// Cause.
-        reason: String,
-    },
+    #[display("{_0}")]
+    Listen(listen::ListenError),
     /// The peer transport could not be opened.
     #[display("{_0}")]
     Peer(peer::PeerError),
@@ -90,15 +85,21 @@
     let (transport, received) =
         peer::NngTransport::open(core.settings.peers).map_err(GatewayError::Peer)?;
     core.post.attach(sync::Arc::new(transport));
-    let callers = open_listener(core.settings.callers)?;
-    let ready = open_listener(core.settings.ready)?;
-    let directory = open_listener(core.settings.directory)?;
-    let metrics = open_listener(core.settings.metrics)?;
+    let callers = listen::open(core.settings.callers).map_err(GatewayError::Listen)?;
+    let ready = listen::open(core.settings.ready).map_err(GatewayError::Listen)?;
+    let directory = listen::open(core.settings.directory).map_err(GatewayError::Listen)?;
+    let metrics = listen::open(core.settings.metrics).map_err(GatewayError::Listen)?;
     let (closing, closed) = watch::channel(false);
     let name = core.settings.name.clone();
     core.note(event::EventCode::NodeStarted, &name, core.describe());
 
-    let driver = start_members(&core);
+    let driver = member::driver::start(
+        core.member_record(),
+        core.settings.seeds.clone(),
+        &core.post,
+        &core.members,
+        &core.recorder,
+    );
     let listener: sync::Arc<dyn member::driver::MemberListener> =
         sync::Arc::new(exchange::PeerListener::new(sync::Arc::clone(&core)));
     driver.listen(sync::Arc::downgrade(&listener));
@@ -169,21 +170,6 @@
     tokio::spawn(serve::serve(listener, limits(), closed.clone(), answer))
 }
 
-fn start_members(core: &sync::Arc<core::GatewayCore>) -> sync::Arc<member::MemberDriver> {
-    let seeds = core.settings.seeds.clone();
-    let keeper = member::MemberKeeper::new(core.member_record(), seeds, time::Instant::now());
-    let driver = sync::Arc::new(member::MemberDriver::new(
-        keeper,
-        core.post.incarnation(),
-        sync::Arc::clone(&core.post),
-        sync::Arc::clone(&core.members),
-        sync::Arc::clone(&core.recorder),
-    ));
-    let kind = peer::MessageKind::Membership;
-    core.post.register(kind, driver.clone());
-    driver
-}
-
 /// Drives the membership and tells it what this node knows and whether it serves.
 async fn keep_members(
     core: sync::Arc<core::GatewayCore>,
@@ -226,58 +212,27 @@
     }
 }
 
-/// Waits for the first signal and stops by the order that the keeper gives.
 async fn drain_gateway(
-    core: &sync::Arc<core::GatewayCore>,
+    core: &core::GatewayCore,
     driver: &member::MemberDriver,
-    mut stop: watch::Receiver<u32>,
+    signals: watch::Receiver<u32>,
     closing: watch::Sender<bool>,
-    mut serving: task::JoinHandle<()>,
+    serving: task::JoinHandle<()>,
 ) {
     let settings = &core.settings;
     let keep = settings.answer_keep_ms;
     let limit = settings.stop_limit_s.saturating_sub(keep + STOP_MARGIN);
-    let mut keeper = drain::DrainKeeper::new(keep, limit);
-    loop {
-        let wakes = keeper.wakes();
-        let wake = async {
-            match wakes {
-                Some(wakes) => time::sleep_until(wakes).await,
-                None => std::future::pending().await,
-            }
-        };
-        let event = tokio::select! {
-            // An error means that the sender is gone, which also ends the node.
-            _ = stop.changed() => drain::DrainEvent::Signal,
-            _ = &mut serving, if !serving.is_finished() => drain::DrainEvent::Closed,
-            () = wake => drain::DrainEvent::Tick,
-        };
-        match keeper.handle(event, time::Instant::now()) {
-            Some(drain::DrainAction::Announce) => {
-                core.begin_stop();
-                let detail = format!("in_flight={}", core.metrics.in_flight.get());
-                core.note(event::EventCode::StopBegan, &settings.name, detail);
-                let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
-                driver.step(leaving, time::Instant::now());
-            }
-            Some(drain::DrainAction::Close) => {
-                let _ = closing.send(true);
-            }
-            Some(drain::DrainAction::End { cut }) => {
-                if cut {
-                    let detail = format!("in_flight={}", core.metrics.in_flight.get());
-                    core.note(event::EventCode::StopCut, &settings.name, detail);
-                }
-                return;
-            }
-            None => {}
-        }
-    }
-}
-
-fn open_listener(address: std::net::SocketAddr) -> Result<tokio::net::TcpListener, GatewayError> {
-    listen::open(address).map_err(|error| GatewayError::Listen {
-        address,
-        reason: error.to_string(),
-    })
+    let keeper = drain::DrainKeeper::new(keep, limit);
+    let note = |code| {
+        let detail = format!("in_flight={}", core.metrics.in_flight.get());
+        core.note(code, &settings.name, detail);
+    };
+    let announce = || {
+        core.begin_stop();
+        note(event::EventCode::StopBegan);
+        let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
+        driver.step(leaving, time::Instant::now());
+    };
+    let cut = || note(event::EventCode::StopCut);
+    drain::stop(keeper, signals, closing, serving, announce, cut).await;
 }
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -63,15 +63,11 @@
     /// Creates the state of a node that has heard nothing yet.
     pub fn new(settings: settings::GatewaySettings, logger: slog::Logger) -> Self {
         let members = sync::Arc::new(member::MemberView::default());
-        let keys = settings
-            .peer_keys
-            .iter()
-            .filter_map(|key| node_settings::decode_key(key));
         let post = peer::PeerPost::new(
             settings.name.clone(),
             settings.peers,
             id::fresh_incarnation(),
-            peer::MessageSigner::new(keys.collect()),
+            node_settings::peer_signer(&settings.peer_keys),
             sync::Arc::clone(&members),
         );
         let policy = budget::BudgetPolicy {
@@ -157,7 +153,7 @@
         table: store::WatchedTable,
         look: impl FnOnce(&mirror::TableMirror) -> T,
     ) -> T {
-        look(&lock(&self.mirrors)[place(table)])
+        look(&lock(&self.mirrors)[table.place()])
     }
 
     /// Takes changed rows.
@@ -168,9 +164,9 @@
         table: store::WatchedTable,
         rows: Vec<mirror::MirrorRow>,
     ) -> Vec<mirror::MirrorRow> {
-        let changes = lock(&self.mirrors)[place(table)].merge(rows);
+        let changes = lock(&self.mirrors)[table.place()].merge(rows);
         self.absorb(table, &changes);
-        changes.into_iter().map(|change| change.row).collect()
+        changes
     }
 
     /// Takes what changed after a version; refuses it where rows in between
@@ -181,7 +177,7 @@
         after: store::RowVersion,
         rows: Vec<mirror::MirrorRow>,
     ) -> bool {
-        let changes = lock(&self.mirrors)[place(table)].merge_after(after, rows);
+        let changes = lock(&self.mirrors)[table.place()].merge_after(after, rows);
         if let Some(changes) = &changes {
             self.absorb(table, changes);
         }
@@ -197,9 +193,9 @@
         rows: Vec<mirror::MirrorRow>,
         version: store::RowVersion,
     ) -> Vec<mirror::MirrorRow> {
-        let changes = lock(&self.mirrors)[place(table)].replace(rows, version);
+        let changes = lock(&self.mirrors)[table.place()].replace(rows, version);
         self.absorb(table, &changes);
-        changes.into_iter().map(|change| change.row).collect()
+        changes
     }
 
     /// Notes whether the store answered a call that began at `asked`.
@@ -270,6 +266,23 @@
         lock(&self.budget).note_nodes(nodes);
     }
 
+    /// Returns the other nodes of this node's failure domain among `members`.
+    pub fn neighbours<'a>(
+        &'a self,
+        members: &'a [member::MemberRecord],
+    ) -> impl Iterator<Item = &'a member::MemberRecord> {
+        members.iter().filter(|record| {
+            record.domain == self.settings.domain && record.name != self.settings.name
+        })
+    }
+
+    /// Posts a message to a node.
+    pub fn post(&self, to: &str, kind: peer::MessageKind, message: &impl serde::Serialize) {
+        if let Ok(body) = postcard::to_stdvec(message) {
+            self.post.post(to, kind, &body);
+        }
+    }
+
     /// Returns what membership tells of this node at its start.
     pub fn member_record(&self) -> member::MemberRecord {
         member::MemberRecord {
@@ -285,18 +298,18 @@
         }
     }
 
-    fn absorb(&self, table: store::WatchedTable, changes: &[mirror::RowChange]) {
+    fn absorb(&self, table: store::WatchedTable, changes: &[mirror::MirrorRow]) {
         match table {
             store::WatchedTable::Operator => changes
                 .iter()
-                .filter(|change| change.row.key == store::WatchedTable::DOCUMENT_KEY)
-                .for_each(|change| self.put_in_force(&change.row)),
+                .filter(|row| row.key == store::WatchedTable::DOCUMENT_KEY)
+                .for_each(|row| self.put_in_force(row)),
             store::WatchedTable::Runners => {
                 let now = time::Instant::now();
                 let outage = *lock(&self.outage);
                 let lapse = outage.and_then(|outage| outage.lapse(self.settings.contact_ms, now));
-                for change in changes {
-                    let news = lock(&self.fleet).update(change, lapse);
+                for row in changes {
+                    let news = lock(&self.fleet).update(row, lapse);
                     news.into_iter().for_each(|news| self.note_news(news));
                 }
             }
@@ -361,13 +374,6 @@
     }
 }
 
-fn place(table: store::WatchedTable) -> usize {
-    match table {
-        store::WatchedTable::Operator => 0,
-        store::WatchedTable::Runners => 1,
-    }
-}
-
 /// Locks state that no panic leaves half changed.
 pub(crate) fn lock<T>(held: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     held.lock().unwrap_or_else(sync::PoisonError::into_inner)
--- a/arbutusfold/src/gateway/exchange.rs
+++ b/arbutusfold/src/gateway/exchange.rs
@@ -153,20 +153,14 @@
     if rows.is_empty() || !core.is_leading() {
         return;
     }
-    let place = store::WatchedTable::ALL
-        .iter()
-        .position(|one| *one == table);
     let message = MirrorMessage::Rows {
-        table: place.unwrap_or(0),
+        table: table.place(),
         extent: RowExtent::After(after),
         rows,
     };
-    let settings = &core.settings;
     let members = core.members.alive();
-    let nodes = members
-        .iter()
-        .filter(|record| record.domain == settings.domain && record.name != settings.name);
-    nodes.for_each(|record| send(core, &record.name, &message));
+    core.neighbours(&members)
+        .for_each(|record| send(core, &record.name, &message));
 }
 
 fn positions(core: &core::GatewayCore) -> Vec<store::RowVersion> {
@@ -188,8 +182,11 @@
 ) -> Option<MirrorMessage> {
     let table = store::WatchedTable::ALL.get(place).copied()?;
     core.with_mirror(table, |mirror| {
+        if !mirror.is_complete() || mirror.latest() <= after {
+            return None;
+        }
         let changed = mirror.since(after).filter(|_| after > 0);
-        let message = match changed {
+        Some(match changed {
             Some(rows) => MirrorMessage::Rows {
                 table: place,
                 extent: RowExtent::After(after),
@@ -200,13 +197,10 @@
                 extent: RowExtent::Whole(mirror.latest()),
                 rows: mirror.rows().cloned().collect(),
             },
-        };
-        (mirror.is_complete() && mirror.latest() > after).then_some(message)
+        })
     })
 }
 
 fn send(core: &core::GatewayCore, to: &str, message: &MirrorMessage) {
-    if let Ok(body) = postcard::to_stdvec(message) {
-        core.post.post(to, peer::MessageKind::Mirror, &body);
-    }
+    core.post(to, peer::MessageKind::Mirror, message);
 }
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -132,10 +132,9 @@
     /// counts until `lapse`.
     pub fn update(
         &mut self,
-        change: &mirror::RowChange,
+        row: &mirror::MirrorRow,
         lapse: Option<time::Instant>,
     ) -> Option<FleetNews> {
-        let row = &change.row;
         let Some(value) = &row.value else {
             return self.remove(&row.key, lapse);
         };
--- a/arbutusfold/src/gateway/layout.rs
+++ b/arbutusfold/src/gateway/layout.rs
@@ -68,13 +68,16 @@
         .filter(|place| slots[*place].layers.is_none())
         .collect();
     free.sort_by(|one, other| {
-        let factor =
-            |place: usize| card_of(engine, &slots[place]).map_or(f64::MAX, |card| card.step_factor);
+        let factor = |place: usize| {
+            engine
+                .card(&slots[place].card)
+                .map_or(f64::MAX, |card| card.step_factor)
+        };
         factor(*one).total_cmp(&factor(*other))
     });
     let mut choices = Vec::new();
     for place in free {
-        let Some(card) = card_of(engine, &slots[place]) else {
+        let Some(card) = engine.card(&slots[place].card) else {
             continue;
         };
         let Some(layers) = best_span(engine, &cuts, &slots, place, card) else {
@@ -149,7 +152,9 @@
     let mut covers = vec![UnitCover::default(); cuts.len() - 1];
     for slot in slots {
         let Some(held) = slot.layers else { continue };
-        let rate = card_of(engine, slot).map_or(0.0, |card| 1.0 / card.step_factor.max(0.001));
+        let rate = engine
+            .card(&slot.card)
+            .map_or(0.0, |card| 1.0 / card.step_factor.max(0.001));
         for (cover, unit) in covers.iter_mut().zip(units(cuts)) {
             if held.covers(unit) {
                 cover.copies += 1.0;
@@ -180,13 +185,3 @@
     let nearest = LAYER_PART * layers + unit / 2.0;
     nearest.min(LAYER_PART_MOST * layers).max(1.0).floor() as u32
 }
-
-fn card_of<'a>(
-    engine: &'a document::EngineSpec,
-    slot: &LayoutSlot,
-) -> Option<&'a document::CardSpec> {
-    let found = engine
-        .cards
-        .binary_search_by(|card| card.name.as_str().cmp(&slot.card));
-    found.ok().map(|place| &engine.cards[place])
-}
--- a/arbutusfold/src/gateway/lead_driver.rs
+++ b/arbutusfold/src/gateway/lead_driver.rs
@@ -52,10 +52,8 @@
     let others = leads.iter().filter(|record| record.domain != *domain);
     let message = lead::LeadMessage::Domain(domain_word);
     others.for_each(|record| send(core, &record.name, &message));
-    let nodes = members
-        .iter()
-        .filter(|record| record.domain == *domain && record.name != core.settings.name);
-    nodes.for_each(|record| send(core, &record.name, &fleet));
+    core.neighbours(&members)
+        .for_each(|record| send(core, &record.name, &fleet));
 }
 
 fn own_loads(core: &core::GatewayCore) -> Vec<lead::RunnerLoad> {
@@ -73,9 +71,7 @@
 }
 
 fn send(core: &core::GatewayCore, to: &str, message: &lead::LeadMessage) {
-    if let Ok(body) = postcard::to_stdvec(message) {
-        core.post.post(to, peer::MessageKind::Lead, &body);
-    }
+    core.post(to, peer::MessageKind::Lead, message);
 }
 
 /// Takes the words of nodes and leads.
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -21,15 +21,6 @@
     pub value: Option<Bytes>,
 }
 
-/// A row that changed, with its content before.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RowChange {
-    /// The row as it is now.
-    pub row: MirrorRow,
-    /// Its content before, if there was one.
-    pub before: Option<Bytes>,
-}
-
 /// Copy of one table.
 #[derive(Clone, Debug, Default)]
 pub struct TableMirror {
@@ -66,7 +57,7 @@
     }
 
     /// Takes rows and returns those whose content changed.
-    pub fn merge(&mut self, rows: impl IntoIterator<Item = MirrorRow>) -> Vec<RowChange> {
+    pub fn merge(&mut self, rows: impl IntoIterator<Item = MirrorRow>) -> Vec<MirrorRow> {
         let changes = rows.into_iter().filter_map(|row| self.merge_row(row));
         let changes = changes.collect();
         self.forget();
@@ -79,12 +70,12 @@
         &mut self,
         after: store::RowVersion,
         rows: Vec<MirrorRow>,
-    ) -> Option<Vec<RowChange>> {
+    ) -> Option<Vec<MirrorRow>> {
         (self.latest >= after).then(|| self.merge(rows))
     }
 
     /// Takes the whole table as of a version; rows that it lacks are removed.
-    pub fn replace(&mut self, rows: Vec<MirrorRow>, version: store::RowVersion) -> Vec<RowChange> {
+    pub fn replace(&mut self, rows: Vec<MirrorRow>, version: store::RowVersion) -> Vec<MirrorRow> {
         let mut keys: Vec<_> = rows.iter().map(|row| row.key.clone()).collect();
         keys.sort_unstable();
         let removed: Vec<_> = self
@@ -109,19 +100,17 @@
         (version >= self.forgotten).then(|| changed.cloned().collect())
     }
 
-    fn merge_row(&mut self, row: MirrorRow) -> Option<RowChange> {
+    fn merge_row(&mut self, row: MirrorRow) -> Option<MirrorRow> {
         self.latest = self.latest.max(row.version);
         match self.place(&row.key) {
             Ok(place) if self.rows[place].version >= row.version => None,
             Ok(place) => {
                 let before = std::mem::replace(&mut self.rows[place], row.clone()).value;
-                (before != row.value).then_some(RowChange { row, before })
+                (before != row.value).then_some(row)
             }
             Err(place) => {
                 self.rows.insert(place, row.clone());
-                row.value
-                    .is_some()
-                    .then_some(RowChange { row, before: None })
+                row.value.is_some().then_some(row)
             }
         }
     }
--- a/arbutusfold/src/gateway/offer.rs
+++ b/arbutusfold/src/gateway/offer.rs
@@ -1,6 +1,6 @@
 //! What runners offer to a path, by all that one node knows of them.
 
-use arbutusfold_platform::{document, runner};
+use arbutusfold_platform::document;
 use derive_more::Display;
 use rand::RngExt;
 use tokio::time;
@@ -89,15 +89,15 @@
         domain: usize,
     ) -> Option<path::StageOffer> {
         let engine = self.engine;
-        let whole = runner::LayerSpan {
-            from: 0,
-            to: engine.layers,
-        };
         let layers = match engine.cards.is_empty() {
-            true => state.layers().unwrap_or(whole),
+            true => state.layers().unwrap_or(engine.all_layers()),
             false => state.layers()?,
         };
-        let card = self.card(state);
+        let card = state
+            .record
+            .card
+            .as_deref()
+            .and_then(|name| engine.card(name));
         let capacity = match card {
             Some(card) => {
                 let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
@@ -123,11 +123,4 @@
             penalty_ms: path::AVOIDED_MS * f64::from(avoided) + path::FAILING_MS * state.failing,
         })
     }
-
-    fn card(&self, state: &fleet::RunnerState) -> Option<&document::CardSpec> {
-        let name = state.record.card.as_deref()?;
-        let cards = &self.engine.cards;
-        let found = cards.binary_search_by(|card| card.name.as_str().cmp(name));
-        found.ok().map(|place| &cards[place])
-    }
 }
--- a/arbutusfold/src/gateway/runs.rs
+++ b/arbutusfold/src/gateway/runs.rs
@@ -292,11 +292,8 @@
     ///
     /// The refusal tells callers when to return, if every path is crowded.
     fn choose_path(&self, engine: &document::EngineSpec) -> Result<RunTarget, offer::PathLack> {
-        let layers = runner::LayerSpan {
-            from: 0,
-            to: engine.layers,
-        };
-        let stages = self.plan_stages(engine, layers, &self.core.settings.domain, &[])?;
+        let stages =
+            self.plan_stages(engine, engine.all_layers(), &self.core.settings.domain, &[])?;
         RunTarget::new(stages, engine, self.tokens(engine)).ok_or(offer::PathLack::NoHolder)
     }
 
--- a/arbutusfold/src/member/driver.rs
+++ b/arbutusfold/src/member/driver.rs
@@ -151,6 +151,27 @@
     }
 }
 
+/// Starts the membership of a node; the driver hears what the post receives.
+pub fn start(
+    record: member::MemberRecord,
+    seeds: Vec<std::net::SocketAddr>,
+    post: &sync::Arc<peer::PeerPost>,
+    view: &sync::Arc<member::MemberView>,
+    recorder: &sync::Arc<event::EventRecorder>,
+) -> sync::Arc<MemberDriver> {
+    let seed = record.incarnation;
+    let keeper = MemberKeeper::new(record, seeds, time::Instant::now());
+    let driver = sync::Arc::new(MemberDriver::new(
+        keeper,
+        seed,
+        sync::Arc::clone(post),
+        sync::Arc::clone(view),
+        sync::Arc::clone(recorder),
+    ));
+    post.register(peer::MessageKind::Membership, driver.clone());
+    driver
+}
+
 impl peer::MessageHandler for MemberDriver {
     fn handle(&self, sender: &str, body: &[u8]) {
         self.hear(sender, body, time::Instant::now());
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -1,6 +1,5 @@
 //! One node: its state, its listeners and its loops.
 
-use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time as std_time;
@@ -49,13 +48,8 @@
 #[derive(Debug, Display, Error)]
 pub enum NodeError {
     /// A listener could not be opened.
-    #[display("cannot listen on {address}: {reason}")]
-    Listen {
-        /// Address that was to be opened.
-        address: net::SocketAddr,
-        /// Cause.
-        reason: String,
-    },
+    #[display("{_0}")]
+    Listen(listen::ListenError),
     /// The peer transport could not be opened.
     #[display("{_0}")]
     Peer(peer::PeerError),
@@ -111,15 +105,11 @@
     ) -> Self {
         let incarnation = id::fresh_incarnation();
         let members = sync::Arc::new(member::MemberView::default());
-        let keys = settings
-            .peer_keys
-            .iter()
-            .filter_map(|key| settings::decode_key(key));
         let post = peer::PeerPost::new(
             settings.name.clone(),
             settings.peers,
             incarnation,
-            peer::MessageSigner::new(keys.collect()),
+            settings::peer_signer(&settings.peer_keys),
             sync::Arc::clone(&members),
         );
         let table = sync::Arc::new(platform::GuardedTable::new(table));
@@ -219,8 +209,8 @@
     let (transport, received) =
         peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
     core.post.attach(sync::Arc::new(transport));
-    let callers = open_listener(core.settings.callers)?;
-    let operators = open_listener(core.settings.operators)?;
+    let callers = listen::open(core.settings.callers).map_err(NodeError::Listen)?;
+    let operators = listen::open(core.settings.operators).map_err(NodeError::Listen)?;
     let (closing, closed) = watch::channel(false);
     core.recorder.record(
         event::EventCode::NodeStarted,
@@ -229,7 +219,13 @@
     );
 
     traffic::register(&core);
-    let driver = start_members(&core);
+    let driver = member::driver::start(
+        core.record(),
+        core.settings.seeds.clone(),
+        &core.post,
+        &core.members,
+        &core.recorder,
+    );
     let listener: sync::Arc<dyn member::driver::MemberListener> =
         sync::Arc::new(loops::NodeListener {
             core: sync::Arc::clone(&core),
@@ -284,21 +280,6 @@
     Ok(())
 }
 
-fn start_members(core: &sync::Arc<NodeCore>) -> sync::Arc<member::MemberDriver> {
-    let seeds = core.settings.seeds.clone();
-    let keeper = member::MemberKeeper::new(core.record(), seeds, time::Instant::now());
-    let driver = sync::Arc::new(member::MemberDriver::new(
-        keeper,
-        core.incarnation,
-        sync::Arc::clone(&core.post),
-        sync::Arc::clone(&core.members),
-        sync::Arc::clone(&core.recorder),
-    ));
-    core.post
-        .register(peer::MessageKind::Membership, driver.clone());
-    driver
-}
-
 fn start_health(core: &sync::Arc<NodeCore>) -> sync::Arc<health::HealthDriver> {
     let driver = sync::Arc::new(health::HealthDriver::new(core));
     core.post
@@ -307,51 +288,26 @@
     driver
 }
 
-/// Waits for the first signal and stops by the order that the keeper gives.
 async fn drain_node(
-    core: &sync::Arc<NodeCore>,
+    core: &NodeCore,
     driver: &member::MemberDriver,
-    mut stop: watch::Receiver<u32>,
+    signals: watch::Receiver<u32>,
     closing: watch::Sender<bool>,
-    mut serving: task::JoinHandle<()>,
+    serving: task::JoinHandle<()>,
 ) {
     let settings = &core.settings;
-    let mut keeper = drain::DrainKeeper::new(settings.answer_keep_ms, settings.stop_limit_ms);
-    loop {
-        let wakes = keeper.wakes();
-        let event = tokio::select! {
-            // An error means that the sender is gone, which also ends the node.
-            _ = stop.changed() => drain::DrainEvent::Signal,
-            _ = &mut serving, if !serving.is_finished() => drain::DrainEvent::Closed,
-            () = sleep_until(wakes) => drain::DrainEvent::Tick,
-        };
-        match keeper.handle(event, time::Instant::now()) {
-            Some(drain::DrainAction::Announce) => {
-                core.stopping.store(true, atomic::Ordering::Relaxed);
-                core.recorder
-                    .record(event::EventCode::StopBegan, &settings.name, "");
-                let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
-                driver.step(leaving, time::Instant::now());
-            }
-            Some(drain::DrainAction::Close) => {
-                let _ = closing.send(true);
-            }
-            Some(drain::DrainAction::End { cut }) => {
-                if cut {
-                    note_cut(core);
-                }
-                return;
-            }
-            None => {}
-        }
-    }
-}
-
-async fn sleep_until(wakes: Option<time::Instant>) {
-    match wakes {
-        Some(wakes) => time::sleep_until(wakes).await,
-        None => std::future::pending().await,
-    }
+    let keeper = drain::DrainKeeper::new(settings.answer_keep_ms, settings.stop_limit_ms);
+    let announce = || {
+        core.stopping.store(true, atomic::Ordering::Relaxed);
+        core.recorder
+            .record(event::EventCode::StopBegan, &settings.name, "");
+        let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
+        driver.step(leaving, time::Instant::now());
+    };
+    drain::stop(keeper, signals, closing, serving, announce, || {
+        note_cut(core)
+    })
+    .await;
 }
 
 /// Names each request that the end of the stop cuts.
@@ -361,10 +317,3 @@
             .record(event::EventCode::StopCut, &request, "still in flight");
     }
 }
-
-fn open_listener(address: net::SocketAddr) -> Result<tokio::net::TcpListener, NodeError> {
-    listen::open(address).map_err(|error| NodeError::Listen {
-        address,
-        reason: error.to_string(),
-    })
-}
--- a/arbutusfold/src/settings.rs
+++ b/arbutusfold/src/settings.rs
@@ -10,6 +10,7 @@
 
 use crate::check;
 use crate::id;
+use crate::peer;
 use crate::place;
 
 /// Length of a peer key in bytes.
@@ -174,8 +175,14 @@
     place::require_unique(context, &root.texts("peer_keys"), "each key once");
 }
 
+/// Returns the signer that peer keys in hexadecimal make.
+pub fn peer_signer(keys: &[String]) -> peer::MessageSigner {
+    let decoded = keys.iter().filter_map(|key| decode_key(key));
+    peer::MessageSigner::new(decoded.collect())
+}
+
 /// Decodes a peer key from hexadecimal.
-pub fn decode_key(text: &str) -> Option<[u8; PEER_KEY_BYTES]> {
+fn decode_key(text: &str) -> Option<[u8; PEER_KEY_BYTES]> {
     blake3::Hash::from_hex(text)
         .ok()
         .map(|hash| *hash.as_bytes())
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -19,14 +19,11 @@
 
 const LAYERS: &str = r#","layers":{"from":0,"target":10}"#;
 
-fn change(version: u64, value: Option<Bytes>) -> mirror::RowChange {
-    mirror::RowChange {
-        row: mirror::MirrorRow {
-            key: "i-1".to_owned(),
-            version,
-            value,
-        },
-        before: None,
+fn change(version: u64, value: Option<Bytes>) -> mirror::MirrorRow {
+    mirror::MirrorRow {
+        key: "i-1".to_owned(),
+        version,
+        value,
     }
 }
 
@@ -115,11 +112,11 @@
 async fn unreadable_entry_names_no_runner_and_hurts_no_other() {
     let mut fleet = known();
     let mut bad = change(2, Some(Bytes::from_static(b"\xff\x00")));
-    bad.row.key = "i-2".to_owned();
+    bad.key = "i-2".to_owned();
     let news = fleet.update(&bad, None);
     assert!(matches!(news, Some(fleet::FleetNews::Unreadable(..))));
     assert_eq!(fleet.runners().len(), 1);
-    bad.row.key = "i-1".to_owned();
+    bad.key = "i-1".to_owned();
     fleet.update(&bad, None);
     assert!(fleet.runners().is_empty());
 }
--- a/arbutusfold/tests/gateway_lead.rs
+++ b/arbutusfold/tests/gateway_lead.rs
@@ -2,28 +2,17 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod gateway_world;
+
 use std::time as std_time;
 
 use arbutusfold::gateway::lead;
 use arbutusfold::member;
+use gateway_world::record;
 use tokio::time;
 
 const PATIENCE: std_time::Duration = std_time::Duration::from_millis(1_000);
 
-fn record(name: &str, domain: &str, phase: member::MemberPhase) -> member::MemberRecord {
-    member::MemberRecord {
-        name: name.to_owned(),
-        incarnation: 1,
-        revision: 1,
-        region: "r".to_owned(),
-        domain: domain.to_owned(),
-        callers: "127.0.0.1:1".parse().unwrap(),
-        peers: "127.0.0.1:2".parse().unwrap(),
-        version: 0,
-        phase,
-    }
-}
-
 fn load(runner: lead::RunnerKey, in_flight: u32) -> lead::RunnerLoad {
     lead::RunnerLoad {
         runner,
--- a/arbutusfold/tests/gateway_mirror.rs
+++ b/arbutusfold/tests/gateway_mirror.rs
@@ -43,10 +43,7 @@
     table.merge([row("gone", 2, Some("x")), row("later", 20, Some("y"))]);
     assert!(!table.is_complete());
     let changes = table.replace(vec![row("kept", 4, Some("z"))], 10);
-    let keys: Vec<_> = changes
-        .iter()
-        .map(|change| change.row.key.as_str())
-        .collect();
+    let keys: Vec<_> = changes.iter().map(|change| change.key.as_str()).collect();
     assert_eq!(keys, ["kept", "gone"]);
     assert!(table.is_complete());
     assert_eq!(
--- a/arbutusfold/tests/gateway_offer.rs
+++ b/arbutusfold/tests/gateway_offer.rs
@@ -5,9 +5,8 @@
 mod gateway_world;
 
 use arbutusfold::gateway::{fleet, lead, mirror, offer, path};
-use arbutusfold_platform::runner;
 use bytes::Bytes;
-use gateway_world::engine;
+use gateway_world::{engine, query};
 use tokio::time;
 
 /// Three large runners that hold a third of the layers each.
@@ -23,7 +22,7 @@
             version: 1,
             value: Some(Bytes::from(entry)),
         };
-        fleet.update(&mirror::RowChange { row, before: None }, None);
+        fleet.update(&row, None);
     }
     fleet
 }
@@ -34,16 +33,6 @@
     now: time::Instant,
 ) -> Result<path::ChosenPath, offer::PathLack> {
     let engine = engine();
-    let query = path::PathQuery {
-        engine: &engine,
-        layers: runner::LayerSpan {
-            from: 0,
-            to: engine.layers,
-        },
-        domain: Some(0),
-        prompt: 800.0,
-        answer: 200.0,
-    };
     let view = offer::OfferView {
         engine: &engine,
         leads: &lead::LeadBook::default(),
@@ -51,7 +40,7 @@
         now,
     };
     let states: Vec<_> = fleet.runners().iter().collect();
-    view.choose(&states, &["a"], &query)
+    view.choose(&states, &["a"], &query(&engine, 0))
 }
 
 #[tokio::test(start_paused = true)]
--- a/arbutusfold/tests/gateway_path.rs
+++ b/arbutusfold/tests/gateway_path.rs
@@ -6,7 +6,7 @@
 
 use arbutusfold::gateway::{layout, lead, path};
 use arbutusfold_platform::runner;
-use gateway_world::{engine, small_fleet};
+use gateway_world::{engine, query, small_fleet};
 
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
@@ -41,17 +41,7 @@
 
 fn choose(offers: &[path::StageOffer], domain: usize) -> Option<path::ChosenPath> {
     let engine = engine();
-    let query = path::PathQuery {
-        engine: &engine,
-        layers: runner::LayerSpan {
-            from: 0,
-            to: engine.layers,
-        },
-        domain: Some(domain),
-        prompt: 800.0,
-        answer: 200.0,
-    };
-    path::choose(offers, &query, || 1.0)
+    path::choose(offers, &query(&engine, domain), || 1.0)
 }
 
 fn assert_whole(chosen: &path::ChosenPath, offers: &[path::StageOffer]) {
--- a/arbutusfold/tests/gateway_settings.rs
+++ b/arbutusfold/tests/gateway_settings.rs
@@ -2,8 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod gateway_world;
+
 use arbutusfold::gateway::{entry, settings};
 use arbutusfold::member;
+use gateway_world::record;
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
@@ -53,21 +56,6 @@
     assert!(settings::parse_file("test", "").is_err());
 }
 
-fn record(name: &str, domain: &str, phase: member::MemberPhase) -> member::MemberRecord {
-    let port = name.bytes().map(u16::from).sum::<u16>();
-    member::MemberRecord {
-        name: name.to_owned(),
-        incarnation: 1,
-        revision: 1,
-        region: "r".to_owned(),
-        domain: domain.to_owned(),
-        callers: format!("10.0.0.1:{port}").parse().unwrap(),
-        peers: "10.0.0.1:4".parse().unwrap(),
-        version: 0,
-        phase,
-    }
-}
-
 #[test]
 fn callers_get_nodes_of_their_domain_or_all_where_too_few_serve_there() {
     let serving = member::MemberPhase::Serving;
--- a/arbutusfold/tests/gateway_world/mod.rs
+++ b/arbutusfold/tests/gateway_world/mod.rs
@@ -4,7 +4,8 @@
 
 use std::time;
 
-use arbutusfold::gateway::layout;
+use arbutusfold::gateway::{layout, path};
+use arbutusfold::member;
 use arbutusfold_platform::document;
 
 /// An engine of 80 layers on three kinds of cards.
@@ -62,3 +63,30 @@
     }
     slots
 }
+
+/// A request of 1,000 tokens that enters from a domain.
+pub fn query(engine: &document::EngineSpec, domain: usize) -> path::PathQuery<'_> {
+    path::PathQuery {
+        engine,
+        layers: engine.all_layers(),
+        domain: Some(domain),
+        prompt: 800.0,
+        answer: 200.0,
+    }
+}
+
+/// A node as membership knows it.
+pub fn record(name: &str, domain: &str, phase: member::MemberPhase) -> member::MemberRecord {
+    let port = name.bytes().map(u16::from).sum::<u16>();
+    member::MemberRecord {
+        name: name.to_owned(),
+        incarnation: 1,
+        revision: 1,
+        region: "r".to_owned(),
+        domain: domain.to_owned(),
+        callers: format!("10.0.0.1:{port}").parse().unwrap(),
+        peers: "10.0.0.1:4".parse().unwrap(),
+        version: 0,
+        phase,
+    }
+}
--- a/arbutusfold/tests/suspect.rs
+++ b/arbutusfold/tests/suspect.rs
@@ -43,6 +43,16 @@
     }
 }
 
+fn wanted(fingerprint: suspect::RequestFingerprint, assigned: &[String]) -> claim::RunRequest {
+    claim::RunRequest {
+        fingerprint,
+        organisation: "novia-lima".to_owned(),
+        assigned: assigned.to_vec(),
+        lasts: LASTS,
+        pardon: None,
+    }
+}
+
 #[test]
 fn fingerprints_follow_what_is_asked() {
     let same = suspect::fingerprint("novia-lima", "assistant", b"airbrush");
@@ -127,13 +137,7 @@
     let mut verdicts = Vec::new();
     for upstream in ["u1", "u2", "u3"] {
         let run = node.number();
-        let request = claim::RunRequest {
-            fingerprint: print(),
-            organisation: "novia-lima".to_owned(),
-            assigned: nodes.0.clone(),
-            lasts: LASTS,
-            pardon: None,
-        };
+        let request = wanted(print(), &nodes.0);
         let event = host::SuspectEvent::Begin(run, request);
         verdicts.extend(node.handle(event, &nodes, now));
         let end = suspect::RunEnd::Crashed(mark(upstream));
@@ -157,13 +161,7 @@
     let mut node = host::SuspectHost::new("n1".to_owned(), 1);
     for crashes in 0..20 {
         let run = node.number();
-        let request = claim::RunRequest {
-            fingerprint: print(),
-            organisation: "novia-lima".to_owned(),
-            assigned: nodes.0.clone(),
-            lasts: LASTS,
-            pardon: None,
-        };
+        let request = wanted(print(), &nodes.0);
         let event = host::SuspectEvent::Begin(run, request);
         if node.handle(event, &nodes, now) != [claim::ClaimAction::Start(run)] {
             return crashes;
@@ -337,16 +335,7 @@
         .find(|(name, ..)| name == claimant)
         .unwrap();
     let run = node.number();
-    let begin = host::SuspectEvent::Begin(
-        run,
-        claim::RunRequest {
-            fingerprint: request,
-            organisation: "novia-lima".to_owned(),
-            assigned: old.clone(),
-            lasts: LASTS,
-            pardon: None,
-        },
-    );
+    let begin = host::SuspectEvent::Begin(run, wanted(request, &old));
     let actions = node.handle(begin, view, now);
     assert_eq!(
         settle(&mut nodes, claimant, actions, now),
@@ -379,13 +368,7 @@
     let begin = |nodes: &mut Vec<(&str, host::SuspectHost, Assigned)>, name: &str| {
         let (_, node, view) = nodes.iter_mut().find(|(known, ..)| *known == name).unwrap();
         let run = node.number();
-        let wanted = claim::RunRequest {
-            fingerprint: request,
-            organisation: "novia-lima".to_owned(),
-            assigned: view.0.clone(),
-            lasts: LASTS,
-            pardon: None,
-        };
+        let wanted = wanted(request, &view.0);
         let actions = node.handle(host::SuspectEvent::Begin(run, wanted), view, now);
         settle(nodes, name, actions, now)
     };
--- a/bench/src/bin/layout.rs
+++ b/bench/src/bin/layout.rs
@@ -76,7 +76,7 @@
 ) -> Option<plan::StageOffer> {
     let slot = &slots[place];
     let layers = slot.layers?;
-    let card = engine.cards.iter().find(|card| card.name == slot.card)?;
+    let card = engine.card(&slot.card)?;
     let share = f64::from(layers.len()) / f64::from(engine.layers);
     let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
     let tokens = engine.prompt_tokens + engine.answer_tokens;
