Log each death of a runner under a request, with the request's fingerprint

Nothing in logs or metrics of a gateway could tell whether one request kills runners at several hosts, whether such deaths are noticed at all, or whether only the sums of retries are wrong. A broken run asks its runner for a report first, once a second for all requests that broke there, since connections are also reset by runners that work on. The counter refused_runs tells why a run was not started. No decision uses any of it yet.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -21,6 +21,7 @@
 
 pub mod budget;
 pub mod core;
+pub mod crash;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -9,6 +9,7 @@
 
 use crate::event;
 use crate::gateway::budget;
+use crate::gateway::crash;
 use crate::gateway::fleet;
 use crate::gateway::leader;
 use crate::gateway::metrics;
@@ -46,6 +47,8 @@
     pub loads: sync::Mutex<leader::LoadView>,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
+    /// Recent checks of runners that may have died during a run.
+    pub crash_checks: sync::Mutex<crash::CrashChecks>,
     mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
     routing: sync::RwLock<Option<sync::Arc<routing::RoutingTable>>>,
     /// The latest outage of the store.
@@ -84,6 +87,7 @@
             fleet: sync::Mutex::default(),
             loads: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
+            crash_checks: sync::Mutex::default(),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
             outage: sync::Mutex::default(),
--- /dev/null
+++ b/arbutusfold/src/gateway/crash.rs
@@ -0,0 +1,220 @@
+//! Deaths of runners during the runs of a request.
+//!
+//! A broken run does not show by itself that its runner died: connections are
+//! also reset and answers lost while the runner works on. So the runner is
+//! asked for a report, once for all requests that broke there, and the death
+//! counts for a request only if no process, or another one, answers.
+
+use std::net;
+use std::sync;
+use std::time as std_time;
+
+use derive_more::Display;
+use tokio::{task, time};
+
+use crate::event;
+use crate::gateway::core;
+use crate::gateway::core::lock;
+use crate::gateway::metrics;
+use crate::gateway::runner_call;
+use crate::id;
+use crate::suspect;
+
+/// Timeout for connecting to a runner that may be dead, and for its report.
+const CHECK_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(300);
+
+/// Time for which the result of a check holds for other requests.
+const CHECK_TTL: std_time::Duration = std_time::Duration::from_secs(1);
+
+/// What made a request suspect that a runner died.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CrashSign {
+    /// The connection broke before the response head.
+    #[display("connection")]
+    Connection,
+    /// The response body broke off.
+    #[display("body")]
+    Body,
+    /// There was no answer in time.
+    #[display("timeout")]
+    Timeout,
+    /// The stream fell silent there, or the first runner waits for it.
+    #[display("silence")]
+    Silence,
+    /// A rejection that took long names it.
+    #[display("rejection")]
+    Rejection,
+}
+
+/// A runner that a request is sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerInstance {
+    /// Its id and the start of its process.
+    pub crash: suspect::CrashId,
+    /// Its address.
+    pub address: net::SocketAddr,
+}
+
+/// Runners that a request was sent to at the same time.
+#[derive(Clone, Debug)]
+struct RunExposure {
+    runners: Vec<id::UpstreamName>,
+    started_at: time::Instant,
+    crashed: bool,
+}
+
+/// The runs of one request and the deaths of runners during them.
+///
+/// Runners that get the request at the same time are counted as one death at
+/// most: a failure domain that dies as a whole leaves several.
+#[derive(Debug, Default)]
+pub struct CrashTrace {
+    state: sync::Mutex<TraceState>,
+}
+
+#[derive(Debug, Default)]
+struct TraceState {
+    exposures: Vec<RunExposure>,
+    crashes: Vec<suspect::CrashId>,
+    checks: Vec<task::JoinHandle<()>>,
+}
+
+impl CrashTrace {
+    /// Records that the request is sent to runners that it was not sent to before.
+    pub fn begin(&self, runners: &[id::UpstreamName], now: time::Instant) {
+        lock(&self.state).exposures.push(RunExposure {
+            runners: runners.to_vec(),
+            started_at: now,
+            crashed: false,
+        });
+    }
+
+    /// Records that a runner died during the latest run on it.
+    ///
+    /// Returns how long before `now` that run began, or `None` if the death does
+    /// not count: the request was not sent there, or another death among the
+    /// runners of that run counts already.
+    pub fn record(
+        &self,
+        crash: &suspect::CrashId,
+        now: time::Instant,
+    ) -> Option<std_time::Duration> {
+        let mut state = lock(&self.state);
+        let mut exposures = state.exposures.iter_mut().rev();
+        let exposure = exposures.find(|exposure| exposure.runners.contains(&crash.upstream))?;
+        let age = now.saturating_duration_since(exposure.started_at);
+        if std::mem::replace(&mut exposure.crashed, true) {
+            return None;
+        }
+        state.crashes.push(crash.clone());
+        Some(age)
+    }
+
+    /// Returns the deaths that count.
+    pub fn crashes(&self) -> Vec<suspect::CrashId> {
+        lock(&self.state).crashes.clone()
+    }
+}
+
+/// A runner that may have died during a run of a request.
+#[derive(Clone, Debug)]
+pub struct CrashSuspicion {
+    /// Id of the request.
+    pub request: String,
+    /// Fingerprint of the request.
+    pub fingerprint: suspect::RequestFingerprint,
+    /// The runner.
+    pub instance: RunnerInstance,
+    /// Its index on the path.
+    pub stage: usize,
+    /// What raised the suspicion.
+    pub sign: CrashSign,
+    /// Whether the run produced events of a stream before.
+    pub progressed: bool,
+}
+
+/// Checks in the background whether the runner died, and records its death.
+pub fn check(
+    core: &sync::Arc<core::GatewayCore>,
+    trace: &sync::Arc<CrashTrace>,
+    suspicion: CrashSuspicion,
+) {
+    let task = {
+        let (core, trace) = (sync::Arc::clone(core), sync::Arc::clone(trace));
+        tokio::spawn(async move {
+            if is_gone(&core, &suspicion.instance).await {
+                record(&core, &trace, &suspicion);
+            }
+        })
+    };
+    lock(&trace.state).checks.push(task);
+}
+
+fn record(core: &core::GatewayCore, trace: &CrashTrace, suspicion: &CrashSuspicion) {
+    let crash = &suspicion.instance.crash;
+    let Some(age) = trace.record(crash, time::Instant::now()) else {
+        return;
+    };
+    let labels = metrics::CrashLabels {
+        sign: suspicion.sign.to_string(),
+    };
+    core.metrics.crashes.get_or_create(&labels).inc();
+    let detail = format!(
+        "fingerprint={} runner={} born_ms={} stage={} sign={} progressed={} run_ms={}",
+        suspect::fingerprint_text(&suspicion.fingerprint),
+        crash.upstream,
+        crash.incarnation,
+        suspicion.stage,
+        suspicion.sign,
+        suspicion.progressed,
+        age.as_millis()
+    );
+    core.note(event::EventCode::SuspectNoted, &suspicion.request, detail);
+}
+
+/// Recent checks of runners that may have died.
+#[derive(Debug, Default)]
+pub struct CrashChecks {
+    recent: Vec<RecentCheck>,
+}
+
+#[derive(Debug)]
+struct RecentCheck {
+    crash: suspect::CrashId,
+    started_at: time::Instant,
+    gone: sync::Arc<tokio::sync::OnceCell<bool>>,
+}
+
+impl CrashChecks {
+    /// Returns the cell for the result of a check that is under way or recent,
+    /// or that of a new check.
+    fn result(
+        &mut self,
+        crash: &suspect::CrashId,
+        now: time::Instant,
+    ) -> sync::Arc<tokio::sync::OnceCell<bool>> {
+        self.recent
+            .retain(|check| now.saturating_duration_since(check.started_at) < CHECK_TTL);
+        let found = self.recent.iter().find(|check| check.crash == *crash);
+        if let Some(check) = found {
+            return sync::Arc::clone(&check.gone);
+        }
+        let gone = sync::Arc::default();
+        self.recent.push(RecentCheck {
+            crash: crash.clone(),
+            started_at: now,
+            gone: sync::Arc::clone(&gone),
+        });
+        gone
+    }
+}
+
+/// Returns whether the process of a runner no longer exists.
+async fn is_gone(core: &core::GatewayCore, instance: &RunnerInstance) -> bool {
+    let result = lock(&core.crash_checks).result(&instance.crash, time::Instant::now());
+    let check = || {
+        let started_ms = instance.crash.incarnation;
+        runner_call::is_gone(instance.address, started_ms, CHECK_TIMEOUT)
+    };
+    *result.get_or_init(check).await
+}
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use crate::event;
 use crate::gateway::core;
 use crate::gateway::core::lock;
+use crate::gateway::crash;
 use crate::gateway::metrics;
 use crate::gateway::request;
 use crate::gateway::response;
@@ -172,6 +173,8 @@
         executed: 0,
         attempts: 0,
         latest_runners: String::new(),
+        trace: sync::Arc::default(),
+        fingerprint: sync::OnceLock::new(),
     })
 }
 
@@ -296,9 +299,13 @@
                     Ok(Err(error)) => {
                         let cause = error.to_string();
                         request.fail_runner(&target.runners[0], &cause);
+                        request.check_crash(&target, 0, crash::CrashSign::Body, false);
                         (true, cause)
                     }
-                    Err(_) => return Err(request.timeout_refusal()),
+                    Err(_) => {
+                        request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
+                        return Err(request.timeout_refusal());
+                    }
                 }
             }
             request::AttemptOutcome::NotRun { cause } => (false, cause),
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -19,6 +19,20 @@
     pub status: u16,
 }
 
+/// Labels of the counter of runners that died during a run.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CrashLabels {
+    /// What made the request suspect that the runner died.
+    pub sign: String,
+}
+
+/// Labels of the counter of runs that were not started.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RunRefusalLabels {
+    /// Why the run was not started.
+    pub cause: &'static str,
+}
+
 /// Metrics of a gateway and the registry that exports them.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -29,6 +43,10 @@
     pub in_flight: gauge::Gauge,
     /// Attempts of requests after the first one.
     pub retries: counter::Counter,
+    /// Runs that were not started, by cause.
+    pub refused_runs: family::Family<RunRefusalLabels, counter::Counter>,
+    /// Runners that died during a run of a request, once for each request.
+    pub crashes: family::Family<CrashLabels, counter::Counter>,
     /// Streams resumed on another path.
     pub resumed: counter::Counter,
     /// Callers that disconnected before the end of their response.
@@ -56,6 +74,8 @@
             requests: family::Family::default(),
             in_flight: gauge::Gauge::default(),
             retries: counter::Counter::default(),
+            refused_runs: family::Family::default(),
+            crashes: family::Family::default(),
             resumed: counter::Counter::default(),
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
@@ -69,6 +89,16 @@
         registry.register("requests", "Requests that ended", set.requests.clone());
         registry.register("in_flight", "Requests in flight", set.in_flight.clone());
         registry.register("retries", "Sends after the first", set.retries.clone());
+        registry.register(
+            "refused_runs",
+            "Runs that were not started, by cause",
+            set.refused_runs.clone(),
+        );
+        registry.register(
+            "crashes",
+            "Runners that died during a run of a request",
+            set.crashes.clone(),
+        );
         registry.register("resumed", "Streams resumed elsewhere", set.resumed.clone());
         registry.register(
             "abandoned",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -13,13 +13,16 @@
 use crate::event;
 use crate::gateway::core;
 use crate::gateway::core::lock;
+use crate::gateway::crash;
 use crate::gateway::fleet;
+use crate::gateway::metrics;
 use crate::gateway::path;
 use crate::gateway::response;
 use crate::gateway::routing;
 use crate::gateway::runner_call;
 use crate::gateway::selector;
 use crate::id;
+use crate::suspect;
 
 /// Timeout for connecting to a runner; a live one accepts within a few
 /// milliseconds.
@@ -38,6 +41,10 @@
 /// Longest response of a plain service in bytes.
 pub const RESPONSE_LIMIT_BYTES: usize = 16 << 20;
 
+/// A rejection that takes at least this long can be due to a runner that died
+/// during the run; a runner that was dead before is named at once.
+const LATE_REJECTION: std_time::Duration = std_time::Duration::from_millis(500);
+
 /// Shortest `Retry-After` time for a request to a model; up to twice as long by
 /// random jitter.
 const MODEL_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(1_000);
@@ -77,12 +84,17 @@
     pub attempts: u32,
     /// Runners of the latest attempt, for the log.
     pub latest_runners: String,
+    /// Runs so far and the deaths of runners during them.
+    pub trace: sync::Arc<crash::CrashTrace>,
+    /// Fingerprint, once it was needed.
+    pub fingerprint: sync::OnceLock<suspect::RequestFingerprint>,
 }
 
 /// One stage of a path: a runner and the layers that it runs.
 #[derive(Clone, Debug, PartialEq)]
 struct TargetStage {
     runner: id::UpstreamName,
+    incarnation: id::IncarnationNumber,
     domain: id::DomainName,
     part: head::PathPart,
 }
@@ -92,6 +104,9 @@
 pub struct AttemptTarget {
     /// Runners in the order of the path; the request is sent to the first one.
     pub runners: Vec<id::UpstreamName>,
+    /// Starts of the runners' processes in milliseconds since the Unix epoch; 0
+    /// for an unknown one.
+    pub incarnations: Vec<id::IncarnationNumber>,
     /// Failure domains of the runners.
     pub domains: Vec<id::DomainName>,
     /// Path for the request header; empty if one runner does all the work.
@@ -115,6 +130,7 @@
         Some(Self {
             address: first.part.address,
             runners: stages.iter().map(|stage| stage.runner.clone()).collect(),
+            incarnations: stages.iter().map(|stage| stage.incarnation).collect(),
             domains: stages.iter().map(|stage| stage.domain.clone()).collect(),
             load: stages.iter().map(load).collect(),
             path: match single {
@@ -128,15 +144,36 @@
     /// in this request.
     pub fn stalled_stage(&self, request: &str, report: &runner::RunnerReport) -> Option<usize> {
         let mut stalled = report.stalled.iter();
-        let address = stalled
-            .find(|stalled| stalled.request == request)?
-            .address?;
-        self.path.iter().position(|part| part.address == address)
+        let address = stalled.find(|stalled| stalled.request == request)?.address;
+        self.stage_at(address)
+    }
+
+    /// Returns the index of the runner with this address on the path.
+    fn stage_at(&self, address: Option<std::net::SocketAddr>) -> Option<usize> {
+        self.path
+            .iter()
+            .position(|part| Some(part.address) == address)
+    }
+
+    /// Returns the process of a runner on the path.
+    fn instance(&self, index: usize) -> Option<crash::RunnerInstance> {
+        let address = match index {
+            0 => self.address,
+            _ => self.path.get(index)?.address,
+        };
+        Some(crash::RunnerInstance {
+            crash: suspect::CrashId {
+                upstream: self.runners.get(index)?.clone(),
+                incarnation: *self.incarnations.get(index)?,
+            },
+            address,
+        })
     }
 
     fn stage(&self, index: usize) -> TargetStage {
         TargetStage {
             runner: self.runners[index].clone(),
+            incarnation: self.incarnations[index],
             domain: self.domains[index].clone(),
             part: self.path[index],
         }
@@ -222,8 +259,9 @@
             true => self.is_repeatable() && self.executed < self.rule.max_attempts,
             false => true,
         };
-        let possible = allowed && self.attempts < ATTEMPT_LIMIT && self.time_left() > MIN_TIME_LEFT;
-        if !possible {
+        let possible = allowed && self.attempts < ATTEMPT_LIMIT;
+        if !possible || self.time_left() <= MIN_TIME_LEFT {
+            self.count_refused_run(if possible { "time" } else { "attempts" });
             return false;
         }
         let granted = lock(&self.core.budget).take(&self.service, time::Instant::now());
@@ -232,6 +270,7 @@
                 self.core.metrics.retries.inc();
             }
             false => {
+                self.count_refused_run("budget");
                 let detail = format!("service={} retry budget exhausted", self.service);
                 self.note(event::EventCode::RetryRefused, detail);
             }
@@ -239,6 +278,44 @@
         granted
     }
 
+    fn count_refused_run(&self, cause: &'static str) {
+        let labels = metrics::RunRefusalLabels { cause };
+        self.core.metrics.refused_runs.get_or_create(&labels).inc();
+    }
+
+    /// Returns the fingerprint, which resends of the request share: they come
+    /// with the same path, organisation and body.
+    pub fn fingerprint(&self) -> suspect::RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.parts.uri.path_and_query();
+            let path = path.map_or("/", |path| path.as_str());
+            let organisation = self.organisation.as_deref().unwrap_or_default();
+            suspect::fingerprint(organisation, path, &self.body)
+        })
+    }
+
+    /// Checks in the background whether a runner died during the latest run.
+    pub fn check_crash(
+        &self,
+        target: &AttemptTarget,
+        stage: usize,
+        sign: crash::CrashSign,
+        progressed: bool,
+    ) {
+        let Some(instance) = target.instance(stage) else {
+            return;
+        };
+        let suspicion = crash::CrashSuspicion {
+            request: self.head.request.clone(),
+            fingerprint: self.fingerprint(),
+            instance,
+            stage,
+            sign,
+            progressed,
+        };
+        crash::check(&self.core, &self.trace, suspicion);
+    }
+
     /// Records an event about the request.
     pub fn note(&self, code: event::EventCode, detail: impl Into<String>) {
         self.core.note(code, &self.head.request, detail);
@@ -288,6 +365,7 @@
         let best = usable.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
         Some(AttemptTarget {
             runners: vec![best.record.id.clone()],
+            incarnations: vec![best.record.started_ms.unwrap_or(0)],
             domains: vec![best.record.domain.clone()],
             path: Vec::new(),
             address: best.record.address,
@@ -387,6 +465,7 @@
         };
         let stage = |stage: &path::PathStage| TargetStage {
             runner: states[stage.runner].record.id.clone(),
+            incarnation: states[stage.runner].record.started_ms.unwrap_or(0),
             domain: states[stage.runner].record.domain.clone(),
             part: head::PathPart {
                 address: states[stage.runner].record.address,
@@ -451,6 +530,8 @@
             let cause = "the request cannot be passed on".to_owned();
             return AttemptOutcome::NotRun { cause };
         };
+        let sent_at = time::Instant::now();
+        self.trace.begin(&target.runners, sent_at);
         let timeout = self.head_timeout();
         let answer = time::timeout(timeout, link.send(request)).await;
         let response = match answer {
@@ -462,17 +543,19 @@
             }
             Err(_) => {
                 self.executed += 1;
+                self.check_crash(target, 0, crash::CrashSign::Timeout, false);
                 return AttemptOutcome::TimedOut;
             }
             Ok(Err(error)) => {
                 self.executed += 1;
                 let cause = error.to_string();
                 self.fail_runner(&target.runners[0], &cause);
+                self.check_crash(target, 0, crash::CrashSign::Connection, false);
                 return AttemptOutcome::Broken { cause };
             }
             Ok(Ok(response)) => response,
         };
-        self.check_response(target, response, link)
+        self.check_response(target, response, link, sent_at)
     }
 
     /// Returns how long this attempt may wait for the response head: until the
@@ -491,15 +574,26 @@
     /// the first runner's report names, else the first runner.
     async fn exclude_unresponsive(&mut self, target: &AttemptTarget, cause: &str) {
         let first = &target.runners[0];
-        if target.path.is_empty() {
-            return self.fail_runner(first, cause);
-        }
-        match runner_call::report(target.address, CONNECT_TIMEOUT).await {
-            Err(cause) => self.fail_runner(first, &cause),
-            Ok(report) => match target.stalled_stage(&self.head.request, &report) {
-                Some(index) => self.fail_runner(&target.runners[index], cause),
-                None => self.exclude(first),
-            },
+        let report = match target.path.is_empty() {
+            true => Err(cause.to_owned()),
+            false => runner_call::report(target.address, CONNECT_TIMEOUT).await,
+        };
+        let stalled = match report {
+            Err(cause) => {
+                self.fail_runner(first, &cause);
+                Some(0)
+            }
+            Ok(report) => {
+                let stalled = target.stalled_stage(&self.head.request, &report);
+                match stalled {
+                    Some(index) => self.fail_runner(&target.runners[index], cause),
+                    None => self.exclude(first),
+                }
+                stalled
+            }
+        };
+        if let Some(index) = stalled {
+            self.check_crash(target, index, crash::CrashSign::Timeout, false);
         }
     }
 
@@ -529,6 +623,7 @@
         target: &AttemptTarget,
         response: http::Response<body::Incoming>,
         link: link::HttpLink,
+        sent_at: time::Instant,
     ) -> AttemptOutcome {
         let (status, headers) = (response.status(), response.headers());
         if head::is_for_other_request(headers, &self.head.request) {
@@ -538,8 +633,11 @@
             return AttemptOutcome::Broken { cause };
         }
         if head::is_not_run(status, headers) {
-            let fault = head::fault_address(headers);
-            let cause = self.note_rejection(target, status, fault);
+            let stage = target.stage_at(head::fault_address(headers)).unwrap_or(0);
+            let cause = self.note_rejection(target, status, stage);
+            if stage != 0 && sent_at.elapsed() >= LATE_REJECTION {
+                self.check_crash(target, stage, crash::CrashSign::Rejection, false);
+            }
             return AttemptOutcome::NotRun { cause };
         }
         self.executed += 1;
@@ -557,14 +655,9 @@
         &mut self,
         target: &AttemptTarget,
         status: http::StatusCode,
-        fault: Option<std::net::SocketAddr>,
+        stage: usize,
     ) -> String {
-        let index = target
-            .path
-            .iter()
-            .position(|part| Some(part.address) == fault)
-            .unwrap_or(0);
-        let id = target.runners[index].clone();
+        let id = target.runners[stage].clone();
         let cause = format!("status {} of {id}", status.as_u16());
         let now = time::Instant::now();
         let mut fleet = lock(&self.core.fleet);
--- a/arbutusfold/src/gateway/runner_call.rs
+++ b/arbutusfold/src/gateway/runner_call.rs
@@ -11,6 +11,12 @@
 /// Longest report of a runner in bytes.
 const REPORT_LIMIT_BYTES: usize = 1 << 20;
 
+/// Attempts to get an answer from a runner that closes its connections.
+const CHECK_ATTEMPTS: u32 = 3;
+
+/// Pause between two such attempts.
+const CHECK_PAUSE: std_time::Duration = std_time::Duration::from_millis(100);
+
 /// Fetches a runner's report within `timeout`.
 ///
 /// # Errors
@@ -34,6 +40,41 @@
     runner::decode_report(&body).map_err(|error| error.to_string())
 }
 
+/// Returns whether the process of a runner that started at `started_ms` no
+/// longer exists: nothing accepts connections at its address, each one is closed
+/// without an answer, or the answer states a later start.
+///
+/// A runner that is silent after it accepted a connection exists.
+pub async fn is_gone(
+    address: std::net::SocketAddr,
+    started_ms: u64,
+    timeout: std_time::Duration,
+) -> bool {
+    for _ in 0..CHECK_ATTEMPTS {
+        let Ok(request) = order::encode_report_call(address) else {
+            return false;
+        };
+        let Ok(mut link) = link::HttpLink::open(address, timeout).await else {
+            return true;
+        };
+        let answer = async {
+            let response = link.send(request).await?;
+            link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
+        };
+        match time::timeout(timeout, answer).await {
+            Err(_) => return false,
+            Ok(Ok(body)) => {
+                let report = runner::decode_report(&body).ok();
+                let reported = report.and_then(|report| report.started_ms);
+                return started_ms != 0 && reported.is_some_and(|reported| reported != started_ms);
+            }
+            // A runner with too many connections closes new ones, too.
+            Ok(Err(_)) => time::sleep(CHECK_PAUSE).await,
+        }
+    }
+    true
+}
+
 /// Sends an order to the runner with this id.
 ///
 /// # Errors
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -12,6 +12,7 @@
 
 use crate::event;
 use crate::gateway::core::lock;
+use crate::gateway::crash;
 use crate::gateway::event_stream;
 use crate::gateway::forward;
 use crate::gateway::request;
@@ -380,11 +381,13 @@
                 Ok(Some(Err(error))) => {
                     let cause = format!("the runner broke off: {error}");
                     request.fail_runner(&self.target.runners[0], &cause);
+                    request.check_crash(&self.target, 0, crash::CrashSign::Body, self.has_events);
                     return StreamStep::Broken(cause);
                 }
                 Ok(None) if self.splitter.is_partial() => {
                     let cause = "the runner ended in the middle of an event".to_owned();
                     request.fail_runner(&self.target.runners[0], &cause);
+                    request.check_crash(&self.target, 0, crash::CrashSign::Body, self.has_events);
                     return StreamStep::Broken(cause);
                 }
                 Ok(None) => {
@@ -402,6 +405,10 @@
                     let Some(silent) = self.find_silent(request).await else {
                         continue;
                     };
+                    for stage in &silent {
+                        let sign = crash::CrashSign::Silence;
+                        request.check_crash(&self.target, *stage, sign, self.has_events);
+                    }
                     if !self.reroute(request, &silent).await {
                         return StreamStep::Stalled(silent);
                     }
@@ -496,6 +503,14 @@
         if taken {
             self.guard = request::LoadGuard::new(&request.core, &target);
             request.latest_runners = target.runners.join(">");
+            let before = &self.target.runners;
+            let added: Vec<_> = target
+                .runners
+                .iter()
+                .filter(|id| !before.contains(id))
+                .cloned()
+                .collect();
+            request.trace.begin(&added, time::Instant::now());
             self.target = target;
             // The new stages process all tokens so far before the next event.
             self.last_event = time::Instant::now();
--- a/arbutusfold/src/suspect.rs
+++ b/arbutusfold/src/suspect.rs
@@ -187,6 +187,11 @@
     fingerprint
 }
 
+/// Returns a fingerprint in hexadecimal, for logs and keys.
+pub fn fingerprint_text(fingerprint: &RequestFingerprint) -> String {
+    format!("{:032x}", u128::from_be_bytes(*fingerprint))
+}
+
 /// Returns the nodes that issue the permits of a fingerprint, in ranked order.
 ///
 /// A single node issues both permits. Without any node the names are empty.
--- /dev/null
+++ b/arbutusfold/tests/gateway_crash.rs
@@ -0,0 +1,42 @@
+//! Tests of which deaths of runners count for a request.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time as std_time;
+
+use arbutusfold::gateway::crash;
+use arbutusfold::suspect;
+use tokio::time;
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn death(runner: &str) -> suspect::CrashId {
+    suspect::CrashId {
+        upstream: runner.to_owned(),
+        incarnation: 1,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn runners_that_got_the_request_together_count_as_one_death() {
+    let trace = crash::CrashTrace::default();
+    trace.begin(&names(&["a", "b", "c"]), time::Instant::now());
+    time::advance(std_time::Duration::from_millis(300)).await;
+    let age = trace.record(&death("b"), time::Instant::now());
+    assert_eq!(age, Some(std_time::Duration::from_millis(300)));
+    assert_eq!(trace.record(&death("c"), time::Instant::now()), None);
+    // A runner that replaced the dead one got the request by itself.
+    trace.begin(&names(&["d"]), time::Instant::now());
+    assert!(trace.record(&death("d"), time::Instant::now()).is_some());
+    assert_eq!(trace.crashes(), [death("b"), death("d")]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn death_of_a_runner_that_never_got_the_request_does_not_count() {
+    let trace = crash::CrashTrace::default();
+    trace.begin(&names(&["a"]), time::Instant::now());
+    assert_eq!(trace.record(&death("b"), time::Instant::now()), None);
+    assert!(trace.crashes().is_empty());
+}
