Reproduce a request that crashes its runners, over real processes

Callers saw nothing; runners went down one after the other. The start of a fleet moves out of the soak's world, so that tests other than its seeds can use it.

--- /dev/null
+++ b/soak/src/deployment.rs
@@ -0,0 +1,187 @@
+//! A fleet of gateway processes in front of stand-ins.
+
+use std::net;
+use std::path;
+use std::sync::atomic;
+use std::time;
+
+use arbutusfold_platform_standin::{caller, operator, runner, server, store};
+
+use crate::plan;
+use crate::process;
+use crate::proxy;
+
+/// Number of layers of the model.
+const LAYERS: u32 = 80;
+
+/// Number of runners of the plain service; they come first in the list of runners.
+const PLAIN_RUNNERS: usize = 2;
+
+/// Failure domains, assigned to runners and gateways in turn.
+const DOMAINS: [&str; 2] = ["a", "b"];
+
+/// API key of the only organisation.
+pub const KEY: &str = "soak-key";
+
+/// Name of the only organisation.
+pub const ORGANISATION: &str = "house";
+
+/// Time limit for the fleet to become ready.
+const START_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// A gateway with its proxy to the store.
+pub struct GatewayNode {
+    /// Name and addresses.
+    pub spec: process::GatewaySpec,
+    /// The running process; the lock is held while it is stopped, restarted or
+    /// suspended.
+    pub process: tokio::sync::Mutex<Option<process::GatewayProcess>>,
+    /// Proxy to the store.
+    pub store: proxy::LoopbackProxy,
+}
+
+/// Gateways, runners and a store on loopback addresses.
+pub struct SoakDeployment {
+    /// Gateway program.
+    pub program: path::PathBuf,
+    /// Folder for settings and logs.
+    pub folder: path::PathBuf,
+    /// The gateways.
+    pub nodes: Vec<GatewayNode>,
+    /// The store.
+    pub store: store::StoreStandin,
+    _store_server: server::StandinServer,
+    /// The runners; those of the plain service come first.
+    pub fleet: runner::RunnerFleet,
+    /// Proxies to the runners, in the order of the runners.
+    pub proxies: Vec<proxy::LoopbackProxy>,
+    document_count: atomic::AtomicU64,
+}
+
+impl SoakDeployment {
+    /// Starts the processes; `subnet` selects their loopback addresses.
+    ///
+    /// # Errors
+    ///
+    /// When a stand-in cannot listen or a process cannot be started.
+    pub async fn start(
+        program: &path::Path,
+        folder: &path::Path,
+        subnet: u8,
+        size: plan::SoakSize,
+    ) -> anyhow::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let ip = |node: usize| net::Ipv4Addr::new(127, 90, subnet, node as u8 + 1);
+        let any_port = |last: u8| net::SocketAddr::from(([127, 90, subnet, last], 0));
+        let store = store::StoreStandin::default();
+        let store_server = store.serve(any_port(200)).await?;
+        let fleet = runner::RunnerFleet::new(store.clone(), LAYERS);
+        let mut proxies = Vec::new();
+        for index in 0..size.runners {
+            let plain = index < PLAIN_RUNNERS;
+            // The proxy needs the runner's address before the runner listens, so a
+            // free port is reserved first.
+            let listener = std::net::TcpListener::bind(any_port(201))?;
+            let address = listener.local_addr()?;
+            drop(listener);
+            let proxy = proxy::LoopbackProxy::start(any_port(202), address).await?;
+            let spec = runner::RunnerSpec {
+                id: format!("i-{index:02}"),
+                service: if plain { "plain" } else { "model" }.to_owned(),
+                domain: DOMAINS[index % DOMAINS.len()].to_owned(),
+                card: (!plain).then(|| "card".to_owned()),
+            };
+            fleet.start(spec, address, Some(proxy.address())).await?;
+            proxies.push(proxy);
+        }
+        let seeds: Vec<_> = (0..size.nodes.min(3)).map(ip).collect();
+        let mut nodes = Vec::new();
+        for node in 0..size.nodes {
+            let proxy = proxy::LoopbackProxy::start(any_port(203), store_server.address()).await?;
+            let spec = process::GatewaySpec {
+                name: format!("front-{node}"),
+                domain: DOMAINS[node % DOMAINS.len()].to_owned(),
+                ip: ip(node),
+                store: proxy.address(),
+                seeds: seeds.clone(),
+            };
+            let process = process::GatewayProcess::start(program, &spec, folder)?;
+            nodes.push(GatewayNode {
+                spec,
+                process: tokio::sync::Mutex::new(Some(process)),
+                store: proxy,
+            });
+        }
+        let deployment = Self {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            nodes,
+            store,
+            _store_server: store_server,
+            fleet,
+            proxies,
+            document_count: atomic::AtomicU64::new(0),
+        };
+        deployment.put_document();
+        Ok(deployment)
+    }
+
+    /// Writes the next version of the document, which adds one route and keeps
+    /// all earlier ones.
+    pub fn put_document(&self) {
+        let version = 1 + self.document_count.fetch_add(1, atomic::Ordering::SeqCst);
+        operator::put_document(
+            &self.store,
+            &operator::DocumentSpec {
+                version,
+                layers: LAYERS,
+                organisation: ORGANISATION,
+                key: KEY,
+            },
+        );
+    }
+
+    /// Returns the number of documents written so far.
+    pub fn document_count(&self) -> u64 {
+        self.document_count.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Waits until all layers are held and every gateway is ready.
+    ///
+    /// # Errors
+    ///
+    /// When that takes longer than `START_LIMIT`.
+    pub async fn wait_ready(&self) -> anyhow::Result<()> {
+        let deadline = tokio::time::Instant::now() + START_LIMIT;
+        while tokio::time::Instant::now() < deadline {
+            let mut ready = self.fleet.is_covered();
+            for node in &self.nodes {
+                ready = ready && caller::is_ready(node.spec.ready()).await;
+            }
+            if ready {
+                return Ok(());
+            }
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+        anyhow::bail!("the fleet was not ready within {START_LIMIT:?}")
+    }
+
+    /// Kills a gateway, if it runs, and starts a new process in its place.
+    ///
+    /// # Errors
+    ///
+    /// When the process cannot be started.
+    pub async fn replace(&self, node: usize) -> anyhow::Result<()> {
+        let node = &self.nodes[node];
+        let mut slot = node.process.lock().await;
+        if let Some(mut process) = slot.take() {
+            process.kill();
+        }
+        *slot = Some(process::GatewayProcess::start(
+            &self.program,
+            &node.spec,
+            &self.folder,
+        )?);
+        Ok(())
+    }
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! stand-ins and proxies. The calls that callers and runners observe are
 //! checked against the guarantees of the gateway.
 
+pub mod deployment;
 pub mod plan;
 pub mod process;
 pub mod proxy;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,37 +1,20 @@
 //! Runs one seed: starts a fleet of gateways in front of stand-ins, injects the
 //! faults and checks the guarantees.
 
-use std::fs;
-use std::net;
 use std::path;
 use std::sync;
 use std::time;
 
 use anyhow::Context;
-use arbutusfold_platform_standin::{caller, operator, runner, server, store};
+use arbutusfold_platform_standin::{caller, store};
 use nix::sys::signal;
 use tokio::task;
 
+use crate::deployment;
 use crate::plan;
 use crate::process;
 use crate::proxy;
 
-/// Number of layers of the model.
-const LAYERS: u32 = 80;
-
-/// Number of runners of the plain service; they come first in the list of runners.
-const PLAIN_RUNNERS: usize = 2;
-
-/// Failure domains, assigned to runners and gateways in turn.
-const DOMAINS: [&str; 2] = ["a", "b"];
-
-/// API key and name of the only organisation.
-const KEY: &str = "soak-key";
-const ORGANISATION: &str = "house";
-
-/// Time limit for the fleet to become ready.
-const START_LIMIT: time::Duration = time::Duration::from_secs(20);
-
 /// Time limit for the fleet to serve again after the last fault; equals the
 /// deployments' `recoverS` of 12 s.
 const RECOVERY_LIMIT: time::Duration = time::Duration::from_secs(12);
@@ -56,24 +39,10 @@
     pub run_count: usize,
 }
 
-/// A gateway with its proxy to the store.
-struct SoakNode {
-    spec: process::GatewaySpec,
-    process: tokio::sync::Mutex<Option<process::GatewayProcess>>,
-    store: proxy::LoopbackProxy,
-}
-
 struct SoakWorld {
-    program: path::PathBuf,
-    folder: path::PathBuf,
-    nodes: Vec<SoakNode>,
-    store: store::StoreStandin,
-    _store_server: server::StandinServer,
-    fleet: runner::RunnerFleet,
-    proxies: Vec<proxy::LoopbackProxy>,
+    deployment: deployment::SoakDeployment,
     calls: sync::Mutex<Vec<caller::CallRecord>>,
     violations: sync::Mutex<Vec<String>>,
-    document_count: sync::atomic::AtomicU64,
 }
 
 /// Runs one seed with the gateway `program`; logs are written below `folder`.
@@ -88,9 +57,14 @@
     size: plan::SoakSize,
 ) -> anyhow::Result<SeedReport> {
     let folder = folder.join(format!("seed-{seed}"));
-    fs::create_dir_all(&folder)?;
-    let world = sync::Arc::new(SoakWorld::start(program, &folder, seed, size).await?);
-    world.wait_ready().await?;
+    let subnet = (seed % 250) as u8;
+    let deployment = deployment::SoakDeployment::start(program, &folder, subnet, size).await?;
+    deployment.wait_ready().await?;
+    let world = sync::Arc::new(SoakWorld {
+        deployment,
+        calls: sync::Mutex::default(),
+        violations: sync::Mutex::default(),
+    });
     let mut background = task::JoinSet::new();
     let load = sync::Arc::clone(&world);
     background.spawn(async move { load.generate_load(seed).await });
@@ -120,101 +94,6 @@
 }
 
 impl SoakWorld {
-    async fn start(
-        program: &path::Path,
-        folder: &path::Path,
-        seed: u64,
-        size: plan::SoakSize,
-    ) -> anyhow::Result<Self> {
-        let ip = |node: usize| net::Ipv4Addr::new(127, 90, (seed % 250) as u8, node as u8 + 1);
-        let any_port = |last: u8| net::SocketAddr::from(([127, 90, (seed % 250) as u8, last], 0));
-        let store = store::StoreStandin::default();
-        let store_server = store.serve(any_port(200)).await?;
-        let fleet = runner::RunnerFleet::new(store.clone(), LAYERS);
-        let mut proxies = Vec::new();
-        for index in 0..size.runners {
-            let plain = index < PLAIN_RUNNERS;
-            // The proxy needs the runner's address before the runner listens, so a
-            // free port is reserved first.
-            let listener = std::net::TcpListener::bind(any_port(201))?;
-            let address = listener.local_addr()?;
-            drop(listener);
-            let proxy = proxy::LoopbackProxy::start(any_port(202), address).await?;
-            let spec = runner::RunnerSpec {
-                id: format!("i-{index:02}"),
-                service: if plain { "plain" } else { "model" }.to_owned(),
-                domain: DOMAINS[index % DOMAINS.len()].to_owned(),
-                card: (!plain).then(|| "card".to_owned()),
-            };
-            fleet.start(spec, address, Some(proxy.address())).await?;
-            proxies.push(proxy);
-        }
-        let seeds: Vec<_> = (0..size.nodes.min(3)).map(ip).collect();
-        let mut nodes = Vec::new();
-        for node in 0..size.nodes {
-            let proxy = proxy::LoopbackProxy::start(any_port(203), store_server.address()).await?;
-            let spec = process::GatewaySpec {
-                name: format!("front-{node}"),
-                domain: DOMAINS[node % DOMAINS.len()].to_owned(),
-                ip: ip(node),
-                store: proxy.address(),
-                seeds: seeds.clone(),
-            };
-            let process = process::GatewayProcess::start(program, &spec, folder)?;
-            nodes.push(SoakNode {
-                spec,
-                process: tokio::sync::Mutex::new(Some(process)),
-                store: proxy,
-            });
-        }
-        let world = Self {
-            program: program.to_owned(),
-            folder: folder.to_owned(),
-            nodes,
-            store,
-            _store_server: store_server,
-            fleet,
-            proxies,
-            calls: sync::Mutex::default(),
-            violations: sync::Mutex::default(),
-            document_count: sync::atomic::AtomicU64::new(0),
-        };
-        world.put_document();
-        Ok(world)
-    }
-
-    /// Writes the next version of the document, which adds one route and keeps
-    /// all earlier ones.
-    fn put_document(&self) {
-        let version = 1 + self
-            .document_count
-            .fetch_add(1, sync::atomic::Ordering::SeqCst);
-        operator::put_document(
-            &self.store,
-            &operator::DocumentSpec {
-                version,
-                layers: LAYERS,
-                organisation: ORGANISATION,
-                key: KEY,
-            },
-        );
-    }
-
-    async fn wait_ready(&self) -> anyhow::Result<()> {
-        let deadline = tokio::time::Instant::now() + START_LIMIT;
-        while tokio::time::Instant::now() < deadline {
-            let mut ready = self.fleet.is_covered();
-            for node in &self.nodes {
-                ready = ready && caller::is_ready(node.spec.ready()).await;
-            }
-            if ready {
-                return Ok(());
-            }
-            tokio::time::sleep(time::Duration::from_millis(100)).await;
-        }
-        anyhow::bail!("the fleet was not ready within {START_LIMIT:?}")
-    }
-
     /// Calls the nodes in turn until the task is aborted.
     async fn generate_load(self: sync::Arc<Self>, seed: u64) {
         let mut in_flight = task::JoinSet::new();
@@ -235,9 +114,15 @@
             caller::CallKind::Stream,
             caller::CallKind::Get,
         ];
-        let node = &self.nodes[number as usize % self.nodes.len()];
+        let node = &self.deployment.nodes[number as usize % self.deployment.nodes.len()];
         let kind = kinds[(number / 7) as usize % kinds.len()];
-        let record = caller::call(node.spec.callers(), request.to_owned(), kind, KEY).await;
+        let record = caller::call(
+            node.spec.callers(),
+            request.to_owned(),
+            kind,
+            deployment::KEY,
+        )
+        .await;
         if let caller::CallOutcome::Wrong(cause) = &record.outcome {
             self.record_violation(format!("{request} {kind:?} at {}: {cause}", node.spec.name));
         }
@@ -249,15 +134,15 @@
     /// Requests the newest route from each node in turn. A process that has
     /// served the route of a document must never lose it again.
     async fn check_documents(self: sync::Arc<Self>) {
-        let mut confirmed: Vec<(u32, u64)> = vec![(0, 0); self.nodes.len()];
+        let mut confirmed: Vec<(u32, u64)> = vec![(0, 0); self.deployment.nodes.len()];
         for number in 0_u64.. {
             tokio::time::sleep(time::Duration::from_millis(40)).await;
-            let index = number as usize % self.nodes.len();
-            let node = &self.nodes[index];
+            let index = number as usize % self.deployment.nodes.len();
+            let node = &self.deployment.nodes[index];
             let Some(process_id) = self.process_id(node).await else {
                 continue;
             };
-            let newest = self.document_count.load(sync::atomic::Ordering::SeqCst);
+            let newest = self.deployment.document_count();
             let confirmed_version = if confirmed[index].0 == process_id {
                 confirmed[index].1
             } else {
@@ -266,7 +151,8 @@
             let expected = newest.max(1);
             let path = format!("/v{expected}/x");
             let request = format!("doc-{number:x}");
-            let answer = caller::has_route(node.spec.callers(), &path, &request, KEY).await;
+            let answer =
+                caller::has_route(node.spec.callers(), &path, &request, deployment::KEY).await;
             if self.process_id(node).await != Some(process_id) {
                 continue;
             }
@@ -283,7 +169,7 @@
         }
     }
 
-    async fn process_id(&self, node: &SoakNode) -> Option<u32> {
+    async fn process_id(&self, node: &deployment::GatewayNode) -> Option<u32> {
         // The lock is held while the node is stopped, restarted or suspended; such
         // a node is skipped.
         let process = node.process.try_lock().ok()?;
@@ -296,7 +182,7 @@
             plan::SoakFault::KillNode(node) => self.restart(node, duration, false).await?,
             plan::SoakFault::StopNode(node) => self.restart(node, duration, true).await?,
             plan::SoakFault::FreezeNode(node) => {
-                let process = self.nodes[node].process.lock().await;
+                let process = self.deployment.nodes[node].process.lock().await;
                 if let Some(process) = process.as_ref() {
                     process.signal(signal::Signal::SIGSTOP)?;
                     tokio::time::sleep(duration).await;
@@ -304,9 +190,11 @@
                 }
             }
             plan::SoakFault::StorePath(node, fault) => {
-                self.nodes[node].store.set_fault(fault);
+                self.deployment.nodes[node].store.set_fault(fault);
                 tokio::time::sleep(duration).await;
-                self.nodes[node].store.set_fault(proxy::ProxyFault::None);
+                self.deployment.nodes[node]
+                    .store
+                    .set_fault(proxy::ProxyFault::None);
             }
             plan::SoakFault::StoreBusy => self.fail_store(store::StoreFault::Busy, duration).await,
             plan::SoakFault::StoreSilent => {
@@ -316,33 +204,33 @@
                 self.fail_store(store::StoreFault::LostAnswers, duration)
                     .await;
             }
-            plan::SoakFault::StoreDropsHistory => self.store.drop_history(),
+            plan::SoakFault::StoreDropsHistory => self.deployment.store.drop_history(),
             plan::SoakFault::KillRunner(index) => {
-                let id = self.fleet.ids()[index].clone();
-                self.fleet.kill(&id);
+                let id = self.deployment.fleet.ids()[index].clone();
+                self.deployment.fleet.kill(&id);
                 tokio::time::sleep(duration).await;
-                self.fleet.restart(&id).await?;
+                self.deployment.fleet.restart(&id).await?;
             }
             plan::SoakFault::SilenceRunner(index) => {
-                let id = self.fleet.ids()[index].clone();
-                self.fleet.hang(&id);
+                let id = self.deployment.fleet.ids()[index].clone();
+                self.deployment.fleet.hang(&id);
                 tokio::time::sleep(duration).await;
-                self.fleet.restart(&id).await?;
+                self.deployment.fleet.restart(&id).await?;
             }
             plan::SoakFault::RunnerPath(index, fault) => {
-                self.proxies[index].set_fault(fault);
+                self.deployment.proxies[index].set_fault(fault);
                 tokio::time::sleep(duration).await;
-                self.proxies[index].set_fault(proxy::ProxyFault::None);
+                self.deployment.proxies[index].set_fault(proxy::ProxyFault::None);
             }
-            plan::SoakFault::NewDocument => self.put_document(),
+            plan::SoakFault::NewDocument => self.deployment.put_document(),
         }
         Ok(())
     }
 
     async fn fail_store(&self, fault: store::StoreFault, duration: time::Duration) {
-        self.store.set_fault(fault);
+        self.deployment.store.set_fault(fault);
         tokio::time::sleep(duration).await;
-        self.store.set_fault(store::StoreFault::None);
+        self.deployment.store.set_fault(store::StoreFault::None);
     }
 
     async fn restart(
@@ -351,7 +239,7 @@
         pause: time::Duration,
         graceful: bool,
     ) -> anyhow::Result<()> {
-        let node = &self.nodes[node];
+        let node = &self.deployment.nodes[node];
         let mut slot = node.process.lock().await;
         if let Some(mut process) = slot.take() {
             let was_ready = caller::is_ready(node.spec.ready()).await;
@@ -377,7 +265,11 @@
             process.kill();
         }
         tokio::time::sleep(pause).await;
-        let process = process::GatewayProcess::start(&self.program, &node.spec, &self.folder)?;
+        let process = process::GatewayProcess::start(
+            &self.deployment.program,
+            &node.spec,
+            &self.deployment.folder,
+        )?;
         *slot = Some(process);
         Ok(())
     }
@@ -409,7 +301,7 @@
     }
 
     fn report(&self) -> SeedReport {
-        let runs = self.fleet.runs();
+        let runs = self.deployment.fleet.runs();
         let mut ran: Vec<_> = runs.iter().map(|run| run.request.as_str()).collect();
         ran.sort_unstable();
         let calls = lock(&self.calls);
@@ -418,7 +310,7 @@
             run_count: runs.len(),
             ..SeedReport::default()
         };
-        report.violations.extend(self.fleet.violations());
+        report.violations.extend(self.deployment.fleet.violations());
         for call in calls.iter() {
             let index = match &call.outcome {
                 caller::CallOutcome::Served => 0,
@@ -440,7 +332,7 @@
         }
         let foreign = runs
             .iter()
-            .filter(|run| run.organisation.as_deref() != Some(ORGANISATION));
+            .filter(|run| run.organisation.as_deref() != Some(deployment::ORGANISATION));
         let foreign = foreign.map(|run| {
             format!(
                 "{}: executed for organisation {:?}",
--- /dev/null
+++ b/soak/tests/fleet_crash.rs
@@ -0,0 +1,253 @@
+//! Requests that crash the runners that run them, sent again and again to every
+//! node of a fleet of real processes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path;
+use std::sync;
+use std::time;
+
+use arbutusfold_platform_standin::caller::{self, CallKind};
+use arbutusfold_platform_standin::{runner, store};
+use arbutusfold_soak::{deployment, plan};
+use nix::sys::signal;
+
+/// Time after the third crash within which every node has to know of it.
+const CONTACT: time::Duration = time::Duration::from_secs(3);
+
+/// Crashes after which a request is no longer retried freely.
+const FREE_CRASHES: usize = 3;
+
+/// Retries that may reach runners later than `CONTACT` after these crashes.
+const LATE_RETRIES: usize = 3;
+
+/// Pause between two calls of a request that crashes its runners.
+const REPEAT_PERIOD: time::Duration = time::Duration::from_millis(500);
+
+const SIZE: plan::SoakSize = plan::SoakSize {
+    nodes: 4,
+    runners: 14,
+    fault_window: time::Duration::ZERO,
+    faults: 0,
+};
+
+fn build_folder() -> path::PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.ancestors().nth(2).unwrap().to_owned()
+}
+
+async fn start(name: &str, subnet: u8) -> sync::Arc<deployment::SoakDeployment> {
+    let folder = build_folder().join("crash-tests").join(name);
+    // A folder of an earlier run holds logs that would be taken for new ones.
+    let _ = std::fs::remove_dir_all(&folder);
+    let program = build_folder().join("arbutusfold");
+    let deployment = deployment::SoakDeployment::start(&program, &folder, subnet, SIZE)
+        .await
+        .unwrap();
+    deployment.wait_ready().await.unwrap();
+    sync::Arc::new(deployment)
+}
+
+fn rule(path: &str, stage: runner::CrashStage, after_events: u64) -> runner::CrashRule {
+    runner::CrashRule {
+        path: path.to_owned(),
+        stage,
+        after_events,
+    }
+}
+
+/// Sends the same request `times` times, to the nodes in turn from `first` on.
+async fn repeat(
+    deployment: sync::Arc<deployment::SoakDeployment>,
+    kind: CallKind,
+    path: &str,
+    first: usize,
+    times: usize,
+) {
+    for number in first..first + times {
+        let node = &deployment.nodes[number % deployment.nodes.len()];
+        let request = format!("{}-{number}", path.replace('/', "-"));
+        let address = node.spec.callers();
+        caller::call_path(address, request, kind, path, deployment::KEY).await;
+        tokio::time::sleep(REPEAT_PERIOD).await;
+    }
+}
+
+/// Calls the nodes in turn with sound requests until the task is aborted.
+async fn call_soundly(deployment: sync::Arc<deployment::SoakDeployment>) {
+    let mut in_flight = tokio::task::JoinSet::new();
+    for number in 0.. {
+        tokio::time::sleep(time::Duration::from_millis(25)).await;
+        let node = &deployment.nodes[number % deployment.nodes.len()];
+        let kind = [CallKind::Stream, CallKind::Get, CallKind::Stream][number % 3];
+        // Streams differ, as prompts do; reads of one thing are alike.
+        let path = match kind {
+            CallKind::Stream => format!("/model/{number}"),
+            _ => kind.path().to_owned(),
+        };
+        let address = node.spec.callers();
+        in_flight.spawn(async move {
+            let request = format!("sound-{number}");
+            caller::call_path(address, request, kind, &path, deployment::KEY).await
+        });
+        while in_flight.try_join_next().is_some() {}
+    }
+}
+
+/// Returns what is wrong if more than [`LATE_RETRIES`] repeats reached runners
+/// later than [`CONTACT`] after the third crash.
+fn find_excess(deployment: &deployment::SoakDeployment, path: &str) -> Option<String> {
+    let history = deployment.fleet.crash_history(path);
+    let crashes = &history.crashes;
+    let Some((_, third)) = crashes.get(FREE_CRASHES - 1) else {
+        panic!("{path} crashed {} runners only", crashes.len());
+    };
+    let late: Vec<_> = history
+        .arrivals
+        .iter()
+        .filter(|(_, at)| *at > *third + CONTACT)
+        .map(|(request, _)| request.as_str())
+        .collect();
+    (late.len() > LATE_RETRIES).then(|| {
+        format!(
+            "{path} crashed {} runners; {} late retries: {late:?}",
+            crashes.len(),
+            late.len()
+        )
+    })
+}
+
+/// Asserts that no node refused a sound request for crashes of runners.
+fn assert_sound_requests_run(deployment: &deployment::SoakDeployment) {
+    for node in &deployment.nodes {
+        let log = deployment.folder.join(format!("{}.log", node.spec.name));
+        let log = std::fs::read_to_string(log).unwrap();
+        let mut refused = log
+            .lines()
+            .filter(|line| line.contains("SuspectQuarantined") && line.contains("sound-"));
+        assert_eq!(refused.next(), None);
+    }
+}
+
+/// Guards against a request that crashes each runner it runs on, one after the
+/// other, because every node and every repeat starts to count anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_of_a_crashing_request_stop_at_every_node() {
+    let deployment = start("repeats", 240).await;
+    let rules = [
+        (
+            CallKind::Get,
+            rule("/get/crash", runner::CrashStage::First, 0),
+        ),
+        (
+            CallKind::Post,
+            rule("/post/crash", runner::CrashStage::First, 0),
+        ),
+        (
+            CallKind::Stream,
+            rule("/model/first", runner::CrashStage::First, 0),
+        ),
+        (
+            CallKind::Stream,
+            rule("/model/last", runner::CrashStage::Last, 0),
+        ),
+        (
+            CallKind::Stream,
+            rule("/model/all", runner::CrashStage::All, 0),
+        ),
+        (
+            CallKind::Stream,
+            rule("/model/later", runner::CrashStage::First, 3),
+        ),
+    ];
+    let sound = tokio::spawn(call_soundly(sync::Arc::clone(&deployment)));
+    let mut excess = Vec::new();
+    for (kind, rule) in rules {
+        let path = rule.path.clone();
+        deployment.fleet.add_crash_rule(rule);
+        repeat(sync::Arc::clone(&deployment), kind, &path, 0, 20).await;
+        excess.extend(find_excess(&deployment, &path));
+    }
+    sound.abort();
+    assert!(excess.is_empty(), "{excess:#?}");
+    assert_sound_requests_run(&deployment);
+}
+
+/// Guards against a fleet that forgets such a request when a node is replaced or
+/// frozen, while the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_and_frozen_nodes_learn_of_a_crashing_request() {
+    let deployment = start("replaced", 241).await;
+    let path = "/get/crash";
+    let crashing = rule(path, runner::CrashStage::First, 0);
+    deployment.fleet.add_crash_rule(crashing);
+    let frozen = deployment.nodes[3].process.lock().await;
+    let frozen_process = frozen.as_ref().unwrap();
+    frozen_process.signal(signal::Signal::SIGSTOP).unwrap();
+    // Nodes 0 to 2 see the crashes; the fourth one is frozen meanwhile.
+    for number in 0..9 {
+        let node = &deployment.nodes[number % 3];
+        let request = format!("crash-{number}");
+        let address = node.spec.callers();
+        caller::call_path(address, request, CallKind::Get, path, deployment::KEY).await;
+        tokio::time::sleep(REPEAT_PERIOD).await;
+    }
+    deployment.store.set_fault(store::StoreFault::Silent);
+    frozen_process.signal(signal::Signal::SIGCONT).unwrap();
+    drop(frozen);
+    deployment.store.set_fault(store::StoreFault::None);
+    deployment.replace(0).await.unwrap();
+    deployment.replace(1).await.unwrap();
+    deployment.wait_ready().await.unwrap();
+    tokio::time::sleep(CONTACT).await;
+    repeat(sync::Arc::clone(&deployment), CallKind::Get, path, 100, 16).await;
+    assert_eq!(find_excess(&deployment, path), None);
+}
+
+/// Guards against a fleet that forgets such a request when all its nodes are
+/// restarted at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_of_all_nodes_keeps_a_crashing_request_out() {
+    let deployment = start("restarted", 242).await;
+    let path = "/model/crash";
+    let crashing = rule(path, runner::CrashStage::First, 0);
+    deployment.fleet.add_crash_rule(crashing);
+    repeat(sync::Arc::clone(&deployment), CallKind::Stream, path, 0, 8).await;
+    for _ in 0..2 {
+        for node in &deployment.nodes {
+            let mut process = node.process.lock().await;
+            process.as_mut().unwrap().kill();
+        }
+        for node in 0..deployment.nodes.len() {
+            deployment.replace(node).await.unwrap();
+        }
+        deployment.wait_ready().await.unwrap();
+        tokio::time::sleep(CONTACT).await;
+        repeat(
+            sync::Arc::clone(&deployment),
+            CallKind::Stream,
+            path,
+            100,
+            8,
+        )
+        .await;
+    }
+    assert_eq!(find_excess(&deployment, path), None);
+}
+
+/// Guards against sound requests that are taken for the cause when the runner
+/// under them dies for another reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn death_of_runners_holds_back_no_sound_request() {
+    let deployment = start("sound", 243).await;
+    let sound = tokio::spawn(call_soundly(sync::Arc::clone(&deployment)));
+    let ids = deployment.fleet.ids();
+    for round in 0..24 {
+        let id = &ids[round % ids.len()];
+        deployment.fleet.kill(id);
+        tokio::time::sleep(time::Duration::from_millis(700)).await;
+        deployment.fleet.restart(id).await.unwrap();
+    }
+    sound.abort();
+    assert_sound_requests_run(&deployment);
+}
