Keep the records of crashing requests in the store

Restarted all at once, the nodes forgot which requests crash runners: 8 late retries in restart_of_all_nodes_keeps_a_crashing_request_out, 3 are allowed.

Cause: the records were held in processes only, and no peer was left to ask.

Leaders now keep them in one row of the store, written under the version that they know. A leader reads the row once, the first of them writes a change, the others hear of it, so a change costs one call and rest costs none. While the store is away records go on between nodes and are written on its return.

Ruled out: a row for each request (rows would have to be removed by somebody), each node reading at its start (one call a node; 300 at 300 nodes).

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -89,6 +89,9 @@
     SuspectCleared = 312, Info;
     /// The record of the crashes of a request changed.
     SuspectRecorded = 313, Warning;
+    /// The records of crashes were read from the store or written to it, or could
+    /// not be.
+    SuspectsStored = 314, Info;
     /// An upstream of a plain service was ejected.
     UpstreamEjected = 320, Warning;
     /// An ejected upstream receives requests again.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -44,6 +44,7 @@
 pub mod store_watch;
 pub mod stream;
 pub mod survey;
+pub mod suspect_store;
 pub mod suspects;
 
 /// Time allowed for sending the last messages to peers before the sockets close.
@@ -134,6 +135,7 @@
         tokio::spawn(leader_driver::run(sync::Arc::clone(&core))),
         tokio::spawn(survey::run(sync::Arc::clone(&core))),
         tokio::spawn(suspects::run(sync::Arc::clone(&core))),
+        tokio::spawn(suspect_store::run(sync::Arc::clone(&core))),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
         serve_metrics(&core, metrics, &closed),
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -16,6 +16,7 @@
 use crate::gateway::mirror;
 use crate::gateway::routing;
 use crate::gateway::settings;
+use crate::gateway::suspect_store;
 use crate::id;
 use crate::member;
 use crate::peer;
@@ -57,6 +58,10 @@
     pub suspects_untold: sync::Mutex<Vec<suspect::RequestFingerprint>>,
     /// Signals that there are such requests.
     pub suspects_changed: tokio::sync::Notify,
+    /// Copy of the records in the store, `None` until it was read.
+    pub suspects_stored: sync::Mutex<Option<suspect_store::StoredLedger>>,
+    /// Signals that the copy may differ from the records.
+    pub suspects_unstored: tokio::sync::Notify,
     mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
     routing: sync::RwLock<Option<sync::Arc<routing::RoutingTable>>>,
     /// The latest outage of the store.
@@ -99,6 +104,8 @@
             suspects: sync::Mutex::default(),
             suspects_untold: sync::Mutex::default(),
             suspects_changed: tokio::sync::Notify::new(),
+            suspects_stored: sync::Mutex::default(),
+            suspects_unstored: tokio::sync::Notify::new(),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
             outage: sync::Mutex::default(),
@@ -248,6 +255,11 @@
         self.note(code, "store", cause);
     }
 
+    /// Returns whether the latest watched call to the store failed.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns the milliseconds since the store last answered, or the maximum
     /// if it never did.
     pub fn store_age_ms(&self, now: time::Instant) -> u32 {
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -8,6 +8,7 @@
 use std::sync;
 use std::time as std_time;
 
+use arbutusfold_platform::store;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
@@ -15,6 +16,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::leader;
+use crate::gateway::suspect_store;
 use crate::id;
 use crate::peer;
 use crate::suspect;
@@ -22,7 +24,7 @@
 
 /// Time for which changes are collected before they are sent. A runner dies
 /// under many requests at once.
-const COLLECT_TIME: std_time::Duration = std_time::Duration::from_millis(20);
+pub const COLLECT_TIME: std_time::Duration = std_time::Duration::from_millis(20);
 
 /// Time between two comparisons with another node, as a fraction of the time
 /// limit for detecting a lost dependency. It leaves room for a lost message.
@@ -42,6 +44,13 @@
         /// Digest of the sender's shared records.
         digest: u64,
     },
+    /// The store holds records with this digest in the row with this version.
+    Stored {
+        /// Version of the row.
+        version: store::RowVersion,
+        /// Digest of the records.
+        digest: u64,
+    },
 }
 
 /// Records the crashes of a request that ended without an answer, and tells
@@ -126,6 +135,12 @@
                     send(core, sender, &LedgerMessage::Changed(records));
                 }
             }
+            LedgerMessage::Stored { version, digest } => {
+                if lock(&core.suspects).digest() == digest {
+                    let stored = suspect_store::StoredLedger { version, digest };
+                    *lock(&core.suspects_stored) = Some(stored);
+                }
+            }
         }
     }
 }
@@ -143,7 +158,7 @@
 
 /// Merges records of another node, forwards those that were news and returns
 /// newer ones.
-fn merge(core: &core::GatewayCore, records: &[ledger::SuspectRecord], from: &str) {
+pub fn merge(core: &core::GatewayCore, records: &[ledger::SuspectRecord], from: &str) {
     let now = time::Instant::now();
     let (mut news, mut outdated) = (Vec::new(), Vec::new());
     for record in records {
@@ -159,6 +174,9 @@
             }
         }
     }
+    if !news.is_empty() {
+        core.suspects_unstored.notify_one();
+    }
     send_records(core, &[from.to_owned()], outdated);
     send_records(core, &receivers(core, Some(from)), news);
 }
@@ -199,6 +217,18 @@
 ) {
     lock(&core.suspects_untold).extend(fingerprints);
     core.suspects_changed.notify_one();
+    core.suspects_unstored.notify_one();
+}
+
+/// Tells the other leaders what the store holds.
+pub fn tell_stored(core: &core::GatewayCore, stored: suspect_store::StoredLedger) {
+    let members = core.members.alive();
+    let message = LedgerMessage::Stored {
+        version: stored.version,
+        digest: stored.digest,
+    };
+    let others = other_leaders(core, &leader::leaders(&members));
+    others.iter().for_each(|to| send(core, to, &message));
 }
 
 fn send_changes(core: &core::GatewayCore) {
--- a/soak/tests/fleet_crash.rs
+++ b/soak/tests/fleet_crash.rs
@@ -205,15 +205,28 @@
 }
 
 /// Guards against a fleet that forgets such a request when all its nodes are
-/// restarted at once.
+/// restarted at once, also if the store was away when the crashes happened.
 #[tokio::test(flavor = "multi_thread")]
 async fn restart_of_all_nodes_keeps_a_crashing_request_out() {
     let deployment = start("restarted", 242).await;
-    let path = "/model/crash";
-    let crashing = rule(path, runner::CrashStage::First, 0);
-    deployment.fleet.add_crash_rule(crashing);
-    repeat(sync::Arc::clone(&deployment), CallKind::Stream, path, 0, 8).await;
-    for _ in 0..2 {
+    let paths = [
+        (CallKind::Stream, "/model/crash"),
+        (CallKind::Get, "/get/crash"),
+    ];
+    let repeat_at = |index: usize, first: usize| {
+        let (kind, path) = paths[index];
+        repeat(sync::Arc::clone(&deployment), kind, path, first, 8)
+    };
+    for (_, path) in paths {
+        let crashing = rule(path, runner::CrashStage::First, 0);
+        deployment.fleet.add_crash_rule(crashing);
+    }
+    repeat_at(0, 0).await;
+    deployment.store.set_fault(store::StoreFault::Busy);
+    repeat_at(1, 0).await;
+    deployment.store.set_fault(store::StoreFault::None);
+    tokio::time::sleep(CONTACT).await;
+    for first in [100, 200] {
         for node in &deployment.nodes {
             let mut process = node.process.lock().await;
             process.as_mut().unwrap().kill();
@@ -223,16 +236,12 @@
         }
         deployment.wait_ready().await.unwrap();
         tokio::time::sleep(CONTACT).await;
-        repeat(
-            sync::Arc::clone(&deployment),
-            CallKind::Stream,
-            path,
-            100,
-            8,
-        )
-        .await;
+        repeat_at(0, first).await;
+        repeat_at(1, first).await;
+    }
+    for (_, path) in paths {
+        assert_eq!(find_excess(&deployment, path), None);
     }
-    assert_eq!(find_excess(&deployment, path), None);
 }
 
 /// Guards against sound requests that are taken for the cause when the runner
