Try a quarantined request once; deaths that come together are no repeat

A quarantined request never ran again, so nothing could clear it.

Cause: three deaths are proof only if the runs came one after the other, and no record of guesses may be final without a way back.

Now one of the deaths has to be in a run that began when another death was known, and a quarantined request gets one trial, 5 to 10 s after its latest crash, on the node that all nodes choose by the fingerprint, one at a time. An answer clears it; a crash in the trial is recorded as such and ends it.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -54,6 +54,8 @@
     pub crash_checks: sync::Mutex<crash::CrashChecks>,
     /// Requests under which runners died.
     pub suspects: sync::Mutex<ledger::CrashLedger>,
+    /// Quarantined requests of which a trial runs on this node.
+    pub suspect_trials: sync::Mutex<Vec<suspect::RequestFingerprint>>,
     /// Requests whose changed records were not sent to other nodes yet.
     pub suspects_untold: sync::Mutex<Vec<suspect::RequestFingerprint>>,
     /// Signals that there are such requests.
@@ -102,6 +104,7 @@
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
+            suspect_trials: sync::Mutex::default(),
             suspects_untold: sync::Mutex::default(),
             suspects_changed: tokio::sync::Notify::new(),
             suspects_stored: sync::Mutex::default(),
--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -62,9 +62,21 @@
 struct RunExposure {
     runners: Vec<id::UpstreamName>,
     started_at: time::Instant,
+    kind: RunKind,
     crashed: bool,
 }
 
+/// What is known of a request when a run begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunKind {
+    /// No runner died under it.
+    Fresh,
+    /// Runners died under it.
+    Repeated,
+    /// It is quarantined, and this run is its trial.
+    Trial,
+}
+
 /// The runs of one request and the deaths of runners during them.
 ///
 /// Runners that get the request at the same time are counted as one death at
@@ -93,10 +105,11 @@
 
 impl CrashTrace {
     /// Records that the request is sent to runners that it was not sent to before.
-    pub fn begin(&self, runners: &[id::UpstreamName], now: time::Instant) {
+    pub fn begin(&self, runners: &[id::UpstreamName], kind: RunKind, now: time::Instant) {
         lock(&self.state).exposures.push(RunExposure {
             runners: runners.to_vec(),
             started_at: now,
+            kind,
             crashed: false,
         });
     }
@@ -116,13 +129,17 @@
         let mut exposures = state.exposures.iter_mut().rev();
         let exposure = exposures.find(|exposure| exposure.runners.contains(&crash.upstream))?;
         let age = now.saturating_duration_since(exposure.started_at);
+        let kind = exposure.kind;
         if std::mem::replace(&mut exposure.crashed, true) {
             return None;
         }
         let crash = crash.clone();
-        state
-            .crashes
-            .push(ledger::CrashRecord { crash, progressed });
+        state.crashes.push(ledger::CrashRecord {
+            crash,
+            progressed,
+            repeated: kind != RunKind::Fresh,
+            trial: kind == RunKind::Trial,
+        });
         Some(age)
     }
 
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -174,6 +174,7 @@
         attempts: 0,
         latest_runners: String::new(),
         trace: sync::Arc::default(),
+        trial: None,
         fingerprint: sync::OnceLock::new(),
     })
 }
@@ -209,7 +210,7 @@
     }
 }
 
-async fn serve(request: request::CallerRequest) -> response::GatewayResponse {
+async fn serve(mut request: request::CallerRequest) -> response::GatewayResponse {
     let core = sync::Arc::clone(&request.core);
     if let Some(refusal) = request.quarantine_refusal() {
         return finish(&core, &request, Err(refusal));
@@ -217,7 +218,6 @@
     match request.rule.kind {
         document::RouteKind::Streaming => stream::serve(request).await,
         document::RouteKind::Idempotent | document::RouteKind::NonIdempotent => {
-            let mut request = request;
             let result = serve_plain(&mut request).await;
             finish(&core, &request, result)
         }
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -24,6 +24,7 @@
 use crate::gateway::suspects;
 use crate::id;
 use crate::suspect;
+use crate::suspect::ledger;
 
 /// Timeout for connecting to a runner; a live one accepts within a few
 /// milliseconds.
@@ -50,6 +51,9 @@
 /// random jitter.
 const MODEL_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(1_000);
 
+/// `Retry-After` time of a quarantined request while it is tried elsewhere.
+const TRIAL_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(1_000);
+
 /// Cause of the refusal of a request that crashed runners.
 const QUARANTINE_CAUSE: &str = "runners crashed while they ran this request";
 
@@ -90,6 +94,8 @@
     pub latest_runners: String,
     /// Runs so far and the deaths of runners during them.
     pub trace: sync::Arc<crash::CrashTrace>,
+    /// Set if this is the one run of a quarantined request that is under way.
+    pub trial: Option<suspects::TrialGuard>,
     /// Fingerprint, once it was needed.
     pub fingerprint: sync::OnceLock<suspect::RequestFingerprint>,
 }
@@ -285,27 +291,56 @@
         granted
     }
 
-    /// Returns for how long the request may not run because runners died under
-    /// it and its resends, or `None` if it may.
-    pub fn quarantine_left(&self) -> Option<std_time::Duration> {
+    /// Returns whether the request may run, by the runners that died under it and
+    /// its resends.
+    fn standing(&self) -> ledger::RequestStanding {
         let crashes = self.trace.crashes();
         let suspects = lock(&self.core.suspects);
         // Most requests need no fingerprint.
         if suspects.is_empty() && crashes.is_empty() {
-            return None;
+            return ledger::RequestStanding::Free;
+        }
+        suspects.standing(&self.fingerprint(), &crashes, time::Instant::now())
+    }
+
+    /// Returns for how long the request may not run, or `None` if it may.
+    fn quarantine_left(&self) -> Option<std_time::Duration> {
+        match self.standing() {
+            ledger::RequestStanding::Free => None,
+            // A runner died under the trial.
+            ledger::RequestStanding::Trial if self.trial.is_some() => {
+                let has_crashed = !self.trace.crashes().is_empty();
+                has_crashed.then_some(TRIAL_RETRY_AFTER)
+            }
+            ledger::RequestStanding::Trial => Some(TRIAL_RETRY_AFTER),
+            ledger::RequestStanding::Quarantined(left) => Some(left),
+        }
+    }
+
+    /// Records that the request is sent to runners that it was not sent to before.
+    pub fn begin_run(&self, runners: &[id::UpstreamName]) {
+        let kind = match (&self.trial, self.is_suspect()) {
+            (Some(_), _) => crash::RunKind::Trial,
+            (None, true) => crash::RunKind::Repeated,
+            (None, false) => crash::RunKind::Fresh,
+        };
+        self.trace.begin(runners, kind, time::Instant::now());
+    }
+
+    /// Returns whether the death of a runner under the request or its resends is
+    /// known.
+    fn is_suspect(&self) -> bool {
+        if !self.trace.crashes().is_empty() {
+            return true;
         }
-        suspects.quarantine_left(&self.fingerprint(), &crashes, time::Instant::now())
+        let suspects = lock(&self.core.suspects);
+        !suspects.is_empty() && suspects.is_suspect(&self.fingerprint())
     }
 
     /// Returns whether the request may not run again because of the runners that
     /// died under it. Waits for the check of the latest one if others died before.
     pub async fn is_held_back(&self) -> bool {
-        let crashes = self.trace.crashes();
-        let is_suspect = {
-            let suspects = lock(&self.core.suspects);
-            !suspects.is_empty() && suspects.is_suspect(&self.fingerprint())
-        };
-        if is_suspect || !crashes.is_empty() {
+        if self.is_suspect() {
             self.trace.settle().await;
         }
         let left = self.quarantine_left();
@@ -326,8 +361,12 @@
         self.note(event::EventCode::SuspectQuarantined, detail);
     }
 
-    /// Returns the refusal of a new request whose resends crashed runners before.
-    pub fn quarantine_refusal(&self) -> Option<response::GatewayRefusal> {
+    /// Returns the refusal of a new request whose resends crashed runners before,
+    /// unless this one is the trial.
+    pub fn quarantine_refusal(&mut self) -> Option<response::GatewayRefusal> {
+        if self.standing() == ledger::RequestStanding::Trial {
+            self.trial = suspects::begin_trial(&self.core, &self.fingerprint());
+        }
         let left = self.quarantine_left()?;
         self.note_quarantine(left);
         Some(response::GatewayRefusal::not_run(QUARANTINE_CAUSE, left))
@@ -595,7 +634,7 @@
             return AttemptOutcome::NotRun { cause };
         };
         let sent_at = time::Instant::now();
-        self.trace.begin(&target.runners, sent_at);
+        self.begin_run(&target.runners);
         let timeout = self.head_timeout();
         let answer = time::timeout(timeout, link.send(request)).await;
         let response = match answer {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -517,7 +517,7 @@
                 .filter(|id| !before.contains(id))
                 .cloned()
                 .collect();
-            request.trace.begin(&added, time::Instant::now());
+            request.begin_run(&added);
             self.target = target;
             // The new stages process all tokens so far before the next event.
             self.last_event = time::Instant::now();
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -76,6 +76,44 @@
     }
 }
 
+/// Marks the trial of a quarantined request as running until it is dropped.
+pub struct TrialGuard {
+    core: sync::Arc<core::GatewayCore>,
+    fingerprint: suspect::RequestFingerprint,
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        lock(&self.core.suspect_trials).retain(|running| *running != self.fingerprint);
+    }
+}
+
+/// Begins a trial of a quarantined request, unless one runs already or another
+/// node has to run it. All nodes choose the same node by the fingerprint.
+pub fn begin_trial(
+    core: &sync::Arc<core::GatewayCore>,
+    fingerprint: &suspect::RequestFingerprint,
+) -> Option<TrialGuard> {
+    let hosts: Vec<_> = core
+        .members
+        .contacts()
+        .into_iter()
+        .map(|contact| contact.host)
+        .collect();
+    let [chosen, _] = suspect::issuers(fingerprint, &hosts);
+    let mut trials = lock(&core.suspect_trials);
+    if (!hosts.is_empty() && chosen != core.settings.name) || trials.contains(fingerprint) {
+        return None;
+    }
+    trials.push(*fingerprint);
+    let subject = suspect::fingerprint_text(fingerprint);
+    core.note(event::EventCode::SuspectRecorded, &subject, "trial begins");
+    Some(TrialGuard {
+        core: sync::Arc::clone(core),
+        fingerprint: *fingerprint,
+    })
+}
+
 /// Sends changes and compares records with other nodes. Never returns.
 pub async fn run(core: sync::Arc<core::GatewayCore>) {
     let period = core.settings.contact_ms.mul_f64(COMPARE_FRACTION);
--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -13,9 +13,18 @@
 
 use crate::suspect;
 
-/// Counted crashes after which a request is quarantined.
+/// Counted crashes after which a request is quarantined, if one of them
+/// happened in a run that began after another.
 pub const CRASH_LIMIT: usize = 3;
 
+/// Trials of a quarantined request that may crash an upstream.
+const TRIAL_LIMIT: usize = 1;
+
+/// Shortest time from the latest crash of a quarantined request to its trial;
+/// upstreams are back by then. It is up to twice as long, so that requests that
+/// were quarantined together are not tried together.
+const TRIAL_DELAY: std_time::Duration = std_time::Duration::from_secs(5);
+
 /// Crashes from which nodes compare the record of a request, and the store
 /// keeps it. Fewer are told once and may be lost with the nodes that know them.
 pub const SHARED_CRASHES: usize = 2;
@@ -23,7 +32,7 @@
 /// Maximum number of requests in the ledger.
 const REQUEST_LIMIT: usize = 4_096;
 
-/// Maximum number of crashes recorded for one request; more change nothing.
+/// Maximum number of crashes recorded for one request.
 const RECORD_LIMIT: usize = 16;
 
 /// An upstream that died during a run of a request.
@@ -34,6 +43,11 @@
     /// Whether the run had produced output before. Two such crashes of a request
     /// do not count: a stream that is lost twice with its host goes on.
     pub progressed: bool,
+    /// Whether such a death was known when the run began. Upstreams that die at
+    /// the same time under several runs of a popular request have another cause.
+    pub repeated: bool,
+    /// Whether the run was the trial of a quarantined request.
+    pub trial: bool,
 }
 
 /// What a node tells others about one request.
@@ -45,13 +59,24 @@
     /// Number of times that the record was cleared by an answer. The record with
     /// the higher number is newer; those with the same number add up.
     pub cleared: u32,
-    /// Crashes since then, sorted.
+    /// Crashes since then, sorted by whether the run was a trial and by process.
     pub crashes: Vec<CrashRecord>,
     /// Time since the latest change.
     #[serde_as(as = "serde_with::DurationSeconds<u64>")]
     pub age: std_time::Duration,
 }
 
+/// Whether a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestStanding {
+    /// It may run.
+    Free,
+    /// One run at a time may show that the upstreams died of another cause.
+    Trial,
+    /// It may not run for this time.
+    Quarantined(std_time::Duration),
+}
+
 /// Result of a change to the ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LedgerChange {
@@ -112,27 +137,35 @@
             .is_ok_and(|index| !self.requests[index].crashes.is_empty())
     }
 
-    /// Returns how long a request stays quarantined, or `None` if it may run.
+    /// Returns whether a request may run.
     ///
     /// `crashes` happened during its runs and are not recorded yet.
-    pub fn quarantine_left(
+    pub fn standing(
         &self,
         fingerprint: &suspect::RequestFingerprint,
         crashes: &[CrashRecord],
         now: time::Instant,
-    ) -> Option<std_time::Duration> {
+    ) -> RequestStanding {
         let entry = self.find(fingerprint).ok();
         let entry = entry.map(|index| &self.requests[index]);
         let mut all = entry.map_or_else(Vec::new, |entry| entry.crashes.clone());
         crashes
             .iter()
             .for_each(|record| insert_crash(&mut all, record));
-        if count(&all) < CRASH_LIMIT {
-            return None;
+        if !is_guilty(&all) {
+            return RequestStanding::Free;
+        }
+        let is_recorded = entry.is_some_and(|entry| entry.crashes == all);
+        let changed_at = entry.filter(|_| is_recorded).map(|entry| entry.changed_at);
+        let age = now.saturating_duration_since(changed_at.unwrap_or(now));
+        if all.iter().filter(|record| record.trial).count() >= TRIAL_LIMIT {
+            return RequestStanding::Quarantined(suspect::REVOKED_TTL.saturating_sub(age));
+        }
+        let spread = 1.0 + f64::from(fingerprint[0]) / f64::from(u8::MAX);
+        match TRIAL_DELAY.mul_f64(spread).saturating_sub(age) {
+            std_time::Duration::ZERO => RequestStanding::Trial,
+            left => RequestStanding::Quarantined(left),
         }
-        let changed_at = entry.map_or(now, |entry| entry.changed_at);
-        let age = now.saturating_duration_since(changed_at);
-        Some(suspect::REVOKED_TTL.saturating_sub(age))
     }
 
     /// Records crashes of a request that ended without an answer.
@@ -197,8 +230,8 @@
             return LedgerChange::None;
         }
         entry.changed_at = entry.changed_at.max(changed_at);
-        let is_new = count(&before.crashes) < CRASH_LIMIT || before.cleared < entry.cleared;
-        match is_new && count(&entry.crashes) >= CRASH_LIMIT {
+        let is_new = !is_guilty(&before.crashes) || before.cleared < entry.cleared;
+        match is_new && is_guilty(&entry.crashes) {
             true => LedgerChange::Quarantined,
             false => LedgerChange::Recorded,
         }
@@ -230,7 +263,11 @@
             for record in &entry.crashes {
                 hasher.update(record.crash.upstream.as_bytes());
                 hasher.update(&record.crash.incarnation.to_le_bytes());
-                hasher.update(&[u8::from(record.progressed)]);
+                hasher.update(&[
+                    u8::from(record.progressed),
+                    u8::from(record.repeated),
+                    u8::from(record.trial),
+                ]);
             }
         }
         let mut digest = [0; size_of::<u64>()];
@@ -275,18 +312,25 @@
     }
 }
 
-/// Returns the number of crashes that count.
-fn count(crashes: &[CrashRecord]) -> usize {
+/// Returns whether a request with these crashes is quarantined.
+fn is_guilty(crashes: &[CrashRecord]) -> bool {
     let progressed = crashes.iter().filter(|record| record.progressed).count();
-    let allowed = progressed.min(usize::from(suspect::EXEMPTION_LIMIT));
-    crashes.len() - allowed
+    let exempt = progressed.min(usize::from(suspect::EXEMPTION_LIMIT));
+    crashes.len() - exempt >= CRASH_LIMIT && crashes.iter().any(|record| record.repeated)
 }
 
-/// Inserts a crash; a run without output goes before one with output.
+/// Inserts a crash or merges it with what is known of the same death. Of too many
+/// crashes, all nodes keep the same ones, trials first.
 fn insert_crash(crashes: &mut Vec<CrashRecord>, record: &CrashRecord) {
-    match crashes.binary_search_by(|known| known.crash.cmp(&record.crash)) {
-        Ok(index) => crashes[index].progressed &= record.progressed,
-        Err(index) if crashes.len() < RECORD_LIMIT => crashes.insert(index, record.clone()),
-        Err(_) => {}
+    match crashes.iter_mut().find(|known| known.crash == record.crash) {
+        Some(known) => {
+            known.progressed &= record.progressed;
+            known.repeated |= record.repeated;
+            known.trial |= record.trial;
+        }
+        None => crashes.push(record.clone()),
     }
+    crashes
+        .sort_unstable_by(|one, other| (!one.trial, &one.crash).cmp(&(!other.trial, &other.crash)));
+    crashes.truncate(RECORD_LIMIT);
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,12 +1,13 @@
 //! Runs one seed: starts a fleet of gateways in front of stand-ins, injects the
 //! faults and checks the guarantees.
 
+use std::ops;
 use std::path;
 use std::sync;
 use std::time;
 
 use anyhow::Context;
-use arbutusfold_platform_standin::{caller, store};
+use arbutusfold_platform_standin::{caller, runner, store};
 use nix::sys::signal;
 use tokio::task;
 
@@ -22,6 +23,18 @@
 /// Share of calls that must be served for the fleet to count as recovered.
 const RECOVERED_SHARE: f64 = 0.95;
 
+/// Time within which a node that is reached by the store and its peers knows what
+/// they know; equals the deployments' `contactMs`.
+const CONTACT: time::Duration = time::Duration::from_secs(3);
+
+/// Requests that crash the runners that run them, and the interval at which they
+/// are sent again.
+const CRASH_CALLS: [(caller::CallKind, &str); 2] = [
+    (caller::CallKind::Get, "/get/crash"),
+    (caller::CallKind::Stream, "/model/crash"),
+];
+const CRASH_PERIOD: time::Duration = time::Duration::from_millis(350);
+
 /// Interval between two calls.
 const CALL_PERIOD: time::Duration = time::Duration::from_millis(12);
 
@@ -42,6 +55,8 @@
 struct SoakWorld {
     deployment: deployment::SoakDeployment,
     calls: sync::Mutex<Vec<caller::CallRecord>>,
+    /// Faults so far, with the time from the start to the end.
+    faults: sync::Mutex<Vec<(plan::SoakFault, ops::Range<tokio::time::Instant>)>>,
     violations: sync::Mutex<Vec<String>>,
 }
 
@@ -63,11 +78,16 @@
     let world = sync::Arc::new(SoakWorld {
         deployment,
         calls: sync::Mutex::default(),
+        faults: sync::Mutex::default(),
         violations: sync::Mutex::default(),
     });
     let mut background = task::JoinSet::new();
     let load = sync::Arc::clone(&world);
     background.spawn(async move { load.generate_load(seed).await });
+    for (kind, path) in CRASH_CALLS {
+        let world = sync::Arc::clone(&world);
+        background.spawn(async move { world.repeat_crashing(kind, path).await });
+    }
     let checker = sync::Arc::clone(&world);
     background.spawn(async move { checker.check_documents().await });
 
@@ -76,7 +96,13 @@
     for planned in plan::plan_faults(seed, size) {
         tokio::time::sleep_until(start + planned.start).await;
         let world = sync::Arc::clone(&world);
-        faults.spawn(async move { world.inject_fault(planned).await });
+        faults.spawn(async move {
+            let start = tokio::time::Instant::now();
+            let injected = world.inject_fault(planned).await;
+            let span = start..tokio::time::Instant::now();
+            lock(&world.faults).push((planned.fault, span));
+            injected
+        });
     }
     while let Some(done) = faults.join_next().await {
         done.context("a fault panicked")??;
@@ -107,6 +133,53 @@
         }
     }
 
+    /// Sends a request that crashes its runners to the nodes in turn until the
+    /// task is aborted.
+    async fn repeat_crashing(self: sync::Arc<Self>, kind: caller::CallKind, path: &'static str) {
+        self.deployment.fleet.add_crash_rule(runner::CrashRule {
+            path: path.to_owned(),
+            stage: runner::CrashStage::First,
+            after_events: 0,
+        });
+        for number in 0_usize.. {
+            let node = number % self.deployment.nodes.len();
+            let address = self.deployment.nodes[node].spec.callers();
+            let request = format!("{node}{path}/{number}").replace('/', "-");
+            caller::call_path(address, request, kind, path, deployment::KEY).await;
+            tokio::time::sleep(CRASH_PERIOD).await;
+        }
+    }
+
+    /// Returns the repeats of a crashing request that reached runners late, from
+    /// nodes that should have known.
+    fn late_repeats(&self, path: &str) -> Vec<String> {
+        let history = self.deployment.fleet.crash_history(path);
+        let late = history.late_arrivals(CONTACT);
+        late.filter(|(request, at)| self.is_in_touch(request, *at))
+            .map(|(request, _)| request.clone())
+            .collect()
+    }
+
+    /// Returns whether neither the store nor the node of a repeat was disturbed
+    /// for [`CONTACT`] before it.
+    fn is_in_touch(&self, request: &str, at: tokio::time::Instant) -> bool {
+        let node = request.split('-').next().and_then(|node| node.parse().ok());
+        let concerns = |fault: &plan::SoakFault| match fault {
+            plan::SoakFault::KillNode(index)
+            | plan::SoakFault::StopNode(index)
+            | plan::SoakFault::FreezeNode(index)
+            | plan::SoakFault::StorePath(index, _) => Some(*index) == node,
+            plan::SoakFault::StoreBusy
+            | plan::SoakFault::StoreSilent
+            | plan::SoakFault::StoreLosesAnswers
+            | plan::SoakFault::StoreDropsHistory => true,
+            _ => false,
+        };
+        !lock(&self.faults)
+            .iter()
+            .any(|(fault, span)| concerns(fault) && span.start <= at && at < span.end + CONTACT)
+    }
+
     async fn call(&self, request: &str, number: u64) -> caller::CallOutcome {
         let kinds = [
             caller::CallKind::Stream,
@@ -311,6 +384,13 @@
             ..SeedReport::default()
         };
         report.violations.extend(self.deployment.fleet.violations());
+        for (_, path) in CRASH_CALLS {
+            let late = self.late_repeats(path);
+            if late.len() > runner::LATE_RETRIES {
+                let violation = format!("{path}: late retries of a crashing request: {late:?}");
+                report.violations.push(violation);
+            }
+        }
         for call in calls.iter() {
             let index = match &call.outcome {
                 caller::CallOutcome::Served => 0,
