--- a/bench/src/admission_cost.rs
+++ b/bench/src/admission_cost.rs
@@ -7,7 +7,7 @@
 use arbutusfold::limit;
 use arbutusfold::limit::holder;
 use arbutusfold::suspect;
-use arbutusfold::suspect::{claim, tracker};
+use arbutusfold::suspect::{claim, ledger, tracker};
 use rand::{RngExt, SeedableRng};
 use tokio::time;
 
@@ -55,6 +55,15 @@
         add("share of the limit: ask", share(seed, organisations));
         add("permit: begin and end", permit(seed, organisations));
     }
+    for (entries, body) in [(0, 800), (10, 800), (4_096, 800), (4_096, 65_536)] {
+        let times = standing(entries, body);
+        for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+            let figure = format!("ledger of crashes: fingerprint and look-up, {name}, us");
+            let size = format!("{entries} requests, body of {body} bytes");
+            let value = micros(&times, quantile);
+            report.add(&size, "wall clock", &figure, value, None);
+        }
+    }
     Ok(report)
 }
 
@@ -172,3 +181,33 @@
     }
     times
 }
+
+/// Times the look-up of a request under which no upstream died.
+fn standing(entries: u64, body_bytes: usize) -> Vec<std_time::Duration> {
+    let now = time::Instant::now();
+    let mut ledger = ledger::CrashLedger::default();
+    for entry in 0..entries {
+        let fingerprint = suspect::fingerprint("house", "/get/look", &entry.to_le_bytes());
+        let record = ledger::CrashRecord {
+            crash: suspect::CrashId {
+                upstream: "i-3f8552c996".to_owned(),
+                incarnation: entry,
+            },
+            progressed: false,
+            repeated: false,
+            trial: false,
+        };
+        ledger.record(&fingerprint, &[record], now);
+    }
+    let body = vec![7; body_bytes];
+    let look = || {
+        let began = std_time::Instant::now();
+        // Without entries no request is digested.
+        if !ledger.is_empty() {
+            let fingerprint = suspect::fingerprint("house", "/get/look", &body);
+            std::hint::black_box(ledger.standing(&fingerprint, &[], now));
+        }
+        began.elapsed()
+    };
+    (0..DECISIONS).map(|_| look()).collect()
+}
