List a removal learned from a peer after a cut as red, with its trace

Ruled out as a mend: the cap that holds for the node's own calls, since a node that calls the store every 3 s during an outage would drop live runners on its return.

--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -172,3 +172,18 @@
     // Long after the end of the outage a removal takes effect at once.
     assert_eq!(outage.grace_end(contact, restored_at + contact), None);
 }
+
+/// Guards against requests to a runner that left during a cut of this node, when
+/// a peer tells of the removal before the store answers this node again.
+#[tokio::test(start_paused = true)]
+async fn removal_learned_from_a_peer_after_a_cut_applies_within_contact() {
+    let contact = 3_000 * MS;
+    let failed_at = time::Instant::now();
+    let outage = fleet::StoreOutage {
+        failed_at,
+        restored_at: None,
+    };
+    time::advance(900 * MS).await;
+    let grace_end = outage.grace_end(contact, time::Instant::now());
+    assert!(grace_end.is_none_or(|until| until <= failed_at + contact));
+}
