--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -33,6 +33,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod path;
+pub mod quarantine;
 pub mod replication;
 pub mod request;
 pub mod response;
--- /dev/null
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -0,0 +1,159 @@
+//! Requests under which runners died: whether they may run, and what is
+//! recorded of their runs.
+
+use std::time as std_time;
+
+use tokio::time;
+
+use crate::event;
+use crate::gateway::core::lock;
+use crate::gateway::crash;
+use crate::gateway::request;
+use crate::gateway::response;
+use crate::gateway::suspects;
+use crate::id;
+use crate::suspect;
+use crate::suspect::ledger;
+
+/// `Retry-After` time of a quarantined request while it is tried elsewhere.
+const TRIAL_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// Cause of the refusal of a request that crashed runners.
+pub const CAUSE: &str = "runners crashed while they ran this request";
+
+impl request::CallerRequest {
+    /// Returns whether the request may run, by the runners that died under it and
+    /// its resends.
+    fn standing(&self) -> ledger::RequestStanding {
+        let crashes = self.trace.crashes();
+        let suspects = lock(&self.core.suspects);
+        // Most requests need no fingerprint.
+        if suspects.is_empty() && crashes.is_empty() {
+            return ledger::RequestStanding::Free;
+        }
+        suspects.standing(&self.fingerprint(), &crashes, time::Instant::now())
+    }
+
+    /// Returns for how long the request may not run, or `None` if it may.
+    pub fn quarantine_left(&self) -> Option<std_time::Duration> {
+        match self.standing() {
+            ledger::RequestStanding::Free => None,
+            // A runner died under the trial.
+            ledger::RequestStanding::Trial if self.trial.is_some() => {
+                let has_crashed = !self.trace.crashes().is_empty();
+                has_crashed.then_some(TRIAL_RETRY_AFTER)
+            }
+            ledger::RequestStanding::Trial => Some(TRIAL_RETRY_AFTER),
+            ledger::RequestStanding::Quarantined(left) => Some(left),
+        }
+    }
+
+    /// Records that the request is sent to runners that it was not sent to before.
+    pub fn begin_run(&self, runners: &[id::UpstreamName]) {
+        let kind = match (&self.trial, self.is_suspect()) {
+            (Some(_), _) => crash::RunKind::Trial,
+            (None, true) => crash::RunKind::Repeated,
+            (None, false) => crash::RunKind::Fresh,
+        };
+        self.trace.begin(runners, kind, time::Instant::now());
+    }
+
+    /// Returns whether the death of a runner under the request or its resends is
+    /// known.
+    fn is_suspect(&self) -> bool {
+        if !self.trace.crashes().is_empty() {
+            return true;
+        }
+        let suspects = lock(&self.core.suspects);
+        !suspects.is_empty() && suspects.is_suspect(&self.fingerprint())
+    }
+
+    /// Returns whether the request may not run again because of the runners that
+    /// died under it. Waits for the check of the latest one if others died before.
+    pub async fn is_held_back(&self) -> bool {
+        if self.is_suspect() {
+            self.trace.settle().await;
+        }
+        let left = self.quarantine_left();
+        if let Some(left) = left {
+            self.note_quarantine(left);
+        }
+        left.is_some()
+    }
+
+    fn note_quarantine(&self, left: std_time::Duration) {
+        self.count_refused_run("suspect");
+        let detail = format!(
+            "fingerprint={} left_s={} runs={}",
+            suspect::fingerprint_text(&self.fingerprint()),
+            left.as_secs(),
+            self.executed
+        );
+        self.note(event::EventCode::SuspectQuarantined, detail);
+    }
+
+    /// Returns the refusal of a new request whose resends crashed runners before,
+    /// unless this one is the trial.
+    pub fn quarantine_refusal(&mut self) -> Option<response::GatewayRefusal> {
+        if self.standing() == ledger::RequestStanding::Trial {
+            self.trial = suspects::begin_trial(&self.core, &self.fingerprint());
+        }
+        let left = self.quarantine_left()?;
+        self.note_quarantine(left);
+        Some(response::GatewayRefusal::not_run(CAUSE, left))
+    }
+
+    /// Records that a runner answered the request completely. An answer with a
+    /// status of 500 or more does not count, since the request may not have run.
+    pub fn note_answered(&self) {
+        self.trace.end(crash::RequestEnd::Answered);
+        if !lock(&self.core.suspects).is_empty() {
+            suspects::clear(&self.core, &self.fingerprint());
+        }
+    }
+
+    /// Returns the fingerprint, which resends of the request share: they come
+    /// with the same path, organisation and body.
+    pub fn fingerprint(&self) -> suspect::RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.parts.uri.path_and_query();
+            let path = path.map_or("/", |path| path.as_str());
+            let organisation = self.organisation.as_deref().unwrap_or_default();
+            suspect::fingerprint(organisation, path, &self.body)
+        })
+    }
+
+    /// Checks in the background whether a runner died during the latest run.
+    pub fn check_crash(
+        &self,
+        target: &request::AttemptTarget,
+        stage: usize,
+        sign: crash::CrashSign,
+        progressed: bool,
+    ) {
+        let Some(instance) = target.instance(stage) else {
+            return;
+        };
+        let suspicion = crash::CrashSuspicion {
+            request: self.head.request.clone(),
+            fingerprint: self.fingerprint(),
+            instance,
+            stage,
+            sign,
+            progressed,
+        };
+        crash::check(&self.core, &self.trace, suspicion);
+    }
+}
+
+impl Drop for request::CallerRequest {
+    /// Records the runners that died under a request without an answer, also one
+    /// whose caller left.
+    fn drop(&mut self) {
+        self.trace.end(crash::RequestEnd::Unanswered);
+        let crashes = self.trace.crashes();
+        if self.trace.ended() == Some(crash::RequestEnd::Unanswered) && !crashes.is_empty() {
+            suspects::record_crashes(&self.core, &self.fingerprint(), &crashes);
+        }
+    }
+}
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -17,6 +17,7 @@
 use crate::gateway::fleet;
 use crate::gateway::metrics;
 use crate::gateway::path;
+use crate::gateway::quarantine;
 use crate::gateway::response;
 use crate::gateway::routing;
 use crate::gateway::runner_call;
@@ -24,7 +25,6 @@
 use crate::gateway::suspects;
 use crate::id;
 use crate::suspect;
-use crate::suspect::ledger;
 
 /// Timeout for connecting to a runner; a live one accepts within a few
 /// milliseconds.
@@ -51,12 +51,6 @@
 /// random jitter.
 const MODEL_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(1_000);
 
-/// `Retry-After` time of a quarantined request while it is tried elsewhere.
-const TRIAL_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(1_000);
-
-/// Cause of the refusal of a request that crashed runners.
-const QUARANTINE_CAUSE: &str = "runners crashed while they ran this request";
-
 /// `Retry-After` time for a request to a plain service.
 const PLAIN_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(300);
 
@@ -166,7 +160,7 @@
     }
 
     /// Returns the process of a runner on the path.
-    fn instance(&self, index: usize) -> Option<crash::RunnerInstance> {
+    pub(crate) fn instance(&self, index: usize) -> Option<crash::RunnerInstance> {
         let address = match index {
             0 => self.address,
             _ => self.path.get(index)?.address,
@@ -291,134 +285,12 @@
         granted
     }
 
-    /// Returns whether the request may run, by the runners that died under it and
-    /// its resends.
-    fn standing(&self) -> ledger::RequestStanding {
-        let crashes = self.trace.crashes();
-        let suspects = lock(&self.core.suspects);
-        // Most requests need no fingerprint.
-        if suspects.is_empty() && crashes.is_empty() {
-            return ledger::RequestStanding::Free;
-        }
-        suspects.standing(&self.fingerprint(), &crashes, time::Instant::now())
-    }
-
-    /// Returns for how long the request may not run, or `None` if it may.
-    fn quarantine_left(&self) -> Option<std_time::Duration> {
-        match self.standing() {
-            ledger::RequestStanding::Free => None,
-            // A runner died under the trial.
-            ledger::RequestStanding::Trial if self.trial.is_some() => {
-                let has_crashed = !self.trace.crashes().is_empty();
-                has_crashed.then_some(TRIAL_RETRY_AFTER)
-            }
-            ledger::RequestStanding::Trial => Some(TRIAL_RETRY_AFTER),
-            ledger::RequestStanding::Quarantined(left) => Some(left),
-        }
-    }
-
-    /// Records that the request is sent to runners that it was not sent to before.
-    pub fn begin_run(&self, runners: &[id::UpstreamName]) {
-        let kind = match (&self.trial, self.is_suspect()) {
-            (Some(_), _) => crash::RunKind::Trial,
-            (None, true) => crash::RunKind::Repeated,
-            (None, false) => crash::RunKind::Fresh,
-        };
-        self.trace.begin(runners, kind, time::Instant::now());
-    }
-
-    /// Returns whether the death of a runner under the request or its resends is
-    /// known.
-    fn is_suspect(&self) -> bool {
-        if !self.trace.crashes().is_empty() {
-            return true;
-        }
-        let suspects = lock(&self.core.suspects);
-        !suspects.is_empty() && suspects.is_suspect(&self.fingerprint())
-    }
-
-    /// Returns whether the request may not run again because of the runners that
-    /// died under it. Waits for the check of the latest one if others died before.
-    pub async fn is_held_back(&self) -> bool {
-        if self.is_suspect() {
-            self.trace.settle().await;
-        }
-        let left = self.quarantine_left();
-        if let Some(left) = left {
-            self.note_quarantine(left);
-        }
-        left.is_some()
-    }
-
-    fn note_quarantine(&self, left: std_time::Duration) {
-        self.count_refused_run("suspect");
-        let detail = format!(
-            "fingerprint={} left_s={} runs={}",
-            suspect::fingerprint_text(&self.fingerprint()),
-            left.as_secs(),
-            self.executed
-        );
-        self.note(event::EventCode::SuspectQuarantined, detail);
-    }
-
-    /// Returns the refusal of a new request whose resends crashed runners before,
-    /// unless this one is the trial.
-    pub fn quarantine_refusal(&mut self) -> Option<response::GatewayRefusal> {
-        if self.standing() == ledger::RequestStanding::Trial {
-            self.trial = suspects::begin_trial(&self.core, &self.fingerprint());
-        }
-        let left = self.quarantine_left()?;
-        self.note_quarantine(left);
-        Some(response::GatewayRefusal::not_run(QUARANTINE_CAUSE, left))
-    }
-
-    /// Records that a runner answered the request completely. An answer with a
-    /// status of 500 or more does not count, since the request may not have run.
-    pub fn note_answered(&self) {
-        self.trace.end(crash::RequestEnd::Answered);
-        if !lock(&self.core.suspects).is_empty() {
-            suspects::clear(&self.core, &self.fingerprint());
-        }
-    }
-
-    fn count_refused_run(&self, cause: &'static str) {
+    /// Counts a run that was not started.
+    pub(crate) fn count_refused_run(&self, cause: &'static str) {
         let labels = metrics::RunRefusalLabels { cause };
         self.core.metrics.refused_runs.get_or_create(&labels).inc();
     }
 
-    /// Returns the fingerprint, which resends of the request share: they come
-    /// with the same path, organisation and body.
-    pub fn fingerprint(&self) -> suspect::RequestFingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let path = self.parts.uri.path_and_query();
-            let path = path.map_or("/", |path| path.as_str());
-            let organisation = self.organisation.as_deref().unwrap_or_default();
-            suspect::fingerprint(organisation, path, &self.body)
-        })
-    }
-
-    /// Checks in the background whether a runner died during the latest run.
-    pub fn check_crash(
-        &self,
-        target: &AttemptTarget,
-        stage: usize,
-        sign: crash::CrashSign,
-        progressed: bool,
-    ) {
-        let Some(instance) = target.instance(stage) else {
-            return;
-        };
-        let suspicion = crash::CrashSuspicion {
-            request: self.head.request.clone(),
-            fingerprint: self.fingerprint(),
-            instance,
-            stage,
-            sign,
-            progressed,
-        };
-        crash::check(&self.core, &self.trace, suspicion);
-    }
-
     /// Records an event about the request.
     pub fn note(&self, code: event::EventCode, detail: impl Into<String>) {
         self.core.note(code, &self.head.request, detail);
@@ -810,7 +682,7 @@
     pub fn refusal(&self, cause: &str) -> response::GatewayRefusal {
         let quarantine_left = self.quarantine_left();
         let cause = match quarantine_left {
-            Some(_) => QUARANTINE_CAUSE,
+            Some(_) => quarantine::CAUSE,
             None => cause,
         };
         let retry_after = quarantine_left.unwrap_or_else(|| self.retry_after());
@@ -829,15 +701,3 @@
         }
     }
 }
-
-impl Drop for CallerRequest {
-    /// Records the runners that died under a request without an answer, also one
-    /// whose caller left.
-    fn drop(&mut self) {
-        self.trace.end(crash::RequestEnd::Unanswered);
-        let crashes = self.trace.crashes();
-        if self.trace.ended() == Some(crash::RequestEnd::Unanswered) && !crashes.is_empty() {
-            suspects::record_crashes(&self.core, &self.fingerprint(), &crashes);
-        }
-    }
-}
