Test the exchange of crash records on a network in memory

Nodes with their real handlers on a paused clock: three crashes are known to 60 nodes within contact_ms with a twentieth of the messages lost (20 seeds), to a domain that was cut off within contact_ms of its return, and an answer clears what a cut domain still held.

--- /dev/null
+++ b/arbutusfold/tests/gateway_suspects.rs
@@ -0,0 +1,251 @@
+//! Tests of the exchange of records of crashing requests, with real nodes on a
+//! paused clock and a network in memory.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time as std_time;
+
+use arbutusfold::gateway::{core, settings, suspects};
+use arbutusfold::suspect::ledger;
+use arbutusfold::{member, peer, suspect};
+use rand::{RngExt, SeedableRng};
+use tokio::time;
+
+const DOMAINS: usize = 3;
+const CONTACT: std_time::Duration = std_time::Duration::from_secs(3);
+const DELAY: std_time::Duration = std_time::Duration::from_millis(2);
+
+/// Control traffic of a node that these messages may add at rest: a twentieth of
+/// the 7 KB a second that all control may take.
+const REST_BYTES_PER_SECOND: f64 = 350.0;
+
+struct TestNetwork {
+    nodes: sync::OnceLock<Vec<sync::Arc<core::GatewayCore>>>,
+    random: sync::Mutex<rand_chacha::ChaCha8Rng>,
+    /// Share of messages that are lost.
+    loss: f64,
+    /// Domain that no message enters or leaves; `DOMAINS` for none.
+    cut: atomic::AtomicUsize,
+    /// Bytes sent, by node.
+    sent: Vec<atomic::AtomicU64>,
+}
+
+struct NodeTransport {
+    network: sync::Arc<TestNetwork>,
+    from: usize,
+}
+
+impl peer::PeerTransport for NodeTransport {
+    fn send(&self, to: net::SocketAddr, message: &[u8]) {
+        let network = sync::Arc::clone(&self.network);
+        let to = usize::from(to.port());
+        network.sent[self.from].fetch_add(message.len() as u64, atomic::Ordering::Relaxed);
+        let cut = network.cut.load(atomic::Ordering::Relaxed);
+        let crosses = self.from % DOMAINS != to % DOMAINS;
+        let is_cut = crosses && [self.from % DOMAINS, to % DOMAINS].contains(&cut);
+        if is_cut || network.random.lock().unwrap().random::<f64>() < network.loss {
+            return;
+        }
+        let message = message.to_vec();
+        tokio::spawn(async move {
+            time::sleep(DELAY).await;
+            network.nodes.get().unwrap()[to]
+                .post
+                .receive(&message)
+                .unwrap();
+        });
+    }
+}
+
+fn record(node: usize) -> member::MemberRecord {
+    member::MemberRecord {
+        name: format!("front-zone-{:04}", node),
+        incarnation: 1,
+        revision: 1,
+        region: "r".to_owned(),
+        domain: format!("d-{}", node % DOMAINS),
+        callers: "10.0.0.1:1".parse().unwrap(),
+        peers: net::SocketAddr::from(([10, 0, 0, 1], node as u16)),
+        version: 0,
+        phase: member::MemberPhase::Serving,
+    }
+}
+
+fn start(nodes: usize, loss: f64, seed: u64) -> sync::Arc<TestNetwork> {
+    let network = sync::Arc::new(TestNetwork {
+        nodes: sync::OnceLock::new(),
+        random: sync::Mutex::new(rand_chacha::ChaCha8Rng::seed_from_u64(seed)),
+        loss,
+        cut: atomic::AtomicUsize::new(DOMAINS),
+        sent: (0..nodes).map(|_| atomic::AtomicU64::new(0)).collect(),
+    });
+    let cores = (0..nodes).map(|node| {
+        let record = record(node);
+        let text = format!(
+            r#"{{"name": "{}", "region": "r", "domain": "{}", "callers": "10.0.0.1:60001",
+            "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
+            "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
+            "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]}}"#,
+            record.name, record.domain, record.peers
+        );
+        let settings = settings::parse_file("node.jsonc", &text).unwrap();
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+        core.post.attach(sync::Arc::new(NodeTransport {
+            network: sync::Arc::clone(&network),
+            from: node,
+        }));
+        core.post.register(
+            peer::MessageKind::Suspect,
+            sync::Arc::new(suspects::LedgerHandler::new(sync::Arc::clone(&core))),
+        );
+        tokio::spawn(suspects::run(sync::Arc::clone(&core)));
+        core
+    });
+    let cores: Vec<_> = cores.collect();
+    network.nodes.set(cores).ok().unwrap();
+    publish(&network, |_, _| true);
+    network
+}
+
+/// Lets each node see the nodes for which `is_seen` holds, and itself.
+fn publish(network: &TestNetwork, is_seen: impl Fn(usize, usize) -> bool) {
+    let nodes = network.nodes.get().unwrap();
+    for (own, core) in nodes.iter().enumerate() {
+        let seen = (0..nodes.len()).filter(|other| *other == own || is_seen(own, *other));
+        let members = seen.map(|other| member::MemberRecord {
+            incarnation: nodes[other].post.incarnation(),
+            ..record(other)
+        });
+        core.members
+            .publish(members.collect(), member::RemoteRegions::default());
+    }
+}
+
+fn fingerprint() -> suspect::RequestFingerprint {
+    suspect::fingerprint("house", "/get/crash", b"body")
+}
+
+fn crash(node: &core::GatewayCore, request: &suspect::RequestFingerprint, number: u64) {
+    let crash = ledger::CrashRecord {
+        crash: suspect::CrashId {
+            upstream: format!("i-{number:010}"),
+            incarnation: 1_771_267_433_690,
+        },
+        progressed: false,
+        repeated: number > 0,
+        trial: false,
+    };
+    suspects::record_crashes(node, request, &[crash]);
+}
+
+fn unaware(network: &TestNetwork) -> Vec<usize> {
+    let now = time::Instant::now();
+    let nodes = network.nodes.get().unwrap().iter().enumerate();
+    nodes
+        .filter(|(_, core)| {
+            let standing = core
+                .suspects
+                .lock()
+                .unwrap()
+                .standing(&fingerprint(), &[], now);
+            standing == ledger::RequestStanding::Free
+        })
+        .map(|(node, _)| node)
+        .collect()
+}
+
+/// Guards against nodes that miss a record because its message was lost.
+#[tokio::test(start_paused = true)]
+async fn all_nodes_know_of_three_crashes_within_contact_despite_loss() {
+    for seed in 0..20 {
+        let network = start(60, 0.05, seed);
+        let nodes = network.nodes.get().unwrap();
+        for number in 0..3 {
+            let node = (seed * 7 + number * 13) as usize % nodes.len();
+            crash(&nodes[node], &fingerprint(), number);
+            time::sleep(std_time::Duration::from_millis(400)).await;
+        }
+        time::sleep(CONTACT).await;
+        assert_eq!(unaware(&network), Vec::<usize>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a failure domain that stays unaware after it was cut off.
+#[tokio::test(start_paused = true)]
+async fn domain_that_was_cut_off_knows_within_contact() {
+    for cut in 0..DOMAINS {
+        let network = start(21, 0.0, 1);
+        let nodes = network.nodes.get().unwrap();
+        network.cut.store(cut, atomic::Ordering::Relaxed);
+        time::sleep(std_time::Duration::from_secs(1)).await;
+        publish(&network, |own, other| {
+            (own % DOMAINS == cut) == (other % DOMAINS == cut)
+        });
+        let outside = (cut + 1) % DOMAINS;
+        for number in 0..3 {
+            crash(&nodes[outside], &fingerprint(), number);
+            time::sleep(std_time::Duration::from_secs(1)).await;
+        }
+        assert_eq!(unaware(&network).len(), 7);
+        network.cut.store(DOMAINS, atomic::Ordering::Relaxed);
+        publish(&network, |_, _| true);
+        time::sleep(CONTACT).await;
+        assert_eq!(unaware(&network), Vec::<usize>::new(), "domain {cut}");
+    }
+}
+
+/// Guards against an old record of a peer that undoes an answer.
+#[tokio::test(start_paused = true)]
+async fn answer_in_one_domain_clears_the_record_in_one_that_was_cut_off() {
+    let network = start(9, 0.0, 1);
+    let nodes = network.nodes.get().unwrap();
+    (0..3).for_each(|number| crash(&nodes[0], &fingerprint(), number));
+    time::sleep(CONTACT).await;
+    assert!(unaware(&network).is_empty());
+    network.cut.store(2, atomic::Ordering::Relaxed);
+    suspects::clear(&nodes[0], &fingerprint());
+    time::sleep(CONTACT).await;
+    assert_eq!(unaware(&network), [0, 1, 3, 4, 6, 7]);
+    network.cut.store(DOMAINS, atomic::Ordering::Relaxed);
+    time::sleep(CONTACT).await;
+    assert_eq!(unaware(&network).len(), 9);
+}
+
+/// Prints what the exchange costs at rest, and when a host dies under many
+/// requests of which none is answered.
+#[tokio::test(start_paused = true)]
+async fn exchange_costs_little_at_any_size() {
+    for nodes in [7, 60, 300] {
+        let network = start(nodes, 0.0, 1);
+        let total = |network: &TestNetwork| -> Vec<u64> {
+            let sent = network.sent.iter();
+            sent.map(|sent| sent.swap(0, atomic::Ordering::Relaxed))
+                .collect()
+        };
+        time::sleep(std_time::Duration::from_secs(2)).await;
+        total(&network);
+        let seconds = 12;
+        time::sleep(std_time::Duration::from_secs(seconds)).await;
+        let rest = total(&network);
+        let most = *rest.iter().max().unwrap() as f64 / seconds as f64;
+        let mean = rest.iter().sum::<u64>() as f64 / (seconds * nodes as u64) as f64;
+        assert!(most <= REST_BYTES_PER_SECOND, "{nodes} nodes: {most}");
+        let cores = network.nodes.get().unwrap();
+        for request in 0..200_u64 {
+            let key = suspect::fingerprint("house", "/model/write", &request.to_le_bytes());
+            crash(&cores[request as usize % nodes], &key, 0);
+        }
+        time::sleep(std_time::Duration::from_secs(2)).await;
+        let burst = total(&network);
+        println!(
+            "{nodes} nodes: at rest {mean:.0} B/s a node, {most:.0} the most; \
+             200 deaths {:.1} KB a node, {:.1} the most",
+            burst.iter().sum::<u64>() as f64 / nodes as f64 / 1e3,
+            *burst.iter().max().unwrap() as f64 / 1e3
+        );
+    }
+}
