Grant no extra retries to a node that has met none of its peers

Found while looking for the same cause elsewhere: a node that is started while it is cut off from its peers takes itself for the whole fleet and, after a window, the extra retries of all. Seven nodes, one of them so: 117 retries of 70 (test node_that_has_met_no_peer_takes_no_extra, red without the change). Two nodes that meet only each other still take a half each.

--- a/arbutusfold/src/gateway/budget.rs
+++ b/arbutusfold/src/gateway/budget.rs
@@ -22,6 +22,8 @@
     pub extra: f64,
     /// Time window over which requests and retries are counted.
     pub window: std_time::Duration,
+    /// Whether the settings name other nodes.
+    pub has_peers: bool,
 }
 
 /// Counts of one service in one part of the window.
@@ -43,7 +45,8 @@
 /// The extra retries are divided by the largest fleet size that the node has
 /// seen, so the shares of all nodes stay within the limit while nodes are lost
 /// or partitioned. A process that has just started does not know what its
-/// predecessor sent, so it uses no extra retries for a whole window.
+/// predecessor sent, so it uses no extra retries for a whole window. Nor does one
+/// that has met none of its peers: it may be cut off, and the others use theirs.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     policy: BudgetPolicy,
@@ -75,7 +78,9 @@
 
     /// Takes one retry from the budget; returns whether one was left.
     pub fn take(&mut self, service: &str, now: time::Instant) -> bool {
-        let extra = match now.saturating_duration_since(self.started) < self.policy.window {
+        let is_new = now.saturating_duration_since(self.started) < self.policy.window;
+        let is_isolated = self.policy.has_peers && self.nodes < 2;
+        let extra = match is_new || is_isolated {
             true => 0.0,
             false => self.policy.extra / self.nodes as f64,
         };
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -92,6 +92,7 @@
             share: settings.retry_share,
             extra: settings.retry_extra,
             window: settings.retry_window_s,
+            has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
         Self {
             recorder: sync::Arc::new(event::EventRecorder::with_capacity(logger, EVENT_CAPACITY)),
--- a/arbutusfold/tests/gateway_budget.rs
+++ b/arbutusfold/tests/gateway_budget.rs
@@ -13,6 +13,7 @@
     share: 0.2,
     extra: 70.0,
     window: std_time::Duration::from_secs(10),
+    has_peers: false,
 };
 
 fn take_all(budget: &mut budget::RetryBudget, now: time::Instant) -> usize {
@@ -47,6 +48,29 @@
     assert!((1..=allowed).contains(&take_all(&mut budget, soon)));
 }
 
+/// Guards against a node that is started while it is cut off from its peers and
+/// takes the extra retries of the whole fleet.
+#[tokio::test(start_paused = true)]
+async fn node_that_has_met_no_peer_takes_no_extra() {
+    let policy = budget::BudgetPolicy {
+        has_peers: true,
+        ..POLICY
+    };
+    let started = time::Instant::now();
+    let mut sum = 0;
+    for node in 0..7 {
+        let mut budget = budget::RetryBudget::new(policy, started);
+        // The last one is alone, the others know the whole fleet.
+        budget.note_nodes(if node == 6 { 1 } else { 7 });
+        sum += take_all(&mut budget, started + policy.window);
+    }
+    assert!(
+        sum > 0 && sum as f64 <= policy.extra,
+        "{sum} of {}",
+        policy.extra
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn budget_comes_back_after_the_window() {
     let started = time::Instant::now();
