Check a runner anew when a run breaks after it answered an earlier check

Read in review, not seen in a run: the result of a check held for a second, so a runner that answered for one broken connection and died within that second was taken for alive, and the death did not count for the request that caused it. Now only a runner that is gone is not asked again; an answer joins the checks of 50 ms. live_runner_is_checked_again_and_a_dead_one_is_not failed before.

--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken run does not show by itself that its runner died: connections are
 //! also reset and answers lost while the runner works on. So the runner is
-//! asked for a report, once for all requests that broke there, and the death
+//! asked for a report, once for all requests that broke there together, and the death
 //! counts for a request only if no process, or another one, answers.
 
 use std::net;
@@ -25,8 +25,12 @@
 /// Timeout for connecting to a runner that may be dead, and for its report.
 const CHECK_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(300);
 
-/// Time for which the result of a check holds for other requests.
-const CHECK_TTL: std_time::Duration = std_time::Duration::from_secs(1);
+/// Time for which a runner that is gone is not checked again.
+const GONE_TTL: std_time::Duration = std_time::Duration::from_secs(1);
+
+/// Time for which a check that a runner answered holds for other requests. It may
+/// die at any time, so this only joins the checks of one moment.
+const ALIVE_TTL: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// What made a request suspect that a runner died.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -244,13 +248,18 @@
 impl CrashChecks {
     /// Returns the cell for the result of a check that is under way or recent,
     /// or that of a new check.
-    fn result(
+    pub fn result(
         &mut self,
         crash: &suspect::CrashId,
         now: time::Instant,
     ) -> sync::Arc<tokio::sync::OnceCell<bool>> {
-        self.recent
-            .retain(|check| now.saturating_duration_since(check.started_at) < CHECK_TTL);
+        self.recent.retain(|check| {
+            let ttl = match check.gone.get() {
+                Some(false) => ALIVE_TTL,
+                Some(true) | None => GONE_TTL,
+            };
+            now.saturating_duration_since(check.started_at) < ttl
+        });
         let found = self.recent.iter().find(|check| check.crash == *crash);
         if let Some(check) = found {
             return sync::Arc::clone(&check.gone);
--- a/arbutusfold/tests/gateway_crash.rs
+++ b/arbutusfold/tests/gateway_crash.rs
@@ -57,3 +57,18 @@
     assert_eq!(trace.record(&death("b"), false, time::Instant::now()), None);
     assert!(trace.crashes().is_empty());
 }
+
+/// Guards against a death that is missed because the runner answered a check for
+/// another request shortly before.
+#[tokio::test(start_paused = true)]
+async fn live_runner_is_checked_again_and_a_dead_one_is_not() {
+    let mut checks = crash::CrashChecks::default();
+    let started = time::Instant::now();
+    checks.result(&death("live"), started).set(false).unwrap();
+    checks.result(&death("dead"), started).set(true).unwrap();
+    let soon = started + std_time::Duration::from_millis(10);
+    assert_eq!(checks.result(&death("live"), soon).get(), Some(&false));
+    let later = started + std_time::Duration::from_millis(200);
+    assert_eq!(checks.result(&death("live"), later).get(), None);
+    assert_eq!(checks.result(&death("dead"), later).get(), Some(&true));
+}
