--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -2,8 +2,8 @@
 //!
 //! A broken run does not show by itself that its runner died: connections are
 //! also reset and answers lost while the runner works on. So the runner is
-//! asked for a report, once for all requests that broke there together, and the death
-//! counts for a request only if no process, or another one, answers.
+//! asked for a report, once for all requests that broke there together, and the
+//! death counts for a request only if no process, or another one, answers.
 
 use std::net;
 use std::sync;
