Name the source of a crash record by a type

Found when reading the diff: a host name, "own" and the table's name shared one text. Records that a leader reads from the store now go to the other leaders as well; they merge to nothing where these have read them too.

--- a/arbutusfold/src/gateway/suspect_store.rs
+++ b/arbutusfold/src/gateway/suspect_store.rs
@@ -125,7 +125,7 @@
     for record in &records {
         stored.merge(record, now);
     }
-    suspects::merge(core, &records, TABLE);
+    suspects::merge(core, &records, suspects::RecordSource::Store);
     Ok(StoredLedger {
         version,
         digest: stored.digest(),
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -9,6 +9,7 @@
 use std::time as std_time;
 
 use arbutusfold_platform::store;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
@@ -18,6 +19,7 @@
 use crate::gateway::leader;
 use crate::gateway::suspect_store;
 use crate::id;
+use crate::member;
 use crate::peer;
 use crate::suspect;
 use crate::suspect::ledger;
@@ -53,6 +55,20 @@
     },
 }
 
+/// Where a record came from.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum RecordSource<'a> {
+    /// A request at this node.
+    #[display("own")]
+    Own,
+    /// The store.
+    #[display("store")]
+    Store,
+    /// Another node.
+    #[display("{_0}")]
+    Peer(&'a str),
+}
+
 /// Records the crashes of a request that ended without an answer, and tells
 /// the other nodes.
 pub fn record_crashes(
@@ -62,7 +78,7 @@
 ) {
     let change = lock(&core.suspects).record(fingerprint, crashes, time::Instant::now());
     if change != ledger::LedgerChange::None {
-        note_change(core, fingerprint, change, "own");
+        note_change(core, fingerprint, change, RecordSource::Own);
         tell(core, [*fingerprint]);
     }
 }
@@ -158,7 +174,9 @@
         };
         let core = &self.core;
         match message {
-            LedgerMessage::Changed(records) => merge(core, &records, sender),
+            LedgerMessage::Changed(records) => {
+                merge(core, &records, RecordSource::Peer(sender));
+            }
             LedgerMessage::Digest(digest) => {
                 let own = lock(&core.suspects).digest();
                 if own != digest {
@@ -166,7 +184,7 @@
                 }
             }
             LedgerMessage::Records { records, digest } => {
-                merge(core, &records, sender);
+                merge(core, &records, RecordSource::Peer(sender));
                 // The sender may lack records of this node.
                 if lock(&core.suspects).digest() != digest {
                     let records = shared_records(core);
@@ -194,9 +212,13 @@
     lock(&core.suspects).shared(time::Instant::now())
 }
 
-/// Merges records of another node, forwards those that were news and returns
-/// newer ones.
-pub fn merge(core: &core::GatewayCore, records: &[ledger::SuspectRecord], from: &str) {
+/// Merges records of another node or of the store, forwards those that were news
+/// and sends a node what it has missed.
+pub fn merge(
+    core: &core::GatewayCore,
+    records: &[ledger::SuspectRecord],
+    source: RecordSource<'_>,
+) {
     let now = time::Instant::now();
     let (mut news, mut outdated) = (Vec::new(), Vec::new());
     for record in records {
@@ -207,7 +229,7 @@
                 outdated.extend(lock(&core.suspects).get(&record.fingerprint, now));
             }
             ledger::LedgerChange::Recorded | ledger::LedgerChange::Quarantined => {
-                note_change(core, &record.fingerprint, change, from);
+                note_change(core, &record.fingerprint, change, source);
                 news.push(record.clone());
             }
         }
@@ -215,8 +237,10 @@
     if !news.is_empty() {
         core.suspects_unstored.notify_one();
     }
-    send_records(core, &[from.to_owned()], outdated);
-    send_records(core, &receivers(core, Some(from)), news);
+    if let RecordSource::Peer(sender) = source {
+        send_records(core, &[sender.to_owned()], outdated);
+    }
+    send_records(core, &receivers(core, source), news);
 }
 
 /// Logs a change. Changes from other nodes are logged there, so only those that
@@ -225,10 +249,10 @@
     core: &core::GatewayCore,
     fingerprint: &suspect::RequestFingerprint,
     change: ledger::LedgerChange,
-    from: &str,
+    source: RecordSource<'_>,
 ) {
     let is_quarantined = change == ledger::LedgerChange::Quarantined;
-    if from != "own" && !is_quarantined {
+    if source != RecordSource::Own && !is_quarantined {
         return;
     }
     let Some(record) = lock(&core.suspects).get(fingerprint, time::Instant::now()) else {
@@ -240,7 +264,7 @@
         .map(|record| record.crash.upstream.as_str())
         .collect();
     let detail = format!(
-        "from={from} crashes={} quarantined={is_quarantined} age_ms={} runners={}",
+        "from={source} crashes={} quarantined={is_quarantined} age_ms={} runners={}",
         record.crashes.len(),
         record.age.as_millis(),
         runners.join(",")
@@ -279,7 +303,7 @@
         let records = changed.iter().filter_map(|key| suspects.get(key, now));
         records.collect()
     };
-    send_records(core, &receivers(core, None), records);
+    send_records(core, &receivers(core, RecordSource::Own), records);
 }
 
 fn send_records(
@@ -294,32 +318,33 @@
     receivers.iter().for_each(|to| send(core, to, &message));
 }
 
-/// Returns the nodes that get a change of this node, or one that came `from`
-/// another node: its leader, or what a leader has to serve.
-fn receivers(core: &core::GatewayCore, from: Option<&str>) -> Vec<id::HostName> {
+/// Returns the nodes that a change is sent to: the leader, or for a leader the
+/// nodes of its domain and the other leaders, but not the node it came from.
+fn receivers(core: &core::GatewayCore, source: RecordSource<'_>) -> Vec<id::HostName> {
+    let sender = match source {
+        RecordSource::Peer(sender) => Some(sender),
+        RecordSource::Own | RecordSource::Store => None,
+    };
     let members = core.members.alive();
     let leaders = leader::leaders(&members);
     let (name, domain) = (&core.settings.name, &core.settings.domain);
     let own_leader = leaders.iter().find(|record| record.domain == *domain);
     if let Some(record) = own_leader.filter(|record| record.name != *name) {
-        let is_news = from != Some(record.name.as_str());
+        let is_news = sender != Some(record.name.as_str());
         return is_news.then(|| record.name.clone()).into_iter().collect();
     }
     let peers = core.domain_peers(&members);
     let mut receivers: Vec<_> = peers.map(|record| record.name.clone()).collect();
     // Other leaders tell their own domains and nobody else.
-    if from.is_none_or(|from| receivers.iter().any(|name| name == from)) {
+    if sender.is_none_or(|sender| receivers.iter().any(|name| name == sender)) {
         receivers.extend(other_leaders(core, &leaders));
     }
-    receivers.retain(|name| Some(name.as_str()) != from);
+    receivers.retain(|name| Some(name.as_str()) != sender);
     receivers
 }
 
 /// Returns the leaders of the other domains and the known nodes of other regions.
-fn other_leaders(
-    core: &core::GatewayCore,
-    leaders: &[&crate::member::MemberRecord],
-) -> Vec<id::HostName> {
+fn other_leaders(core: &core::GatewayCore, leaders: &[&member::MemberRecord]) -> Vec<id::HostName> {
     let others = leaders
         .iter()
         .filter(|record| record.domain != core.settings.domain)
