Keep the store away while nodes learn of a crashing request from each other

Found when reading the change once more: the test that replaces and freezes nodes said that the store is away, but it was back in the same moment.

--- a/soak/tests/fleet_crash.rs
+++ b/soak/tests/fleet_crash.rs
@@ -170,8 +170,9 @@
     assert_sound_requests_run(&deployment);
 }
 
-/// Guards against a fleet that forgets such a request when a node is replaced or
-/// frozen, while the store is away.
+/// Guards against a fleet that forgets such a request when nodes are replaced and
+/// one was frozen, and nodes have only each other to learn it from: the store is
+/// away.
 #[tokio::test(flavor = "multi_thread")]
 async fn replaced_and_frozen_nodes_learn_of_a_crashing_request() {
     let deployment = start("replaced", 241).await;
@@ -192,7 +193,6 @@
     deployment.store.set_fault(store::StoreFault::Silent);
     frozen_process.signal(signal::Signal::SIGCONT).unwrap();
     drop(frozen);
-    deployment.store.set_fault(store::StoreFault::None);
     deployment.replace(0).await.unwrap();
     deployment.replace(1).await.unwrap();
     deployment.wait_ready().await.unwrap();
