--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -79,7 +79,7 @@
     let change = lock(&core.suspects).record(fingerprint, crashes, time::Instant::now());
     if change != ledger::LedgerChange::None {
         note_change(core, fingerprint, change, RecordSource::Own);
-        tell(core, [*fingerprint]);
+        tell(core, fingerprint);
     }
 }
 
@@ -88,7 +88,7 @@
     if lock(&core.suspects).clear(fingerprint, time::Instant::now()) {
         let subject = suspect::fingerprint_text(fingerprint);
         core.note(event::EventCode::SuspectCleared, &subject, "answered");
-        tell(core, [*fingerprint]);
+        tell(core, fingerprint);
     }
 }
 
@@ -180,7 +180,12 @@
             LedgerMessage::Digest(digest) => {
                 let own = lock(&core.suspects).digest();
                 if own != digest {
-                    send(core, sender, &own_records(core));
+                    let records = shared_records(core);
+                    let reply = LedgerMessage::Records {
+                        records,
+                        digest: own,
+                    };
+                    send(core, sender, &reply);
                 }
             }
             LedgerMessage::Records { records, digest } => {
@@ -201,13 +206,6 @@
     }
 }
 
-fn own_records(core: &core::GatewayCore) -> LedgerMessage {
-    LedgerMessage::Records {
-        records: shared_records(core),
-        digest: lock(&core.suspects).digest(),
-    }
-}
-
 fn shared_records(core: &core::GatewayCore) -> Vec<ledger::SuspectRecord> {
     lock(&core.suspects).shared(time::Instant::now())
 }
@@ -273,11 +271,8 @@
     core.note(event::EventCode::SuspectRecorded, &subject, detail);
 }
 
-fn tell(
-    core: &core::GatewayCore,
-    fingerprints: impl IntoIterator<Item = suspect::RequestFingerprint>,
-) {
-    lock(&core.suspects_untold).extend(fingerprints);
+fn tell(core: &core::GatewayCore, fingerprint: &suspect::RequestFingerprint) {
+    lock(&core.suspects_untold).push(*fingerprint);
     core.suspects_changed.notify_one();
     core.suspects_unstored.notify_one();
 }
--- a/soak/tests/fleet_crash.rs
+++ b/soak/tests/fleet_crash.rs
@@ -131,39 +131,32 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn repeats_of_a_crashing_request_stop_at_every_node() {
     let deployment = start("repeats", 240).await;
-    let rules = [
-        (
-            CallKind::Get,
-            rule("/get/crash", runner::CrashStage::First, 0),
-        ),
-        (
-            CallKind::Post,
-            rule("/post/crash", runner::CrashStage::First, 0),
-        ),
-        (
-            CallKind::Stream,
-            rule("/model/first", runner::CrashStage::First, 0),
-        ),
-        (
-            CallKind::Stream,
-            rule("/model/last", runner::CrashStage::Last, 0),
-        ),
+    let crashing = [
+        (CallKind::Get, "/get/crash", runner::CrashStage::First, 0),
+        (CallKind::Post, "/post/crash", runner::CrashStage::First, 0),
         (
             CallKind::Stream,
-            rule("/model/all", runner::CrashStage::All, 0),
+            "/model/first",
+            runner::CrashStage::First,
+            0,
         ),
+        (CallKind::Stream, "/model/last", runner::CrashStage::Last, 0),
+        (CallKind::Stream, "/model/all", runner::CrashStage::All, 0),
         (
             CallKind::Stream,
-            rule("/model/later", runner::CrashStage::First, 3),
+            "/model/later",
+            runner::CrashStage::First,
+            3,
         ),
     ];
     let sound = tokio::spawn(call_soundly(sync::Arc::clone(&deployment)));
     let mut excess = Vec::new();
-    for (kind, rule) in rules {
-        let path = rule.path.clone();
-        deployment.fleet.add_crash_rule(rule);
-        repeat(sync::Arc::clone(&deployment), kind, &path, 0, 20).await;
-        excess.extend(find_excess(&deployment, &path, None));
+    for (kind, path, stage, after_events) in crashing {
+        deployment
+            .fleet
+            .add_crash_rule(rule(path, stage, after_events));
+        repeat(sync::Arc::clone(&deployment), kind, path, 0, 20).await;
+        excess.extend(find_excess(&deployment, path, None));
     }
     sound.abort();
     assert!(excess.is_empty(), "{excess:#?}");
