Let gateways reach the runners of the crash tests directly

The trace: each death under it was of a run that began after its runner had died. The assertions are as before.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -53,7 +53,8 @@
     _store_server: server::StandinServer,
     /// The runners; those of the plain service come first.
     pub fleet: runner::RunnerFleet,
-    /// Proxies to the runners, in the order of the runners.
+    /// Proxies to the runners, in the order of the runners; none if they are
+    /// reached directly.
     pub proxies: Vec<proxy::LoopbackProxy>,
     document_count: atomic::AtomicU64,
 }
@@ -79,18 +80,22 @@
         let mut proxies = Vec::new();
         for index in 0..size.runners {
             let plain = index < PLAIN_RUNNERS;
-            // The proxy needs the runner's address before the runner listens, so a
-            // free port is reserved first.
-            let listener = std::net::TcpListener::bind(any_port(201))?;
-            let address = listener.local_addr()?;
-            drop(listener);
-            let proxy = proxy::LoopbackProxy::start(any_port(202), address).await?;
             let spec = runner::RunnerSpec {
                 id: format!("i-{index:02}"),
                 service: if plain { "plain" } else { "model" }.to_owned(),
                 domain: DOMAINS[index % DOMAINS.len()].to_owned(),
                 card: (!plain).then(|| "card".to_owned()),
             };
+            if !size.proxied {
+                fleet.start(spec, any_port(201), None).await?;
+                continue;
+            }
+            // The proxy needs the runner's address before the runner listens, so a
+            // free port is reserved first.
+            let listener = std::net::TcpListener::bind(any_port(201))?;
+            let address = listener.local_addr()?;
+            drop(listener);
+            let proxy = proxy::LoopbackProxy::start(any_port(202), address).await?;
             fleet.start(spec, address, Some(proxy.address())).await?;
             proxies.push(proxy);
         }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -52,6 +52,7 @@
         runners: options.runners,
         fault_window: time::Duration::from_secs(options.seconds),
         faults: options.faults,
+        proxied: true,
     };
     let mut seeds = options.first..options.first + options.seeds;
     let mut running = task::JoinSet::new();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -59,6 +59,9 @@
     pub fault_window: time::Duration,
     /// Number of faults.
     pub faults: usize,
+    /// Whether gateways reach runners through proxies. A proxy can be disturbed,
+    /// but it accepts connections for a runner that is dead, too.
+    pub proxied: bool,
 }
 
 /// Returns the faults of a seed, ordered by start.
--- a/soak/tests/fleet_crash.rs
+++ b/soak/tests/fleet_crash.rs
@@ -24,6 +24,8 @@
     runners: 14,
     fault_window: time::Duration::ZERO,
     faults: 0,
+    // As on the platform, a dead runner accepts no connection.
+    proxied: false,
 };
 
 fn build_folder() -> path::PathBuf {
--- a/soak/tests/fleet_soak.rs
+++ b/soak/tests/fleet_soak.rs
@@ -12,6 +12,7 @@
     runners: 10,
     fault_window: time::Duration::from_secs(6),
     faults: 12,
+    proxied: true,
 };
 
 /// Seeds that violated a guarantee in an earlier version, with the cause.
