--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -71,13 +71,16 @@
 }
 
 /// What is known of a request when a run begins.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RunKind {
     /// No runner died under it.
+    #[display("fresh")]
     Fresh,
     /// Runners died under it.
+    #[display("repeated")]
     Repeated,
     /// It is quarantined, and this run is its trial.
+    #[display("trial")]
     Trial,
 }
 
@@ -120,15 +123,15 @@
 
     /// Records that a runner died during the latest run on it.
     ///
-    /// Returns how long before `now` that run began, or `None` if the death does
-    /// not count: the request was not sent there, or another death among the
-    /// runners of that run counts already.
+    /// Returns how long before `now` that run began and what was known then, or
+    /// `None` if the death does not count: the request was not sent there, or
+    /// another death among the runners of that run counts already.
     pub fn record(
         &self,
         crash: &suspect::CrashId,
         progressed: bool,
         now: time::Instant,
-    ) -> Option<std_time::Duration> {
+    ) -> Option<(std_time::Duration, RunKind)> {
         let mut state = lock(&self.state);
         let mut exposures = state.exposures.iter_mut().rev();
         let exposure = exposures.find(|exposure| exposure.runners.contains(&crash.upstream))?;
@@ -144,7 +147,7 @@
             repeated: kind != RunKind::Fresh,
             trial: kind == RunKind::Trial,
         });
-        Some(age)
+        Some((age, kind))
     }
 
     /// Returns the deaths that count.
@@ -208,7 +211,7 @@
 
 fn record(core: &core::GatewayCore, trace: &CrashTrace, suspicion: &CrashSuspicion) {
     let crash = &suspicion.instance.crash;
-    let Some(age) = trace.record(crash, suspicion.progressed, time::Instant::now()) else {
+    let Some((age, kind)) = trace.record(crash, suspicion.progressed, time::Instant::now()) else {
         return;
     };
     let labels = metrics::CrashLabels {
@@ -216,7 +219,7 @@
     };
     core.metrics.crashes.get_or_create(&labels).inc();
     let detail = format!(
-        "fingerprint={} runner={} born_ms={} stage={} sign={} progressed={} run_ms={}",
+        "fingerprint={} runner={} born_ms={} stage={} sign={} kind={kind} progressed={} run_ms={}",
         suspect::fingerprint_text(&suspicion.fingerprint),
         crash.upstream,
         crash.incarnation,
--- a/arbutusfold/tests/gateway_crash.rs
+++ b/arbutusfold/tests/gateway_crash.rs
@@ -28,8 +28,9 @@
         time::Instant::now(),
     );
     time::advance(std_time::Duration::from_millis(300)).await;
-    let age = trace.record(&death("b"), false, time::Instant::now());
-    assert_eq!(age, Some(std_time::Duration::from_millis(300)));
+    let counted = trace.record(&death("b"), false, time::Instant::now());
+    let age = std_time::Duration::from_millis(300);
+    assert_eq!(counted, Some((age, crash::RunKind::Fresh)));
     assert_eq!(trace.record(&death("c"), false, time::Instant::now()), None);
     // A runner that replaced the dead one got the request by itself.
     trace.begin(
@@ -42,12 +43,12 @@
             .record(&death("d"), false, time::Instant::now())
             .is_some()
     );
-    let counted: Vec<_> = trace
+    let crashes: Vec<_> = trace
         .crashes()
         .into_iter()
         .map(|record| record.crash)
         .collect();
-    assert_eq!(counted, [death("b"), death("d")]);
+    assert_eq!(crashes, [death("b"), death("d")]);
 }
 
 #[tokio::test(start_paused = true)]
