Reproduce crashing requests that the ledger lets through, over real processes

The runner stand-in lets a run last a while before it crashes the runner. A popular read whose runners die together passes and has to go on passing.

--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -140,6 +140,7 @@
             path: path.to_owned(),
             stage: runner::CrashStage::First,
             after_events: 0,
+            run_time: time::Duration::ZERO,
         });
         for number in 0_usize.. {
             let node = number % self.deployment.nodes.len();
--- a/soak/tests/fleet_crash.rs
+++ b/soak/tests/fleet_crash.rs
@@ -50,6 +50,7 @@
         path: path.to_owned(),
         stage,
         after_events,
+        run_time: time::Duration::ZERO,
     }
 }
 
@@ -254,3 +255,118 @@
     sound.abort();
     assert_sound_requests_run(&deployment);
 }
+
+/// Sends the same request to all nodes at once, every `period`, until `end`.
+async fn flood(
+    deployment: &deployment::SoakDeployment,
+    kind: CallKind,
+    path: &str,
+    period: time::Duration,
+    end: tokio::time::Instant,
+) {
+    let mut calls = tokio::task::JoinSet::new();
+    for wave in 0.. {
+        if tokio::time::Instant::now() >= end {
+            break;
+        }
+        for node in &deployment.nodes {
+            let request = format!("{}-{wave}-{}", path.replace('/', "-"), node.spec.name);
+            let (address, path) = (node.spec.callers(), path.to_owned());
+            calls.spawn(async move {
+                caller::call_path(address, request, kind, &path, deployment::KEY).await
+            });
+        }
+        tokio::time::sleep(period).await;
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+/// Time for which a run lasts before it crashes its runner, so that runs at
+/// several nodes are under way before the first death.
+const RUN_TIME: time::Duration = time::Duration::from_millis(90);
+
+/// Pause between two waves of a request to all nodes: each one comes late, and
+/// no run of a wave begins after a death in it.
+const WAVE_PERIOD: time::Duration = time::Duration::from_millis(3_300);
+
+/// Time for which a crashing request is sent.
+const FLOOD_TIME: time::Duration = time::Duration::from_secs(25);
+
+/// Guards against a request that crashes a runner at each node in the same moment,
+/// again and again, because no run began after a death was known.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_runners_at_all_nodes_at_once_stops() {
+    let deployment = start("together", 244).await;
+    let crashing = [
+        (CallKind::Stream, "/model/together", 0),
+        (CallKind::Stream, "/model/later", 3),
+        (CallKind::Get, "/get/together", 0),
+    ];
+    let end = tokio::time::Instant::now() + FLOOD_TIME;
+    let mut floods = tokio::task::JoinSet::new();
+    for (kind, path, after_events) in crashing {
+        let crashing = runner::CrashRule {
+            run_time: RUN_TIME,
+            ..rule(path, runner::CrashStage::First, after_events)
+        };
+        deployment.fleet.add_crash_rule(crashing);
+        let deployment = sync::Arc::clone(&deployment);
+        floods.spawn(async move { flood(&deployment, kind, path, WAVE_PERIOD, end).await });
+    }
+    while floods.join_next().await.is_some() {}
+    let excess = crashing.map(|(_, path, _)| find_excess(&deployment, path, None));
+    assert!(excess.iter().all(Option::is_none), "{excess:#?}");
+}
+
+/// Guards against nodes that serve a crashing request after their start, before
+/// they have learned of it from the store or their peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_node_learns_of_a_crashing_request_before_it_serves() {
+    let deployment = start("started", 245).await;
+    let path = "/get/crash";
+    let crashing = runner::CrashRule {
+        run_time: RUN_TIME,
+        ..rule(path, runner::CrashStage::First, 0)
+    };
+    deployment.fleet.add_crash_rule(crashing);
+    let end = tokio::time::Instant::now() + FLOOD_TIME;
+    let replaced = sync::Arc::clone(&deployment);
+    let replacements = tokio::spawn(async move {
+        for number in 0.. {
+            tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+            if tokio::time::Instant::now() >= end {
+                break;
+            }
+            let node = number % replaced.nodes.len();
+            replaced.replace(node).await.unwrap();
+        }
+    });
+    let period = time::Duration::from_millis(300);
+    flood(&deployment, CallKind::Get, path, period, end).await;
+    replacements.await.unwrap();
+    assert_eq!(find_excess(&deployment, path, None), None);
+}
+
+/// Guards against a popular read that is refused because all runners of its
+/// service died under it in one moment, also several times.
+#[tokio::test(flavor = "multi_thread")]
+async fn popular_read_goes_on_when_all_its_runners_die_at_once() {
+    let deployment = start("popular", 246).await;
+    let plain = &deployment.fleet.ids()[..2];
+    let end = tokio::time::Instant::now() + time::Duration::from_secs(12);
+    let reads = sync::Arc::clone(&deployment);
+    let reads = tokio::spawn(async move {
+        let period = time::Duration::from_millis(10);
+        flood(&reads, CallKind::Get, "/get/sound-read", period, end).await;
+    });
+    for _ in 0..4 {
+        tokio::time::sleep(time::Duration::from_secs(2)).await;
+        plain.iter().for_each(|id| deployment.fleet.kill(id));
+        tokio::time::sleep(time::Duration::from_millis(500)).await;
+        for id in plain {
+            deployment.fleet.restart(id).await.unwrap();
+        }
+    }
+    reads.await.unwrap();
+    assert_sound_requests_run(&deployment);
+}
