Learn which requests crash runners before a started node serves

Callers saw a request crash runners at each node that had just started: a process served as soon as it had a document and runner entries, and records of crashes came with the next comparison, up to 0.7 s later. With one of four nodes replaced each 1.5 s a GET crashed 20 runners, 14 of its retries late.

A started node asks three peers for their records and reads the store if none answers in 150 ms. It is not ready before, and requests that reach it wait 0.3 s at most. It goes on without after contactMs: then neither a peer nor the store can be reached, and nobody could tell it.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -137,6 +137,7 @@
         tokio::spawn(leader_driver::run(sync::Arc::clone(&core))),
         tokio::spawn(survey::run(sync::Arc::clone(&core))),
         tokio::spawn(suspects::run(sync::Arc::clone(&core))),
+        tokio::spawn(suspects::learn(sync::Arc::clone(&core))),
         tokio::spawn(suspect_store::run(sync::Arc::clone(&core))),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -5,6 +5,7 @@
 use std::time as std_time;
 
 use arbutusfold_platform::{document, store};
+use tokio::sync::watch;
 use tokio::time;
 
 use crate::event;
@@ -55,6 +56,9 @@
     pub crash_checks: sync::Mutex<crash::CrashChecks>,
     /// Requests under which runners died.
     pub suspects: sync::Mutex<ledger::CrashLedger>,
+    /// Whether this node has learned of the requests under which runners died
+    /// before it started.
+    pub suspects_known: watch::Sender<bool>,
     /// Signals that an answer cleared the crashes of a request.
     pub suspects_cleared: tokio::sync::Notify,
     /// Permits for trials of requests that may crash runners.
@@ -108,6 +112,7 @@
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
+            suspects_known: watch::Sender::new(false),
             suspects_cleared: tokio::sync::Notify::new(),
             trials: sync::Mutex::default(),
             suspects_untold: sync::Mutex::default(),
@@ -155,11 +160,12 @@
         self.routing().map_or(0, |table| table.version())
     }
 
-    /// Returns whether this node can serve callers: it has the runner entries
-    /// and a document, and it is not stopping.
+    /// Returns whether this node can serve callers: it has the runner entries and
+    /// a document, knows which requests crash runners, and it is not stopping.
     pub fn is_ready(&self) -> bool {
+        let is_known = *self.suspects_known.borrow();
         let runners = self.with_mirror(store::WatchedTable::Runners, |mirror| mirror.is_complete());
-        !self.is_stopping() && runners && self.routing().is_some()
+        !self.is_stopping() && is_known && runners && self.routing().is_some()
     }
 
     /// Returns whether this node is stopping and callers should use other nodes.
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -28,6 +28,10 @@
 /// store, and most callers retry only once.
 const UNREADY_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(2_000);
 
+/// Time that a request waits for a node that has just started to learn which
+/// requests crash runners.
+const LEARN_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(300);
+
 /// Handles one request of a caller.
 pub async fn handle(
     core: sync::Arc<core::GatewayCore>,
@@ -125,6 +129,12 @@
             UNREADY_RETRY_AFTER,
         ));
     };
+    let mut known = core.suspects_known.subscribe();
+    let learned = time::timeout(LEARN_TIMEOUT, known.wait_for(|known| *known));
+    if !matches!(learned.await, Ok(Ok(_))) {
+        let cause = "this node has just started";
+        return Err(response::GatewayRefusal::not_run(cause, LEARN_TIMEOUT));
+    }
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
--- a/arbutusfold/src/gateway/suspect_store.rs
+++ b/arbutusfold/src/gateway/suspect_store.rs
@@ -59,6 +59,20 @@
     }
 }
 
+/// Reads the row and merges its records; returns whether the store answered.
+pub async fn load(core: &core::GatewayCore) -> bool {
+    match read(core).await {
+        Ok(known) => {
+            *lock(&core.suspects_stored) = Some(known);
+            true
+        }
+        Err(error) => {
+            note_failure(core, &error);
+            false
+        }
+    }
+}
+
 /// Returns the index of this node among the leaders, or `None` if it is none.
 fn leader_rank(core: &core::GatewayCore) -> Option<u32> {
     let members = core.members.alive();
@@ -72,12 +86,12 @@
     let known = *lock(&core.suspects_stored);
     let known = match known {
         Some(known) => known,
-        None => match read(core).await {
-            Ok(known) => known,
-            Err(error) => return note_failure(core, &error),
+        None if load(core).await => match *lock(&core.suspects_stored) {
+            Some(known) => known,
+            None => return,
         },
+        None => return,
     };
-    *lock(&core.suspects_stored) = Some(known);
     let digest = lock(&core.suspects).digest();
     if known.digest == digest {
         return;
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -5,6 +5,7 @@
 //! be lost and nodes may be cut off or start late, so each node also compares a
 //! digest of its records with its leader, and leaders compare theirs.
 
+use std::convert;
 use std::sync;
 use std::time as std_time;
 
@@ -33,6 +34,15 @@
 /// limit for detecting a lost dependency. It leaves room for a lost message.
 const COMPARE_FRACTION: f64 = 0.25;
 
+/// Peers that a started node asks for their records.
+const ASKED_PEERS: usize = 3;
+
+/// Time between two requests for the records of peers.
+const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
+
+/// Time that peers have to answer before the store is read.
+const PEER_HEAD_START: std_time::Duration = std_time::Duration::from_millis(150);
+
 /// Message about requests that crash runners.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerMessage {
@@ -70,6 +80,10 @@
     },
     /// Returns a permit that was not used.
     Returned(suspect::RequestFingerprint),
+    /// Asks for the shared records, from a node that has just started.
+    Request,
+    /// Shared records of a node that knows those of the fleet.
+    Known(Vec<ledger::SuspectRecord>),
 }
 
 /// Where a record came from.
@@ -129,6 +143,55 @@
     }
 }
 
+/// Learns the records of the fleet after the start of this node, from a peer or
+/// from the store. Gives up after the time in which a peer or the store has to
+/// be reached.
+pub async fn learn(core: sync::Arc<core::GatewayCore>) {
+    let mut known = core.suspects_known.subscribe();
+    let source = tokio::select! {
+        _ = known.wait_for(|known| *known) => return,
+        never = ask_peers(&core) => match never {},
+        () = read_store(&core) => "store",
+        () = time::sleep(core.settings.contact_ms) => "nobody",
+    };
+    note_known(&core, source);
+}
+
+/// Asks some peers for their records again and again. Never returns.
+async fn ask_peers(core: &core::GatewayCore) -> convert::Infallible {
+    loop {
+        let contacts = core.members.contacts().into_iter();
+        contacts
+            .filter(|contact| contact.host != core.settings.name)
+            .take(ASKED_PEERS)
+            .for_each(|contact| send(core, &contact.host, &LedgerMessage::Request));
+        time::sleep(ASK_PERIOD).await;
+    }
+}
+
+/// Reads the store after the time that peers need to answer.
+async fn read_store(core: &core::GatewayCore) {
+    loop {
+        time::sleep(PEER_HEAD_START).await;
+        if suspect_store::load(core).await {
+            return;
+        }
+    }
+}
+
+fn note_known(core: &core::GatewayCore, source: &str) {
+    let was_known = core.suspects_known.send_replace(true);
+    if !was_known {
+        let records = lock(&core.suspects).len();
+        let detail = format!("known from={source} records={records}");
+        core.note(
+            event::EventCode::SuspectsStored,
+            &core.settings.name,
+            detail,
+        );
+    }
+}
+
 /// Sends changes and compares records with other nodes. Never returns.
 pub async fn run(core: sync::Arc<core::GatewayCore>) {
     let period = core.settings.contact_ms.mul_f64(COMPARE_FRACTION);
@@ -213,6 +276,16 @@
                 }
             }
             LedgerMessage::Returned(fingerprint) => trial::take_back(core, &fingerprint),
+            LedgerMessage::Request => {
+                if *core.suspects_known.borrow() {
+                    let records = shared_records(core);
+                    send(core, sender, &LedgerMessage::Known(records));
+                }
+            }
+            LedgerMessage::Known(records) => {
+                merge(core, &records, RecordSource::Peer(sender));
+                note_known(core, sender);
+            }
         }
     }
 }
--- a/arbutusfold/tests/gateway_suspects.rs
+++ b/arbutusfold/tests/gateway_suspects.rs
@@ -300,3 +300,40 @@
         assert!(granted >= 4, "seed {seed}: {granted}");
     }
 }
+
+/// Guards against a started node that serves before its peers have told it which
+/// requests crash runners. The store is away.
+#[tokio::test(start_paused = true)]
+async fn started_node_knows_the_records_of_its_peers_before_it_serves() {
+    for seed in 0..10 {
+        let network = start(9, 0.2, seed);
+        let nodes = network.nodes.get().unwrap();
+        let started = &nodes[8];
+        nodes[..8].iter().for_each(|core| {
+            core.suspects_known.send_replace(true);
+            (0..3).for_each(|number| crash(core, &fingerprint(), number));
+        });
+        assert!(unaware(&network).contains(&8));
+        let began_at = time::Instant::now();
+        suspects::learn(sync::Arc::clone(started)).await;
+        assert!(*started.suspects_known.borrow());
+        assert_eq!(unaware(&network), Vec::<usize>::new(), "seed {seed}");
+        assert!(began_at.elapsed() < CONTACT / 2, "seed {seed}");
+    }
+}
+
+/// Guards against a fleet that never serves because nobody can tell a node that
+/// it knows everything.
+#[tokio::test(start_paused = true)]
+async fn nodes_that_start_together_without_the_store_serve_after_contact() {
+    let network = start(9, 0.0, 1);
+    let nodes = network.nodes.get().unwrap().iter();
+    let learned = nodes.map(|core| tokio::spawn(suspects::learn(sync::Arc::clone(core))));
+    let began_at = time::Instant::now();
+    for learned in learned.collect::<Vec<_>>() {
+        learned.await.unwrap();
+    }
+    assert!(began_at.elapsed() <= CONTACT + std_time::Duration::from_millis(10));
+    let nodes = network.nodes.get().unwrap().iter();
+    assert!(nodes.into_iter().all(|core| *core.suspects_known.borrow()));
+}
