Keep to the limits that runners name, over all nodes together

A runner in need that named 4.7 requests a second got 44 in 4 s from hosts that it had told. No source read Server-Limit.

A node that gets an answer with a limit tells all nodes. A node without a permit leaves the runner out until it may claim again and chooses another one. If none is left the request is refused at once, with that time as Retry-After. An answer to a later request that names no limit lifts it; a new process has none.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -74,6 +74,10 @@
     UpstreamUnreadable = 215, Warning;
     /// The number of slow runners of a failure domain changed.
     SlowRunners = 216, Info;
+    /// An upstream named, changed or lifted a limit of the requests that it takes.
+    UpstreamLimited = 217, Info;
+    /// An upstream that named a limit takes no request of this node for some time.
+    UpstreamPaused = 218, Info;
     /// A request was refused because its organisation reached its rate limit.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::serve;
 
 pub mod budget;
+pub mod claim;
 pub mod core;
 pub mod crash;
 pub mod entry;
@@ -39,6 +40,7 @@
 pub mod response;
 pub mod routing;
 pub mod runner_call;
+pub mod runner_limit;
 pub mod selector;
 pub mod settings;
 pub mod stall;
@@ -125,6 +127,11 @@
         sync::Arc::new(suspects::LedgerHandler::new(sync::Arc::clone(&core))),
     );
 
+    core.post.register(
+        peer::MessageKind::Limit,
+        sync::Arc::new(runner_limit::LimitHandler::new(sync::Arc::clone(&core))),
+    );
+
     let mut loops = store_watch::spawn(&core);
     loops.extend([
         tokio::spawn(run_membership(
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -16,6 +16,7 @@
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::routing;
+use crate::gateway::runner_limit;
 use crate::gateway::settings;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
@@ -63,6 +64,8 @@
     pub suspects_cleared: tokio::sync::Notify,
     /// Permits for trials of requests that may crash runners.
     pub trials: sync::Mutex<trial::TrialState>,
+    /// Permits to send requests to runners that named a limit.
+    pub limits: sync::Mutex<runner_limit::LimitState>,
     /// Requests whose changed records were not sent to other nodes yet.
     pub suspects_untold: sync::Mutex<Vec<suspect::RequestFingerprint>>,
     /// Signals that there are such requests.
@@ -115,6 +118,7 @@
             suspects_known: watch::Sender::new(false),
             suspects_cleared: tokio::sync::Notify::new(),
             trials: sync::Mutex::default(),
+            limits: sync::Mutex::default(),
             suspects_untold: sync::Mutex::default(),
             suspects_changed: tokio::sync::Notify::new(),
             suspects_stored: sync::Mutex::default(),
@@ -336,6 +340,22 @@
         })
     }
 
+    /// Returns the node that issues the permits for a key: all nodes with the same
+    /// members choose the same one.
+    pub fn issuer(&self, key: &suspect::RequestFingerprint) -> id::HostName {
+        let members = self.members.alive();
+        let serving: Vec<_> = members
+            .into_iter()
+            .filter(|record| record.phase == member::MemberPhase::Serving)
+            .map(|record| record.name)
+            .collect();
+        if serving.is_empty() {
+            return self.settings.name.clone();
+        }
+        let [issuer, _] = suspect::issuers(key, &serving);
+        issuer
+    }
+
     /// Sends a message to a node.
     pub fn send_message(&self, to: &str, kind: peer::MessageKind, message: &impl serde::Serialize) {
         if let Ok(body) = postcard::to_stdvec(message) {
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -62,6 +62,16 @@
     }
 }
 
+/// Limit of a runner as its latest known answer states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunnerLimit {
+    /// Requests per second that it takes from all nodes together, or `None` if
+    /// the answer lifted the limit.
+    pub rate: Option<f64>,
+    /// When the answer arrived at the node that received it.
+    pub seen_at: time::Instant,
+}
+
 /// A runner and this node's load on it.
 #[derive(Clone, Debug)]
 pub struct RunnerState {
@@ -88,9 +98,24 @@
     layers_missing: bool,
     /// End of the grace period if its entry was removed around an outage.
     grace_end: Option<time::Instant>,
+    /// Its limit, if an answer ever named one.
+    limit: Option<RunnerLimit>,
+    /// Until when this node gets no permit to send requests there.
+    paused_until: Option<time::Instant>,
 }
 
 impl RunnerState {
+    /// Returns for how long this node gets no permit to send requests there.
+    pub fn pause_left(&self, now: time::Instant) -> Option<std_time::Duration> {
+        let until = self.paused_until.filter(|until| now < *until)?;
+        Some(until - now)
+    }
+
+    /// Returns the limit that is in force, in requests per second.
+    pub fn limit_rate(&self) -> Option<f64> {
+        self.limit.and_then(|limit| limit.rate)
+    }
+
     /// Returns whether requests may be sent to it at all.
     pub fn is_usable(&self, now: time::Instant) -> bool {
         !self.record.leaving && self.grace_end.is_none_or(|until| now < until)
@@ -263,6 +288,45 @@
         }
     }
 
+    /// Records the limit of a runner's process, unless a later answer is known;
+    /// returns whether it differs from the one before.
+    pub fn note_limit(
+        &mut self,
+        id: &str,
+        started_ms: id::IncarnationNumber,
+        limit: RunnerLimit,
+    ) -> bool {
+        let Some(state) = self.find_mut(id) else {
+            return false;
+        };
+        let is_other_process = state.record.started_ms.unwrap_or(0) != started_ms;
+        let is_later = state
+            .limit
+            .is_some_and(|known| known.seen_at > limit.seen_at);
+        if is_other_process || is_later {
+            return false;
+        }
+        let before = state.limit_rate();
+        state.limit = Some(limit);
+        if limit.rate.is_none() {
+            state.paused_until = None;
+        }
+        before != limit.rate
+    }
+
+    /// Returns when the limit of a runner that is in force was last seen.
+    pub fn limit_seen_at(&self, id: &str) -> Option<time::Instant> {
+        let limit = self.get(id)?.limit?;
+        limit.rate.map(|_| limit.seen_at)
+    }
+
+    /// Records that this node gets no permit for a runner for some time.
+    pub fn pause(&mut self, id: &str, until: time::Instant) {
+        if let Some(state) = self.find_mut(id) {
+            state.paused_until = Some(until);
+        }
+    }
+
     /// Records that a runner does not hold the layers of its entry.
     pub fn note_missing_layers(&mut self, id: &str) {
         if let Some(state) = self.find_mut(id) {
@@ -286,6 +350,8 @@
                     state.failure_rate = 0.0;
                     state.avoided_until = None;
                     state.last_progress = None;
+                    state.limit = None;
+                    state.paused_until = None;
                 }
                 let detail = describe(&record);
                 state.layers_missing &= !changed;
@@ -312,6 +378,8 @@
                     avoided_until: None,
                     layers_missing: false,
                     grace_end: None,
+                    limit: None,
+                    paused_until: None,
                 };
                 self.runners.insert(index, state);
                 Some(change)
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -285,7 +285,7 @@
         if request.time_left().is_zero() {
             return error_response.ok_or_else(|| request.timeout_refusal());
         }
-        let target = match request.choose_target() {
+        let target = match request.acquire_target().await {
             Ok(target) => target,
             Err(error) => return error_response.ok_or_else(|| request.refusal(&error.to_string())),
         };
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -47,6 +47,10 @@
     pub refused_runs: family::Family<RunRefusalLabels, counter::Counter>,
     /// Runners that died during a run of a request, once for each request.
     pub crashes: family::Family<CrashLabels, counter::Counter>,
+    /// Permits to send a request to a runner that named a limit.
+    pub limit_permits: counter::Counter,
+    /// Claims for such a permit that were denied or not answered.
+    pub limit_denials: counter::Counter,
     /// Streams resumed on another path.
     pub resumed: counter::Counter,
     /// Callers that disconnected before the end of their response.
@@ -76,6 +80,8 @@
             retries: counter::Counter::default(),
             refused_runs: family::Family::default(),
             crashes: family::Family::default(),
+            limit_permits: counter::Counter::default(),
+            limit_denials: counter::Counter::default(),
             resumed: counter::Counter::default(),
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
@@ -99,6 +105,16 @@
             "Runners that died during a run of a request",
             set.crashes.clone(),
         );
+        registry.register(
+            "limit_permits",
+            "Permits to send to a runner that named a limit",
+            set.limit_permits.clone(),
+        );
+        registry.register(
+            "limit_denials",
+            "Claims for such a permit that got none",
+            set.limit_denials.clone(),
+        );
         registry.register("resumed", "Streams resumed elsewhere", set.resumed.clone());
         registry.register(
             "abandoned",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -21,6 +21,7 @@
 use crate::gateway::response;
 use crate::gateway::routing;
 use crate::gateway::runner_call;
+use crate::gateway::runner_limit;
 use crate::gateway::selector;
 use crate::gateway::trial;
 use crate::id;
@@ -33,6 +34,10 @@
 /// Most attempts of one request, including those that runners rejected.
 const ATTEMPT_LIMIT: u32 = 4;
 
+/// Most claims for a permit before a request is refused. Each one that is denied
+/// keeps later requests from the same runner for a while.
+const CLAIM_LIMIT: u32 = 4;
+
 /// An attempt that may be followed by another one waits for the response head
 /// for this multiple of the route's latency objective.
 const HEAD_TIMEOUT_FACTOR: u32 = 3;
@@ -312,12 +317,38 @@
         )
     }
 
-    /// Chooses the runners for the next attempt.
+    /// Chooses the runners for the next attempt, and gets a permit if the first
+    /// one named a limit. Without a permit, other runners are chosen.
     ///
     /// # Errors
     ///
     /// [`selector::PathError`] when no runners can serve the request now.
-    pub fn choose_target(&self) -> Result<AttemptTarget, selector::PathError> {
+    pub async fn acquire_target(&self) -> Result<AttemptTarget, selector::PathError> {
+        for _ in 0..CLAIM_LIMIT {
+            let target = match self.choose_target() {
+                Err(_) if self.limit_pause().is_some() => break,
+                chosen => chosen?,
+            };
+            let first = &target.runners[0];
+            if runner_limit::claim(&self.core, first, &self.head.request).await {
+                return Ok(target);
+            }
+        }
+        Err(selector::PathError::Limited)
+    }
+
+    /// Returns the time until a runner of the service that named a limit may be
+    /// tried again, or `None` if no limit keeps this node from any.
+    fn limit_pause(&self) -> Option<std_time::Duration> {
+        let now = time::Instant::now();
+        let fleet = lock(&self.core.fleet);
+        let runners = fleet.runners().iter();
+        let usable =
+            runners.filter(|state| state.record.service == self.service && state.is_usable(now));
+        usable.filter_map(|state| state.pause_left(now)).min()
+    }
+
+    fn choose_target(&self) -> Result<AttemptTarget, selector::PathError> {
         let spec = self.table.service(&self.service);
         match spec.and_then(|spec| spec.engine.as_ref()) {
             Some(engine) => self.choose_path(engine),
@@ -458,6 +489,7 @@
         fleet.runners().iter().filter(move |state| {
             state.record.service == self.service
                 && state.is_usable(now)
+                && state.pause_left(now).is_none()
                 && !self.excluded.contains(&state.record.id)
         })
     }
@@ -607,6 +639,9 @@
             self.fail_runner(&target.runners[0], &cause);
             return AttemptOutcome::Broken { cause };
         }
+        if let Some(instance) = target.instance(0) {
+            runner_limit::observe(&self.core, &instance.crash, headers, sent_at);
+        }
         if head::is_not_run(status, headers) {
             let stage = target.stage_at(head::fault_address(headers)).unwrap_or(0);
             let cause = self.note_rejection(target, status, stage);
@@ -674,6 +709,9 @@
     /// Returns the `Retry-After` time of a refusal. A model has capacity again when
     /// some running streams end; a plain service has it much sooner.
     fn retry_after(&self) -> std_time::Duration {
+        if let Some(pause) = self.limit_pause() {
+            return pause;
+        }
         let spec = self.table.service(&self.service);
         match spec.is_some_and(|spec| spec.engine.is_some()) {
             true => MODEL_RETRY_AFTER.mul_f64(1.0 + rand::rng().random::<f64>()),
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -25,6 +25,9 @@
     /// Every path contains a runner without memory for the context.
     #[display("no path has room")]
     NoCapacity,
+    /// The runners that are left named limits, and these are used up.
+    #[display("the runners have reached their limits")]
+    Limited,
     /// Every path contains several runners that failed recently.
     #[display("every path leads over failing runners")]
     Failing,
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -275,7 +275,7 @@
         if request.time_left().is_zero() {
             return Err(request.timeout_refusal());
         }
-        let target = match request.choose_target() {
+        let target = match request.acquire_target().await {
             Ok(target) => target,
             Err(error) => return Err(request.refusal(&error.to_string())),
         };
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::claim;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::leader;
@@ -69,14 +70,14 @@
         /// Fingerprint of the request.
         fingerprint: suspect::RequestFingerprint,
         /// Number of the claim at its sender.
-        claim: trial::ClaimNumber,
+        claim: claim::ClaimNumber,
     },
     /// Grants a claim.
     Granted {
         /// Fingerprint of the request.
         fingerprint: suspect::RequestFingerprint,
         /// Number of the claim at its sender.
-        claim: trial::ClaimNumber,
+        claim: claim::ClaimNumber,
     },
     /// Returns a permit that was not used.
     Returned(suspect::RequestFingerprint),
@@ -271,7 +272,7 @@
                 }
             }
             LedgerMessage::Granted { fingerprint, claim } => {
-                if !trial::accept(core, claim) {
+                if !lock(&core.trials).claims.resolve(claim, ()) {
                     send(core, sender, &LedgerMessage::Returned(fingerprint));
                 }
             }
@@ -402,7 +403,7 @@
 
 /// Returns the nodes that a change is sent to: the leader, or for a leader the
 /// nodes of its domain and the other leaders, but not the node it came from.
-fn receivers(core: &core::GatewayCore, source: RecordSource<'_>) -> Vec<id::HostName> {
+pub(crate) fn receivers(core: &core::GatewayCore, source: RecordSource<'_>) -> Vec<id::HostName> {
     let sender = match source {
         RecordSource::Peer(sender) => Some(sender),
         RecordSource::Own | RecordSource::Store => None,
--- a/arbutusfold/src/gateway/trial.rs
+++ b/arbutusfold/src/gateway/trial.rs
@@ -7,30 +7,26 @@
 use std::sync;
 use std::time as std_time;
 
-use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::event;
+use crate::gateway::claim;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::suspects;
 use crate::id;
-use crate::member;
 use crate::suspect;
 use crate::suspect::ledger;
 
 /// Time that a request waits for a permit or for the end of another trial.
 pub const CLAIM_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
-/// Number of a claim at the node that sent it.
-pub type ClaimNumber = u64;
-
 /// Permits that this node issued, and its own claims.
 #[derive(Debug, Default)]
 pub struct TrialState {
     issued: Vec<IssuedPermit>,
-    claims: Vec<(ClaimNumber, oneshot::Sender<()>)>,
-    claim_count: ClaimNumber,
+    /// Claims of this node at other issuers.
+    pub claims: claim::PendingClaims<()>,
 }
 
 /// Permit that is not issued again before its end, whatever becomes of the node
@@ -97,7 +93,7 @@
     core: &sync::Arc<core::GatewayCore>,
     fingerprint: &suspect::RequestFingerprint,
 ) -> Option<TrialPermit> {
-    let issuer = find_issuer(core, fingerprint);
+    let issuer = core.issuer(fingerprint);
     let is_granted = match issuer == core.settings.name {
         true => issue(core, fingerprint),
         false => ask(core, &issuer, fingerprint).await,
@@ -139,34 +135,12 @@
         .retain(|permit| permit.fingerprint != *fingerprint);
 }
 
-/// Passes a grant to the request that claimed it; returns whether it still waits.
-pub fn accept(core: &core::GatewayCore, claim: ClaimNumber) -> bool {
-    let mut trials = lock(&core.trials);
-    let found = trials
-        .claims
-        .iter()
-        .position(|(number, _)| *number == claim);
-    let Some(index) = found else {
-        return false;
-    };
-    let (_, granted) = trials.claims.swap_remove(index);
-    granted.send(()).is_ok()
-}
-
 async fn ask(
     core: &core::GatewayCore,
     issuer: &str,
     fingerprint: &suspect::RequestFingerprint,
 ) -> bool {
-    let (sender, granted) = oneshot::channel();
-    let claim = {
-        let mut trials = lock(&core.trials);
-        trials.claims.retain(|(_, waiting)| !waiting.is_closed());
-        trials.claim_count += 1;
-        let number = trials.claim_count;
-        trials.claims.push((number, sender));
-        number
-    };
+    let (claim, granted) = lock(&core.trials).claims.add();
     let message = suspects::LedgerMessage::Claim {
         fingerprint: *fingerprint,
         claim,
@@ -174,24 +148,3 @@
     suspects::send(core, issuer, &message);
     matches!(time::timeout(CLAIM_TIMEOUT, granted).await, Ok(Ok(())))
 }
-
-/// Returns the node that issues the permits of a request: all nodes with the
-/// same members choose the same one.
-fn find_issuer(
-    core: &core::GatewayCore,
-    fingerprint: &suspect::RequestFingerprint,
-) -> id::HostName {
-    let members = core.members.alive();
-    let serving: Vec<_> = members
-        .into_iter()
-        .filter(|record| record.phase == member::MemberPhase::Serving)
-        .map(|record| record.name)
-        .collect();
-    match serving.is_empty() {
-        true => core.settings.name.clone(),
-        false => {
-            let [issuer, _] = suspect::issuers(fingerprint, &serving);
-            issuer
-        }
-    }
-}
--- a/arbutusfold/src/limit.rs
+++ b/arbutusfold/src/limit.rs
@@ -7,6 +7,7 @@
 
 pub mod allocator;
 pub mod holder;
+pub mod issuer;
 pub mod pacer;
 
 use std::time as std_time;
--- a/arbutusfold/src/peer/envelope.rs
+++ b/arbutusfold/src/peer/envelope.rs
@@ -38,11 +38,13 @@
     Mirror = 6,
     /// Load reports between nodes and the leads of their failure domains.
     Lead = 7,
+    /// Limits that runners name, and permits to send requests to these runners.
+    Limit = 8,
 }
 
 impl MessageKind {
     /// Every kind that this release knows.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Membership,
         Self::Health,
         Self::Config,
@@ -50,6 +52,7 @@
         Self::Suspect,
         Self::Mirror,
         Self::Lead,
+        Self::Limit,
     ];
 
     /// Returns the number of the kind.
