Wait longer for the second trial after one that crashed a runner

The first trial follows the third death at once, so that a sound request that shared dying runners is free within milliseconds. A second one 5 to 10 s after a trial that killed its runner would cost one runner more for each crashing request. It now comes after 40 to 80 s; a trial that was not answered and killed no known runner keeps the short delay.

--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -25,8 +25,9 @@
 /// became suspicious together are not tried together.
 pub const TRIAL_DELAY: std_time::Duration = std_time::Duration::from_secs(5);
 
-/// Factor by which the delay grows with each further trial. Trials reach
-/// upstreams also when the crash is not seen, so their number is bounded.
+/// Factor by which the delay grows with each further trial and with each one that
+/// crashed an upstream. Trials reach upstreams also when the crash is not seen, so
+/// their number is bounded.
 const TRIAL_BACKOFF: u32 = 8;
 
 /// Crashes from which nodes compare the record of a request, and the store
@@ -188,7 +189,8 @@
         let delay = match trials.count() {
             _ if failed >= FAILED_TRIAL_LIMIT => suspect::REVOKED_TTL,
             0 => std_time::Duration::ZERO,
-            trials => trial_delay(fingerprint, trials),
+            // A death is stronger evidence than a trial without an answer.
+            trials => trial_delay(fingerprint, trials - 1 + failed),
         };
         match delay.saturating_sub(age) {
             std_time::Duration::ZERO => RequestStanding::Trial,
@@ -340,11 +342,11 @@
     }
 }
 
-/// Returns the time from the latest change of a record to the next trial, after
-/// this many trials that were not answered; at most [`suspect::REVOKED_TTL`].
-fn trial_delay(fingerprint: &suspect::RequestFingerprint, trials: usize) -> std_time::Duration {
+/// Returns the time from the latest change of a record to the next trial: the
+/// first delay, lengthened so many times, at most [`suspect::REVOKED_TTL`].
+fn trial_delay(fingerprint: &suspect::RequestFingerprint, times: usize) -> std_time::Duration {
     let spread = 1.0 + f64::from(fingerprint[0]) / f64::from(u8::MAX);
-    let exponent = u32::try_from(trials - 1).unwrap_or(u32::MAX);
+    let exponent = u32::try_from(times).unwrap_or(u32::MAX);
     let delay = TRIAL_DELAY.saturating_mul(TRIAL_BACKOFF.saturating_pow(exponent));
     let delay = delay.min(suspect::REVOKED_TTL).mul_f64(spread);
     delay.min(suspect::REVOKED_TTL)
