Count a trial whose node died during it

The outcome of a trial was recorded by the node that ran it. If that node dies or its record is lost, the issuer gave out the next permit after 5 s, again and again. A node now tells the issuer when it has recorded the outcome; what is not told counts as a trial without an answer. trial_of_a_node_that_dies_counts_as_unanswered: two or three trials in 300 s.

--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -81,6 +81,8 @@
     },
     /// Returns a permit that was not used.
     Returned(suspect::RequestFingerprint),
+    /// The trial under a permit is over, and its outcome is recorded.
+    Ended(suspect::RequestFingerprint),
     /// Asks for the shared records, from a node that has just started.
     Request,
     /// Shared records of a node that knows those of the fleet.
@@ -277,6 +279,7 @@
                 }
             }
             LedgerMessage::Returned(fingerprint) => trial::take_back(core, &fingerprint),
+            LedgerMessage::Ended(fingerprint) => trial::end(core, &fingerprint),
             LedgerMessage::Request => {
                 if *core.suspects_known.borrow() {
                     let records = shared_records(core);
--- a/arbutusfold/src/gateway/trial.rs
+++ b/arbutusfold/src/gateway/trial.rs
@@ -35,6 +35,8 @@
 struct IssuedPermit {
     fingerprint: suspect::RequestFingerprint,
     ends_at: time::Instant,
+    /// Whether the node that holds it has recorded what became of it.
+    ended: bool,
 }
 
 /// What became of a permit.
@@ -73,16 +75,22 @@
 
 impl Drop for TrialPermit {
     fn drop(&mut self) {
-        if matches!(self.state, PermitState::Sent | PermitState::Rejected) {
-            return;
-        }
-        match self.issuer == self.core.settings.name {
-            true => take_back(&self.core, &self.fingerprint),
-            false => {
-                let returned = suspects::LedgerMessage::Returned(self.fingerprint);
-                suspects::send(&self.core, &self.issuer, &returned);
+        let is_own = self.issuer == self.core.settings.name;
+        let message = match self.state {
+            PermitState::Sent | PermitState::Rejected if is_own => {
+                return end(&self.core, &self.fingerprint);
             }
-        }
+            PermitState::Unused | PermitState::Survived if is_own => {
+                return take_back(&self.core, &self.fingerprint);
+            }
+            PermitState::Sent | PermitState::Rejected => {
+                suspects::LedgerMessage::Ended(self.fingerprint)
+            }
+            PermitState::Unused | PermitState::Survived => {
+                suspects::LedgerMessage::Returned(self.fingerprint)
+            }
+        };
+        suspects::send(&self.core, &self.issuer, &message);
     }
 }
 
@@ -110,12 +118,12 @@
 /// or an earlier permit has not ended.
 pub fn issue(core: &core::GatewayCore, fingerprint: &suspect::RequestFingerprint) -> bool {
     let now = time::Instant::now();
+    drop_ended(core, now);
     let standing = lock(&core.suspects).standing(fingerprint, &[], now);
     if matches!(standing, ledger::RequestStanding::Quarantined(_)) {
         return false;
     }
     let mut trials = lock(&core.trials);
-    trials.issued.retain(|permit| permit.ends_at > now);
     let mut issued = trials.issued.iter();
     if issued.any(|permit| permit.fingerprint == *fingerprint) {
         return false;
@@ -123,10 +131,39 @@
     trials.issued.push(IssuedPermit {
         fingerprint: *fingerprint,
         ends_at: now + ledger::TRIAL_DELAY,
+        ended: false,
     });
     true
 }
 
+/// Drops the permits that have ended. Records the trials of which nothing was
+/// heard: the node that held the permit may have died during the run.
+fn drop_ended(core: &core::GatewayCore, now: time::Instant) {
+    let lost = {
+        let mut trials = lock(&core.trials);
+        let is_live = |permit: &IssuedPermit| permit.ends_at > now;
+        let ended = trials.issued.iter().filter(|permit| !is_live(permit));
+        let lost = ended.filter(|permit| !permit.ended);
+        let lost: Vec<_> = lost.map(|permit| permit.fingerprint).collect();
+        trials.issued.retain(is_live);
+        lost
+    };
+    for fingerprint in lost {
+        let number = id::new_incarnation();
+        let record = ledger::CrashRecord::unanswered_trial(&core.settings.name, number);
+        suspects::record_crashes(core, &fingerprint, &[record]);
+    }
+}
+
+/// Notes that the node that holds a permit has recorded what became of it.
+pub fn end(core: &core::GatewayCore, fingerprint: &suspect::RequestFingerprint) {
+    let mut trials = lock(&core.trials);
+    let issued = trials.issued.iter_mut();
+    issued
+        .filter(|permit| permit.fingerprint == *fingerprint)
+        .for_each(|permit| permit.ended = true);
+}
+
 /// Ends a permit that was returned, or that is not needed after an answer.
 pub fn take_back(core: &core::GatewayCore, fingerprint: &suspect::RequestFingerprint) {
     let mut trials = lock(&core.trials);
--- a/arbutusfold/tests/gateway_suspects.rs
+++ b/arbutusfold/tests/gateway_suspects.rs
@@ -170,7 +170,7 @@
         time::sleep(std_time::Duration::from_millis(10)).await;
     }
     let mut permits = claim_everywhere(&network).await;
-    permits[0].state = trial::PermitState::Sent;
+    permits[0].state = trial::PermitState::Rejected;
     permits.clear();
     for _ in 0..4 {
         assert!(claim_everywhere(&network).await.is_empty());
@@ -180,6 +180,27 @@
     assert_eq!(claim_everywhere(&network).await.len(), 1);
 }
 
+/// Guards against trials without bound at nodes that die during each of them.
+#[tokio::test(start_paused = true)]
+async fn trial_of_a_node_that_dies_counts_as_unanswered() {
+    let network = start(9, 0.0, 1);
+    let nodes = network.nodes.get().unwrap();
+    (0..3).for_each(|number| crash(&nodes[0], &fingerprint(), number));
+    time::sleep(CONTACT).await;
+    let mut granted_at = Vec::new();
+    let began_at = time::Instant::now();
+    while began_at.elapsed() < std_time::Duration::from_secs(300) {
+        for mut permit in claim_everywhere(&network).await {
+            permit.state = trial::PermitState::Sent;
+            granted_at.push(began_at.elapsed().as_secs());
+            // A dead node neither records nor returns it.
+            std::mem::forget(permit);
+        }
+        time::sleep(std_time::Duration::from_millis(500)).await;
+    }
+    assert!((2..=3).contains(&granted_at.len()), "{granted_at:?}");
+}
+
 /// Guards against a permit that is lost with its grant, or with the request that
 /// no longer waits for it.
 #[tokio::test(start_paused = true)]
