Check runs that were still under way when nobody waited for them any more

Sent by callers that left, or with a deadline that passed, before each crash, a GET crashed 25 runners over four processes, 19 of its retries late: no run broke, so no death was noted. Such a run is checked 0.5 to 1.5 s later, in one check a runner and second.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -35,6 +35,8 @@
 
 /// Shared state of one gateway.
 pub struct GatewayCore {
+    /// Start of the node.
+    pub started_at: time::Instant,
     /// Settings of the process.
     pub settings: settings::GatewaySettings,
     /// Recorder of events.
@@ -131,6 +133,7 @@
             leading: atomic::AtomicBool::new(false),
             rows_requested_at: sync::Mutex::default(),
             stopping: atomic::AtomicBool::new(false),
+            started_at: time::Instant::now(),
             settings,
         }
     }
--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -32,6 +32,13 @@
 /// die at any time, so this only joins the checks of one moment.
 const ALIVE_TTL: std_time::Duration = std_time::Duration::from_millis(50);
 
+/// Least time after which a run that was left unfinished is checked.
+const UNFINISHED_DELAY: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Interval at which such runs are checked, so that those on one runner share a
+/// check.
+const UNFINISHED_PERIOD: std_time::Duration = std_time::Duration::from_millis(1_000);
+
 /// What made a request suspect that a runner died.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum CrashSign {
@@ -50,6 +57,9 @@
     /// A rejection that took long names it.
     #[display("rejection")]
     Rejection,
+    /// The run was still under way when its caller left or its time was up.
+    #[display("unfinished")]
+    Unfinished,
 }
 
 /// A runner that a request is sent to.
@@ -209,6 +219,25 @@
     lock(&trace.state).checks.push(task);
 }
 
+/// Checks later whether runners died during a run that nothing waits for any more.
+pub fn check_unfinished(
+    core: &sync::Arc<core::GatewayCore>,
+    trace: &sync::Arc<CrashTrace>,
+    suspicions: Vec<CrashSuspicion>,
+) {
+    let due_at = time::Instant::now() + UNFINISHED_DELAY;
+    let since = due_at.saturating_duration_since(core.started_at);
+    let periods = since.div_duration_f64(UNFINISHED_PERIOD).ceil();
+    let check_at = core.started_at + UNFINISHED_PERIOD.mul_f64(periods);
+    let (core, trace) = (sync::Arc::clone(core), sync::Arc::clone(trace));
+    tokio::spawn(async move {
+        time::sleep_until(check_at).await;
+        for suspicion in suspicions {
+            check(&core, &trace, suspicion);
+        }
+    });
+}
+
 fn record(core: &core::GatewayCore, trace: &CrashTrace, suspicion: &CrashSuspicion) {
     let crash = &suspicion.instance.crash;
     let Some((age, kind)) = trace.record(crash, suspicion.progressed, time::Instant::now()) else {
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -184,6 +184,7 @@
         attempts: 0,
         latest_runners: String::new(),
         trace: sync::Arc::default(),
+        unfinished: Vec::new(),
         trial: None,
         fingerprint: sync::OnceLock::new(),
     })
--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -138,6 +138,7 @@
     /// Records that a runner ran the request and did not die, although it may have
     /// failed it.
     pub fn note_survived(&mut self) {
+        self.unfinished.clear();
         if let Some(permit) = &mut self.trial {
             permit.state = trial::PermitState::Survived;
         }
@@ -165,18 +166,42 @@
         sign: crash::CrashSign,
         progressed: bool,
     ) {
-        let Some(instance) = target.instance(stage) else {
-            return;
-        };
-        let suspicion = crash::CrashSuspicion {
+        if let Some(instance) = target.instance(stage) {
+            let suspicion = self.suspicion(instance, stage, sign, progressed);
+            crash::check(&self.core, &self.trace, suspicion);
+        }
+    }
+
+    fn suspicion(
+        &self,
+        instance: crash::RunnerInstance,
+        stage: usize,
+        sign: crash::CrashSign,
+        progressed: bool,
+    ) -> crash::CrashSuspicion {
+        crash::CrashSuspicion {
             request: self.head.request.clone(),
             fingerprint: self.fingerprint(),
             instance,
             stage,
             sign,
             progressed,
-        };
-        crash::check(&self.core, &self.trace, suspicion);
+        }
+    }
+
+    /// Checks the runners of a run that was still under way when its caller left
+    /// or its time was up. Most runners stop such a run, but it may go on.
+    fn check_unfinished(&mut self) {
+        let unfinished = std::mem::take(&mut self.unfinished).into_iter();
+        let suspicions: Vec<_> = unfinished
+            .enumerate()
+            .map(|(stage, instance)| {
+                self.suspicion(instance, stage, crash::CrashSign::Unfinished, false)
+            })
+            .collect();
+        if !suspicions.is_empty() {
+            crash::check_unfinished(&self.core, &self.trace, suspicions);
+        }
     }
 }
 
@@ -192,7 +217,11 @@
             let host = &self.core.settings.name;
             crashes.push(ledger::CrashRecord::unanswered_trial(host, number));
         }
-        if self.trace.ended() == Some(crash::RequestEnd::Unanswered) && !crashes.is_empty() {
+        if self.trace.ended() != Some(crash::RequestEnd::Unanswered) {
+            return;
+        }
+        self.check_unfinished();
+        if !crashes.is_empty() {
             suspects::record_crashes(&self.core, &self.fingerprint(), &crashes);
         }
     }
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -93,6 +93,8 @@
     pub latest_runners: String,
     /// Runs so far and the deaths of runners during them.
     pub trace: sync::Arc<crash::CrashTrace>,
+    /// Runners of the latest run, while nothing shows that it has ended.
+    pub unfinished: Vec<crash::RunnerInstance>,
     /// Permit for the trial, if the request may only run as one.
     pub trial: Option<trial::TrialPermit>,
     /// Fingerprint, once it was needed.
@@ -539,6 +541,8 @@
         };
         let sent_at = time::Instant::now();
         self.begin_run(&target.runners);
+        let stages = 0..target.runners.len();
+        self.unfinished = stages.filter_map(|stage| target.instance(stage)).collect();
         let timeout = self.head_timeout();
         let answer = time::timeout(timeout, link.send(request)).await;
         let response = match answer {
@@ -555,6 +559,7 @@
             }
             Ok(Err(error)) => {
                 self.executed += 1;
+                self.unfinished.clear();
                 let cause = error.to_string();
                 self.fail_runner(&target.runners[0], &cause);
                 self.check_crash(target, 0, crash::CrashSign::Connection, false);
@@ -669,6 +674,7 @@
     ) -> String {
         let id = target.runners[stage].clone();
         let cause = format!("status {} of {id}", status.as_u16());
+        self.unfinished.clear();
         if let Some(permit) = &mut self.trial {
             permit.state = trial::PermitState::Rejected;
         }
