Tell a started node the limits in force, and keep Retry-After for full runners

A node that had just started learned of a limit from the first answer of the runner, which takes seconds for a stream. It asks three peers when it is ready. The pause of one runner with a limit no longer shortens Retry-After for callers of a service whose other runners are full.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -215,6 +215,7 @@
                     ready = true;
                     let detail = format!("document_version={}", core.document_version());
                     core.note(event::EventCode::NodeReady, &core.settings.name, detail);
+                    runner_limit::request(&core);
                     let phase = member::MemberPhase::Serving;
                     driver.step(member::MemberEvent::Phase(phase), now);
                 }
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -111,9 +111,9 @@
         Some(until - now)
     }
 
-    /// Returns the limit that is in force, in requests per second.
-    pub fn limit_rate(&self) -> Option<f64> {
-        self.limit.and_then(|limit| limit.rate)
+    /// Returns its limit, if one is in force.
+    pub fn limit(&self) -> Option<RunnerLimit> {
+        self.limit.filter(|limit| limit.rate.is_some())
     }
 
     /// Returns whether requests may be sent to it at all.
@@ -306,7 +306,7 @@
         if is_other_process || is_later {
             return false;
         }
-        let before = state.limit_rate();
+        let before = state.limit().and_then(|limit| limit.rate);
         state.limit = Some(limit);
         if limit.rate.is_none() {
             state.paused_until = None;
@@ -314,12 +314,6 @@
         before != limit.rate
     }
 
-    /// Returns when the limit of a runner that is in force was last seen.
-    pub fn limit_seen_at(&self, id: &str) -> Option<time::Instant> {
-        let limit = self.get(id)?.limit?;
-        limit.rate.map(|_| limit.seen_at)
-    }
-
     /// Records that this node gets no permit for a runner for some time.
     pub fn pause(&mut self, id: &str, until: time::Instant) {
         if let Some(state) = self.find_mut(id) {
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -328,7 +328,7 @@
     pub async fn acquire_target(&self) -> Result<AttemptTarget, selector::PathError> {
         for _ in 0..CLAIM_LIMIT {
             let target = match self.choose_target() {
-                Err(_) if self.limit_pause().is_some() => break,
+                Err(_) if self.limit_pause().0.is_some() => break,
                 chosen => chosen?,
             };
             let first = &target.runners[0];
@@ -340,14 +340,17 @@
     }
 
     /// Returns the time until a runner of the service that named a limit may be
-    /// tried again, or `None` if no limit keeps this node from any.
-    fn limit_pause(&self) -> Option<std_time::Duration> {
+    /// tried again, or `None` if no limit keeps this node from any; and whether it
+    /// keeps it from all.
+    fn limit_pause(&self) -> (Option<std_time::Duration>, bool) {
         let now = time::Instant::now();
         let fleet = lock(&self.core.fleet);
         let runners = fleet.runners().iter();
         let usable =
             runners.filter(|state| state.record.service == self.service && state.is_usable(now));
-        usable.filter_map(|state| state.pause_left(now)).min()
+        let pauses: Vec<_> = usable.map(|state| state.pause_left(now)).collect();
+        let is_full = pauses.iter().all(Option::is_some);
+        (pauses.into_iter().flatten().min(), is_full)
     }
 
     fn choose_target(&self) -> Result<AttemptTarget, selector::PathError> {
@@ -713,15 +716,18 @@
     }
 
     /// Returns the `Retry-After` time of a refusal. A model has capacity again when
-    /// some running streams end; a plain service has it much sooner.
+    /// some running streams end; a plain service has it much sooner. If all runners
+    /// named limits, the first of them that may be tried again decides.
     fn retry_after(&self) -> std_time::Duration {
-        if let Some(pause) = self.limit_pause() {
-            return pause;
-        }
         let spec = self.table.service(&self.service);
-        match spec.is_some_and(|spec| spec.engine.is_some()) {
+        let usual = match spec.is_some_and(|spec| spec.engine.is_some()) {
             true => MODEL_RETRY_AFTER.mul_f64(1.0 + rand::rng().random::<f64>()),
             false => PLAIN_RETRY_AFTER,
+        };
+        match self.limit_pause() {
+            (Some(pause), true) => pause,
+            (Some(pause), false) => pause.max(usual),
+            (None, _) => usual,
         }
     }
 
--- a/arbutusfold/src/gateway/runner_limit.rs
+++ b/arbutusfold/src/gateway/runner_limit.rs
@@ -29,6 +29,9 @@
 /// Time for which a runner is paused whose issuer did not answer.
 const UNANSWERED_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Peers that a started node asks for the limits in force.
+const ASKED_PEERS: usize = 3;
+
 /// Permits that this node issues, and its own claims.
 #[derive(Debug, Default)]
 pub struct LimitState {
@@ -70,6 +73,8 @@
         /// Whether the request may be sent.
         answer: issuer::PermitAnswer,
     },
+    /// Asks for the limits in force, from a node that has just started.
+    Request,
 }
 
 /// Records the limit that an answer of a runner names. The request was sent at
@@ -85,7 +90,11 @@
         // An answer to an earlier request may be older than the limit, and a
         // refusal need not come from the runner itself.
         head::NamedLimit::Absent => {
-            let seen_at = lock(&core.fleet).limit_seen_at(&crash.upstream);
+            let fleet = lock(&core.fleet);
+            let limit = fleet
+                .get(&crash.upstream)
+                .and_then(fleet::RunnerState::limit);
+            let seen_at = limit.map(|limit| limit.seen_at);
             if seen_at.is_none_or(|seen_at| sent_at <= seen_at) || !head::has_proof(headers) {
                 return;
             }
@@ -105,7 +114,8 @@
 /// Returns whether a request may be sent to a runner. If it needs a permit and
 /// gets none, the runner is paused at this node.
 pub async fn claim(core: &core::GatewayCore, runner: &str, request: &str) -> bool {
-    let Some(limit) = report_of(core, runner) else {
+    let limit = lock(&core.fleet).get(runner).and_then(report_of);
+    let Some(limit) = limit else {
         return true;
     };
     let issuer = core.issuer(&suspect::fingerprint("", runner, &[]));
@@ -141,6 +151,15 @@
     false
 }
 
+/// Asks some peers for the limits that are in force.
+pub fn request(core: &core::GatewayCore) {
+    let contacts = core.members.contacts().into_iter();
+    contacts
+        .filter(|contact| contact.host != core.settings.name)
+        .take(ASKED_PEERS)
+        .for_each(|contact| send(core, &contact.host, &LimitMessage::Request));
+}
+
 /// Handles the messages about limits of runners.
 pub struct LimitHandler {
     core: sync::Arc<core::GatewayCore>,
@@ -173,6 +192,11 @@
                 // The request may have stopped waiting; its permit is lost.
                 lock(&core.limits).claims.resolve(claim, answer);
             }
+            LimitMessage::Request => {
+                for report in reports(core) {
+                    send(core, sender, &LimitMessage::Changed(report));
+                }
+            }
         }
     }
 }
@@ -181,7 +205,7 @@
 /// since the claim was sent.
 fn issue(core: &core::GatewayCore, claimed: &LimitReport) -> issuer::PermitAnswer {
     let rate = match lock(&core.fleet).get(&claimed.runner) {
-        Some(state) => state.limit_rate(),
+        Some(state) => state.limit().and_then(|limit| limit.rate),
         None => claimed.rate,
     };
     let Some(rate) = rate else {
@@ -216,16 +240,20 @@
     receivers.iter().for_each(|to| send(core, to, &changed));
 }
 
-/// Returns the limit of a runner that is in force, as a report of this node.
-fn report_of(core: &core::GatewayCore, runner: &str) -> Option<LimitReport> {
+/// Returns the limits that are in force.
+fn reports(core: &core::GatewayCore) -> Vec<LimitReport> {
     let fleet = lock(&core.fleet);
-    let seen_at = fleet.limit_seen_at(runner)?;
-    let state = fleet.get(runner)?;
+    fleet.runners().iter().filter_map(report_of).collect()
+}
+
+/// Returns the limit of a runner that is in force, as a report of this node.
+fn report_of(state: &fleet::RunnerState) -> Option<LimitReport> {
+    let limit = state.limit()?;
     Some(LimitReport {
-        runner: runner.to_owned(),
+        runner: state.record.id.clone(),
         started_ms: state.record.started_ms.unwrap_or(0),
-        rate: state.limit_rate(),
-        age: seen_at.elapsed(),
+        rate: limit.rate,
+        age: limit.seen_at.elapsed(),
     })
 }
 
--- a/arbutusfold/tests/gateway_limits.rs
+++ b/arbutusfold/tests/gateway_limits.rs
@@ -56,7 +56,12 @@
 fn limits(network: &TestNetwork) -> Vec<Option<f64>> {
     let nodes = network.nodes.get().unwrap().iter();
     let limit = |core: &sync::Arc<core::GatewayCore>| {
-        core.fleet.lock().unwrap().get(RUNNER).unwrap().limit_rate()
+        let fleet = core.fleet.lock().unwrap();
+        fleet
+            .get(RUNNER)
+            .unwrap()
+            .limit()
+            .and_then(|limit| limit.rate)
     };
     nodes.map(limit).collect()
 }
@@ -142,6 +147,24 @@
     assert_eq!(limits(&network), vec![None; 60]);
 }
 
+/// Guards against a started node that sends what it likes until a runner answers
+/// it, which takes seconds for a stream.
+#[tokio::test(start_paused = true)]
+async fn started_node_asks_for_the_limits_in_force() {
+    let network = start(9, 0.0, 1);
+    put_runner(&network, 7);
+    let nodes = network.nodes.get().unwrap();
+    // The ninth node has just started: nobody told it.
+    publish(&network, |own, other| own != 8 && other != 8);
+    answer(&nodes[0], 7, Some("4.7"), time::Instant::now());
+    time::sleep(std_time::Duration::from_millis(50)).await;
+    assert_eq!(limits(&network)[8], None);
+    publish(&network, |_, _| true);
+    runner_limit::request(&nodes[8]);
+    time::sleep(std_time::Duration::from_millis(50)).await;
+    assert_eq!(limits(&network)[8], Some(4.7));
+}
+
 /// Guards against permits that are lost with messages, and against two issuers
 /// that each give out the whole limit for long when the first one dies.
 #[tokio::test(start_paused = true)]
