--- a/arbutusfold/src/gateway/runner_limit.rs
+++ b/arbutusfold/src/gateway/runner_limit.rs
@@ -35,8 +35,8 @@
 /// Permits that this node issues, and its own claims.
 #[derive(Debug, Default)]
 pub struct LimitState {
-    issuer: issuer::PermitIssuer,
-    claims: claim::PendingClaims<issuer::PermitAnswer>,
+    issuer: issuer::LimitIssuer,
+    claims: claim::PendingClaims<issuer::ClaimAnswer>,
 }
 
 /// Limit of a runner, as one node tells it to another.
@@ -71,7 +71,7 @@
         /// Number of the claim at its sender.
         claim: claim::ClaimNumber,
         /// Whether the request may be sent.
-        answer: issuer::PermitAnswer,
+        answer: issuer::ClaimAnswer,
     },
     /// Asks for the limits in force, from a node that has just started.
     Request,
@@ -133,11 +133,11 @@
         }
     };
     let pause = match answer {
-        Some(issuer::PermitAnswer::Granted) => {
+        Some(issuer::ClaimAnswer::Granted) => {
             core.metrics.limit_permits.inc();
             return true;
         }
-        Some(issuer::PermitAnswer::Denied(pause)) => pause,
+        Some(issuer::ClaimAnswer::Denied(pause)) => pause,
         None => UNANSWERED_PAUSE,
     };
     core.metrics.limit_denials.inc();
@@ -203,13 +203,13 @@
 
 /// Issues a permit, by the limit that this node knows. It may have been lifted
 /// since the claim was sent.
-fn issue(core: &core::GatewayCore, claimed: &LimitReport) -> issuer::PermitAnswer {
+fn issue(core: &core::GatewayCore, claimed: &LimitReport) -> issuer::ClaimAnswer {
     let rate = match lock(&core.fleet).get(&claimed.runner) {
         Some(state) => state.limit().and_then(|limit| limit.rate),
         None => claimed.rate,
     };
     let Some(rate) = rate else {
-        return issuer::PermitAnswer::Granted;
+        return issuer::ClaimAnswer::Granted;
     };
     let now = time::Instant::now();
     lock(&core.limits).issuer.claim(&claimed.runner, rate, now)
--- a/arbutusfold/src/limit/issuer.rs
+++ b/arbutusfold/src/limit/issuer.rs
@@ -37,7 +37,7 @@
 
 /// Answer to a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PermitAnswer {
+pub enum ClaimAnswer {
     /// One request may be sent.
     Granted,
     /// None may be sent; a claim makes sense after this time.
@@ -46,7 +46,7 @@
 
 /// Permits of the limits that one node is responsible for.
 #[derive(Debug, Default)]
-pub struct PermitIssuer {
+pub struct LimitIssuer {
     /// Sorted by key.
     limits: Vec<IssuedLimit>,
 }
@@ -65,11 +65,11 @@
     claims: u32,
 }
 
-impl PermitIssuer {
+impl LimitIssuer {
     /// Answers a claim for one request under the limit `key`, which is `rate`
     /// requests per second now. A limit that was not claimed before begins
     /// without permits, since another node may have issued them until now.
-    pub fn claim(&mut self, key: &str, rate: f64, now: time::Instant) -> PermitAnswer {
+    pub fn claim(&mut self, key: &str, rate: f64, now: time::Instant) -> ClaimAnswer {
         self.limits
             .retain(|limit| now.saturating_duration_since(limit.refilled_at) < LIMIT_TTL);
         let found = self
@@ -96,19 +96,19 @@
         }
     }
 
-    fn claim(&mut self, rate: f64, now: time::Instant) -> PermitAnswer {
+    fn claim(&mut self, rate: f64, now: time::Instant) -> ClaimAnswer {
         self.refill(rate, now);
         self.adapt_pause(now);
         self.claims += 1;
         if self.level >= 1.0 {
             self.level -= 1.0;
-            return PermitAnswer::Granted;
+            return ClaimAnswer::Granted;
         }
         let seconds = (1.0 - self.level) / self.rate;
         // The smallest rate keeps this far below the limit of the type.
         let next = std_time::Duration::from_secs_f64(seconds);
         let pause = self.pause.mul_f64(0.5 + rand::rng().random::<f64>());
-        PermitAnswer::Denied(next.max(pause))
+        ClaimAnswer::Denied(next.max(pause))
     }
 
     fn refill(&mut self, rate: f64, now: time::Instant) {
--- a/arbutusfold/tests/limit_issuer.rs
+++ b/arbutusfold/tests/limit_issuer.rs
@@ -4,7 +4,7 @@
 
 use std::time as std_time;
 
-use arbutusfold::limit::issuer::{self, PermitAnswer};
+use arbutusfold::limit::issuer::{self, ClaimAnswer};
 use rand::{RngExt, SeedableRng};
 use tokio::time;
 
@@ -18,7 +18,7 @@
 
 /// Requests of nodes under one limit.
 struct Simulation {
-    issuer: issuer::PermitIssuer,
+    issuer: issuer::LimitIssuer,
     paused_until: Vec<time::Instant>,
     random: rand_chacha::ChaCha8Rng,
     granted: Vec<time::Instant>,
@@ -28,7 +28,7 @@
 impl Simulation {
     fn new(nodes: usize, seed: u64) -> Self {
         Self {
-            issuer: issuer::PermitIssuer::default(),
+            issuer: issuer::LimitIssuer::default(),
             paused_until: vec![time::Instant::now(); nodes],
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             granted: Vec::new(),
@@ -51,8 +51,8 @@
                 }
                 self.claims += 1;
                 match self.issuer.claim("i-1", rate, now) {
-                    PermitAnswer::Granted => self.granted.push(now),
-                    PermitAnswer::Denied(pause) => self.paused_until[node] = now + pause,
+                    ClaimAnswer::Granted => self.granted.push(now),
+                    ClaimAnswer::Denied(pause) => self.paused_until[node] = now + pause,
                 }
             }
         }
