--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -5,6 +5,7 @@
 
 use arbutusfold_platform::{document, head, link, runner};
 use bytes::Bytes;
+use futures_util::future;
 use http_body_util::Full;
 use hyper::body;
 use rand::RngExt;
@@ -325,12 +326,16 @@
     /// # Errors
     ///
     /// [`selector::PathError`] when no runners can serve the request now.
-    pub async fn acquire_target(&self) -> Result<AttemptTarget, selector::PathError> {
+    pub async fn acquire_target(&mut self) -> Result<AttemptTarget, selector::PathError> {
         for _ in 0..CLAIM_LIMIT {
             let target = match self.choose_target() {
                 Err(_) if self.limit_pause().0.is_some() => break,
                 chosen => chosen?,
             };
+            if let Some(gone) = self.find_gone(&target).await {
+                self.exclude(&gone);
+                continue;
+            }
             let first = &target.runners[0];
             if runner_limit::claim(&self.core, first, &self.head.request).await {
                 return Ok(target);
@@ -339,6 +344,20 @@
         Err(selector::PathError::Limited)
     }
 
+    /// Returns a runner of the target that is dead already, if the request is sent
+    /// as a trial: its death must not count against the request.
+    async fn find_gone(&self, target: &AttemptTarget) -> Option<id::UpstreamName> {
+        self.trial.as_ref()?;
+        let stages = 0..target.runners.len();
+        let instances = stages.filter_map(|stage| target.instance(stage));
+        let checks = instances.map(async |instance| {
+            let is_gone = crash::is_gone(&self.core, &instance).await;
+            is_gone.then_some(instance.crash.upstream)
+        });
+        let gone = future::join_all(checks).await;
+        gone.into_iter().flatten().next()
+    }
+
     /// Returns the time until a runner of the service that named a limit may be
     /// tried again, or `None` if no limit keeps this node from any; and whether it
     /// keeps it from all.
--- /dev/null
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -0,0 +1,30 @@
+//! Test fixture: a deployment of gateway processes that is ready for callers.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path;
+use std::sync;
+
+use arbutusfold_soak::{deployment, plan};
+
+fn build_folder() -> path::PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.ancestors().nth(2).unwrap().to_owned()
+}
+
+/// Starts a deployment whose settings and logs are in the folder `name`.
+pub async fn start(
+    name: &str,
+    subnet: u8,
+    size: plan::SoakSize,
+) -> sync::Arc<deployment::SoakDeployment> {
+    let folder = build_folder().join("fleet-tests").join(name);
+    // A folder of an earlier run holds logs that would be taken for new ones.
+    let _ = std::fs::remove_dir_all(&folder);
+    let program = build_folder().join("arbutusfold");
+    let deployment = deployment::SoakDeployment::start(&program, &folder, subnet, size)
+        .await
+        .unwrap();
+    deployment.wait_ready().await.unwrap();
+    sync::Arc::new(deployment)
+}
