--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -83,10 +83,10 @@
 /// What is known of a request when a run begins.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RunKind {
-    /// No runner died under it, or only in the same moment.
+    /// No runner died under it.
     #[display("fresh")]
     Fresh,
-    /// Runners died under it some time before.
+    /// Runners died under it.
     #[display("repeated")]
     Repeated,
     /// It is quarantined, and this run is its trial.
@@ -107,7 +107,6 @@
 struct TraceState {
     exposures: Vec<RunExposure>,
     crashes: Vec<ledger::CrashRecord>,
-    latest_crash: Option<time::Instant>,
     checks: Vec<task::JoinHandle<()>>,
     end: Option<RequestEnd>,
 }
@@ -152,7 +151,6 @@
             return None;
         }
         let crash = crash.clone();
-        state.latest_crash = Some(now);
         state.crashes.push(ledger::CrashRecord {
             crash,
             progressed,
@@ -162,11 +160,6 @@
         Some((age, kind))
     }
 
-    /// Returns when the latest death that counts was recorded.
-    pub fn latest_crash(&self) -> Option<time::Instant> {
-        lock(&self.state).latest_crash
-    }
-
     /// Returns the deaths that count.
     pub fn crashes(&self) -> Vec<ledger::CrashRecord> {
         lock(&self.state).crashes.clone()
--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -72,33 +72,18 @@
 
     /// Records that the request is sent to runners that it was not sent to before.
     pub fn begin_run(&mut self, runners: &[id::UpstreamName]) {
-        let is_repeated = self.is_repeated();
+        let is_suspect = self.is_suspect();
         let kind = match &mut self.trial {
             Some(permit) => {
                 permit.begin_run();
                 crash::RunKind::Trial
             }
-            None if is_repeated => crash::RunKind::Repeated,
+            None if is_suspect => crash::RunKind::Repeated,
             None => crash::RunKind::Fresh,
         };
         self.trace.begin(runners, kind, time::Instant::now());
     }
 
-    /// Returns whether the death of a runner under the request or its resends has
-    /// been known for a while.
-    fn is_repeated(&self) -> bool {
-        let now = time::Instant::now();
-        let own = self.trace.latest_crash();
-        let own_age = own.map(|at| now.saturating_duration_since(at));
-        let suspects = lock(&self.core.suspects);
-        let known_age = match suspects.is_empty() {
-            true => None,
-            false => suspects.crash_age(&self.fingerprint(), now),
-        };
-        let ages = own_age.into_iter().chain(known_age);
-        ages.min().is_some_and(|age| age >= ledger::REPEAT_GAP)
-    }
-
     /// Returns whether the death of a runner under the request or its resends is
     /// known.
     fn is_suspect(&self) -> bool {
--- a/arbutusfold/src/gateway/trial.rs
+++ b/arbutusfold/src/gateway/trial.rs
@@ -21,6 +21,10 @@
 /// Time that a request waits for a permit or for the end of another trial.
 pub const CLAIM_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
+/// Time from the issue of a permit to the next one for the same request, if the
+/// first was not returned. Most runs end within it.
+const PERMIT_PERIOD: std_time::Duration = std_time::Duration::from_secs(5);
+
 /// Permits that this node issued, and its own claims.
 #[derive(Debug, Default)]
 pub struct TrialState {
@@ -130,7 +134,7 @@
     }
     trials.issued.push(IssuedPermit {
         fingerprint: *fingerprint,
-        ends_at: now + ledger::TRIAL_DELAY,
+        ends_at: now + PERMIT_PERIOD,
         ended: false,
     });
     true
--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -17,18 +17,11 @@
 /// fleet.
 pub const CRASH_LIMIT: usize = 3;
 
-/// Trials that crashed an upstream, and a crash in a repeated run before them,
-/// after which a request gets no further trial.
-const PROOF_LIMIT: usize = 2;
-
-/// Time after a known crash from which a run counts as repeated. A host that dies
-/// ends retries that began within the same moment.
-pub const REPEAT_GAP: std_time::Duration = std_time::Duration::from_millis(500);
-
-/// Shortest time from the latest crash to a trial that has to wait; upstreams are
-/// back by then. It is up to twice as long, so that requests that became
-/// suspicious together are not tried together.
-pub const TRIAL_DELAY: std_time::Duration = std_time::Duration::from_secs(5);
+/// Shortest time from the latest crash to the first trial. Upstreams are back by
+/// then: a trial in the middle of a mass death would hit one that dies anyway, or
+/// crash one of the few that are left. It is up to twice as long, so that requests
+/// that became suspicious together are not tried together.
+const TRIAL_DELAY: std_time::Duration = std_time::Duration::from_millis(2_500);
 
 /// Factor by which the delay grows with each further trial. Trials reach
 /// upstreams also when the crash is not seen, so their number is bounded.
@@ -49,10 +42,9 @@
 pub struct CrashRecord {
     /// The process that died.
     pub crash: suspect::CrashId,
-    /// Whether the run had produced output before. Two such crashes are no proof: a
-    /// stream that is lost twice with its host goes on.
+    /// Whether the run had produced output before.
     pub progressed: bool,
-    /// Whether such a death was known for [`REPEAT_GAP`] when the run began.
+    /// Whether such a death was known when the run began.
     pub repeated: bool,
     /// Whether the run was a trial. Without `repeated`, no upstream is known to
     /// have died, see [`Self::unanswered_trial`].
@@ -190,14 +182,9 @@
         let changed_at = entry.filter(|_| is_recorded).map(|entry| entry.changed_at);
         let age = now.saturating_duration_since(changed_at.unwrap_or(now));
         let trials = all.iter().filter(|record| record.trial);
-        let failed = trials.clone().filter(|record| record.is_crash()).count();
-        let is_repeated = is_repeated(&all);
-        let delay = match trials.count() + usize::from(is_repeated) {
-            _ if failed > 0 && failed + usize::from(is_repeated) >= PROOF_LIMIT => {
-                suspect::REVOKED_TTL
-            }
-            0 => std_time::Duration::ZERO,
-            times => trial_delay(fingerprint, times - 1),
+        let delay = match trials.clone().any(CrashRecord::is_crash) {
+            true => suspect::REVOKED_TTL,
+            false => trial_delay(fingerprint, trials.count()),
         };
         match delay.saturating_sub(age) {
             std_time::Duration::ZERO => RequestStanding::Trial,
@@ -274,18 +261,6 @@
         }
     }
 
-    /// Returns the time since the record of a request last changed, if crashes are
-    /// recorded.
-    pub fn crash_age(
-        &self,
-        fingerprint: &suspect::RequestFingerprint,
-        now: time::Instant,
-    ) -> Option<std_time::Duration> {
-        let index = self.find(fingerprint).ok()?;
-        let entry = Some(&self.requests[index]).filter(|entry| !entry.crashes.is_empty())?;
-        Some(now.saturating_duration_since(entry.changed_at))
-    }
-
     /// Returns the record of a request.
     pub fn get(
         &self,
@@ -372,23 +347,12 @@
 }
 
 /// Returns whether a request with these crashes runs only as a trial. The order
-/// of the crashes only decides when: a request that is sent to many nodes at once
+/// of the crashes does not matter: a request that is sent to many nodes at once
 /// crashes upstreams at all of them before any node knows.
 fn is_suspicious(crashes: &[CrashRecord]) -> bool {
     crashes.iter().filter(|record| record.is_crash()).count() >= CRASH_LIMIT
 }
 
-/// Returns whether enough upstreams died, one of them in a repeated run that was no
-/// trial. A stream that is lost with its host after output goes on, so the first
-/// such crashes do not count.
-fn is_repeated(crashes: &[CrashRecord]) -> bool {
-    let crashes: Vec<_> = crashes.iter().filter(|record| record.is_crash()).collect();
-    let progressed = crashes.iter().filter(|record| record.progressed).count();
-    let exempt = progressed.min(usize::from(suspect::EXEMPTION_LIMIT));
-    let mut others = crashes.iter().filter(|record| !record.trial);
-    crashes.len() - exempt >= CRASH_LIMIT && others.any(|record| record.repeated)
-}
-
 /// Inserts a crash or merges it with what is known of the same death. Of too many
 /// crashes, all nodes keep the same ones, trials first.
 fn insert_crash(crashes: &mut Vec<CrashRecord>, record: &CrashRecord) {
