--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -21,7 +21,7 @@
 /// then: a trial in the middle of a mass death would hit one that dies anyway, or
 /// crash one of the few that are left. It is up to twice as long, so that requests
 /// that became suspicious together are not tried together.
-const TRIAL_DELAY: std_time::Duration = std_time::Duration::from_millis(2_500);
+const TRIAL_DELAY: std_time::Duration = std_time::Duration::from_secs(5);
 
 /// Factor by which the delay grows with each further trial. Trials reach
 /// upstreams also when the crash is not seen, so their number is bounded.
