--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -329,7 +329,7 @@
     pub async fn acquire_target(&mut self) -> Result<AttemptTarget, selector::PathError> {
         for _ in 0..CLAIM_LIMIT {
             let target = match self.choose_target() {
-                Err(_) if self.limit_pause().0.is_some() => break,
+                Err(_) if self.limit_pauses().iter().any(Option::is_some) => break,
                 chosen => chosen?,
             };
             if let Some(gone) = self.find_gone(&target).await {
@@ -358,18 +358,15 @@
         gone.into_iter().flatten().next()
     }
 
-    /// Returns the time until a runner of the service that named a limit may be
-    /// tried again, or `None` if no limit keeps this node from any; and whether it
-    /// keeps it from all.
-    fn limit_pause(&self) -> (Option<std_time::Duration>, bool) {
+    /// Returns for each usable runner of the service how long its limit keeps this
+    /// node from it, if it does.
+    fn limit_pauses(&self) -> Vec<Option<std_time::Duration>> {
         let now = time::Instant::now();
         let fleet = lock(&self.core.fleet);
         let runners = fleet.runners().iter();
         let usable =
             runners.filter(|state| state.record.service == self.service && state.is_usable(now));
-        let pauses: Vec<_> = usable.map(|state| state.pause_left(now)).collect();
-        let is_full = pauses.iter().all(Option::is_some);
-        (pauses.into_iter().flatten().min(), is_full)
+        usable.map(|state| state.pause_left(now)).collect()
     }
 
     fn choose_target(&self) -> Result<AttemptTarget, selector::PathError> {
@@ -743,10 +740,11 @@
             true => MODEL_RETRY_AFTER.mul_f64(1.0 + rand::rng().random::<f64>()),
             false => PLAIN_RETRY_AFTER,
         };
-        match self.limit_pause() {
-            (Some(pause), true) => pause,
-            (Some(pause), false) => pause.max(usual),
-            (None, _) => usual,
+        let pauses = self.limit_pauses();
+        match pauses.iter().flatten().min() {
+            Some(pause) if pauses.iter().all(Option::is_some) => *pause,
+            Some(pause) => usual.max(*pause),
+            None => usual,
         }
     }
 
--- a/arbutusfold/src/gateway/runner_limit.rs
+++ b/arbutusfold/src/gateway/runner_limit.rs
@@ -77,11 +77,11 @@
     Request,
 }
 
-/// Records the limit that an answer of a runner names. The request was sent at
-/// `sent_at`.
+/// Records the limit that an answer of a runner's process names. The request was
+/// sent at `sent_at`.
 pub fn observe(
     core: &core::GatewayCore,
-    crash: &suspect::CrashId,
+    process: &suspect::CrashId,
     headers: &http::HeaderMap,
     sent_at: time::Instant,
 ) {
@@ -92,7 +92,7 @@
         head::NamedLimit::Absent => {
             let fleet = lock(&core.fleet);
             let limit = fleet
-                .get(&crash.upstream)
+                .get(&process.upstream)
                 .and_then(fleet::RunnerState::limit);
             let seen_at = limit.map(|limit| limit.seen_at);
             if seen_at.is_none_or(|seen_at| sent_at <= seen_at) || !head::has_proof(headers) {
@@ -103,8 +103,8 @@
         head::NamedLimit::Unreadable => return,
     };
     let report = LimitReport {
-        runner: crash.upstream.clone(),
-        started_ms: crash.incarnation,
+        runner: process.upstream.clone(),
+        started_ms: process.incarnation,
         rate,
         age: std_time::Duration::ZERO,
     };
