--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -341,7 +341,10 @@
                 return Ok(target);
             }
         }
-        Err(selector::PathError::Limited)
+        match self.limit_pauses().iter().any(Option::is_some) {
+            true => Err(selector::PathError::Limited),
+            false => Err(selector::PathError::NoRunner),
+        }
     }
 
     /// Returns a runner of the target that is dead already, if the request is sent
