Let a running stream go on when it loses a third host after output

The first two after output of the running request do not, as before; what follows them in the same request is no late retry. A resend counts them all, so waves at several nodes still stop. running_stream_that_lost_hosts_after_output_goes_on failed before.

--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -162,7 +162,9 @@
 
     /// Returns whether a request may run.
     ///
-    /// `crashes` happened during its runs and are not recorded yet.
+    /// `crashes` happened during its runs and are not recorded yet. The first of
+    /// them after output do not count: a stream that is lost with its hosts goes on
+    /// at once, but a resend of it counts them.
     pub fn standing(
         &self,
         fingerprint: &suspect::RequestFingerprint,
@@ -175,7 +177,11 @@
         crashes
             .iter()
             .for_each(|record| insert_crash(&mut all, record));
-        if !is_suspicious(&all) {
+        let progressed = crashes.iter().filter(|record| record.progressed);
+        let exempt = progressed
+            .count()
+            .min(usize::from(suspect::EXEMPTION_LIMIT));
+        if crash_count(&all) < CRASH_LIMIT + exempt {
             return RequestStanding::Free;
         }
         let is_recorded = entry.is_some_and(|entry| entry.crashes == all);
@@ -350,7 +356,11 @@
 /// of the crashes does not matter: a request that is sent to many nodes at once
 /// crashes upstreams at all of them before any node knows.
 fn is_suspicious(crashes: &[CrashRecord]) -> bool {
-    crashes.iter().filter(|record| record.is_crash()).count() >= CRASH_LIMIT
+    crash_count(crashes) >= CRASH_LIMIT
+}
+
+fn crash_count(crashes: &[CrashRecord]) -> usize {
+    crashes.iter().filter(|record| record.is_crash()).count()
 }
 
 /// Inserts a crash or merges it with what is known of the same death. Of too many
