--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -33,6 +33,9 @@
 /// Timeout for a call to the store.
 const STORE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_200);
 
+/// Peers that a started node asks for what they know.
+const ASKED_PEERS: usize = 3;
+
 /// Shared state of one gateway.
 pub struct GatewayCore {
     /// Start of the node.
@@ -343,6 +346,16 @@
         })
     }
 
+    /// Returns a few other nodes, for a question that any of them can answer.
+    pub fn few_peers(&self) -> Vec<id::HostName> {
+        let contacts = self.members.contacts().into_iter();
+        contacts
+            .map(|contact| contact.host)
+            .filter(|host| *host != self.settings.name)
+            .take(ASKED_PEERS)
+            .collect()
+    }
+
     /// Returns the node that issues the permits for a key: all nodes with the same
     /// members choose the same one.
     pub fn issuer(&self, key: &suspect::RequestFingerprint) -> id::HostName {
--- a/arbutusfold/src/gateway/runner_limit.rs
+++ b/arbutusfold/src/gateway/runner_limit.rs
@@ -29,9 +29,6 @@
 /// Time for which a runner is paused whose issuer did not answer.
 const UNANSWERED_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
 
-/// Peers that a started node asks for the limits in force.
-const ASKED_PEERS: usize = 3;
-
 /// Permits that this node issues, and its own claims.
 #[derive(Debug, Default)]
 pub struct LimitState {
@@ -153,11 +150,10 @@
 
 /// Asks some peers for the limits that are in force.
 pub fn request(core: &core::GatewayCore) {
-    let contacts = core.members.contacts().into_iter();
-    contacts
-        .filter(|contact| contact.host != core.settings.name)
-        .take(ASKED_PEERS)
-        .for_each(|contact| send(core, &contact.host, &LimitMessage::Request));
+    let peers = core.few_peers();
+    peers
+        .iter()
+        .for_each(|peer| send(core, peer, &LimitMessage::Request));
 }
 
 /// Handles the messages about limits of runners.
--- a/arbutusfold/src/gateway/suspect_store.rs
+++ b/arbutusfold/src/gateway/suspect_store.rs
@@ -59,16 +59,16 @@
     }
 }
 
-/// Reads the row and merges its records; returns whether the store answered.
-pub async fn load(core: &core::GatewayCore) -> bool {
+/// Reads the row and merges its records, unless the store does not answer.
+pub async fn load(core: &core::GatewayCore) -> Option<StoredLedger> {
     match read(core).await {
         Ok(known) => {
             *lock(&core.suspects_stored) = Some(known);
-            true
+            Some(known)
         }
         Err(error) => {
             note_failure(core, &error);
-            false
+            None
         }
     }
 }
@@ -85,12 +85,11 @@
 async fn update(core: &core::GatewayCore) {
     let known = *lock(&core.suspects_stored);
     let known = match known {
-        Some(known) => known,
-        None if load(core).await => match *lock(&core.suspects_stored) {
-            Some(known) => known,
-            None => return,
-        },
-        None => return,
+        Some(known) => Some(known),
+        None => load(core).await,
+    };
+    let Some(known) = known else {
+        return;
     };
     let digest = lock(&core.suspects).digest();
     if known.digest == digest {
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -35,9 +35,6 @@
 /// limit for detecting a lost dependency. It leaves room for a lost message.
 const COMPARE_FRACTION: f64 = 0.25;
 
-/// Peers that a started node asks for their records.
-const ASKED_PEERS: usize = 3;
-
 /// Time between two requests for the records of peers.
 const ASK_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
 
@@ -163,11 +160,10 @@
 /// Asks some peers for their records again and again. Never returns.
 async fn ask_peers(core: &core::GatewayCore) -> convert::Infallible {
     loop {
-        let contacts = core.members.contacts().into_iter();
-        contacts
-            .filter(|contact| contact.host != core.settings.name)
-            .take(ASKED_PEERS)
-            .for_each(|contact| send(core, &contact.host, &LedgerMessage::Request));
+        let peers = core.few_peers();
+        peers
+            .iter()
+            .for_each(|peer| send(core, peer, &LedgerMessage::Request));
         time::sleep(ASK_PERIOD).await;
     }
 }
@@ -176,7 +172,7 @@
 async fn read_store(core: &core::GatewayCore) {
     loop {
         time::sleep(PEER_HEAD_START).await;
-        if suspect_store::load(core).await {
+        if suspect_store::load(core).await.is_some() {
             return;
         }
     }
--- a/arbutusfold/tests/gateway_limits.rs
+++ b/arbutusfold/tests/gateway_limits.rs
@@ -11,7 +11,7 @@
 
 use arbutusfold::gateway::{core, mirror, runner_limit};
 use arbutusfold::suspect;
-use arbutusfold_platform::store;
+use arbutusfold_platform::{head, store};
 use bytes::Bytes;
 use gateway_network::{DOMAINS, TestNetwork, publish, start};
 use tokio::time;
@@ -42,9 +42,9 @@
 /// request was sent at `sent_at`.
 fn answer(core: &core::GatewayCore, born: u64, limit: Option<&str>, sent_at: time::Instant) {
     let mut headers = http::HeaderMap::new();
-    headers.insert("response-stamp", http::HeaderValue::from_static("x"));
+    headers.insert(head::RESPONSE_STAMP, http::HeaderValue::from_static("x"));
     if let Some(limit) = limit {
-        headers.insert("server-limit", limit.parse().unwrap());
+        headers.insert(head::SERVER_LIMIT, limit.parse().unwrap());
     }
     let crash = suspect::CrashId {
         upstream: RUNNER.to_owned(),
