--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -78,6 +78,9 @@
     UpstreamLimited = 217, Info;
     /// An upstream that named a limit takes no request of this node for some time.
     UpstreamPaused = 218, Info;
+    /// The entry of an upstream was removed around an outage of the store; the
+    /// upstream receives requests until the entry has had time to return.
+    UpstreamKept = 219, Info;
     /// A request was refused because its organisation reached its rate limit.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -407,9 +407,9 @@
                     outage.and_then(|outage| outage.grace_end(self.settings.contact_ms, now));
                 for row in changes {
                     let change = lock(&self.fleet).update(row, grace_end);
-                    change
-                        .into_iter()
-                        .for_each(|change| self.record_change(change));
+                    if let Some(change) = change {
+                        self.record_change(change);
+                    }
                 }
             }
         }
@@ -463,6 +463,16 @@
             fleet::FleetChange::Lost(id, cause) => {
                 self.note(event::EventCode::UpstreamLost, &id, cause);
             }
+            fleet::FleetChange::Kept(id, until) => {
+                let now = time::Instant::now();
+                let outage = lock(&self.outage).map(|outage| outage.describe(now));
+                let detail = format!(
+                    "kept_ms={} {}",
+                    (until - now).as_millis(),
+                    outage.unwrap_or_default()
+                );
+                self.note(event::EventCode::UpstreamKept, &id, detail);
+            }
             fleet::FleetChange::Changed(id, detail) => {
                 self.note(event::EventCode::UpstreamChanged, &id, detail);
             }
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -60,6 +60,18 @@
         let until = (now + RESTORE_GRACE).min(self.failed_at + contact.mul_f64(APPLY_FRACTION));
         (now < until && now < restored_at + RESTORE_GRACE).then_some(until)
     }
+
+    /// Describes the outage for the log.
+    pub fn describe(&self, now: time::Instant) -> String {
+        let age_ms = |at| now.saturating_duration_since(at).as_millis();
+        let restored = self
+            .restored_at
+            .map_or("never".to_owned(), |at| age_ms(at).to_string());
+        format!(
+            "failed_ms={} restored_ms={restored}",
+            age_ms(self.failed_at)
+        )
+    }
 }
 
 /// Limit of a runner as its latest known answer states it.
@@ -147,6 +159,9 @@
     Leaving(id::UpstreamName),
     /// A runner's entry was removed, with the cause.
     Lost(id::UpstreamName, &'static str),
+    /// A runner's entry was removed around an outage of the store and stays
+    /// valid until this time.
+    Kept(id::UpstreamName, time::Instant),
     /// A runner restarted or holds other layers.
     Changed(id::UpstreamName, String),
     /// An entry could not be decoded; its runner is dropped.
@@ -383,9 +398,9 @@
 
     fn remove(&mut self, id: &str, grace_end: Option<time::Instant>) -> Option<FleetChange> {
         let index = self.search(id).ok()?;
-        if grace_end.is_some() && !self.runners[index].record.leaving {
+        if let Some(until) = grace_end.filter(|_| !self.runners[index].record.leaving) {
             self.runners[index].grace_end = grace_end;
-            return None;
+            return Some(FleetChange::Kept(id.to_owned(), until));
         }
         self.runners.remove(index);
         Some(FleetChange::Lost(id.to_owned(), "entry removed"))
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -75,13 +75,13 @@
 async fn entry_removed_around_an_outage_stays_valid_for_the_grace_period() {
     let now = time::Instant::now();
     let mut fleet = one_runner();
+    let grace_end = now + fleet::RESTORE_GRACE;
     assert_eq!(
-        fleet.update(&row(2, None), Some(now + fleet::RESTORE_GRACE)),
-        None
+        fleet.update(&row(2, None), Some(grace_end)),
+        Some(fleet::FleetChange::Kept("i-1".to_owned(), grace_end))
     );
     assert!(fleet.get("i-1").unwrap().is_usable(now + MS * 2_000));
     assert!(fleet.expire(now + MS * 2_000).is_empty());
-    let grace_end = now + fleet::RESTORE_GRACE;
     assert!(!fleet.get("i-1").unwrap().is_usable(grace_end));
     assert_eq!(fleet.expire(grace_end).len(), 1);
     assert!(fleet.get("i-1").is_none());
