--- a/arbutusfold/tests/gateway_core.rs
+++ b/arbutusfold/tests/gateway_core.rs
@@ -2,9 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
-use arbutusfold::gateway::{core, mirror, settings};
+use std::sync;
+use std::time as std_time;
+
+use arbutusfold::gateway::{core, leader, leader_driver, mirror, settings};
+use arbutusfold::peer::MessageHandler;
 use arbutusfold_platform::store;
 use bytes::Bytes;
+use tokio::time;
 
 fn core() -> core::GatewayCore {
     let text = r#"{"name": "front-1", "region": "r", "domain": "a",
@@ -37,3 +42,43 @@
     core.merge(store::WatchedTable::Operator, vec![document_row(13, 9)]);
     assert_eq!(core.document_version(), 9);
 }
+
+const MS: std_time::Duration = std_time::Duration::from_millis(1);
+
+fn runner_row(version: u64, is_present: bool) -> mirror::MirrorRow {
+    let entry = r#"{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",
+        "born":1,"type":"l4","models":[{"name":"m"}]}"#;
+    mirror::MirrorRow {
+        key: "i-1".to_owned(),
+        version,
+        value: is_present.then(|| Bytes::from(entry)),
+    }
+}
+
+/// Passes on the summary of a leader that got an answer from the store
+/// `store_age_ms` before.
+fn receive_summary(core: &sync::Arc<core::GatewayCore>, store_age_ms: u32) {
+    let summary = leader::LeaderMessage::FleetSummary(leader::LoadSummary {
+        store_age_ms,
+        ..leader::LoadSummary::default()
+    });
+    let body = postcard::to_stdvec(&summary).unwrap();
+    leader_driver::LeaderHandler::new(sync::Arc::clone(core)).handle("front-2", &body);
+}
+
+/// Guards against requests to a runner that left, sent by a node that lost the
+/// store once and has followed its leader since.
+#[tokio::test(start_paused = true)]
+async fn removal_long_after_an_outage_takes_effect_at_once_at_a_follower() {
+    let core = sync::Arc::new(core());
+    core.merge(store::WatchedTable::Runners, vec![runner_row(1, true)]);
+    core.record_store_call(false, time::Instant::now(), "no answer in time");
+    for _ in 0..100 {
+        time::advance(100 * MS).await;
+        receive_summary(&core, 50);
+    }
+    core.merge_after(store::WatchedTable::Runners, 1, vec![runner_row(2, false)]);
+    let now = time::Instant::now();
+    let fleet = core.fleet.lock().unwrap();
+    assert!(fleet.get("i-1").is_none_or(|state| !state.is_usable(now)));
+}
