End an outage of the store for a node that follows its leader

Cause: a removal around an outage of the store is held for 2.3 s, since the store also drops entries of live runners then. The node only ended its outage when a call of its own was answered. One that watched the store during an outage and followed its leader afterwards never calls again, so it held every later removal, counted from its receipt.

Class: a belief about the store that only its own calls could end, at a node that has stopped calling. The age of a leader's latest answer ends it now; the time counts from the return of the store, not from the removal; and it never passes the time in which a node that was cut off has to apply what it missed. A leader says with the removals when its own latest call failed, as followers call seldom during an outage and would drop live runners too early.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -256,27 +256,60 @@
 
     /// Records whether the store answered a call that began at `started`.
     pub fn record_store_call(&self, answered: bool, started: time::Instant, cause: &str) {
-        match answered {
-            true => *lock(&self.store_answered_at) = Some(time::Instant::now()),
-            false => {
-                *lock(&self.outage) = Some(fleet::StoreOutage {
-                    failed_at: started,
-                    restored_at: None,
-                });
-            }
+        let now = time::Instant::now();
+        if answered {
+            *lock(&self.store_answered_at) = Some(now);
+            return self.end_outage(now, cause);
+        }
+        let mut outage = lock(&self.outage);
+        let failed_at = outage.map_or(started, |outage| outage.failed_at.max(started));
+        *outage = Some(fleet::StoreOutage {
+            failed_at,
+            restored_at: None,
+        });
+        drop(outage);
+        if !self.store_lost.swap(true, atomic::Ordering::Relaxed) {
+            self.note(event::EventCode::StoreLost, "store", cause);
+        }
+    }
+
+    /// Records that a leader sent a summary. If it reaches the store, an outage
+    /// has ended also for a node that no longer calls the store itself.
+    pub fn record_summary(&self, leader: &str, now: time::Instant) {
+        let limit = self.store_age_limit();
+        let is_reached = lock(&self.loads).leader_reaches_store(limit, now);
+        if is_reached {
+            self.end_outage(now, &format!("leader={leader}"));
+        }
+    }
+
+    /// Records that a call of a peer that began at `failed_at` failed, too. It
+    /// counts only around an outage that this node noticed itself: a peer may
+    /// have been cut off alone.
+    pub fn record_peer_outage(&self, failed_at: time::Instant, now: time::Instant) {
+        let mut outage = lock(&self.outage);
+        let recent = outage.as_mut().filter(|outage| {
+            let restored_at = outage.restored_at.unwrap_or(now);
+            now < restored_at + fleet::RESTORE_GRACE
+        });
+        if let Some(outage) = recent {
+            outage.failed_at = outage.failed_at.max(failed_at);
         }
-        let lost = self.store_lost.swap(!answered, atomic::Ordering::Relaxed);
-        if lost != answered {
+    }
+
+    /// Returns the latest outage of the store.
+    pub fn outage(&self) -> Option<fleet::StoreOutage> {
+        *lock(&self.outage)
+    }
+
+    fn end_outage(&self, now: time::Instant, cause: &str) {
+        if !self.store_lost.swap(false, atomic::Ordering::Relaxed) {
             return;
         }
-        let code = match answered {
-            true => event::EventCode::StoreRegained,
-            false => event::EventCode::StoreLost,
-        };
-        if let Some(outage) = lock(&self.outage).as_mut().filter(|_| answered) {
-            outage.restored_at = Some(time::Instant::now());
+        if let Some(outage) = lock(&self.outage).as_mut() {
+            outage.restored_at = Some(now);
         }
-        self.note(code, "store", cause);
+        self.note(event::EventCode::StoreRegained, "store", cause);
     }
 
     /// Returns whether the latest watched call to the store failed.
@@ -321,10 +354,16 @@
     /// Returns whether this node has to watch the store itself: it leads its
     /// domain, or it knows no leader that reaches the store.
     pub fn should_watch_store(&self, now: time::Instant) -> bool {
-        let limit = self.settings.contact_ms.mul_f64(leader::STORE_AGE_FRACTION);
+        let limit = self.store_age_limit();
         self.is_leading() || !lock(&self.loads).leader_reaches_store(limit, now)
     }
 
+    /// Returns the age of the store's latest answer from which a leader counts as
+    /// cut off from the store.
+    fn store_age_limit(&self) -> std_time::Duration {
+        self.settings.contact_ms.mul_f64(leader::STORE_AGE_FRACTION)
+    }
+
     /// Drops runners whose grace period has ended and passes the size of the
     /// fleet to the retry budgets.
     pub fn tick(&self, now: time::Instant) {
@@ -402,9 +441,9 @@
                 .for_each(|row| self.apply_document(row)),
             store::WatchedTable::Runners => {
                 let now = time::Instant::now();
-                let outage = *lock(&self.outage);
-                let grace_end =
-                    outage.and_then(|outage| outage.grace_end(self.settings.contact_ms, now));
+                let grace_end = self
+                    .outage()
+                    .and_then(|outage| outage.grace_end(self.settings.contact_ms, now));
                 for row in changes {
                     let change = lock(&self.fleet).update(row, grace_end);
                     if let Some(change) = change {
@@ -465,7 +504,7 @@
             }
             fleet::FleetChange::Kept(id, until) => {
                 let now = time::Instant::now();
-                let outage = lock(&self.outage).map(|outage| outage.describe(now));
+                let outage = self.outage().map(|outage| outage.describe(now));
                 let detail = format!(
                     "kept_ms={} {}",
                     (until - now).as_millis(),
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -35,9 +35,10 @@
 /// An outage of the store as one node observed it.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreOutage {
-    /// When the latest failed call began.
+    /// Start of the latest call that failed.
     pub failed_at: time::Instant,
-    /// When the store answered again, or `None` during the outage.
+    /// When the store answered this node or its leader again, or `None` during
+    /// the outage.
     pub restored_at: Option<time::Instant>,
 }
 
@@ -48,17 +49,17 @@
     /// A node cannot distinguish an outage of the store, which also removes the
     /// entries of live runners, from a cut of its own connection. In the second
     /// case it must apply removals within `contact` of the end of the cut, and
-    /// the cut did not end before `failed_at`.
+    /// the cut did not end before `failed_at`. In the first case the entries are
+    /// back soon after the end of the outage, however late a removal arrives.
     pub fn grace_end(
         &self,
         contact: std_time::Duration,
         now: time::Instant,
     ) -> Option<time::Instant> {
-        let Some(restored_at) = self.restored_at else {
-            return Some(now + RESTORE_GRACE);
-        };
-        let until = (now + RESTORE_GRACE).min(self.failed_at + contact.mul_f64(APPLY_FRACTION));
-        (now < until && now < restored_at + RESTORE_GRACE).then_some(until)
+        let restored_at = self.restored_at.unwrap_or(now);
+        let cut_end = self.failed_at + contact.mul_f64(APPLY_FRACTION);
+        let until = cut_end.min(restored_at + RESTORE_GRACE);
+        (now < until).then_some(until)
     }
 
     /// Describes the outage for the log.
--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -93,6 +93,7 @@
         let Ok(message) = postcard::from_bytes::<leader::LeaderMessage>(body) else {
             return;
         };
+        let is_fleet_summary = matches!(message, leader::LeaderMessage::FleetSummary(_));
         let newer = match &message {
             leader::LeaderMessage::FleetSummary(summary)
             | leader::LeaderMessage::DomainSummary(summary) => {
@@ -100,7 +101,11 @@
             }
             leader::LeaderMessage::NodeLoads(_) => false,
         };
-        lock(&self.core.loads).receive(sender, message, time::Instant::now());
+        let now = time::Instant::now();
+        lock(&self.core.loads).receive(sender, message, now);
+        if is_fleet_summary {
+            self.core.record_summary(sender, now);
+        }
         if newer {
             replication::request_rows(&self.core, sender);
         }
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -39,6 +39,12 @@
         /// The rows.
         rows: Vec<mirror::MirrorRow>,
     },
+    /// The sender read the rows that follow right after an outage of the store,
+    /// which may have removed the entries of live runners.
+    Outage {
+        /// Time in milliseconds since the start of its latest call that failed.
+        failed_ms: u32,
+    },
 }
 
 /// Part of a table that a list of rows makes up.
@@ -110,6 +116,13 @@
                     }
                 }
             }
+            MirrorMessage::Outage { failed_ms } => {
+                let now = time::Instant::now();
+                let age = std_time::Duration::from_millis(u64::from(failed_ms));
+                if let Some(failed_at) = now.checked_sub(age) {
+                    self.core.record_peer_outage(failed_at, now);
+                }
+            }
             MirrorMessage::Rows {
                 table,
                 extent,
@@ -156,14 +169,29 @@
     if rows.is_empty() || !core.is_leading() {
         return;
     }
+    let outage = outage_message(core).filter(|_| rows.iter().any(|row| row.value.is_none()));
     let message = MirrorMessage::Rows {
         table: table.index(),
         extent: RowExtent::After(after),
         rows,
     };
     let members = core.members.alive();
-    core.domain_peers(&members)
-        .for_each(|record| send(core, &record.name, &message));
+    for record in core.domain_peers(&members) {
+        if let Some(outage) = &outage {
+            send(core, &record.name, outage);
+        }
+        send(core, &record.name, &message);
+    }
+}
+
+/// Returns the message about an outage after which removals are held.
+fn outage_message(core: &core::GatewayCore) -> Option<MirrorMessage> {
+    let now = time::Instant::now();
+    let outage = core.outage()?;
+    outage.grace_end(core.settings.contact_ms, now)?;
+    let age = now.saturating_duration_since(outage.failed_at);
+    let failed_ms = u32::try_from(age.as_millis()).ok()?;
+    Some(MirrorMessage::Outage { failed_ms })
 }
 
 fn known_versions(core: &core::GatewayCore) -> Vec<store::RowVersion> {
--- a/arbutusfold/tests/gateway_core.rs
+++ b/arbutusfold/tests/gateway_core.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{core, leader, leader_driver, mirror, settings};
+use arbutusfold::gateway::{core, leader, leader_driver, mirror, replication, settings};
 use arbutusfold::peer::MessageHandler;
 use arbutusfold_platform::store;
 use bytes::Bytes;
@@ -82,3 +82,37 @@
     let fleet = core.fleet.lock().unwrap();
     assert!(fleet.get("i-1").is_none_or(|state| !state.is_usable(now)));
 }
+
+/// An outage removes the entries of live runners, also at nodes whose own calls
+/// to the store are far apart.
+#[tokio::test(start_paused = true)]
+async fn removal_right_after_an_outage_is_held_at_a_follower() {
+    let core = sync::Arc::new(core());
+    core.merge(store::WatchedTable::Runners, vec![runner_row(1, true)]);
+    core.record_store_call(false, time::Instant::now(), "no answer in time");
+    for age_ms in (1_400..4_400).step_by(100) {
+        time::advance(100 * MS).await;
+        receive_summary(&core, age_ms);
+    }
+    let outage = replication::MirrorMessage::Outage { failed_ms: 200 };
+    for message in [
+        outage,
+        replication::MirrorMessage::Rows {
+            table: store::WatchedTable::Runners.index(),
+            extent: replication::RowExtent::After(1),
+            rows: vec![runner_row(2, false)],
+        },
+    ] {
+        let body = postcard::to_stdvec(&message).unwrap();
+        replication::MirrorHandler::new(sync::Arc::clone(&core)).handle("front-2", &body);
+    }
+    let is_usable = |core: &core::GatewayCore| {
+        let fleet = core.fleet.lock().unwrap();
+        let now = time::Instant::now();
+        fleet.get("i-1").is_some_and(|state| state.is_usable(now))
+    };
+    time::advance(2_000 * MS).await;
+    assert!(is_usable(&core));
+    time::advance(500 * MS).await;
+    assert!(!is_usable(&core));
+}
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -162,13 +162,22 @@
     assert!(until < failed_at + contact, "{:?}", until - failed_at);
     // An outage that goes on also removes the entries of live runners.
     let ongoing = fleet::StoreOutage {
-        failed_at,
+        failed_at: restored_at - 400 * MS,
         restored_at: None,
     };
     assert_eq!(
         ongoing.grace_end(contact, restored_at),
         Some(restored_at + fleet::RESTORE_GRACE)
     );
+    // The period ends with the return of the entries, however late a removal is.
+    let restored = fleet::StoreOutage {
+        restored_at: Some(restored_at),
+        ..ongoing
+    };
+    assert_eq!(
+        restored.grace_end(contact, restored_at + 1_500 * MS),
+        Some(restored_at + fleet::RESTORE_GRACE)
+    );
     // Long after the end of the outage a removal takes effect at once.
     assert_eq!(outage.grace_end(contact, restored_at + contact), None);
 }
