Send nothing more to a runner whose answer says that it leaves

New contract: a runner that leaves says so in all its answers, and the node that got one is bound by it. Nothing read the header. The runner counts as leaving from then on until its process is another one, also while its entry says that it is ready; a target that was chosen before a wait for a permit is checked again before it is sent to.

runner_whose_answer_says_that_it_leaves_gets_no_requests_until_it_restarts cannot compile before: there was no such state.

--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -109,6 +109,9 @@
     /// Set when it answered that it does not hold the layers of its entry;
     /// cleared when the layers of the entry change or the runner restarts.
     layers_missing: bool,
+    /// Whether an answer of its process said that it leaves. Its entry may not
+    /// show that yet.
+    answered_leaving: bool,
     /// End of the grace period if its entry was removed around an outage.
     grace_end: Option<time::Instant>,
     /// Its limit, if an answer ever named one.
@@ -131,7 +134,12 @@
 
     /// Returns whether requests may be sent to it at all.
     pub fn is_usable(&self, now: time::Instant) -> bool {
-        !self.record.leaving && self.grace_end.is_none_or(|until| now < until)
+        !self.is_leaving() && self.grace_end.is_none_or(|until| now < until)
+    }
+
+    /// Returns whether its entry or one of its answers says that it leaves.
+    fn is_leaving(&self) -> bool {
+        self.record.leaving || self.answered_leaving
     }
 
     /// Returns whether requests go to it only if no other runner is left.
@@ -330,6 +338,18 @@
         before != limit.rate
     }
 
+    /// Records that an answer of a runner's process says that it leaves; returns
+    /// whether that is new.
+    pub fn note_leaving(&mut self, id: &str, started_ms: id::IncarnationNumber) -> bool {
+        let state = self.find_mut(id);
+        let state = state.filter(|state| state.record.started_ms.unwrap_or(0) == started_ms);
+        state.is_some_and(|state| {
+            let was_leaving = state.is_leaving();
+            state.answered_leaving = true;
+            !was_leaving
+        })
+    }
+
     /// Records that this node gets no permit for a runner for some time.
     pub fn pause(&mut self, id: &str, until: time::Instant) {
         if let Some(state) = self.find_mut(id) {
@@ -353,7 +373,7 @@
             Ok(index) => {
                 let state = &mut self.runners[index];
                 let id = record.id.clone();
-                let left = record.leaving && !state.record.leaving;
+                let left = record.leaving && !state.is_leaving();
                 let changed = state.is_changed(&record);
                 if state.record.started_ms != record.started_ms {
                     state.failures = 0;
@@ -362,6 +382,7 @@
                     state.last_progress = None;
                     state.limit = None;
                     state.paused_until = None;
+                    state.answered_leaving = false;
                 }
                 let detail = describe(&record);
                 state.layers_missing &= !changed;
@@ -387,6 +408,7 @@
                     failures: 0,
                     avoided_until: None,
                     layers_missing: false,
+                    answered_leaving: false,
                     grace_end: None,
                     limit: None,
                     paused_until: None,
@@ -399,7 +421,7 @@
 
     fn remove(&mut self, id: &str, grace_end: Option<time::Instant>) -> Option<FleetChange> {
         let index = self.search(id).ok()?;
-        if let Some(until) = grace_end.filter(|_| !self.runners[index].record.leaving) {
+        if let Some(until) = grace_end.filter(|_| !self.runners[index].is_leaving()) {
             self.runners[index].grace_end = grace_end;
             return Some(FleetChange::Kept(id.to_owned(), until));
         }
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -337,7 +337,9 @@
                 continue;
             }
             let first = &target.runners[0];
-            if runner_limit::claim(&self.core, first, &self.head.request).await {
+            if runner_limit::claim(&self.core, first, &self.head.request).await
+                && self.is_usable(&target)
+            {
                 return Ok(target);
             }
         }
@@ -361,6 +363,15 @@
         gone.into_iter().flatten().next()
     }
 
+    /// Returns whether all runners of a target may still get requests. One may have
+    /// left while the request waited for a permit.
+    fn is_usable(&self, target: &AttemptTarget) -> bool {
+        let now = time::Instant::now();
+        let fleet = lock(&self.core.fleet);
+        let is_usable = |id| fleet.get(id).is_some_and(|state| state.is_usable(now));
+        target.runners.iter().all(|id| is_usable(id))
+    }
+
     /// Returns for each usable runner of the service how long its limit keeps this
     /// node from it, if it does.
     fn limit_pauses(&self) -> Vec<Option<std_time::Duration>> {
@@ -668,6 +679,9 @@
         }
         if let Some(instance) = target.instance(0) {
             runner_limit::observe(&self.core, &instance.crash, headers, sent_at);
+            if head::is_leaving(headers) {
+                self.note_leaving(&instance.crash);
+            }
         }
         if head::is_not_run(status, headers) {
             let stage = target.stage_at(head::fault_address(headers)).unwrap_or(0);
@@ -687,6 +701,16 @@
         AttemptOutcome::Head { response, link }
     }
 
+    /// Records that a runner's answer says that it leaves.
+    fn note_leaving(&self, process: &suspect::CrashId) {
+        let (id, started_ms) = (&process.upstream, process.incarnation);
+        if lock(&self.core.fleet).note_leaving(id, started_ms) {
+            let detail = format!("request={}", self.head.request);
+            self.core
+                .note(event::EventCode::UpstreamLeaving, id, detail);
+        }
+    }
+
     /// Records which runner rejected the request, excludes it and returns the cause.
     fn note_rejection(
         &mut self,
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -43,6 +43,29 @@
     assert!(!fleet.get("i-1").unwrap().is_usable(now));
 }
 
+/// Guards against requests to a runner that has said in an answer that it leaves,
+/// while its entry still says that it is ready.
+#[tokio::test(start_paused = true)]
+async fn runner_whose_answer_says_that_it_leaves_gets_no_requests_until_it_restarts() {
+    let now = time::Instant::now();
+    let mut fleet = one_runner();
+    assert!(
+        !fleet.note_leaving("i-1", 8),
+        "an answer of another process"
+    );
+    assert!(fleet.get("i-1").unwrap().is_usable(now));
+    assert!(fleet.note_leaving("i-1", 1));
+    assert!(!fleet.note_leaving("i-1", 1));
+    fleet.update(&row(2, Some(entry("ready", 1, LAYERS))), None);
+    assert!(!fleet.get("i-1").unwrap().is_usable(now));
+    fleet.update(&row(3, Some(entry("ready", 2, LAYERS))), None);
+    assert!(fleet.get("i-1").unwrap().is_usable(now));
+    // A runner that leaves does not lose its entry by an outage of the store.
+    assert!(fleet.note_leaving("i-1", 2));
+    fleet.update(&row(4, None), Some(now + fleet::RESTORE_GRACE));
+    assert!(fleet.get("i-1").is_none());
+}
+
 #[tokio::test(start_paused = true)]
 async fn restarted_runner_loses_its_layers_and_failure_history() {
     let now = time::Instant::now();
