Leave a runner alone for the Retry-After of its 503

New contract: a runner that turns a request away with 503 may name the seconds for which it wants nothing from that machine. The named time now excludes the runner like a denied permit, at every stage of a path and for reroutes, and Retry-After to callers follows it when nothing else is left.

--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -118,12 +118,16 @@
     limit: Option<RunnerLimit>,
     /// Until when this node gets no permit to send requests there.
     paused_until: Option<time::Instant>,
+    /// Until when it wants no requests of this node, as it said in a refusal.
+    refused_until: Option<time::Instant>,
 }
 
 impl RunnerState {
-    /// Returns for how long this node gets no permit to send requests there.
+    /// Returns for how long this node may send no requests there, because it gets
+    /// no permit or the runner wants none.
     pub fn pause_left(&self, now: time::Instant) -> Option<std_time::Duration> {
-        let until = self.paused_until.filter(|until| now < *until)?;
+        let until = self.paused_until.max(self.refused_until);
+        let until = until.filter(|until| now < *until)?;
         Some(until - now)
     }
 
@@ -357,6 +361,13 @@
         }
     }
 
+    /// Records that a runner wants no requests of this node for some time.
+    pub fn refuse(&mut self, id: &str, until: time::Instant) {
+        if let Some(state) = self.find_mut(id) {
+            state.refused_until = state.refused_until.max(Some(until));
+        }
+    }
+
     /// Records that a runner does not hold the layers of its entry.
     pub fn note_missing_layers(&mut self, id: &str) {
         if let Some(state) = self.find_mut(id) {
@@ -382,6 +393,7 @@
                     state.last_progress = None;
                     state.limit = None;
                     state.paused_until = None;
+                    state.refused_until = None;
                     state.answered_leaving = false;
                 }
                 let detail = describe(&record);
@@ -412,6 +424,7 @@
                     grace_end: None,
                     limit: None,
                     paused_until: None,
+                    refused_until: None,
                 };
                 self.runners.insert(index, state);
                 Some(change)
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -364,12 +364,14 @@
     }
 
     /// Returns whether all runners of a target may still get requests. One may have
-    /// left while the request waited for a permit.
+    /// left, or asked for a pause, while the request waited for a permit.
     fn is_usable(&self, target: &AttemptTarget) -> bool {
         let now = time::Instant::now();
         let fleet = lock(&self.core.fleet);
-        let is_usable = |id| fleet.get(id).is_some_and(|state| state.is_usable(now));
-        target.runners.iter().all(|id| is_usable(id))
+        let is_usable =
+            |state: &fleet::RunnerState| state.is_usable(now) && state.pause_left(now).is_none();
+        let mut states = target.runners.iter().map(|id| fleet.get(id));
+        states.all(|state| state.is_some_and(is_usable))
     }
 
     /// Returns for each usable runner of the service how long its limit keeps this
@@ -683,6 +685,9 @@
                 self.note_leaving(&instance.crash);
             }
         }
+        if let Some(pause) = head::pause(status, headers) {
+            self.note_pause(&target.runners[0], pause);
+        }
         if head::is_not_run(status, headers) {
             let stage = target.stage_at(head::fault_address(headers)).unwrap_or(0);
             let cause = self.note_rejection(target, status, stage);
@@ -711,6 +716,17 @@
         }
     }
 
+    /// Records that a runner wants no requests of this node for some time.
+    fn note_pause(&self, id: &str, pause: std_time::Duration) {
+        lock(&self.core.fleet).refuse(id, time::Instant::now() + pause);
+        let detail = format!(
+            "request={} asked_by=runner pause_ms={}",
+            self.head.request,
+            pause.as_millis()
+        );
+        self.core.note(event::EventCode::UpstreamPaused, id, detail);
+    }
+
     /// Records which runner rejected the request, excludes it and returns the cause.
     fn note_rejection(
         &mut self,
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -66,6 +66,28 @@
     assert!(fleet.get("i-1").is_none());
 }
 
+/// Guards against requests to a runner within the time for which it wanted none,
+/// also if a later answer names a shorter one or lifts a limit.
+#[tokio::test(start_paused = true)]
+async fn runner_that_asks_for_a_pause_gets_no_requests_until_its_end() {
+    let now = time::Instant::now();
+    let mut fleet = one_runner();
+    fleet.refuse("i-1", now + MS * 3_000);
+    fleet.refuse("i-1", now + MS * 1_000);
+    fleet.pause("i-1", now + MS * 500);
+    fleet.note_success("i-1");
+    let lifted = fleet::RunnerLimit {
+        rate: None,
+        seen_at: now,
+    };
+    fleet.note_limit("i-1", 1, lifted);
+    let pause_left = |fleet: &fleet::RunnerFleet, now| fleet.get("i-1").unwrap().pause_left(now);
+    assert_eq!(pause_left(&fleet, now), Some(MS * 3_000));
+    assert_eq!(pause_left(&fleet, now + MS * 3_000), None);
+    fleet.update(&row(2, Some(entry("ready", 2, LAYERS))), None);
+    assert_eq!(pause_left(&fleet, now), None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn restarted_runner_loses_its_layers_and_failure_history() {
     let now = time::Instant::now();
