--- /dev/null
+++ b/arbutusfold/tests/gateway_replication.rs
@@ -0,0 +1,208 @@
+//! Tests of the replication of store rows over narrow links, on a paused clock
+//! and a network in memory.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net;
+use std::sync;
+use std::time as std_time;
+
+use arbutusfold::gateway::{core, leader_driver, mirror, replication, settings};
+use arbutusfold::{member, peer};
+use arbutusfold_platform::store;
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use tokio::time;
+
+const MS: std_time::Duration = std_time::Duration::from_millis(1);
+
+/// Rate of each node's link in bytes per second, 20 Mbit/s as on small hosts.
+const LINK_BYTES_PER_S: f64 = 20e6 / 8.0;
+
+/// Delay between two nodes.
+const DELAY: std_time::Duration = std_time::Duration::from_millis(1);
+
+/// Time within which a change has to be in force on large deployments.
+const APPLY_LIMIT: std_time::Duration = std_time::Duration::from_millis(3_000);
+
+/// Nodes whose links carry one message after another.
+struct NarrowNetwork {
+    nodes: sync::OnceLock<Vec<sync::Arc<core::GatewayCore>>>,
+    links: sync::Mutex<Vec<NodeLink>>,
+}
+
+/// Times at which a node's link is free again, and the bytes that it sent.
+#[derive(Clone, Copy)]
+struct NodeLink {
+    out_free: time::Instant,
+    in_free: time::Instant,
+    sent_bytes: usize,
+}
+
+struct NodeTransport {
+    network: sync::Arc<NarrowNetwork>,
+    from: usize,
+}
+
+impl peer::PeerTransport for NodeTransport {
+    fn send(&self, to: net::SocketAddr, message: &[u8]) {
+        let to = usize::from(to.port());
+        let transfer = std_time::Duration::from_secs_f64(message.len() as f64 / LINK_BYTES_PER_S);
+        let arrives_at = {
+            let mut links = self.network.links.lock().unwrap();
+            let link = &mut links[self.from];
+            link.out_free = link.out_free.max(time::Instant::now()) + transfer;
+            link.sent_bytes += message.len();
+            // The transfer occupies both links at the same time.
+            let begins_at = link.out_free - transfer;
+            let link = &mut links[to];
+            link.in_free = link.in_free.max(begins_at) + transfer;
+            link.in_free + DELAY
+        };
+        let (network, message) = (sync::Arc::clone(&self.network), message.to_vec());
+        tokio::spawn(async move {
+            time::sleep_until(arrives_at).await;
+            let node = &network.nodes.get().unwrap()[to];
+            node.post.receive(&message).unwrap();
+        });
+    }
+}
+
+fn record(node: usize) -> member::MemberRecord {
+    member::MemberRecord {
+        name: format!("front-{node:02}"),
+        incarnation: 1,
+        revision: 1,
+        region: "r".to_owned(),
+        domain: "a".to_owned(),
+        callers: "10.0.0.1:1".parse().unwrap(),
+        peers: net::SocketAddr::from(([10, 0, 0, 1], node as u16)),
+        version: 0,
+        phase: member::MemberPhase::Serving,
+    }
+}
+
+/// Starts the nodes of one failure domain, which know of each other.
+fn start(nodes: usize) -> sync::Arc<NarrowNetwork> {
+    let link = NodeLink {
+        out_free: time::Instant::now(),
+        in_free: time::Instant::now(),
+        sent_bytes: 0,
+    };
+    let network = sync::Arc::new(NarrowNetwork {
+        nodes: sync::OnceLock::new(),
+        links: sync::Mutex::new(vec![link; nodes]),
+    });
+    let cores = (0..nodes).map(|node| {
+        let text = format!(
+            r#"{{"name": "{}", "region": "r", "domain": "a", "callers": "10.0.0.1:60001",
+            "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
+            "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
+            "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]}}"#,
+            record(node).name,
+            record(node).peers
+        );
+        let settings = settings::parse_file("node.jsonc", &text).unwrap();
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+        core.post.attach(sync::Arc::new(NodeTransport {
+            network: sync::Arc::clone(&network),
+            from: node,
+        }));
+        core.post.register(
+            peer::MessageKind::Mirror,
+            sync::Arc::new(replication::MirrorHandler::new(sync::Arc::clone(&core))),
+        );
+        core.post.register(
+            peer::MessageKind::Lead,
+            sync::Arc::new(leader_driver::LeaderHandler::new(sync::Arc::clone(&core))),
+        );
+        tokio::spawn(leader_driver::run(sync::Arc::clone(&core)));
+        core
+    });
+    let cores: Vec<_> = cores.collect();
+    network.nodes.set(cores).ok().unwrap();
+    let nodes = network.nodes.get().unwrap();
+    for core in nodes {
+        let members = (0..nodes.len()).map(|other| member::MemberRecord {
+            incarnation: nodes[other].post.incarnation(),
+            ..record(other)
+        });
+        core.members
+            .publish(members.collect(), member::RemoteRegions::default());
+    }
+    network
+}
+
+/// Returns a document with so many routes, with names drawn by its version.
+fn document(version: u64, routes: usize) -> mirror::MirrorRow {
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(9);
+    let mut name = || {
+        let letters = (0..7).map(|_| char::from(random.random_range(b'a'..=b'z')));
+        letters.collect::<String>()
+    };
+    let routes = (0..routes).map(|_| {
+        format!(
+            r#"{{"name":"r-{}","hostname":"ficu95.example","prefix":"/{}/","type":"streaming",
+            "timeoutMs":20000,"goalMs":500,"priority":1,"service":"huvo11a","maxAttempts":2,
+            "public":false,"sessionAffinity":true,"resumable":true,"gapAimMs":250}}"#,
+            name(),
+            name()
+        )
+        .replace([' ', '\n'], "")
+    });
+    let routes: Vec<_> = routes.collect();
+    let text = format!(
+        r#"{{"version":{version},"routes":[{}],"services":[]}}"#,
+        routes.join(",")
+    );
+    mirror::MirrorRow {
+        key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
+        version,
+        value: Some(Bytes::from(text)),
+    }
+}
+
+/// Lets the leader receive a row of the operator's table from the store.
+fn change(network: &NarrowNetwork, row: mirror::MirrorRow) {
+    let table = store::WatchedTable::Operator;
+    let nodes = network.nodes.get().unwrap();
+    let leader = nodes.iter().find(|core| core.is_leading()).unwrap();
+    leader.record_store_call(true, time::Instant::now(), "answered");
+    let before = leader.with_mirror(table, mirror::TableMirror::latest_version);
+    let changed = match before {
+        0 => leader.replace(table, vec![row], 1),
+        _ => leader.merge(table, vec![row]),
+    };
+    replication::forward_changes(leader, table, before, changed);
+}
+
+/// Guards against a large document that is late at most nodes of a domain, since
+/// its leader sends every copy over one narrow link.
+#[tokio::test(start_paused = true)]
+async fn changes_of_a_large_document_reach_all_nodes_over_narrow_links_in_time() {
+    let network = start(20);
+    time::sleep(500 * MS).await;
+    change(&network, document(1, 10));
+    time::sleep(2_000 * MS).await;
+    let nodes = network.nodes.get().unwrap();
+    assert!(nodes.iter().all(|core| core.document_version() == 1));
+    let mut slowest = std_time::Duration::ZERO;
+    for version in 2..8 {
+        change(&network, document(version, 2_960));
+        let changed_at = time::Instant::now();
+        if version < 7 {
+            time::sleep(400 * MS).await;
+            continue;
+        }
+        while nodes.iter().any(|core| core.document_version() < version) {
+            time::sleep(10 * MS).await;
+            slowest = changed_at.elapsed();
+            assert!(slowest < 4 * APPLY_LIMIT, "the document does not arrive");
+        }
+    }
+    assert!(
+        slowest < APPLY_LIMIT,
+        "in force everywhere after {slowest:?}"
+    );
+}
