Pass changed rows on along a tree, compressed, and ask for them later

Cause: a leader sent every change of the document to each node of its domain, 19 copies of some 600 KB over a link of 20 Mbit/s. Nodes that saw that they were behind asked for one more copy each 150 ms, which kept the link busy for longer: 2,163 copies for 757 times that one came into force, 10 s between the first node and the last, at 0.02 of a core.

Now a leader sends rows to three nodes, which pass them on to a third of the others each, compressed with lz4. Rows that are on their way are not asked for within 300 ms, nor twice within 500 ms.

--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -94,20 +94,18 @@
             return;
         };
         let is_fleet_summary = matches!(message, leader::LeaderMessage::FleetSummary(_));
-        let newer = match &message {
+        let version = match &message {
             leader::LeaderMessage::FleetSummary(summary)
-            | leader::LeaderMessage::DomainSummary(summary) => {
-                summary.store_version > self.core.store_version()
-            }
-            leader::LeaderMessage::NodeLoads(_) => false,
+            | leader::LeaderMessage::DomainSummary(summary) => summary.store_version,
+            leader::LeaderMessage::NodeLoads(_) => 0,
         };
         let now = time::Instant::now();
         lock(&self.core.loads).receive(sender, message, now);
         if is_fleet_summary {
             self.core.record_summary(sender, now);
         }
-        if newer {
-            replication::request_rows(&self.core, sender);
+        if version > self.core.store_version() {
+            replication::request_later(&self.core, version, sender);
         }
     }
 }
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -1,14 +1,17 @@
 //! Replication of store rows between nodes.
 //!
 //! A leader that receives changed rows forwards them to the nodes of its
-//! failure domain. The messages of leaders and of the membership also carry
-//! the sender's store version, and a node with a lower version requests the
-//! rows that it lacks.
+//! failure domain, which pass them on along a tree: a large document would
+//! occupy the leader's link for seconds. The messages of leaders and of the
+//! membership also carry the sender's store version, and a node with a lower
+//! version requests the rows that it lacks.
 
 use std::sync;
 use std::time as std_time;
 
 use arbutusfold_platform::store;
+use bytes::Bytes;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
@@ -19,11 +22,18 @@
 use crate::member;
 use crate::peer;
 
-/// Time that the own leader has to forward new rows before another peer is asked.
+/// Time that new rows have to arrive unasked before they are requested.
 const LEADER_HEAD_START: std_time::Duration = std_time::Duration::from_millis(300);
 
-/// Shortest time between two row requests of a node.
-const REQUEST_PERIOD: std_time::Duration = std_time::Duration::from_millis(150);
+/// Shortest time between two row requests of a node, so that a large answer can
+/// arrive before the next request.
+const REQUEST_PERIOD: std_time::Duration = std_time::Duration::from_millis(500);
+
+/// Nodes to which each node of the tree sends rows.
+const RELAY_FANOUT: usize = 3;
+
+/// Maximum size of unpacked rows in bytes.
+const UNPACKED_LIMIT_BYTES: usize = 16 << 20;
 
 /// A message of the row replication.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,11 +49,16 @@
         /// The rows.
         rows: Vec<mirror::MirrorRow>,
     },
-    /// The sender read the rows that follow right after an outage of the store,
-    /// which may have removed the entries of live runners.
-    Outage {
-        /// Time in milliseconds since the start of its latest call that failed.
-        failed_ms: u32,
+    /// Rows that the receiver merges and passes on.
+    Relay {
+        /// [`Self::Rows`], compressed.
+        packed: Bytes,
+        /// Nodes that get the rows from the receiver.
+        receivers: Vec<id::HostName>,
+        /// Time in milliseconds since the start of the leader's latest failed
+        /// call to the store, if it read the rows right after an outage, which
+        /// may have removed the entries of live runners.
+        failed_ms: Option<u32>,
     },
 }
 
@@ -71,14 +86,7 @@
 
 impl member::driver::MemberListener for MembershipListener {
     fn newer_config(&self, version: id::DocumentVersion, from: &str) {
-        let core = sync::Arc::clone(&self.core);
-        let from = from.to_owned();
-        tokio::spawn(async move {
-            time::sleep(LEADER_HEAD_START).await;
-            if core.store_version() < version {
-                request_rows(&core, &from);
-            }
-        });
+        request_later(&self.core, version, from);
     }
 
     fn superseded(&self) {
@@ -116,38 +124,77 @@
                     }
                 }
             }
-            MirrorMessage::Outage { failed_ms } => {
-                let now = time::Instant::now();
-                let age = std_time::Duration::from_millis(u64::from(failed_ms));
-                if let Some(failed_at) = now.checked_sub(age) {
-                    self.core.record_peer_outage(failed_at, now);
-                }
-            }
             MirrorMessage::Rows {
                 table,
                 extent,
                 rows,
+            } => self.receive_rows(sender, table, extent, rows),
+            MirrorMessage::Relay {
+                packed,
+                receivers,
+                failed_ms,
             } => {
-                let Some(name) = store::WatchedTable::ALL.get(table).copied() else {
-                    return;
-                };
-                let detail = format!("table={table} rows={} from={sender}", rows.len());
-                self.core
-                    .note(event::EventCode::RowsFromPeer, "store", detail);
-                match extent {
-                    RowExtent::Full(version) => {
-                        self.core.replace(name, rows, version);
-                    }
-                    RowExtent::After(after) => {
-                        // A refusal means that an earlier message was lost.
-                        if !self.core.merge_after(name, after, rows) {
-                            request_rows(&self.core, sender);
-                        }
-                    }
+                relay(&self.core, &packed, &receivers, failed_ms);
+                self.note_outage(failed_ms);
+                if let Some(MirrorMessage::Rows {
+                    table,
+                    extent,
+                    rows,
+                }) = unpack(&packed)
+                {
+                    self.receive_rows(sender, table, extent, rows);
+                }
+            }
+        }
+    }
+}
+
+impl MirrorHandler {
+    fn receive_rows(
+        &self,
+        sender: &str,
+        table: usize,
+        extent: RowExtent,
+        rows: Vec<mirror::MirrorRow>,
+    ) {
+        let Some(table) = store::WatchedTable::ALL.get(table).copied() else {
+            return;
+        };
+        let detail = format!("table={} rows={} from={sender}", table.index(), rows.len());
+        self.core
+            .note(event::EventCode::RowsFromPeer, "store", detail);
+        match extent {
+            RowExtent::Full(version) => {
+                self.core.replace(table, rows, version);
+            }
+            RowExtent::After(after) => {
+                // A refusal means that an earlier message was lost.
+                if !self.core.merge_after(table, after, rows) {
+                    request_rows(&self.core, sender);
                 }
             }
         }
     }
+
+    fn note_outage(&self, failed_ms: Option<u32>) {
+        let now = time::Instant::now();
+        let age = failed_ms.map(|age| std_time::Duration::from_millis(u64::from(age)));
+        if let Some(failed_at) = age.and_then(|age| now.checked_sub(age)) {
+            self.core.record_peer_outage(failed_at, now);
+        }
+    }
+}
+
+/// Requests the rows up to a store version from a peer that has them, unless they
+/// arrive unasked in the meantime.
+pub fn request_later(core: &sync::Arc<core::GatewayCore>, version: u64, peer: &str) {
+    let (core, peer) = (sync::Arc::clone(core), peer.to_owned());
+    tokio::spawn(async move {
+        time::sleep(LEADER_HEAD_START).await;
+        if core.store_version() < version {
+            request_rows(&core, &peer);
+        }
+    });
 }
 
 /// Requests the rows that this node lacks from a peer, at most once in each
@@ -169,29 +216,66 @@
     if rows.is_empty() || !core.is_leading() {
         return;
     }
-    let outage = outage_message(core).filter(|_| rows.iter().any(|row| row.value.is_none()));
+    let has_removals = rows.iter().any(|row| row.value.is_none());
+    let failed_ms = outage_age_ms(core).filter(|_| has_removals);
     let message = MirrorMessage::Rows {
         table: table.index(),
         extent: RowExtent::After(after),
         rows,
     };
     let members = core.members.alive();
-    for record in core.domain_peers(&members) {
-        if let Some(outage) = &outage {
-            send(core, &record.name, outage);
-        }
-        send(core, &record.name, &message);
+    let receivers = core.domain_peers(&members);
+    let mut receivers: Vec<_> = receivers.map(|record| record.name.clone()).collect();
+    // A node that fails to pass rows on is not above the same others next time.
+    receivers.shuffle(&mut rand::rng());
+    if let Some(packed) = pack(&message) {
+        relay(core, &packed, &receivers, failed_ms);
+    }
+}
+
+/// Sends rows to the first node of each branch of the tree, which passes them on
+/// to the rest of it.
+fn relay(
+    core: &core::GatewayCore,
+    packed: &Bytes,
+    receivers: &[id::HostName],
+    failed_ms: Option<u32>,
+) {
+    let branch_size = receivers.len().div_ceil(RELAY_FANOUT).max(1);
+    for branch in receivers.chunks(branch_size) {
+        let [first, rest @ ..] = branch else { continue };
+        let message = MirrorMessage::Relay {
+            packed: packed.clone(),
+            receivers: rest.to_vec(),
+            failed_ms,
+        };
+        send(core, first, &message);
+    }
+}
+
+fn pack(message: &MirrorMessage) -> Option<Bytes> {
+    let plain = postcard::to_stdvec(message).ok()?;
+    Some(lz4_flex::compress_prepend_size(&plain).into())
+}
+
+/// Returns the message that was packed, or `None` if it is too long or damaged.
+fn unpack(packed: &[u8]) -> Option<MirrorMessage> {
+    let (size, _) = lz4_flex::block::uncompressed_size(packed).ok()?;
+    if size > UNPACKED_LIMIT_BYTES {
+        return None;
     }
+    let plain = lz4_flex::decompress_size_prepended(packed).ok()?;
+    postcard::from_bytes(&plain).ok()
 }
 
-/// Returns the message about an outage after which removals are held.
-fn outage_message(core: &core::GatewayCore) -> Option<MirrorMessage> {
+/// Returns the time since the start of the latest failed call to the store, if
+/// removals are held because of it.
+fn outage_age_ms(core: &core::GatewayCore) -> Option<u32> {
     let now = time::Instant::now();
     let outage = core.outage()?;
     outage.grace_end(core.settings.contact_ms, now)?;
     let age = now.saturating_duration_since(outage.failed_at);
-    let failed_ms = u32::try_from(age.as_millis()).ok()?;
-    Some(MirrorMessage::Outage { failed_ms })
+    u32::try_from(age.as_millis()).ok()
 }
 
 fn known_versions(core: &core::GatewayCore) -> Vec<store::RowVersion> {
--- a/arbutusfold/tests/gateway_core.rs
+++ b/arbutusfold/tests/gateway_core.rs
@@ -94,18 +94,19 @@
         time::advance(100 * MS).await;
         receive_summary(&core, age_ms);
     }
-    let outage = replication::MirrorMessage::Outage { failed_ms: 200 };
-    for message in [
-        outage,
-        replication::MirrorMessage::Rows {
-            table: store::WatchedTable::Runners.index(),
-            extent: replication::RowExtent::After(1),
-            rows: vec![runner_row(2, false)],
-        },
-    ] {
-        let body = postcard::to_stdvec(&message).unwrap();
-        replication::MirrorHandler::new(sync::Arc::clone(&core)).handle("front-2", &body);
-    }
+    let rows = replication::MirrorMessage::Rows {
+        table: store::WatchedTable::Runners.index(),
+        extent: replication::RowExtent::After(1),
+        rows: vec![runner_row(2, false)],
+    };
+    let plain = postcard::to_stdvec(&rows).unwrap();
+    let message = replication::MirrorMessage::Relay {
+        packed: lz4_flex::compress_prepend_size(&plain).into(),
+        receivers: Vec::new(),
+        failed_ms: Some(200),
+    };
+    let body = postcard::to_stdvec(&message).unwrap();
+    replication::MirrorHandler::new(sync::Arc::clone(&core)).handle("front-2", &body);
     let is_usable = |core: &core::GatewayCore| {
         let fleet = core.fleet.lock().unwrap();
         let now = time::Instant::now();
