Forward the whole table when a leader reads it for the first time

A leader that had just started sent the rows that it had read as changes since version 0. Nodes that had rows before merged them, took themselves for current and never learned which rows had been removed meanwhile: requests to runners that had left, for as long as the runner served.

Rows that a leader gets from another domain are forwarded as well, so that the nodes of a leader that is cut off from the store need not ask it first.

nodes_learn_of_a_removal_from_a_leader_that_read_the_table_after_it failed before: the removed runner stayed at all four nodes.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -225,18 +225,17 @@
     /// Merges the changes after a version into the copy of a table and applies
     /// them.
     ///
-    /// Returns `false` and changes nothing if rows in between are missing.
+    /// Returns the rows whose content changed, or `None` and changes nothing if
+    /// rows in between are missing.
     pub fn merge_after(
         &self,
         table: store::WatchedTable,
         after: store::RowVersion,
         rows: Vec<mirror::MirrorRow>,
-    ) -> bool {
-        let changes = lock(&self.mirrors)[table.index()].merge_after(after, rows);
-        if let Some(changes) = &changes {
-            self.apply_changes(table, changes);
-        }
-        changes.is_some()
+    ) -> Option<Vec<mirror::MirrorRow>> {
+        let changes = lock(&self.mirrors)[table.index()].merge_after(after, rows)?;
+        self.apply_changes(table, &changes);
+        Some(changes)
     }
 
     /// Replaces the copy of a table by the whole table as of a version and
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -163,16 +163,18 @@
         let detail = format!("table={} rows={} from={sender}", table.index(), rows.len());
         self.core
             .note(event::EventCode::RowsFromPeer, "store", detail);
-        match extent {
-            RowExtent::Full(version) => {
-                self.core.replace(table, rows, version);
-            }
-            RowExtent::After(after) => {
-                // A refusal means that an earlier message was lost.
-                if !self.core.merge_after(table, after, rows) {
-                    request_rows(&self.core, sender);
-                }
-            }
+        let before = self
+            .core
+            .with_mirror(table, mirror::TableMirror::latest_version);
+        let changed = match extent {
+            RowExtent::Full(version) => Some(self.core.replace(table, rows, version)),
+            RowExtent::After(after) => self.core.merge_after(table, after, rows),
+        };
+        match changed {
+            // A leader that is cut off from the store gets rows from other leaders.
+            Some(changed) => forward_changes(&self.core, table, before, changed),
+            // An earlier message was lost.
+            None => request_rows(&self.core, sender),
         }
     }
 
@@ -206,7 +208,8 @@
 }
 
 /// Forwards the changes after a version to the other nodes of the failure
-/// domain, if this node leads it.
+/// domain, if this node leads it. A node that had no rows before forwards the
+/// whole table, as it does not know which rows were removed.
 pub fn forward_changes(
     core: &core::GatewayCore,
     table: store::WatchedTable,
@@ -216,19 +219,22 @@
     if rows.is_empty() || !core.is_leading() {
         return;
     }
-    let has_removals = rows.iter().any(|row| row.value.is_none());
+    let has_removals = after == 0 || rows.iter().any(|row| row.value.is_none());
     let failed_ms = outage_age_ms(core).filter(|_| has_removals);
-    let message = MirrorMessage::Rows {
-        table: table.index(),
-        extent: RowExtent::After(after),
-        rows,
+    let message = match after {
+        0 => missing_rows(core, table.index(), after),
+        _ => Some(MirrorMessage::Rows {
+            table: table.index(),
+            extent: RowExtent::After(after),
+            rows,
+        }),
     };
     let members = core.members.alive();
     let receivers = core.domain_peers(&members);
     let mut receivers: Vec<_> = receivers.map(|record| record.name.clone()).collect();
     // A node that fails to pass rows on is not above the same others next time.
     receivers.shuffle(&mut rand::rng());
-    if let Some(packed) = pack(&message) {
+    if let Some(packed) = message.and_then(|message| pack(&message)) {
         relay(core, &packed, &receivers, failed_ms);
     }
 }
--- a/arbutusfold/tests/gateway_replication.rs
+++ b/arbutusfold/tests/gateway_replication.rs
@@ -177,6 +177,41 @@
     replication::forward_changes(leader, table, before, changed);
 }
 
+fn runner_row(version: u64) -> mirror::MirrorRow {
+    let entry = r#"{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready",
+        "born":1,"type":"l4","models":[{"name":"m"}]}"#;
+    mirror::MirrorRow {
+        key: format!("i-{version}"),
+        version,
+        value: Some(Bytes::from(entry)),
+    }
+}
+
+/// Guards against requests to a runner that left while a new leader had not read
+/// the table yet: the rows that it forwards contain no removal.
+#[tokio::test(start_paused = true)]
+async fn nodes_learn_of_a_removal_from_a_leader_that_read_the_table_after_it() {
+    let network = start(5);
+    time::sleep(500 * MS).await;
+    let table = store::WatchedTable::Runners;
+    let nodes = network.nodes.get().unwrap();
+    for core in nodes.iter().filter(|core| !core.is_leading()) {
+        core.replace(table, vec![runner_row(1), runner_row(2)], 2);
+    }
+    let leader = nodes.iter().find(|core| core.is_leading()).unwrap();
+    leader.record_store_call(true, time::Instant::now(), "answered");
+    // The runner of row 1 has left.
+    let changed = leader.replace(table, vec![runner_row(2), runner_row(4)], 4);
+    replication::forward_changes(leader, table, 0, changed);
+    time::sleep(1_000 * MS).await;
+    for core in nodes {
+        let fleet = core.fleet.lock().unwrap();
+        let runners: Vec<_> = fleet.runners().iter().collect();
+        let ids: Vec<_> = runners.iter().map(|state| &state.record.id).collect();
+        assert_eq!(ids, ["i-2", "i-4"], "at {}", core.settings.name);
+    }
+}
+
 /// Guards against a large document that is late at most nodes of a domain, since
 /// its leader sends every copy over one narrow link.
 #[tokio::test(start_paused = true)]
