--- a/soak/tests/fleet_crash.rs
+++ b/soak/tests/fleet_crash.rs
@@ -411,3 +411,63 @@
     }
     assert_eq!(find_excess(&deployment, path, None), None);
 }
+
+/// Crashes under a part of a prompt after which the nodes have to stop requests
+/// with it, within [`CONTACT`].
+const PART_CRASHES: usize = 5;
+
+/// Guards against requests that crash one runner after the other by a part of
+/// their prompts, no two of them alike, and against sound requests that are
+/// refused because they share their caller and all other parts.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_with_a_part_that_crashes_runners_stop_and_sound_ones_go_on() {
+    let deployment = start("part", 249).await;
+    let path = runner::part_path("bad0");
+    let crashing = runner::CrashRule {
+        run_time: RUN_TIME,
+        ..rule(&path, runner::CrashStage::First, 0)
+    };
+    deployment.fleet.add_crash_rule(crashing);
+    let end = tokio::time::Instant::now() + FLOOD_TIME;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0.. {
+        let sent_at = tokio::time::Instant::now();
+        if sent_at >= end {
+            break;
+        }
+        let node = &deployment.nodes[number % deployment.nodes.len()];
+        let address = node.spec.callers();
+        let topic = number % 5;
+        let is_sound = number % 15 != 0;
+        let (name, prompt) = match is_sound {
+            true => ("sound", format!("a1:40,b{topic}:300,{number:x}:20")),
+            false => ("part", format!("a1:40,BAD0:200,b{topic}:300,{number:x}:20")),
+        };
+        let request = format!("{name}-{number}");
+        calls.spawn(async move {
+            let call = caller::call_prompt(address, request, &prompt, deployment::KEY);
+            (sent_at, is_sound, call.await.outcome)
+        });
+        tokio::time::sleep(time::Duration::from_millis(30)).await;
+    }
+    let outcomes = calls.join_all().await;
+    let history = deployment.fleet.crash_history(&path);
+    let crashes = &history.crashes;
+    assert!(!crashes.is_empty(), "no runner crashed");
+    let late = history.arrivals_after(PART_CRASHES, CONTACT).count();
+    assert!(
+        late <= runner::LATE_RETRIES,
+        "{} crashes, {late} late requests",
+        crashes.len()
+    );
+    let (_, last) = &crashes[crashes.len().min(PART_CRASHES) - 1];
+    let sound = outcomes
+        .iter()
+        .filter(|(at, is_sound, _)| *is_sound && *at > *last + CONTACT * 2);
+    let served = sound
+        .clone()
+        .filter(|(_, _, outcome)| *outcome == caller::CallOutcome::Served);
+    let (served, sent) = (served.count(), sound.count());
+    assert!(served * 20 >= sent * 19, "{served} of {sent} sound ones");
+    assert_sound_requests_run(&deployment);
+}
