Hold back requests with a part of the prompt that crashes runners

Cause: nothing read Prompt-Prefix. The ledger of crashes knows whole requests; no two of these are alike, so each one crashed up to three runners before it was held back (895 fingerprints with three crashes at most).

Parts of prompts are recorded in the same ledger, under a fingerprint of their own: same exchange, row in the store, trials and permits. A death is recorded for all shared parts of the requests under it whose answers had not begun, at once; the first event of any answer clears the parts of its request. A part is held back after three deaths, two of them in runs that began when another one was known: that runners die together proves nothing about a part that most requests share. A retry of a request with shared parts waits up to 100 ms for the check whether the runner died.

--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -200,6 +200,11 @@
     pub sign: CrashSign,
     /// Whether the run produced events of a stream before.
     pub progressed: bool,
+    /// Fingerprints of the shared parts of the prompt, if no answer to the request
+    /// has begun.
+    pub parts: Vec<suspect::RequestFingerprint>,
+    /// Fingerprint whose trial the run was, if it was one.
+    pub trial: Option<suspect::RequestFingerprint>,
 }
 
 /// Checks in the background whether the runner died, and records its death.
@@ -240,9 +245,11 @@
 
 fn record(core: &core::GatewayCore, trace: &CrashTrace, suspicion: &CrashSuspicion) {
     let crash = &suspicion.instance.crash;
-    let Some((age, kind)) = trace.record(crash, suspicion.progressed, time::Instant::now()) else {
+    let now = time::Instant::now();
+    let Some((age, kind)) = trace.record(crash, suspicion.progressed, now) else {
         return;
     };
+    record_parts(core, suspicion, now - age);
     let labels = metrics::CrashLabels {
         sign: suspicion.sign.to_string(),
     };
@@ -264,6 +271,25 @@
     }
 }
 
+/// Records a death for the parts of the prompt. Unlike for the request itself this
+/// does not wait for its end: other requests with these parts are under way.
+fn record_parts(
+    core: &core::GatewayCore,
+    suspicion: &CrashSuspicion,
+    run_started_at: time::Instant,
+) {
+    for part in &suspicion.parts {
+        let repeated = lock(&core.suspects).was_suspect(part, run_started_at);
+        let record = ledger::CrashRecord {
+            crash: suspicion.instance.crash.clone(),
+            progressed: false,
+            repeated,
+            trial: suspicion.trial == Some(*part),
+        };
+        suspects::record_crashes(core, part, &[record]);
+    }
+}
+
 /// Recent checks of runners that may have died.
 #[derive(Debug, Default)]
 pub struct CrashChecks {
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -187,6 +187,8 @@
         unfinished: Vec::new(),
         trial: None,
         fingerprint: sync::OnceLock::new(),
+        part_keys: sync::OnceLock::new(),
+        has_begun: false,
     })
 }
 
@@ -310,6 +312,9 @@
                         (true, format!("status {}", parts.status.as_u16()))
                     }
                     Ok(Ok(bytes)) => {
+                        if parts.status.is_success() {
+                            request.note_begun();
+                        }
                         request.note_answered();
                         lock(&request.core.fleet).note_success(&target.runners[0]);
                         return Ok(relay(&parts, bytes));
--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -22,17 +22,40 @@
 /// Cause of the refusal of a request that crashed runners.
 pub const CAUSE: &str = "runners crashed while they ran this request";
 
+/// Time that a retry waits for the check whether a runner died, if the request has
+/// parts that other requests share. A check of a live or a closed runner takes a
+/// few milliseconds.
+const CHECK_PATIENCE: std_time::Duration = std_time::Duration::from_millis(100);
+
+/// Whether a request may run, and what decides it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KeyStanding {
+    /// Fingerprint of the request or of a part of its prompt.
+    key: suspect::RequestFingerprint,
+    standing: ledger::RequestStanding,
+}
+
 impl request::CallerRequest {
-    /// Returns whether the request may run, by the runners that died under it and
-    /// its resends.
-    fn standing(&self) -> ledger::RequestStanding {
+    /// Returns whether the request may run, by the runners that died under it, its
+    /// resends and other requests with parts of its prompt; `None` if none did.
+    fn standing(&self) -> Option<KeyStanding> {
         let crashes = self.trace.crashes();
+        let now = time::Instant::now();
         let suspects = lock(&self.core.suspects);
         // Most requests need no fingerprint.
         if suspects.is_empty() && crashes.is_empty() {
-            return ledger::RequestStanding::Free;
+            return None;
         }
-        suspects.standing(&self.fingerprint(), &crashes, time::Instant::now())
+        let key = self.fingerprint();
+        let own = KeyStanding {
+            key,
+            standing: suspects.standing(&key, &crashes, now),
+        };
+        let parts = self.suspect_parts().iter().map(|key| KeyStanding {
+            key: *key,
+            standing: suspects.standing(key, &[], now),
+        });
+        parts.chain([own]).max_by_key(|known| known.standing)
     }
 
     /// Returns for how long the request may not run, or `None` if it may.
@@ -42,28 +65,35 @@
             let is_sent = permit.state != trial::PermitState::Unused;
             return is_sent.then_some(TRIAL_RETRY_AFTER);
         }
-        match self.standing() {
+        match self.standing()?.standing {
             ledger::RequestStanding::Free => None,
             ledger::RequestStanding::Trial => Some(TRIAL_RETRY_AFTER),
             ledger::RequestStanding::Quarantined(left) => Some(left),
         }
     }
 
-    /// Claims the trial of the request if it may only run as one. If another
-    /// request has the trial, waits for a moment for its answer.
+    /// Claims the trial of the request, or of a part of its prompt, if it may only
+    /// run as one. If another request has the trial, waits for a moment for its
+    /// answer.
     async fn claim_trial(&mut self) {
-        if self.trial.is_some() || self.standing() != ledger::RequestStanding::Trial {
+        if self.trial.is_some() {
             return;
         }
-        let fingerprint = self.fingerprint();
-        let claim = trial::claim(&self.core, &fingerprint);
-        let cleared = suspects::wait_until_cleared(&self.core, &fingerprint);
+        let Some(KeyStanding {
+            key,
+            standing: ledger::RequestStanding::Trial,
+        }) = self.standing()
+        else {
+            return;
+        };
+        let claim = trial::claim(&self.core, &key);
+        let cleared = suspects::wait_until_cleared(&self.core, &key);
         let permit = tokio::select! {
             permit = claim => permit,
             () = cleared => return,
         };
         if permit.is_none() {
-            let cleared = suspects::wait_until_cleared(&self.core, &fingerprint);
+            let cleared = suspects::wait_until_cleared(&self.core, &key);
             // The standing tells afterwards whether it was cleared.
             let _ = time::timeout(trial::CLAIM_TIMEOUT, cleared).await;
         }
@@ -94,13 +124,28 @@
         !suspects.is_empty() && suspects.is_suspect(&self.fingerprint())
     }
 
+    /// Returns the fingerprints of the parts of the prompt that may be what crashes
+    /// runners: none once an answer has begun.
+    fn suspect_parts(&self) -> &[suspect::RequestFingerprint] {
+        if self.has_begun {
+            return &[];
+        }
+        self.part_keys.get_or_init(|| {
+            let parts = self.head.shared_parts.iter();
+            parts.map(|part| suspect::part_fingerprint(part)).collect()
+        })
+    }
+
     /// Returns whether the request may not run again because of the runners that
     /// died under it. Waits for the check of the latest one if others died before.
     pub async fn is_held_back(&mut self) -> bool {
         if self.is_suspect() {
             self.trace.settle().await;
-            self.claim_trial().await;
+        } else if !self.suspect_parts().is_empty() {
+            // A check that takes longer is not waited for.
+            let _ = time::timeout(CHECK_PATIENCE, self.trace.settle()).await;
         }
+        self.claim_trial().await;
         let left = self.quarantine_left();
         if let Some(left) = left {
             self.note_quarantine(left);
@@ -110,9 +155,16 @@
 
     fn note_quarantine(&self, left: std_time::Duration) {
         self.count_refused_run("suspect");
+        let key = match &self.trial {
+            Some(permit) => permit.fingerprint,
+            None => self
+                .standing()
+                .map_or_else(|| self.fingerprint(), |known| known.key),
+        };
         let detail = format!(
-            "fingerprint={} left_s={} runs={}",
-            suspect::fingerprint_text(&self.fingerprint()),
+            "fingerprint={} part={} left_s={} runs={}",
+            suspect::fingerprint_text(&key),
+            suspect::is_part(&key),
             left.as_secs(),
             self.executed
         );
@@ -128,6 +180,24 @@
         Some(response::GatewayRefusal::not_run(CAUSE, left))
     }
 
+    /// Records that a runner began an answer, which clears the parts of the prompt.
+    pub fn note_begun(&mut self) {
+        if self.has_begun {
+            return;
+        }
+        if !lock(&self.core.suspects).is_empty() {
+            for part in self.suspect_parts() {
+                suspects::clear(&self.core, part);
+            }
+        }
+        self.has_begun = true;
+        if let Some(permit) = &mut self.trial
+            && suspect::is_part(&permit.fingerprint)
+        {
+            permit.state = trial::PermitState::Survived;
+        }
+    }
+
     /// Records that a runner answered the request completely. An answer that does
     /// not show that the request ran, such as 503 or 504, does not count.
     pub fn note_answered(&mut self) {
@@ -186,6 +256,11 @@
             stage,
             sign,
             progressed,
+            parts: match progressed {
+                true => Vec::new(),
+                false => self.suspect_parts().to_vec(),
+            },
+            trial: self.trial.as_ref().map(|permit| permit.fingerprint),
         }
     }
 
@@ -211,15 +286,20 @@
     fn drop(&mut self) {
         self.trace.end(crash::RequestEnd::Unanswered);
         let mut crashes = self.trace.crashes();
-        let state = self.trial.as_ref().map(|permit| permit.state);
-        if state == Some(trial::PermitState::Sent) && crashes.is_empty() {
-            let number = id::new_incarnation();
-            let host = &self.core.settings.name;
-            crashes.push(ledger::CrashRecord::unanswered_trial(host, number));
-        }
         if self.trace.ended() != Some(crash::RequestEnd::Unanswered) {
             return;
         }
+        let trial = self.trial.as_ref();
+        let trial = trial.filter(|permit| permit.state == trial::PermitState::Sent);
+        if let Some(permit) = trial.filter(|_| crashes.is_empty()) {
+            let number = id::new_incarnation();
+            let host = &self.core.settings.name;
+            let record = ledger::CrashRecord::unanswered_trial(host, number);
+            match suspect::is_part(&permit.fingerprint) {
+                true => suspects::record_crashes(&self.core, &permit.fingerprint, &[record]),
+                false => crashes.push(record),
+            }
+        }
         self.check_unfinished();
         if !crashes.is_empty() {
             suspects::record_crashes(&self.core, &self.fingerprint(), &crashes);
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -100,6 +100,11 @@
     pub trial: Option<trial::TrialPermit>,
     /// Fingerprint, once it was needed.
     pub fingerprint: sync::OnceLock<suspect::RequestFingerprint>,
+    /// Fingerprints of the shared parts of the prompt, once they were needed.
+    pub part_keys: sync::OnceLock<Vec<suspect::RequestFingerprint>>,
+    /// Whether a runner has begun an answer, which shows that no part of the prompt
+    /// crashes runners.
+    pub has_begun: bool,
 }
 
 /// One stage of a path: a runner and the layers that it runs.
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -368,6 +368,7 @@
     async fn step(&mut self, request: &mut request::CallerRequest) -> StreamStep {
         loop {
             if let Some(event) = self.splitter.next_event() {
+                request.note_begun();
                 self.note_event(request);
                 return StreamStep::Event(event);
             }
--- a/arbutusfold/src/gateway/trial.rs
+++ b/arbutusfold/src/gateway/trial.rs
@@ -60,7 +60,8 @@
 /// have been used in vain: the next one is not issued before a delay.
 pub struct TrialPermit {
     core: sync::Arc<core::GatewayCore>,
-    fingerprint: suspect::RequestFingerprint,
+    /// Fingerprint of the request, or of the part of its prompt, that is tried.
+    pub fingerprint: suspect::RequestFingerprint,
     issuer: id::HostName,
     /// What became of it so far.
     pub state: PermitState,
--- a/arbutusfold/src/suspect.rs
+++ b/arbutusfold/src/suspect.rs
@@ -44,9 +44,13 @@
 /// Length of a fingerprint in bytes.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// Digest of the content of a request; resends have the same fingerprint.
+/// Digest of the content of a request, which its resends share, or of a part of
+/// the prompt, see [`part_fingerprint`].
 pub type RequestFingerprint = [u8; FINGERPRINT_BYTES];
 
+/// First bytes of the fingerprint of a part of a prompt.
+const PART_PREFIX: [u8; FINGERPRINT_BYTES / 2] = [0xff; FINGERPRINT_BYTES / 2];
+
 /// Number of a run, unique within its node.
 pub type RunNumber = u64;
 
@@ -188,6 +192,19 @@
     fingerprint
 }
 
+/// Returns the fingerprint of a part of a prompt, which all requests with this part
+/// share.
+pub fn part_fingerprint(part: &str) -> RequestFingerprint {
+    let mut fingerprint = fingerprint("", part, &[]);
+    fingerprint[..PART_PREFIX.len()].copy_from_slice(&PART_PREFIX);
+    fingerprint
+}
+
+/// Returns whether a fingerprint is that of a part of a prompt.
+pub fn is_part(fingerprint: &RequestFingerprint) -> bool {
+    fingerprint.starts_with(&PART_PREFIX)
+}
+
 /// Returns a fingerprint in hexadecimal, for logs and keys.
 pub fn fingerprint_text(fingerprint: &RequestFingerprint) -> String {
     format!("{:032x}", u128::from_be_bytes(*fingerprint))
--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -4,6 +4,10 @@
 //! deaths at all nodes. An upstream that dies under many requests is recorded
 //! for each of them, but a request that crashes upstreams is never answered,
 //! and an answer clears the record of any other.
+//!
+//! Parts of prompts are recorded like requests: a part that crashes upstreams is
+//! in no request whose answer begins. Most requests share some parts, so that a
+//! single death is recorded for many of them; see [`PART_CRASH_CHAIN`].
 
 use std::time as std_time;
 
@@ -17,6 +21,12 @@
 /// fleet.
 pub const CRASH_LIMIT: usize = 3;
 
+/// Crashes under a part of a prompt in runs that began when another one was known,
+/// after which requests with it run only as trials. Upstreams that die together
+/// for another reason leave at most one of these for each time that they die,
+/// and any answer that begins in between clears the part.
+const PART_CRASH_CHAIN: usize = 2;
+
 /// Shortest time from the latest crash to the first trial. Upstreams are back by
 /// then: a trial in the middle of a mass death would hit one that dies anyway, or
 /// crash one of the few that are left. It is up to twice as long, so that requests
@@ -88,8 +98,8 @@
     pub age: std_time::Duration,
 }
 
-/// Whether a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether a request may run, the most permissive first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RequestStanding {
     /// It may run.
     Free,
@@ -126,6 +136,8 @@
     cleared: u32,
     crashes: Vec<CrashRecord>,
     changed_at: time::Instant,
+    /// When this node learned of the first of the crashes.
+    suspect_since: Option<time::Instant>,
 }
 
 impl LedgerEntry {
@@ -160,6 +172,17 @@
             .is_ok_and(|index| !self.requests[index].crashes.is_empty())
     }
 
+    /// Returns whether this node knew of a crash of a request before `at`.
+    pub fn was_suspect(
+        &self,
+        fingerprint: &suspect::RequestFingerprint,
+        at: time::Instant,
+    ) -> bool {
+        let entry = self.find(fingerprint).ok();
+        let since = entry.and_then(|index| self.requests[index].suspect_since);
+        since.is_some_and(|since| since < at)
+    }
+
     /// Returns whether a request may run.
     ///
     /// `crashes` happened during its runs and are not recorded yet. The first of
@@ -181,7 +204,7 @@
         let exempt = progressed
             .count()
             .min(usize::from(suspect::EXEMPTION_LIMIT));
-        if crash_count(&all) < CRASH_LIMIT + exempt {
+        if !is_suspicious(fingerprint, &all, exempt) {
             return RequestStanding::Free;
         }
         let is_recorded = entry.is_some_and(|entry| entry.crashes == all);
@@ -228,6 +251,7 @@
         entry.crashes.clear();
         entry.cleared += 1;
         entry.changed_at = now;
+        entry.suspect_since = None;
         true
     }
 
@@ -251,6 +275,7 @@
         if record.cleared > entry.cleared {
             entry.cleared = record.cleared;
             entry.crashes.clear();
+            entry.suspect_since = None;
         }
         record
             .crashes
@@ -260,6 +285,10 @@
             return LedgerChange::None;
         }
         entry.changed_at = entry.changed_at.max(changed_at);
+        if !entry.crashes.is_empty() {
+            entry.suspect_since.get_or_insert(now);
+        }
+        let is_suspicious = |crashes| is_suspicious(&record.fingerprint, crashes, 0);
         let is_new = !is_suspicious(&before.crashes) || before.cleared < entry.cleared;
         match is_new && is_suspicious(&entry.crashes) {
             true => LedgerChange::Quarantined,
@@ -336,6 +365,7 @@
             cleared: 0,
             crashes: Vec::new(),
             changed_at,
+            suspect_since: None,
         };
         self.requests.insert(index, entry);
         index
@@ -345,18 +375,27 @@
 /// Returns the time from the latest change of a record to the next trial: the
 /// first delay, lengthened so many times, at most [`suspect::REVOKED_TTL`].
 fn trial_delay(fingerprint: &suspect::RequestFingerprint, times: usize) -> std_time::Duration {
-    let spread = 1.0 + f64::from(fingerprint[0]) / f64::from(u8::MAX);
+    let [.., last] = *fingerprint;
+    let spread = 1.0 + f64::from(last) / f64::from(u8::MAX);
     let exponent = u32::try_from(times).unwrap_or(u32::MAX);
     let delay = TRIAL_DELAY.saturating_mul(TRIAL_BACKOFF.saturating_pow(exponent));
     let delay = delay.min(suspect::REVOKED_TTL).mul_f64(spread);
     delay.min(suspect::REVOKED_TTL)
 }
 
-/// Returns whether a request with these crashes runs only as a trial. The order
-/// of the crashes does not matter: a request that is sent to many nodes at once
-/// crashes upstreams at all of them before any node knows.
-fn is_suspicious(crashes: &[CrashRecord]) -> bool {
-    crash_count(crashes) >= CRASH_LIMIT
+/// Returns whether a request with these crashes runs only as a trial; so many of
+/// them are `exempt`.
+///
+/// For a whole request the order of the crashes does not matter: one that is sent
+/// to many nodes at once crashes upstreams at all of them before any node knows.
+fn is_suspicious(
+    fingerprint: &suspect::RequestFingerprint,
+    crashes: &[CrashRecord],
+    exempt: usize,
+) -> bool {
+    let chained = crashes.iter().filter(|record| record.repeated).count();
+    let is_chained = !suspect::is_part(fingerprint) || chained >= PART_CRASH_CHAIN;
+    is_chained && crash_count(crashes) >= CRASH_LIMIT + exempt
 }
 
 fn crash_count(crashes: &[CrashRecord]) -> usize {
--- a/arbutusfold/tests/suspect_ledger.rs
+++ b/arbutusfold/tests/suspect_ledger.rs
@@ -317,3 +317,83 @@
         prop_assert!(nodes.windows(2).all(|pair| pair[0].digest() == pair[1].digest()));
     }
 }
+
+/// Records a death under the part `name` of prompts.
+fn record_part(ledger: &mut ledger::CrashLedger, name: &str, crash: ledger::CrashRecord) {
+    let part = suspect::part_fingerprint(name);
+    ledger.record(&part, &[crash], time::Instant::now());
+}
+
+fn part_standing(ledger: &ledger::CrashLedger, name: &str) -> ledger::RequestStanding {
+    let part = suspect::part_fingerprint(name);
+    ledger.standing(&part, &[], time::Instant::now())
+}
+
+/// Guards against sound requests that are refused for a part that they share with
+/// others, because all runners under these died at the same time.
+#[tokio::test(start_paused = true)]
+async fn part_is_quarantined_by_crashes_after_others_and_not_by_many_at_once() {
+    let mut ledger = ledger::CrashLedger::default();
+    for number in 0..8 {
+        let fresh = ledger::CrashRecord {
+            repeated: false,
+            ..crash(number, false)
+        };
+        record_part(&mut ledger, "shared", fresh);
+    }
+    assert_eq!(
+        part_standing(&ledger, "shared"),
+        ledger::RequestStanding::Free
+    );
+    for number in 0..3 {
+        assert_eq!(
+            part_standing(&ledger, "crash"),
+            ledger::RequestStanding::Free
+        );
+        record_part(&mut ledger, "crash", crash(number, false));
+    }
+    assert!(matches!(
+        part_standing(&ledger, "crash"),
+        ledger::RequestStanding::Quarantined(_)
+    ));
+    assert_eq!(
+        part_standing(&ledger, "other"),
+        ledger::RequestStanding::Free
+    );
+    // A second trial only after an hour.
+    record_part(&mut ledger, "crash", trial(3));
+    assert_eq!(
+        part_standing(&ledger, "crash"),
+        ledger::RequestStanding::Quarantined(suspect::REVOKED_TTL)
+    );
+}
+
+/// Guards against a shared part that is held for what crashed the runners long ago,
+/// though answers to requests with it have begun since.
+#[tokio::test(start_paused = true)]
+async fn answer_that_begins_clears_a_part_and_its_next_crash_counts_as_the_first() {
+    let mut ledger = ledger::CrashLedger::default();
+    let part = suspect::part_fingerprint("shared");
+    let before = time::Instant::now();
+    record_part(&mut ledger, "shared", crash(0, false));
+    time::advance(std_time::Duration::from_millis(1)).await;
+    assert!(!ledger.was_suspect(&part, before));
+    assert!(ledger.was_suspect(&part, time::Instant::now()));
+    record_part(&mut ledger, "shared", crash(1, false));
+    assert!(ledger.clear(&part, time::Instant::now()));
+    time::advance(std_time::Duration::from_millis(1)).await;
+    assert!(!ledger.was_suspect(&part, time::Instant::now()));
+    record_part(&mut ledger, "shared", crash(2, false));
+    assert_eq!(
+        part_standing(&ledger, "shared"),
+        ledger::RequestStanding::Free
+    );
+}
+
+#[test]
+fn parts_and_requests_have_different_fingerprints() {
+    let part = suspect::part_fingerprint("5c1e07a2");
+    assert!(suspect::is_part(&part));
+    assert_ne!(part, suspect::part_fingerprint("5c1e07a3"));
+    assert!(!suspect::is_part(&fingerprint("5c1e07a2")));
+}
