--- a/soak/tests/fleet_limit.rs
+++ b/soak/tests/fleet_limit.rs
@@ -1,5 +1,5 @@
-//! Runners that name the number of requests that they take from all nodes of a
-//! fleet of real processes.
+//! Runners that tell the nodes of a fleet of real processes in their answers which
+//! requests they want: fewer, none for some time, or none any more.
 
 #![allow(clippy::unwrap_used)]
 
@@ -42,6 +42,7 @@
 }
 
 /// A call that was sent, and what became of it.
+#[derive(Debug)]
 struct CallResult {
     sent_at: tokio::time::Instant,
     took: time::Duration,
@@ -157,3 +158,80 @@
         .filter(|call| call.outcome != caller::CallOutcome::Served);
     assert_eq!(refused.count(), 0);
 }
+
+/// Time after an answer that says that its runner leaves from which on the node
+/// that got it sends nothing more there.
+const DRAIN: time::Duration = time::Duration::from_secs(2);
+
+/// Guards against requests to runners that say in their answers that they leave,
+/// while their entries still say that they are ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn runners_whose_answers_say_that_they_leave_get_no_more_requests() {
+    let deployment = fleet_fixture::start("leaving", 250, SIZE).await;
+    let ids = deployment.fleet.ids();
+    // One plain runner, and one model runner.
+    let leaving = [&ids[0], &ids[SIZE.plain_runners]];
+    for id in leaving {
+        deployment
+            .fleet
+            .give_notice(id, runner::RunnerNotice::Leaving);
+    }
+    let period = time::Duration::from_millis(40);
+    let (reads, streams) = tokio::join!(
+        press(&deployment, CallKind::Get, [1; 4], period, LIFT_TIME * 2),
+        press(&deployment, CallKind::Stream, [1; 4], period, LIFT_TIME * 2),
+    );
+    for id in leaving {
+        let history = deployment.fleet.notice_history(id).unwrap();
+        assert!(!history.told.is_empty(), "{id} answered nothing");
+        let late = history.arrivals_between(DRAIN, LIFT_TIME * 4, node_of);
+        assert_eq!(late.iter().max(), Some(&0), "{id}");
+    }
+    let mut calls = reads.iter().chain(&streams);
+    assert!(calls.all(|call| call.outcome == caller::CallOutcome::Served));
+}
+
+/// Requests from one node that a runner may get while it wants none.
+const PAUSE_ARRIVALS: usize = 2;
+
+/// Guards against requests to a runner that turned one away and wants none for some
+/// seconds, at the only two runners of a service and at those of a model.
+#[tokio::test(flavor = "multi_thread")]
+async fn runners_that_turn_requests_away_get_none_until_the_time_that_they_named() {
+    let deployment = fleet_fixture::start("paused", 251, SIZE).await;
+    let ids = deployment.fleet.ids();
+    let pause = time::Duration::from_millis(2_500);
+    let paused = [&ids[0], &ids[1], &ids[SIZE.plain_runners]];
+    for id in paused {
+        deployment
+            .fleet
+            .give_notice(id, runner::RunnerNotice::Pause(pause));
+    }
+    let period = time::Duration::from_millis(40);
+    let (reads, streams) = tokio::join!(
+        press(&deployment, CallKind::Get, [1; 4], period, LIFT_TIME * 2),
+        press(&deployment, CallKind::Stream, [1; 4], period, LIFT_TIME * 2),
+    );
+    for id in paused {
+        let history = deployment.fleet.notice_history(id).unwrap();
+        assert!(!history.told.is_empty(), "{id} turned nothing away");
+        let slack = time::Duration::from_millis(500);
+        let counts = history.arrivals_between(slack, pause, node_of);
+        let most = counts.into_iter().max().unwrap();
+        assert!(most <= PAUSE_ARRIVALS, "{id}: {most}");
+    }
+    // What cannot be served is refused at once, and it has not run.
+    for call in &reads {
+        assert_eq!(call.outcome, caller::CallOutcome::NotRun(503));
+        assert!(call.took < time::Duration::from_secs(1), "{:?}", call.took);
+    }
+    // Retries are a share of the requests, so the first streams may find none left.
+    let first = streams.iter().map(|call| call.sent_at).min().unwrap();
+    let is_failed = |call: &&CallResult| match call.outcome {
+        caller::CallOutcome::Served => false,
+        caller::CallOutcome::NotRun(503) => call.sent_at > first + time::Duration::from_secs(1),
+        _ => true,
+    };
+    let failed: Vec<_> = streams.iter().filter(is_failed).collect();
+    assert!(failed.is_empty(), "{} streams: {failed:?}", failed.len());
+}
