Judge by the older of both tables whether a leader reaches the store

A leader whose call for changes of the runners is never answered still got answers for the document, each second or two. It named the age of the latest answer of either, so its nodes took it for connected and did not watch the store themselves for the 2 s until the call was given up.

leader_whose_feed_of_one_table_hangs_does_not_count_as_reaching_the_store: by the code before the age after 2 s of such answers is 0.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -84,8 +84,8 @@
     /// The latest outage of the store.
     outage: sync::Mutex<Option<fleet::StoreOutage>>,
     store_lost: atomic::AtomicBool,
-    /// When the store last answered.
-    store_answered_at: sync::Mutex<Option<time::Instant>>,
+    /// When the store last answered for each table.
+    store_answered_at: sync::Mutex<[Option<time::Instant>; store::WatchedTable::ALL.len()]>,
     leading: atomic::AtomicBool,
     /// When this node last requested rows from a peer.
     rows_requested_at: sync::Mutex<Option<time::Instant>>,
@@ -253,11 +253,17 @@
         changes
     }
 
-    /// Records whether the store answered a call that began at `started`.
-    pub fn record_store_call(&self, answered: bool, started: time::Instant, cause: &str) {
+    /// Records whether the store answered a call for a table that began at `started`.
+    pub fn record_store_call(
+        &self,
+        table: store::WatchedTable,
+        answered: bool,
+        started: time::Instant,
+        cause: &str,
+    ) {
         let now = time::Instant::now();
         if answered {
-            *lock(&self.store_answered_at) = Some(now);
+            lock(&self.store_answered_at)[table.index()] = Some(now);
             return self.end_outage(now, cause);
         }
         let mut outage = lock(&self.outage);
@@ -316,12 +322,12 @@
         self.store_lost.load(atomic::Ordering::Relaxed)
     }
 
-    /// Returns the milliseconds since the store last answered, or the maximum
-    /// if it never did.
+    /// Returns the milliseconds since the store last answered for the table for
+    /// which that is longest ago, or the maximum if it never did for one of them.
     pub fn store_age_ms(&self, now: time::Instant) -> u32 {
         let answered_at = *lock(&self.store_answered_at);
-        let age =
-            answered_at.map(|answered_at| now.saturating_duration_since(answered_at).as_millis());
+        let oldest = answered_at.into_iter().min().flatten();
+        let age = oldest.map(|oldest| now.saturating_duration_since(oldest).as_millis());
         age.and_then(|age| u32::try_from(age).ok())
             .unwrap_or(u32::MAX)
     }
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -70,7 +70,7 @@
         };
         match answer {
             Ok(page) => {
-                core.record_store_call(true, started, "answered");
+                core.record_store_call(table, true, started, "answered");
                 retry_delay = RETRY_DELAY_MIN;
                 let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
                 let before = core.with_mirror(table, mirror::TableMirror::latest_version);
@@ -94,7 +94,7 @@
                 position = None;
             }
             Err(error) => {
-                core.record_store_call(false, started, &error.to_string());
+                core.record_store_call(table, false, started, &error.to_string());
                 time::sleep(retry_delay).await;
                 let limit = match core.is_leading() {
                     true => LEADER_RETRY_DELAY_MAX,
--- a/arbutusfold/tests/gateway_core.rs
+++ b/arbutusfold/tests/gateway_core.rs
@@ -55,6 +55,12 @@
     }
 }
 
+/// Records a call to the store that failed.
+fn lose_store(core: &core::GatewayCore) {
+    let table = store::WatchedTable::Runners;
+    core.record_store_call(table, false, time::Instant::now(), "no answer in time");
+}
+
 /// Passes on the summary of a leader that got an answer from the store
 /// `store_age_ms` before.
 fn receive_summary(core: &sync::Arc<core::GatewayCore>, store_age_ms: u32) {
@@ -72,7 +78,7 @@
 async fn removal_long_after_an_outage_takes_effect_at_once_at_a_follower() {
     let core = sync::Arc::new(core());
     core.merge(store::WatchedTable::Runners, vec![runner_row(1, true)]);
-    core.record_store_call(false, time::Instant::now(), "no answer in time");
+    lose_store(&core);
     for _ in 0..100 {
         time::advance(100 * MS).await;
         receive_summary(&core, 50);
@@ -89,7 +95,7 @@
 async fn removal_right_after_an_outage_is_held_at_a_follower() {
     let core = sync::Arc::new(core());
     core.merge(store::WatchedTable::Runners, vec![runner_row(1, true)]);
-    core.record_store_call(false, time::Instant::now(), "no answer in time");
+    lose_store(&core);
     for age_ms in (1_400..4_400).step_by(100) {
         time::advance(100 * MS).await;
         receive_summary(&core, age_ms);
@@ -117,3 +123,20 @@
     time::advance(500 * MS).await;
     assert!(!is_usable(&core));
 }
+
+/// Guards against nodes that follow a leader which gets changes of the document but
+/// none of the runners, because the answer to one of its calls never comes.
+#[tokio::test(start_paused = true)]
+async fn leader_whose_feed_of_one_table_hangs_does_not_count_as_reaching_the_store() {
+    let core = core();
+    let answer = |table| core.record_store_call(table, true, time::Instant::now(), "answered");
+    assert_eq!(core.store_age_ms(time::Instant::now()), u32::MAX);
+    answer(store::WatchedTable::Operator);
+    assert_eq!(core.store_age_ms(time::Instant::now()), u32::MAX);
+    answer(store::WatchedTable::Runners);
+    for _ in 0..4 {
+        time::advance(500 * MS).await;
+        answer(store::WatchedTable::Operator);
+    }
+    assert_eq!(core.store_age_ms(time::Instant::now()), 2_000);
+}
--- a/arbutusfold/tests/gateway_replication.rs
+++ b/arbutusfold/tests/gateway_replication.rs
@@ -163,12 +163,19 @@
     }
 }
 
+/// Records that the store answered the leader.
+fn answer_leader(leader: &core::GatewayCore) {
+    for table in store::WatchedTable::ALL {
+        leader.record_store_call(table, true, time::Instant::now(), "answered");
+    }
+}
+
 /// Lets the leader receive a row of the operator's table from the store.
 fn change(network: &NarrowNetwork, row: mirror::MirrorRow) {
     let table = store::WatchedTable::Operator;
     let nodes = network.nodes.get().unwrap();
     let leader = nodes.iter().find(|core| core.is_leading()).unwrap();
-    leader.record_store_call(true, time::Instant::now(), "answered");
+    answer_leader(leader);
     let before = leader.with_mirror(table, mirror::TableMirror::latest_version);
     let changed = match before {
         0 => leader.replace(table, vec![row], 1),
@@ -199,7 +206,7 @@
         core.replace(table, vec![runner_row(1), runner_row(2)], 2);
     }
     let leader = nodes.iter().find(|core| core.is_leading()).unwrap();
-    leader.record_store_call(true, time::Instant::now(), "answered");
+    answer_leader(leader);
     // The runner of row 1 has left.
     let changed = leader.replace(table, vec![runner_row(2), runner_row(4)], 4);
     replication::forward_changes(leader, table, 0, changed);
