--- a/arbutusfold/tests/gateway_network/mod.rs
+++ b/arbutusfold/tests/gateway_network/mod.rs
@@ -56,7 +56,8 @@
     }
 }
 
-fn record(node: usize) -> member::MemberRecord {
+/// Returns the record of a node, whose port is its number.
+pub fn record(node: usize) -> member::MemberRecord {
     member::MemberRecord {
         name: format!("front-zone-{:04}", node),
         incarnation: 1,
@@ -70,6 +71,20 @@
     }
 }
 
+/// Returns the state of the node with this record.
+pub fn core_of(record: &member::MemberRecord) -> sync::Arc<core::GatewayCore> {
+    let text = format!(
+        r#"{{"name": "{}", "region": "r", "domain": "{}", "callers": "10.0.0.1:60001",
+        "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
+        "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
+        "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]}}"#,
+        record.name, record.domain, record.peers
+    );
+    let settings = settings::parse_file("node.jsonc", &text).unwrap();
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    sync::Arc::new(core::GatewayCore::new(settings, logger))
+}
+
 /// Starts nodes that know of each other; `loss` is the share of lost messages.
 pub fn start(nodes: usize, loss: f64, seed: u64) -> sync::Arc<TestNetwork> {
     let network = sync::Arc::new(TestNetwork {
@@ -80,17 +95,7 @@
         sent: (0..nodes).map(|_| atomic::AtomicU64::new(0)).collect(),
     });
     let cores = (0..nodes).map(|node| {
-        let record = record(node);
-        let text = format!(
-            r#"{{"name": "{}", "region": "r", "domain": "{}", "callers": "10.0.0.1:60001",
-            "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
-            "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
-            "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]}}"#,
-            record.name, record.domain, record.peers
-        );
-        let settings = settings::parse_file("node.jsonc", &text).unwrap();
-        let logger = slog::Logger::root(slog::Discard, slog::o!());
-        let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+        let core = core_of(&record(node));
         core.post.attach(sync::Arc::new(NodeTransport {
             network: sync::Arc::clone(&network),
             from: node,
--- a/arbutusfold/tests/gateway_replication.rs
+++ b/arbutusfold/tests/gateway_replication.rs
@@ -3,11 +3,13 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod gateway_network;
+
 use std::net;
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{core, leader_driver, mirror, replication, settings};
+use arbutusfold::gateway::{core, leader_driver, mirror, replication};
 use arbutusfold::{member, peer};
 use arbutusfold_platform::store;
 use bytes::Bytes;
@@ -70,15 +72,8 @@
 
 fn record(node: usize) -> member::MemberRecord {
     member::MemberRecord {
-        name: format!("front-{node:02}"),
-        incarnation: 1,
-        revision: 1,
-        region: "r".to_owned(),
         domain: "a".to_owned(),
-        callers: "10.0.0.1:1".parse().unwrap(),
-        peers: net::SocketAddr::from(([10, 0, 0, 1], node as u16)),
-        version: 0,
-        phase: member::MemberPhase::Serving,
+        ..gateway_network::record(node)
     }
 }
 
@@ -94,17 +89,7 @@
         links: sync::Mutex::new(vec![link; nodes]),
     });
     let cores = (0..nodes).map(|node| {
-        let text = format!(
-            r#"{{"name": "{}", "region": "r", "domain": "a", "callers": "10.0.0.1:60001",
-            "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
-            "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
-            "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]}}"#,
-            record(node).name,
-            record(node).peers
-        );
-        let settings = settings::parse_file("node.jsonc", &text).unwrap();
-        let logger = slog::Logger::root(slog::Discard, slog::o!());
-        let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+        let core = gateway_network::core_of(&record(node));
         core.post.attach(sync::Arc::new(NodeTransport {
             network: sync::Arc::clone(&network),
             from: node,
