Draw the delay of a trial from the first byte of the fingerprint again

Cause: a part's fingerprint had its fixed bytes in front, so the delay was drawn from the last byte instead of the first, for whole requests as well.

--- a/arbutusfold/src/suspect.rs
+++ b/arbutusfold/src/suspect.rs
@@ -48,8 +48,8 @@
 /// the prompt, see [`part_fingerprint`].
 pub type RequestFingerprint = [u8; FINGERPRINT_BYTES];
 
-/// First bytes of the fingerprint of a part of a prompt.
-const PART_PREFIX: [u8; FINGERPRINT_BYTES / 2] = [0xff; FINGERPRINT_BYTES / 2];
+/// Last bytes of the fingerprint of a part of a prompt.
+const PART_SUFFIX: [u8; FINGERPRINT_BYTES / 2] = [0xff; FINGERPRINT_BYTES / 2];
 
 /// Number of a run, unique within its node.
 pub type RunNumber = u64;
@@ -196,13 +196,13 @@
 /// share.
 pub fn part_fingerprint(part: &str) -> RequestFingerprint {
     let mut fingerprint = fingerprint("", part, &[]);
-    fingerprint[..PART_PREFIX.len()].copy_from_slice(&PART_PREFIX);
+    fingerprint[FINGERPRINT_BYTES - PART_SUFFIX.len()..].copy_from_slice(&PART_SUFFIX);
     fingerprint
 }
 
 /// Returns whether a fingerprint is that of a part of a prompt.
 pub fn is_part(fingerprint: &RequestFingerprint) -> bool {
-    fingerprint.starts_with(&PART_PREFIX)
+    fingerprint.ends_with(&PART_SUFFIX)
 }
 
 /// Returns a fingerprint in hexadecimal, for logs and keys.
--- a/arbutusfold/src/suspect/ledger.rs
+++ b/arbutusfold/src/suspect/ledger.rs
@@ -375,8 +375,7 @@
 /// Returns the time from the latest change of a record to the next trial: the
 /// first delay, lengthened so many times, at most [`suspect::REVOKED_TTL`].
 fn trial_delay(fingerprint: &suspect::RequestFingerprint, times: usize) -> std_time::Duration {
-    let [.., last] = *fingerprint;
-    let spread = 1.0 + f64::from(last) / f64::from(u8::MAX);
+    let spread = 1.0 + f64::from(fingerprint[0]) / f64::from(u8::MAX);
     let exponent = u32::try_from(times).unwrap_or(u32::MAX);
     let delay = TRIAL_DELAY.saturating_mul(TRIAL_BACKOFF.saturating_pow(exponent));
     let delay = delay.min(suspect::REVOKED_TTL).mul_f64(spread);
