Carry messages between nodes over plain framed connections

nng's push socket puts a connection that was closed while a message was sent back among the ready ones, and the next send uses freed memory, so the death of a peer could end a node.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -155,6 +155,10 @@
     RegionLost = 704, Warning;
     /// A newer process with the name of this host runs elsewhere.
     HostSuperseded = 705, Warning;
+    /// The connection to a peer broke or was not established.
+    PeerLinkLost = 706, Info;
+    /// A peer can be connected to again.
+    PeerLinkRegained = 707, Info;
     /// A request that was still in flight was cut off at the end of a stop.
     StopCut = 710, Warning;
     /// Changed settings were loaded.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -90,8 +90,12 @@
     reload: mpsc::Receiver<settings::GatewaySettings>,
 ) -> Result<(), GatewayError> {
     let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+    let monitor = peer::TransportMonitor {
+        recorder: sync::Arc::clone(&core.recorder),
+        metrics: core.metrics.transport.clone(),
+    };
     let (transport, received) =
-        peer::NngTransport::open(core.settings.peers).map_err(GatewayError::Peer)?;
+        peer::TcpTransport::open(core.settings.peers, monitor).map_err(GatewayError::Peer)?;
     core.post.attach(sync::Arc::new(transport));
     let callers = listen::open(core.settings.callers).map_err(GatewayError::Listen)?;
     let ready = listen::open(core.settings.ready).map_err(GatewayError::Listen)?;
@@ -196,7 +200,7 @@
 async fn run_membership(
     core: sync::Arc<core::GatewayCore>,
     driver: sync::Arc<member::MemberDriver>,
-    mut received: mpsc::Receiver<Vec<u8>>,
+    mut received: mpsc::Receiver<peer::ReceivedMessage>,
     mut reload: mpsc::Receiver<settings::GatewaySettings>,
 ) {
     let mut ticks = time::interval(probe::TICK_PERIOD);
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -4,6 +4,8 @@
 use prometheus_client::metrics::{counter, family, gauge, histogram};
 use prometheus_client::registry;
 
+use crate::peer;
+
 /// Upper bounds of the latency buckets in seconds. They range from a fifth of
 /// the shortest objective to the longest deadline in use.
 const LATENCY_BOUNDS_S: [f64; 12] = [
@@ -59,6 +61,8 @@
     pub orders: counter::Counter,
     /// Calls to the platform's store.
     pub store_calls: counter::Counter,
+    /// Messages between nodes.
+    pub transport: peer::TransportMetrics,
     /// Version of the document in force.
     pub document_version: gauge::Gauge,
     /// Time to the first event of a stream, in seconds.
@@ -86,6 +90,7 @@
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
+            transport: peer::TransportMetrics::default(),
             document_version: gauge::Gauge::default(),
             first_seconds: latency(),
             total_seconds: latency(),
@@ -123,6 +128,7 @@
         );
         registry.register("orders", "Orders sent to runners", set.orders.clone());
         registry.register("store_calls", "Calls to the store", set.store_calls.clone());
+        set.transport.register(registry);
         let version = set.document_version.clone();
         registry.register(
             "document_version",
--- a/arbutusfold/src/metric.rs
+++ b/arbutusfold/src/metric.rs
@@ -4,6 +4,8 @@
 use prometheus_client::metrics::{counter, gauge};
 use prometheus_client::registry;
 
+use crate::peer;
+
 /// Counters and gauges of a node with the registry that exports them.
 #[derive(Debug)]
 pub struct MetricSet {
@@ -22,6 +24,8 @@
     pub retries: counter::Counter,
     /// Requests in flight.
     pub in_flight: gauge::Gauge,
+    /// Messages between nodes.
+    pub transport: peer::TransportMetrics,
     /// Version of the configuration document in force.
     pub config_version: gauge::Gauge,
 }
@@ -37,6 +41,7 @@
             dropped: counter::Counter::default(),
             retries: counter::Counter::default(),
             in_flight: gauge::Gauge::default(),
+            transport: peer::TransportMetrics::default(),
             config_version: gauge::Gauge::default(),
         };
         let counters = [
@@ -52,6 +57,7 @@
         }
         set.registry
             .register("in_flight", "Requests in flight", set.in_flight.clone());
+        set.transport.register(&mut set.registry);
         set.registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/arbutusfold/src/node.rs
+++ b/arbutusfold/src/node.rs
@@ -206,8 +206,12 @@
     let hosts = sync::Arc::new(platform::HttpPlatform::new(settings.platform));
     let table = sync::Arc::<platform::HttpPlatform>::clone(&hosts);
     let core = sync::Arc::new(NodeCore::new(settings, recorder, table));
+    let monitor = peer::TransportMonitor {
+        recorder: sync::Arc::clone(&core.recorder),
+        metrics: core.metrics.transport.clone(),
+    };
     let (transport, received_messages) =
-        peer::NngTransport::open(core.settings.peers).map_err(NodeError::Peer)?;
+        peer::TcpTransport::open(core.settings.peers, monitor).map_err(NodeError::Peer)?;
     core.endpoint.attach(sync::Arc::new(transport));
     let caller_listener = listen::open(core.settings.callers).map_err(NodeError::Listen)?;
     let operator_listener = listen::open(core.settings.operators).map_err(NodeError::Listen)?;
--- a/arbutusfold/src/node/loops.rs
+++ b/arbutusfold/src/node/loops.rs
@@ -11,6 +11,7 @@
 use crate::event;
 use crate::id;
 use crate::member;
+use crate::peer;
 use crate::probe;
 
 /// Interval for updating the number of nodes that share the store's rate.
@@ -79,7 +80,7 @@
 pub(super) async fn maintain_membership(
     core: sync::Arc<NodeCore>,
     driver: sync::Arc<member::MemberDriver>,
-    mut received_messages: mpsc::Receiver<Vec<u8>>,
+    mut received_messages: mpsc::Receiver<peer::ReceivedMessage>,
 ) {
     let mut ticks = time::interval(probe::TICK_PERIOD);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
--- a/arbutusfold/src/peer.rs
+++ b/arbutusfold/src/peer.rs
@@ -11,12 +11,18 @@
 use crate::member;
 
 pub mod envelope;
+mod frame;
+pub mod inbound;
+pub mod metrics;
+pub mod outbound;
 pub mod transport;
 
 pub use envelope::{
     BroadcastTag, MessageError, MessageKind, MessageSigner, PeerEnvelope, ReplayGuard,
 };
-pub use transport::{NngTransport, PeerError, PeerTransport};
+pub use inbound::ReceivedMessage;
+pub use metrics::TransportMetrics;
+pub use transport::{PeerError, PeerTransport, TcpTransport, TransportMonitor};
 
 /// Number of hosts to which each node forwards a broadcast.
 const BROADCAST_FANOUT: usize = 8;
--- a/arbutusfold/src/peer/transport.rs
+++ b/arbutusfold/src/peer/transport.rs
@@ -1,36 +1,28 @@
-//! Transport of messages between nodes over nng.
+//! Transport of messages between nodes over TCP.
+//!
+//! Each node dials the peers that it sends to and receives on the connections that
+//! peers dial, so a connection carries messages in one direction only.
 
 use std::net;
 use std::sync;
-use std::thread;
 use std::time as std_time;
 
 use derive_more::{Display, Error};
-use nng::options::Options;
 use tokio::sync::mpsc;
-use tokio::time;
+use tokio::{runtime, task, time};
 
-/// Send buffer per peer, in messages; a full buffer drops further messages.
-const SEND_BUFFER_MESSAGES: i32 = 64;
+use crate::event;
+use crate::listen;
+use crate::peer::frame;
+use crate::peer::inbound;
+use crate::peer::metrics;
+use crate::peer::outbound;
 
-/// Buffer of received messages that the node has not processed yet; a full
-/// buffer drops further messages.
-const RECEIVE_BUFFER_MESSAGES: usize = 4_096;
+/// Maximum number of dialled connections.
+const CONNECTION_LIMIT: usize = 96;
 
-/// Maximum size of a received message, in bytes.
-const MESSAGE_LIMIT_BYTES: usize = 16 << 20;
-
-/// Maximum number of open sockets to peers.
-const SOCKET_LIMIT: usize = 96;
-
-/// Idle time after which a socket is closed.
-const SOCKET_IDLE: std_time::Duration = std_time::Duration::from_secs(30);
-
-/// Maximum delay between two attempts to connect to a peer.
-const RECONNECT_LIMIT: std_time::Duration = std_time::Duration::from_millis(500);
-
-/// Initial delay between two attempts to connect to a peer.
-const RECONNECT_START: std_time::Duration = std_time::Duration::from_millis(20);
+/// Time without a message after which a dialled connection is closed.
+const CONNECTION_IDLE: std_time::Duration = std_time::Duration::from_secs(30);
 
 /// Reason why the transport could not start.
 #[derive(Debug, Display, Error)]
@@ -38,7 +30,7 @@
 pub struct PeerError {
     /// Address to listen on.
     pub address: net::SocketAddr,
-    /// Error of the socket or of the receiving thread.
+    /// Error of the socket or of the runtime.
     pub reason: String,
 }
 
@@ -48,116 +40,118 @@
     fn send(&self, to: net::SocketAddr, message: &[u8]);
 }
 
-/// A socket that dials one peer.
-struct PeerSocket {
+/// What the connections of a transport report to.
+#[derive(Clone, Debug)]
+pub struct TransportMonitor {
+    /// Log of lost and regained connections.
+    pub recorder: sync::Arc<event::EventRecorder>,
+    /// Counters of messages.
+    pub metrics: metrics::TransportMetrics,
+}
+
+/// Messages to one peer and the task that sends them.
+struct PeerLink {
     to: net::SocketAddr,
-    socket: nng::Socket,
+    queue: sync::Arc<outbound::SendQueue>,
+    task: task::JoinHandle<()>,
     last_used: time::Instant,
 }
 
-/// Transport over nng: one listening socket, and one dialled socket per peer.
-pub struct NngTransport {
-    sockets: sync::Mutex<Vec<PeerSocket>>,
-    _listener: nng::Socket,
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
-impl NngTransport {
+/// Transport over TCP: one listening socket and one dialled connection per peer.
+pub struct TcpTransport {
+    links: sync::Mutex<Vec<PeerLink>>,
+    monitor: TransportMonitor,
+    runtime: runtime::Handle,
+    listener: task::JoinHandle<()>,
+}
+
+impl TcpTransport {
     /// Listens on `address`; returns the transport and the channel of received messages.
     ///
     /// # Errors
     ///
-    /// [`PeerError`] if the address cannot be opened or the receiving thread cannot start.
-    pub fn open(address: net::SocketAddr) -> Result<(Self, mpsc::Receiver<Vec<u8>>), PeerError> {
-        let open_error = |error: nng::Error| PeerError {
+    /// [`PeerError`] if the address cannot be opened or no runtime is active.
+    pub fn open(
+        address: net::SocketAddr,
+        monitor: TransportMonitor,
+    ) -> Result<(Self, mpsc::Receiver<inbound::ReceivedMessage>), PeerError> {
+        let runtime = runtime::Handle::try_current().map_err(|error| PeerError {
             address,
             reason: error.to_string(),
-        };
-        let listener = nng::Socket::new(nng::Protocol::Pull0).map_err(open_error)?;
-        listener
-            .set_opt::<nng::options::RecvMaxSize>(MESSAGE_LIMIT_BYTES)
-            .map_err(open_error)?;
-        listener
-            .listen(&format!("tcp://{address}"))
-            .map_err(open_error)?;
-        let (sender, receiver) = mpsc::channel(RECEIVE_BUFFER_MESSAGES);
-        let socket = listener.clone();
-        thread::Builder::new()
-            .name("peer-receive".to_owned())
-            .spawn(move || receive(&socket, &sender))
-            .map_err(|error| PeerError {
-                address,
-                reason: error.to_string(),
-            })?;
+        })?;
+        let listener = listen::open(address).map_err(|error| PeerError {
+            address,
+            reason: error.reason,
+        })?;
+        let (sender, receiver) = inbound::channel(monitor.metrics.clone());
         let transport = Self {
-            sockets: sync::Mutex::default(),
-            _listener: listener,
+            links: sync::Mutex::default(),
+            monitor,
+            listener: runtime.spawn(inbound::serve(listener, sender)),
+            runtime,
         };
         Ok((transport, receiver))
     }
-}
 
-fn receive(socket: &nng::Socket, sender: &mpsc::Sender<Vec<u8>>) {
-    while let Ok(message) = socket.recv() {
-        let result = sender.try_send(message.as_slice().to_vec());
-        if matches!(result, Err(mpsc::error::TrySendError::Closed(_))) {
-            return;
+    fn start_link(&self, to: net::SocketAddr, now: time::Instant) -> PeerLink {
+        let queue = sync::Arc::new(outbound::SendQueue::default());
+        let sender = outbound::run(to, sync::Arc::clone(&queue), self.monitor.clone());
+        PeerLink {
+            to,
+            queue,
+            task: self.runtime.spawn(sender),
+            last_used: now,
         }
     }
 }
 
-fn dial(to: net::SocketAddr) -> Result<nng::Socket, nng::Error> {
-    let socket = nng::Socket::new(nng::Protocol::Push0)?;
-    socket.set_opt::<nng::options::SendBufferSize>(SEND_BUFFER_MESSAGES)?;
-    socket.set_opt::<nng::options::ReconnectMinTime>(Some(RECONNECT_START))?;
-    socket.set_opt::<nng::options::ReconnectMaxTime>(Some(RECONNECT_LIMIT))?;
-    socket.dial_async(&format!("tcp://{to}"))?;
-    Ok(socket)
+impl Drop for TcpTransport {
+    fn drop(&mut self) {
+        self.listener.abort();
+    }
 }
 
-/// Closes idle sockets, then the least recently used ones until one more may be opened.
-fn close_idle(sockets: &mut Vec<PeerSocket>, now: time::Instant) {
-    let (kept, idle) = std::mem::take(sockets)
-        .into_iter()
-        .partition(|peer| now.duration_since(peer.last_used) < SOCKET_IDLE);
-    *sockets = kept;
-    for peer in idle {
-        peer.socket.close();
-    }
-    while sockets.len() >= SOCKET_LIMIT {
-        let oldest = (0..sockets.len()).min_by_key(|index| sockets[*index].last_used);
+/// Closes idle connections, then the least recently used ones until one more may
+/// be opened.
+fn close_idle(links: &mut Vec<PeerLink>, now: time::Instant) {
+    links.retain(|link| now.duration_since(link.last_used) < CONNECTION_IDLE);
+    while links.len() >= CONNECTION_LIMIT {
+        let oldest = (0..links.len()).min_by_key(|index| links[*index].last_used);
         let Some(oldest) = oldest else { return };
-        sockets.remove(oldest).socket.close();
+        links.remove(oldest);
     }
 }
 
-impl PeerTransport for NngTransport {
+impl PeerTransport for TcpTransport {
     fn send(&self, to: net::SocketAddr, message: &[u8]) {
+        if message.len() > frame::MESSAGE_LIMIT_BYTES {
+            let cause = metrics::DropCause::TooLarge;
+            return self.monitor.metrics.count_dropped(cause, 1);
+        }
         let now = time::Instant::now();
-        let mut sockets = self
-            .sockets
+        let mut links = self
+            .links
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
-        let index = match sockets.binary_search_by_key(&to, |peer| peer.to) {
+        let index = match links.binary_search_by_key(&to, |link| link.to) {
             Ok(index) => index,
             Err(_) => {
-                close_idle(&mut sockets, now);
-                let Ok(socket) = dial(to) else { return };
-                let index = sockets.partition_point(|peer| peer.to < to);
-                let last_used = now;
-                sockets.insert(
-                    index,
-                    PeerSocket {
-                        to,
-                        socket,
-                        last_used,
-                    },
-                );
+                close_idle(&mut links, now);
+                let index = links.partition_point(|link| link.to < to);
+                links.insert(index, self.start_link(to, now));
                 index
             }
         };
-        let peer = &mut sockets[index];
-        peer.last_used = now;
-        // A full buffer drops the message; callers do not rely on delivery.
-        let _ = peer.socket.try_send(nng::Message::from(message));
+        let link = &mut links[index];
+        link.last_used = now;
+        let dropped = link.queue.push(message, now);
+        let cause = metrics::DropCause::SendQueueFull;
+        self.monitor.metrics.count_dropped(cause, dropped);
     }
 }
--- a/bench/src/member.rs
+++ b/bench/src/member.rs
@@ -29,7 +29,7 @@
 /// Hosts killed one after another.
 const KILLS: usize = 8;
 
-/// Bytes that nng, TCP and IP add to a message, its acknowledgement included.
+/// Bytes that framing, TCP and IP add to a message, its acknowledgement included.
 pub const WIRE_OVERHEAD: u64 = 8 + 40 + 40;
 
 /// Measures membership.
