Send nothing to a runner whose process is known to be gone

A refused connection proves that no process listens there, yet a path over such a runner was the last resort when the others were full, each try took from the retry budget, and the caller was refused for the wrong reason. Such a runner gets no requests of the node for 0.5 s or until its entry tells of a new process; a later stage that rejects a request is checked once in that time. An attempt that reached no runner takes nothing from the retry budget.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -81,6 +81,9 @@
     /// The entry of an upstream was removed around an outage of the store; the
     /// upstream receives requests until the entry has had time to return.
     UpstreamKept = 219, Info;
+    /// No process listens at the address of an upstream; it receives no requests for
+    /// some time.
+    UpstreamUnreachable = 220, Warning;
     /// A request was refused because its organisation reached its rate limit.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -29,6 +29,10 @@
 /// Time for which a runner is avoided after it refused a request.
 const AVOID_REFUSAL: std_time::Duration = std_time::Duration::from_millis(400);
 
+/// Time for which a runner gets no requests after it refused a connection. One
+/// request then tries again, unless the runner's entry has changed before.
+const UNREACHABLE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
+
 /// Weight of the latest result in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -106,6 +110,10 @@
     /// Consecutive failures.
     failures: u32,
     avoided_until: Option<time::Instant>,
+    /// Until when no process is assumed to listen at its address.
+    unreachable_until: Option<time::Instant>,
+    /// When this node last checked whether a process listens there.
+    checked_at: Option<time::Instant>,
     /// Set when it answered that it does not hold the layers of its entry;
     /// cleared when the layers of the entry change or the runner restarts.
     layers_missing: bool,
@@ -138,7 +146,15 @@
 
     /// Returns whether requests may be sent to it at all.
     pub fn is_usable(&self, now: time::Instant) -> bool {
-        !self.is_leaving() && self.grace_end.is_none_or(|until| now < until)
+        !self.is_leaving()
+            && !self.is_unreachable(now)
+            && self.grace_end.is_none_or(|until| now < until)
+    }
+
+    /// Returns whether it refused a connection a short time ago, which shows that its
+    /// process does not exist.
+    pub fn is_unreachable(&self, now: time::Instant) -> bool {
+        self.unreachable_until.is_some_and(|until| now < until)
     }
 
     /// Returns whether its entry or one of its answers says that it leaves.
@@ -295,6 +311,39 @@
         Some(avoidance)
     }
 
+    /// Records that nothing listens at the address of a runner's process; returns for
+    /// how long the runner gets no requests, or `None` if that is known already or
+    /// the runner has restarted.
+    pub fn note_unreachable(
+        &mut self,
+        id: &str,
+        started_ms: id::IncarnationNumber,
+        now: time::Instant,
+    ) -> Option<std_time::Duration> {
+        let state = self.find_mut(id)?;
+        let is_other_process = state.record.started_ms.unwrap_or(0) != started_ms;
+        if is_other_process || state.is_unreachable(now) {
+            return None;
+        }
+        state.unreachable_until = Some(now + UNREACHABLE_TIME);
+        Some(UNREACHABLE_TIME)
+    }
+
+    /// Returns whether this node should check now whether a process listens at the
+    /// address of a runner; it returns `true` at most once in a while.
+    pub fn begin_check(&mut self, id: &str, now: time::Instant) -> bool {
+        let Some(state) = self.find_mut(id) else {
+            return false;
+        };
+        let is_due = state
+            .checked_at
+            .is_none_or(|checked_at| now.saturating_duration_since(checked_at) >= UNREACHABLE_TIME);
+        if is_due {
+            state.checked_at = Some(now);
+        }
+        is_due
+    }
+
     /// Records that a runner refused a request, for example because it was short
     /// of memory for a moment.
     pub fn note_refusal(&mut self, id: &str, now: time::Instant) {
@@ -390,6 +439,8 @@
                     state.failures = 0;
                     state.failure_rate = 0.0;
                     state.avoided_until = None;
+                    state.unreachable_until = None;
+                    state.checked_at = None;
                     state.last_progress = None;
                     state.limit = None;
                     state.paused_until = None;
@@ -419,6 +470,8 @@
                     last_progress: None,
                     failures: 0,
                     avoided_until: None,
+                    unreachable_until: None,
+                    checked_at: None,
                     layers_missing: false,
                     answered_leaving: false,
                     grace_end: None,
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -294,7 +294,7 @@
         };
         let guard = request::LoadGuard::new(&request.core, &target);
         let outcome = request.send(&target, None).await;
-        let (ran, cause) = match outcome {
+        let (reach, cause) = match outcome {
             request::AttemptOutcome::Head { response, link } => {
                 let (parts, body) = response.into_parts();
                 let read =
@@ -309,7 +309,10 @@
                         lock(&request.core.fleet).note_error(&target.runners[0]);
                         request.exclude(&target.runners[0]);
                         error_response = Some(relay(&parts, bytes));
-                        (true, format!("status {}", parts.status.as_u16()))
+                        (
+                            request::AttemptReach::Ran,
+                            format!("status {}", parts.status.as_u16()),
+                        )
                     }
                     Ok(Ok(bytes)) => {
                         if parts.status.is_success() {
@@ -323,7 +326,7 @@
                         let cause = error.to_string();
                         request.fail_runner(&target.runners[0], &cause);
                         request.check_crash(&target, 0, crash::CrashSign::Body, false);
-                        (true, cause)
+                        (request::AttemptReach::Ran, cause)
                     }
                     Err(_) => {
                         request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
@@ -331,17 +334,18 @@
                     }
                 }
             }
-            request::AttemptOutcome::NotRun { cause } => (false, cause),
-            request::AttemptOutcome::Broken { cause } => (true, cause),
+            request::AttemptOutcome::NotSent { cause } => (request::AttemptReach::NotSent, cause),
+            request::AttemptOutcome::NotRun { cause } => (request::AttemptReach::NotRun, cause),
+            request::AttemptOutcome::Broken { cause } => (request::AttemptReach::Ran, cause),
             request::AttemptOutcome::TimedOut => {
                 request.fail_runner(&target.runners[0], "no answer in time");
                 return error_response.ok_or_else(|| request.timeout_refusal());
             }
         };
         drop(guard);
-        let detail = format!("ran={ran} cause={cause} {}", request.describe());
+        let detail = format!("reach={reach:?} cause={cause} {}", request.describe());
         request.note(event::EventCode::AttemptFailed, detail);
-        if !request.claim_retry(ran).await {
+        if !request.claim_retry(reach).await {
             return error_response.ok_or_else(|| request.refusal(&cause));
         }
     }
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -207,7 +207,12 @@
         /// Connection that the body is read from.
         link: link::HttpLink,
     },
-    /// The request did not run.
+    /// The request was not sent, because there was no connection.
+    NotSent {
+        /// Cause, for the caller and the log.
+        cause: String,
+    },
+    /// A runner rejected the request without running it.
     NotRun {
         /// Cause, for the caller and the log.
         cause: String,
@@ -221,6 +226,17 @@
     TimedOut,
 }
 
+/// How far an attempt without a usable response came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptReach {
+    /// No runner received the request.
+    NotSent,
+    /// A runner rejected the request without running it.
+    NotRun,
+    /// The request ran or may have run.
+    Ran,
+}
+
 /// Counts an attempt as load of its runners until it is dropped.
 pub struct LoadGuard {
     core: sync::Arc<core::GatewayCore>,
@@ -253,6 +269,16 @@
     }
 }
 
+/// Records that nothing listens at the address of a runner's process.
+fn note_unreachable(core: &core::GatewayCore, process: &suspect::CrashId, request: &str) {
+    let (id, started_ms) = (&process.upstream, process.incarnation);
+    let pause = lock(&core.fleet).note_unreachable(id, started_ms, time::Instant::now());
+    if let Some(pause) = pause {
+        let detail = format!("request={request} pause_ms={}", pause.as_millis());
+        core.note(event::EventCode::UpstreamUnreachable, id, detail);
+    }
+}
+
 impl CallerRequest {
     /// Returns whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
@@ -270,20 +296,24 @@
     }
 
     /// Returns whether one more attempt is allowed and, if so, takes it from the
-    /// retry budget. `ran` tells whether the last one ran or may have run.
-    pub async fn claim_retry(&mut self, ran: bool) -> bool {
+    /// retry budget, unless the last attempt, which came as far as `reach`, reached
+    /// no runner.
+    pub async fn claim_retry(&mut self, reach: AttemptReach) -> bool {
         if self.is_held_back().await {
             return false;
         }
-        let allowed = match ran {
-            true => self.is_repeatable() && self.executed < self.rule.max_attempts,
-            false => true,
+        let allowed = match reach {
+            AttemptReach::Ran => self.is_repeatable() && self.executed < self.rule.max_attempts,
+            AttemptReach::NotSent | AttemptReach::NotRun => true,
         };
         let possible = allowed && self.attempts < ATTEMPT_LIMIT;
         if !possible || self.time_left() <= MIN_TIME_LEFT {
             self.count_refused_run(if possible { "time" } else { "attempts" });
             return false;
         }
+        if reach == AttemptReach::NotSent {
+            return true;
+        }
         let granted = lock(&self.core.budget).take(&self.service, time::Instant::now());
         match granted {
             true => {
@@ -392,12 +422,26 @@
 
     fn choose_target(&self) -> Result<AttemptTarget, selector::PathError> {
         let spec = self.table.service(&self.service);
-        match spec.and_then(|spec| spec.engine.as_ref()) {
+        let chosen = match spec.and_then(|spec| spec.engine.as_ref()) {
             Some(engine) => self.choose_path(engine),
             None => self.choose_runner().ok_or(selector::PathError::NoRunner),
+        };
+        match chosen {
+            Err(selector::PathError::NoRunner) if self.has_unreachable_runner() => {
+                Err(selector::PathError::Unreachable)
+            }
+            chosen => chosen,
         }
     }
 
+    /// Returns whether the process of some runner of the service does not exist.
+    fn has_unreachable_runner(&self) -> bool {
+        let now = time::Instant::now();
+        let fleet = lock(&self.core.fleet);
+        let mut runners = fleet.runners().iter();
+        runners.any(|state| state.record.service == self.service && state.is_unreachable(now))
+    }
+
     /// Chooses a runner of a plain service by its load, its failures and whether it
     /// is in another failure domain.
     fn choose_runner(&self) -> Option<AttemptTarget> {
@@ -572,12 +616,22 @@
             Err(error) => {
                 let cause = error.to_string();
                 self.fail_runner(&target.runners[0], &cause);
-                return AttemptOutcome::NotRun { cause };
+                if matches!(
+                    error,
+                    link::LinkError::NotConnected {
+                        is_refused: true,
+                        ..
+                    }
+                ) && let Some(instance) = target.instance(0)
+                {
+                    note_unreachable(&self.core, &instance.crash, &self.head.request);
+                }
+                return AttemptOutcome::NotSent { cause };
             }
         };
         let Some(request) = self.encode(target, resume_after) else {
             let cause = "the request cannot be passed on".to_owned();
-            return AttemptOutcome::NotRun { cause };
+            return AttemptOutcome::NotSent { cause };
         };
         let sent_at = time::Instant::now();
         self.begin_run(&target.runners);
@@ -752,10 +806,39 @@
         }
         fleet.note_refusal(&id, now);
         drop(fleet);
+        if stage != 0
+            && let Some(instance) = target.instance(stage)
+        {
+            self.check_listening(instance);
+        }
         self.exclude(&id);
         cause
     }
 
+    /// Checks in the background whether a process listens at the address of a later
+    /// stage that rejected the request. The first runner names a stage in the same
+    /// way whether it is dead or short of memory.
+    fn check_listening(&self, instance: crash::RunnerInstance) {
+        let now = time::Instant::now();
+        if !lock(&self.core.fleet).begin_check(&instance.crash.upstream, now) {
+            return;
+        }
+        let core = sync::Arc::clone(&self.core);
+        let request = self.head.request.clone();
+        tokio::spawn(async move {
+            let opened = link::HttpLink::open(instance.address, CONNECT_TIMEOUT).await;
+            if matches!(
+                opened,
+                Err(link::LinkError::NotConnected {
+                    is_refused: true,
+                    ..
+                })
+            ) {
+                note_unreachable(&core, &instance.crash, &request);
+            }
+        });
+    }
+
     /// Records that a runner failed the request and excludes it from further attempts.
     pub fn fail_runner(&mut self, id: &str, cause: &str) {
         let now = time::Instant::now();
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -22,6 +22,9 @@
     /// Some layer, or the service, has no runner left.
     #[display("no runner is left")]
     NoRunner,
+    /// Some layers, or the service, have only runners whose processes do not exist.
+    #[display("the runners that are left accept no connections")]
+    Unreachable,
     /// Every path contains a runner without memory for the context.
     #[display("no path has room")]
     NoCapacity,
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -241,9 +241,9 @@
             };
             let from = attempt.target.runners.join(">");
             drop(attempt);
-            let detail = format!("ran=true cause={cause} {}", self.request.describe());
+            let detail = format!("reach=Ran cause={cause} {}", self.request.describe());
             self.request.note(event::EventCode::AttemptFailed, detail);
-            if !self.request.claim_retry(true).await {
+            if !self.request.claim_retry(request::AttemptReach::Ran).await {
                 return Err(cause);
             }
             match start(&mut self.request, &mut self.cursor).await {
@@ -280,7 +280,7 @@
             Err(error) => return Err(request.refusal(&error.to_string())),
         };
         let guard = request::LoadGuard::new(&request.core, &target);
-        let (ran, cause) = match request.send(&target, cursor.last()).await {
+        let (reach, cause) = match request.send(&target, cursor.last()).await {
             request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
                 let (parts, body) = response.into_parts();
                 let mut attempt = StreamAttempt {
@@ -302,7 +302,7 @@
                             first,
                         })));
                     }
-                    Err(Some(cause)) => (true, cause),
+                    Err(Some(cause)) => (request::AttemptReach::Ran, cause),
                     Err(None) => return Err(request.timeout_refusal()),
                 }
             }
@@ -317,7 +317,9 @@
                 if !parts.status.is_server_error() && matches!(read, Ok(Ok(_))) {
                     request.note_answered();
                 }
-                if !parts.status.is_server_error() || !request.claim_retry(true).await {
+                if !parts.status.is_server_error()
+                    || !request.claim_retry(request::AttemptReach::Ran).await
+                {
                     return match read {
                         Ok(Ok(bytes)) => Ok(StartOutcome::Response(forward::relay(&parts, bytes))),
                         _ => Err(request.refusal(&cause)),
@@ -326,13 +328,14 @@
                 request.note(event::EventCode::AttemptFailed, cause);
                 continue;
             }
-            request::AttemptOutcome::NotRun { cause } => (false, cause),
-            request::AttemptOutcome::Broken { cause } => (true, cause),
+            request::AttemptOutcome::NotSent { cause } => (request::AttemptReach::NotSent, cause),
+            request::AttemptOutcome::NotRun { cause } => (request::AttemptReach::NotRun, cause),
+            request::AttemptOutcome::Broken { cause } => (request::AttemptReach::Ran, cause),
             request::AttemptOutcome::TimedOut => return Err(request.timeout_refusal()),
         };
-        let detail = format!("ran={ran} cause={cause} {}", request.describe());
+        let detail = format!("reach={reach:?} cause={cause} {}", request.describe());
         request.note(event::EventCode::AttemptFailed, detail);
-        if !request.claim_retry(ran).await {
+        if !request.claim_retry(reach).await {
             return Err(request.refusal(&cause));
         }
     }
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -241,3 +241,30 @@
     let grace_end = outage.grace_end(contact, time::Instant::now());
     assert!(grace_end.is_none_or(|until| until <= failed_at + contact));
 }
+
+/// A runner that refused a connection stays out of all paths, also when the others
+/// are full, until one request may try again or its entry tells of a new process.
+#[tokio::test(start_paused = true)]
+async fn runner_whose_process_is_gone_gets_no_requests_for_a_while() {
+    let now = time::Instant::now();
+    let mut fleet = one_runner();
+    assert_eq!(fleet.note_unreachable("i-1", 8, now), None, "other process");
+    assert!(fleet.get("i-1").unwrap().is_usable(now));
+    let pause = fleet.note_unreachable("i-1", 1, now).unwrap();
+    assert!(!fleet.get("i-1").unwrap().is_usable(now + pause / 2));
+    assert_eq!(fleet.note_unreachable("i-1", 1, now + pause / 2), None);
+    assert!(fleet.get("i-1").unwrap().is_usable(now + pause));
+    fleet.note_unreachable("i-1", 1, now + pause).unwrap();
+    fleet.update(&row(2, Some(entry("ready", 2, LAYERS))), None);
+    assert!(fleet.get("i-1").unwrap().is_usable(now + pause));
+}
+
+#[tokio::test(start_paused = true)]
+async fn runner_is_checked_once_at_a_time() {
+    let now = time::Instant::now();
+    let mut fleet = one_runner();
+    assert!(fleet.begin_check("i-1", now));
+    assert!(!fleet.begin_check("i-1", now + 100 * MS));
+    assert!(fleet.begin_check("i-1", now + 500 * MS));
+    assert!(!fleet.begin_check("i-2", now));
+}
