Even out the room for contexts, not the number of copies

The layout counted copies of layers, but copies on unequal cards have unequal room: on 39 runners of four kinds the scarcest unit had room for 306 requests, the mean 421; on 98 runners 1,190 of 1,512.

--- a/arbutusfold/src/gateway/layout.rs
+++ b/arbutusfold/src/gateway/layout.rs
@@ -2,8 +2,8 @@
 //!
 //! All runners split the model at the same boundaries, so that a stage of one
 //! path can replace the same stage of another. Runners without layers get them
-//! one after the other, the fastest first. Each gets the span with the fewest
-//! copies in its failure domain.
+//! one after the other, the fastest first. Each gets the span whose copies have
+//! the least room for contexts in its failure domain.
 
 use arbutusfold_platform::{document, runner};
 
@@ -13,6 +13,10 @@
 /// Largest fraction of a runner's memory that layers may use.
 const LAYER_MEMORY_LIMIT: f64 = 0.85;
 
+/// Least room of a copy relative to the mean. A copy with hardly any room still
+/// counts, so that its span is not assigned again and again.
+const MIN_RELATIVE_ROOM: f64 = 0.1;
+
 /// Weight of copies in the whole fleet relative to those in the own failure
 /// domain.
 const FLEET_WEIGHT: f64 = 0.1;
@@ -40,13 +44,24 @@
     pub layers: runner::LayerSpan,
 }
 
-/// Number and total speed of the copies of one unit of layers.
+/// Room for contexts and total speed of the copies of one unit of layers.
 #[derive(Clone, Copy, Debug, Default)]
 struct UnitCoverage {
-    copies: f64,
+    /// Room relative to the mean room of a copy.
+    room: f64,
     speed: f64,
 }
 
+/// Room for contexts in the copies of a unit of layers, in requests of the expected
+/// length.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UnitRoom {
+    /// Room in all copies.
+    pub whole: f64,
+    /// Room that is left after the loss of the copy with the most.
+    pub after_loss: f64,
+}
+
 /// Returns the layer boundaries at which all runners split the model.
 pub fn boundaries(engine: &document::EngineSpec) -> Vec<u32> {
     let smallest = engine.cards.iter().map(|card| card.memory_mb);
@@ -105,6 +120,49 @@
     units(&bounds).map(held).collect()
 }
 
+/// Returns the room for contexts in the copies of each unit of layers.
+pub fn room(engine: &document::EngineSpec, runners: &[LayoutRunner]) -> Vec<UnitRoom> {
+    let bounds = boundaries(engine);
+    let unit_room = |unit: runner::LayerSpan| {
+        let rooms = runners.iter().filter_map(|runner| {
+            let held = runner.layers.filter(|held| held.covers(unit))?;
+            Some(context_room(engine, engine.card(&runner.card)?, held.len()))
+        });
+        let (whole, most) = rooms.fold((0.0, 0.0_f64), |(whole, most), room| {
+            (whole + room, most.max(room))
+        });
+        UnitRoom {
+            whole,
+            after_loss: whole - most,
+        }
+    };
+    units(&bounds).map(unit_room).collect()
+}
+
+/// Returns how many contexts of the expected length a card with this many layers
+/// has room for.
+fn context_room(engine: &document::EngineSpec, card: &document::CardSpec, layers: u32) -> f64 {
+    let free_mb = card.memory_mb - f64::from(layers) * engine.layer_mb;
+    let tokens = (engine.prompt_tokens + engine.answer_tokens).max(1.0);
+    let token_share = engine.token_bytes * f64::from(layers) / f64::from(engine.layers);
+    (free_mb * 1e6 / (token_share * tokens).max(1.0)).max(0.0)
+}
+
+/// Returns the mean room of a runner's copy, if each runner holds as many layers as
+/// it may.
+fn mean_room(engine: &document::EngineSpec, bounds: &[u32], runners: &[LayoutRunner]) -> f64 {
+    let rooms: Vec<_> = runners
+        .iter()
+        .filter_map(|runner| engine.card(&runner.card))
+        .map(|card| {
+            let most = max_span_layers(engine, bounds, card.memory_mb).min(engine.layers);
+            context_room(engine, card, most)
+        })
+        .collect();
+    let sum: f64 = rooms.iter().sum();
+    (sum / rooms.len().max(1) as f64).max(f64::MIN_POSITIVE)
+}
+
 fn best_span(
     engine: &document::EngineSpec,
     bounds: &[u32],
@@ -113,12 +171,10 @@
     card: &document::CardSpec,
 ) -> Option<runner::LayerSpan> {
     let domain = &runners[index].domain;
-    let local = coverage(
-        engine,
-        bounds,
-        runners.iter().filter(|runner| runner.domain == *domain),
-    );
-    let all = coverage(engine, bounds, runners.iter());
+    let mean_room = mean_room(engine, bounds, runners);
+    let near = runners.iter().filter(|runner| runner.domain == *domain);
+    let local = coverage(engine, bounds, near, mean_room);
+    let all = coverage(engine, bounds, runners.iter(), mean_room);
     let gains: Vec<_> = local
         .iter()
         .zip(&all)
@@ -143,7 +199,7 @@
 
 /// Returns the value of one more copy of a unit.
 fn gain(cover: &UnitCoverage) -> f64 {
-    let scarcity = 1.0 / (1.0 + cover.copies).powi(3);
+    let scarcity = 1.0 / (1.0 + cover.room).powi(3);
     scarcity + SPEED_WEIGHT * scarcity / (1.0 + cover.speed)
 }
 
@@ -151,16 +207,18 @@
     engine: &document::EngineSpec,
     bounds: &[u32],
     runners: impl Iterator<Item = &'a LayoutRunner>,
+    mean_room: f64,
 ) -> Vec<UnitCoverage> {
     let mut covers = vec![UnitCoverage::default(); bounds.len() - 1];
     for runner in runners {
         let Some(held) = runner.layers else { continue };
-        let speed = engine
-            .card(&runner.card)
-            .map_or(0.0, |card| 1.0 / card.step_factor.max(0.001));
+        let card = engine.card(&runner.card);
+        let speed = card.map_or(0.0, |card| 1.0 / card.step_factor.max(0.001));
+        let room = card.map_or(0.0, |card| context_room(engine, card, held.len()));
+        let relative_room = (room / mean_room).max(MIN_RELATIVE_ROOM);
         for (cover, unit) in covers.iter_mut().zip(units(bounds)) {
             if held.covers(unit) {
-                cover.copies += 1.0;
+                cover.room += relative_room;
                 cover.speed += speed;
             }
         }
--- a/arbutusfold/tests/gateway_fixture/mod.rs
+++ b/arbutusfold/tests/gateway_fixture/mod.rs
@@ -64,6 +64,44 @@
     runners
 }
 
+/// Returns an engine like [`engine`] with four kinds of cards, the smallest of which
+/// holds a sixteenth of the model.
+pub fn engine_with_four_cards() -> document::EngineSpec {
+    let card = |name: &str, memory_mb, step_factor, read_factor| document::CardSpec {
+        name: name.to_owned(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    document::EngineSpec {
+        token_bytes: 590_000.0,
+        cards: vec![
+            card("large", 72_000.0, 1.4, 1.0),
+            card("middle", 36_000.0, 3.1, 3.2),
+            card("small", 21_600.0, 16.0, 8.2),
+            card("tiny", 14_400.0, 15.0, 15.0),
+        ],
+        ..engine()
+    }
+}
+
+/// Returns `times` 39 runners of four kinds without layers in three domains.
+pub fn fleet_of_four_cards(times: usize) -> Vec<layout::LayoutRunner> {
+    let counts = [
+        ("a", [0, 1, 8, 3]),
+        ("b", [0, 2, 4, 7]),
+        ("c", [1, 1, 5, 7]),
+    ];
+    let cards = ["large", "middle", "small", "tiny"];
+    let mut runners = Vec::new();
+    for (domain, counts) in counts {
+        for (card, count) in cards.into_iter().zip(counts) {
+            runners.extend((0..count * times).map(|_| runner(domain, card)));
+        }
+    }
+    runners
+}
+
 /// Returns a query for a request of 1,000 tokens that enters from a domain.
 pub fn query(engine: &document::EngineSpec, domain: usize) -> path::PathQuery<'_> {
     path::PathQuery {
--- a/arbutusfold/tests/gateway_layout.rs
+++ b/arbutusfold/tests/gateway_layout.rs
@@ -5,7 +5,7 @@
 mod gateway_fixture;
 
 use arbutusfold::gateway::layout;
-use gateway_fixture::{engine, runner, small_fleet};
+use gateway_fixture::{engine, engine_with_four_cards, fleet_of_four_cards, runner, small_fleet};
 
 /// Plans a layout and returns the runners with their layers.
 fn with_layers(mut runners: Vec<layout::LayoutRunner>) -> Vec<layout::LayoutRunner> {
@@ -88,3 +88,20 @@
     assert_eq!((bounds[0], *bounds.last().unwrap()), (0, 80));
     assert!(bounds.windows(2).all(|pair| pair[0] < pair[1]));
 }
+
+/// Copies of unequal cards have unequal room, so that equal numbers of copies leave
+/// some layers with little room while others have plenty.
+#[test]
+fn room_for_contexts_is_even_over_unequal_cards() {
+    let engine = engine_with_four_cards();
+    for times in [1, 3, 10] {
+        let mut runners = fleet_of_four_cards(times);
+        for assignment in layout::plan(&engine, &runners) {
+            runners[assignment.runner].layers = Some(assignment.layers);
+        }
+        let room = layout::room(&engine, &runners);
+        let mean = room.iter().map(|unit| unit.whole).sum::<f64>() / room.len() as f64;
+        let least = room.iter().map(|unit| unit.whole).fold(f64::MAX, f64::min);
+        assert!(least >= 0.8 * mean, "{times}: {least:.0} of {mean:.0}");
+    }
+}
--- a/bench/src/bin/layout.rs
+++ b/bench/src/bin/layout.rs
@@ -58,6 +58,13 @@
         plan::ROUTE_LIMIT,
     );
     println!("copies by unit: {:?}", layout::copies(&engine, &slots));
+    let room = layout::room(&engine, &slots);
+    let least = |part: fn(&layout::UnitRoom) -> f64| room.iter().map(part).fold(f64::MAX, f64::min);
+    println!(
+        "requests in the scarcest unit: {:.0}, {:.0} after the loss of any one runner",
+        least(|unit| unit.whole),
+        least(|unit| unit.after_loss)
+    );
     println!("flow bound: {} answer tokens a second", bound.bound);
     let asked = options.requests * engine.answer_tokens;
     println!(
