Move a runner to scarce layers when losses leave the layout uneven

A layout that lost several holders of the same layers stayed that way: an order goes only to runners without layers, and one that was given just before a loss was known stands for good.

Copies count alike again.

--- a/arbutusfold/src/gateway/layout.rs
+++ b/arbutusfold/src/gateway/layout.rs
@@ -2,8 +2,9 @@
 //!
 //! All runners split the model at the same boundaries, so that a stage of one
 //! path can replace the same stage of another. Runners without layers get them
-//! one after the other, the fastest first. Each gets the span whose copies have
-//! the least room for contexts in its failure domain.
+//! one after the other, the fastest first. Each gets the span with the fewest
+//! copies in its failure domain. When no runner is empty and losses have left few
+//! copies of some layers, a runner that holds plentiful layers is moved to them.
 
 use arbutusfold_platform::{document, runner};
 
@@ -13,14 +14,13 @@
 /// Largest fraction of a runner's memory that layers may use.
 const LAYER_MEMORY_LIMIT: f64 = 0.85;
 
-/// Least room of a copy relative to the mean. A copy with hardly any room still
-/// counts, so that its span is not assigned again and again.
-const MIN_RELATIVE_ROOM: f64 = 0.1;
-
 /// Weight of copies in the whole fleet relative to those in the own failure
 /// domain.
 const FLEET_WEIGHT: f64 = 0.1;
 
+/// Copies of the scarcest unit relative to the mean below which a layout is uneven.
+const UNEVEN_FRACTION: f64 = 0.6;
+
 /// Weight of the speed of copies relative to their number.
 const SPEED_WEIGHT: f64 = 0.2;
 
@@ -44,11 +44,10 @@
     pub layers: runner::LayerSpan,
 }
 
-/// Room for contexts and total speed of the copies of one unit of layers.
+/// Number and total speed of the copies of one unit of layers.
 #[derive(Clone, Copy, Debug, Default)]
 struct UnitCoverage {
-    /// Room relative to the mean room of a copy.
-    room: f64,
+    copies: f64,
     speed: f64,
 }
 
@@ -98,7 +97,11 @@
         let Some(card) = engine.card(&runners[index].card) else {
             continue;
         };
-        let Some(layers) = best_span(engine, &bounds, &runners, index, card) else {
+        let domain = &runners[index].domain;
+        let near = runners.iter().filter(|runner| runner.domain == *domain);
+        let local = coverage(engine, &bounds, near);
+        let fleet = coverage(engine, &bounds, runners.iter());
+        let Some(layers) = best_span(engine, &bounds, &local, &fleet, card) else {
             continue;
         };
         runners[index].layers = Some(layers);
@@ -148,37 +151,109 @@
     (free_mb * 1e6 / (token_share * tokens).max(1.0)).max(0.0)
 }
 
-/// Returns the mean room of a runner's copy, if each runner holds as many layers as
-/// it may.
-fn mean_room(engine: &document::EngineSpec, bounds: &[u32], runners: &[LayoutRunner]) -> f64 {
-    let rooms: Vec<_> = runners
+/// Returns the move that evens out an uneven layout best, or `None` if the layout
+/// is even enough or no move is worth a load.
+///
+/// Runners without layers must be assigned first.
+pub fn rebalance(
+    engine: &document::EngineSpec,
+    runners: &[LayoutRunner],
+) -> Option<LayerAssignment> {
+    let bounds = boundaries(engine);
+    let all = coverage(engine, &bounds, runners.iter());
+    let scarcest = fewest_copies(&all);
+    let mean = all.iter().map(|cover| cover.copies).sum::<f64>() / all.len() as f64;
+    if scarcest >= UNEVEN_FRACTION * mean {
+        return None;
+    }
+    let mut domains: Vec<_> = runners.iter().map(|runner| &runner.domain).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    let local: Vec<_> = domains
         .iter()
-        .filter_map(|runner| engine.card(&runner.card))
-        .map(|card| {
-            let most = max_span_layers(engine, bounds, card.memory_mb).min(engine.layers);
-            context_room(engine, card, most)
+        .map(|domain| {
+            let near = runners.iter().filter(|runner| runner.domain == **domain);
+            coverage(engine, &bounds, near)
         })
         .collect();
-    let sum: f64 = rooms.iter().sum();
-    (sum / rooms.len().max(1) as f64).max(f64::MIN_POSITIVE)
+    let mut best: Option<(f64, LayerAssignment)> = None;
+    for (index, runner) in runners.iter().enumerate() {
+        let (Some(card), Some(held)) = (engine.card(&runner.card), runner.layers) else {
+            continue;
+        };
+        let Ok(domain) = domains.binary_search(&&runner.domain) else {
+            continue;
+        };
+        let mut covers = [local[domain].clone(), all.clone()];
+        let before = scarcity(&covers);
+        add_copy(&mut covers, &bounds, held, card, -1.0);
+        let [near, fleet] = &covers;
+        let Some(layers) = best_span(engine, &bounds, near, fleet, card) else {
+            continue;
+        };
+        add_copy(&mut covers, &bounds, layers, card, 1.0);
+        let [_, fleet] = &covers;
+        let is_worth = fewest_copies(fleet) > scarcest && layers != held;
+        let saved = before - scarcity(&covers);
+        if is_worth && saved > 0.0 && best.is_none_or(|(most, _)| saved > most) {
+            let runner = index;
+            best = Some((saved, LayerAssignment { runner, layers }));
+        }
+    }
+    best.map(|(_, assignment)| assignment)
 }
 
+/// Adds a copy of a span to the coverage of its domain and of the fleet, or removes
+/// it if `sign` is negative.
+fn add_copy(
+    covers: &mut [Vec<UnitCoverage>; 2],
+    bounds: &[u32],
+    span: runner::LayerSpan,
+    card: &document::CardSpec,
+    sign: f64,
+) {
+    for cover in covers {
+        let held = cover
+            .iter_mut()
+            .zip(units(bounds))
+            .filter(|(_, unit)| span.covers(*unit));
+        for (cover, _) in held {
+            cover.copies += sign;
+            cover.speed = (cover.speed + sign * speed_of(card)).max(0.0);
+        }
+    }
+}
+
+fn fewest_copies(covers: &[UnitCoverage]) -> f64 {
+    let copies = covers.iter().map(|cover| cover.copies);
+    copies.fold(f64::MAX, f64::min)
+}
+
+/// Returns the scarcity of all units. Its decrease with one more copy is what
+/// [`gain`] estimates, but for the speed.
+fn scarcity([local, fleet]: &[Vec<UnitCoverage>; 2]) -> f64 {
+    let of = |covers: &[UnitCoverage]| -> f64 {
+        covers
+            .iter()
+            .map(|cover| 0.5 / (1.0 + cover.copies).powi(2))
+            .sum()
+    };
+    of(local) + FLEET_WEIGHT * of(fleet)
+}
+
+/// Returns the span with the greatest gain for a card, given the coverage of its
+/// failure domain and of the fleet.
 fn best_span(
     engine: &document::EngineSpec,
     bounds: &[u32],
-    runners: &[LayoutRunner],
-    index: usize,
+    local: &[UnitCoverage],
+    fleet: &[UnitCoverage],
     card: &document::CardSpec,
 ) -> Option<runner::LayerSpan> {
-    let domain = &runners[index].domain;
-    let mean_room = mean_room(engine, bounds, runners);
-    let near = runners.iter().filter(|runner| runner.domain == *domain);
-    let local = coverage(engine, bounds, near, mean_room);
-    let all = coverage(engine, bounds, runners.iter(), mean_room);
     let gains: Vec<_> = local
         .iter()
-        .zip(&all)
-        .map(|(local, all)| gain(local) + FLEET_WEIGHT * gain(all))
+        .zip(fleet)
+        .map(|(local, fleet)| gain(local) + FLEET_WEIGHT * gain(fleet))
         .collect();
     let most = max_span_layers(engine, bounds, card.memory_mb);
     let mut best: Option<(f64, runner::LayerSpan)> = None;
@@ -199,7 +274,7 @@
 
 /// Returns the value of one more copy of a unit.
 fn gain(cover: &UnitCoverage) -> f64 {
-    let scarcity = 1.0 / (1.0 + cover.room).powi(3);
+    let scarcity = 1.0 / (1.0 + cover.copies).powi(3);
     scarcity + SPEED_WEIGHT * scarcity / (1.0 + cover.speed)
 }
 
@@ -207,18 +282,14 @@
     engine: &document::EngineSpec,
     bounds: &[u32],
     runners: impl Iterator<Item = &'a LayoutRunner>,
-    mean_room: f64,
 ) -> Vec<UnitCoverage> {
     let mut covers = vec![UnitCoverage::default(); bounds.len() - 1];
     for runner in runners {
         let Some(held) = runner.layers else { continue };
-        let card = engine.card(&runner.card);
-        let speed = card.map_or(0.0, |card| 1.0 / card.step_factor.max(0.001));
-        let room = card.map_or(0.0, |card| context_room(engine, card, held.len()));
-        let relative_room = (room / mean_room).max(MIN_RELATIVE_ROOM);
+        let speed = engine.card(&runner.card).map_or(0.0, speed_of);
         for (cover, unit) in covers.iter_mut().zip(units(bounds)) {
             if held.covers(unit) {
-                cover.room += relative_room;
+                cover.copies += 1.0;
                 cover.speed += speed;
             }
         }
@@ -226,6 +297,11 @@
     covers
 }
 
+/// Returns the speed of a card relative to the engine's base time.
+fn speed_of(card: &document::CardSpec) -> f64 {
+    1.0 / card.step_factor.max(0.001)
+}
+
 fn units(bounds: &[u32]) -> impl Iterator<Item = runner::LayerSpan> {
     bounds.windows(2).map(|pair| runner::LayerSpan {
         from: pair[0],
--- a/arbutusfold/src/gateway/layout_controller.rs
+++ b/arbutusfold/src/gateway/layout_controller.rs
@@ -1,4 +1,5 @@
-//! Sends load orders to runners that hold no layers.
+//! Sends load orders to runners that hold no layers, and moves a runner to other
+//! layers when losses have left the layout uneven.
 //!
 //! Any node may act. Nodes are ranked by the hash of their names, and a node
 //! waits longer the higher its rank is, so that usually only the first one
@@ -33,6 +34,10 @@
 /// Time for which loads must be required before the node of the next rank acts.
 const STANDBY_DELAY: std_time::Duration = std_time::Duration::from_millis(1_500);
 
+/// Time for which a layout must be uneven before a runner is moved. A runner that
+/// crashed is usually back within this time.
+const UNEVEN_TIME: std_time::Duration = std_time::Duration::from_millis(3_500);
+
 /// Timeout for a runner's report.
 const REPORT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
@@ -53,6 +58,8 @@
 struct PendingLoad {
     runner: id::UpstreamName,
     born_ms: Option<u64>,
+    /// Layers that it held before.
+    from: Option<runner::LayerSpan>,
     layers: runner::LayerSpan,
     expires: time::Instant,
 }
@@ -61,6 +68,8 @@
 #[derive(Clone, Debug)]
 struct RequiredLoad {
     record: runner::RunnerRecord,
+    /// Layers that it holds.
+    from: Option<runner::LayerSpan>,
     layers: runner::LayerSpan,
     /// Expected time of the load.
     duration: std_time::Duration,
@@ -73,6 +82,8 @@
     pending: Vec<PendingLoad>,
     /// Since when loads have been required.
     needed_since: Option<time::Instant>,
+    /// Since when the layout has been uneven with no runner left to load.
+    uneven_since: Option<time::Instant>,
     /// Number of runners at the last check, and since when it has not changed.
     runner_count: (usize, time::Instant),
 }
@@ -85,6 +96,7 @@
         fencing: None,
         pending: Vec::new(),
         needed_since: None,
+        uneven_since: None,
         runner_count: (0, time::Instant::now()),
     };
     let mut ticks = time::interval(CHECK_PERIOD);
@@ -161,7 +173,9 @@
             let state = fleet.get(&pending.runner);
             now < pending.expires
                 && state.is_some_and(|state| {
-                    state.record.started_ms == pending.born_ms && state.layers().is_none()
+                    let layers = state.layers();
+                    state.record.started_ms == pending.born_ms
+                        && (layers.is_none() || layers == pending.from)
                 })
         });
         let states: Vec<_> = fleet
@@ -174,9 +188,9 @@
             .map(|state| layout::LayoutRunner {
                 domain: state.record.domain.clone(),
                 card: state.record.card.clone().unwrap_or_default(),
-                layers: state
-                    .layers()
-                    .or_else(|| self.pending_layers(&state.record.id)),
+                layers: self
+                    .pending_layers(&state.record.id)
+                    .or_else(|| state.layers()),
             })
             .collect();
         let loading = self.pending.len();
@@ -194,10 +208,23 @@
         if none_loaded && now.saturating_duration_since(self.runner_count.1) < SETTLE_TIME {
             return Vec::new();
         }
-        let assignments = layout::plan(engine, &runners).into_iter().take(at_once);
+        let mut assignments = layout::plan(engine, &runners);
+        if assignments.is_empty() && loading == 0 {
+            assignments.extend(Self::due_move(
+                &mut self.uneven_since,
+                engine,
+                &runners,
+                now,
+            ));
+        } else {
+            self.uneven_since = None;
+        }
         assignments
+            .into_iter()
+            .take(at_once)
             .map(|assignment| RequiredLoad {
                 record: states[assignment.runner].record.clone(),
+                from: states[assignment.runner].layers(),
                 layers: assignment.layers,
                 duration: engine
                     .load_time
@@ -206,6 +233,21 @@
             .collect()
     }
 
+    /// Returns the move that the layout requires, if it has been uneven for long enough.
+    fn due_move(
+        uneven_since: &mut Option<time::Instant>,
+        engine: &document::EngineSpec,
+        runners: &[layout::LayoutRunner],
+        now: time::Instant,
+    ) -> Option<layout::LayerAssignment> {
+        let Some(assignment) = layout::rebalance(engine, runners) else {
+            *uneven_since = None;
+            return None;
+        };
+        let since = *uneven_since.get_or_insert(now);
+        (now.saturating_duration_since(since) >= UNEVEN_TIME).then_some(assignment)
+    }
+
     fn pending_layers(&self, id: &str) -> Option<runner::LayerSpan> {
         let pending = self.pending.iter().find(|pending| pending.runner == id);
         pending.map(|pending| pending.layers)
@@ -215,6 +257,7 @@
         self.pending.push(PendingLoad {
             runner: required.record.id,
             born_ms: required.record.started_ms,
+            from: required.from,
             layers: required.layers,
             expires: now + required.duration * LOAD_TIMEOUT_FACTOR + LOAD_REPORT_DELAY,
         });
@@ -275,7 +318,8 @@
         };
         let changed =
             report.started_ms.is_some() && report.started_ms != required.record.started_ms;
-        let holds = report.layers.is_some_and(|layers| !layers.is_empty());
+        let held = report.layers.filter(|layers| !layers.is_empty());
+        let holds = held.is_some() && held != required.from;
         if changed || holds || report.busy {
             let detail = format!("changed={changed} holds={holds} busy={}", report.busy);
             core.note(event::EventCode::OrderRefused, id, detail);
@@ -295,9 +339,13 @@
         };
         core.metrics.orders.inc();
         let detail = format!(
-            "layers={}-{} fencing={fencing} orders={} load_ms={}",
+            "layers={}-{} before={} fencing={fencing} orders={} load_ms={}",
             required.layers.from,
             required.layers.to,
+            required.from.map_or("none".to_owned(), |held| format!(
+                "{}-{}",
+                held.from, held.to
+            )),
             report.accepted_orders,
             required.duration.as_millis()
         );
