--- a/arbutusfold/tests/gateway_fixture/mod.rs
+++ b/arbutusfold/tests/gateway_fixture/mod.rs
@@ -8,14 +8,17 @@
 use arbutusfold::member;
 use arbutusfold_platform::document;
 
-/// Returns an engine with 80 layers and three kinds of cards.
-pub fn engine() -> document::EngineSpec {
-    let card = |name: &str, memory_mb, step_factor, read_factor| document::CardSpec {
+fn card(name: &str, memory_mb: f64, step_factor: f64, read_factor: f64) -> document::CardSpec {
+    document::CardSpec {
         name: name.to_owned(),
         memory_mb,
         step_factor,
         read_factor,
-    };
+    }
+}
+
+/// Returns an engine with 80 layers and three kinds of cards.
+pub fn engine() -> document::EngineSpec {
     document::EngineSpec {
         slots: 192,
         event_tokens: 3,
@@ -67,12 +70,6 @@
 /// Returns an engine like [`engine`] with four kinds of cards, the smallest of which
 /// holds a sixteenth of the model.
 pub fn engine_with_four_cards() -> document::EngineSpec {
-    let card = |name: &str, memory_mb, step_factor, read_factor| document::CardSpec {
-        name: name.to_owned(),
-        memory_mb,
-        step_factor,
-        read_factor,
-    };
     document::EngineSpec {
         token_bytes: 590_000.0,
         cards: vec![
