--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -29,8 +29,8 @@
 /// Time for which a runner is avoided after it refused a request.
 const AVOID_REFUSAL: std_time::Duration = std_time::Duration::from_millis(400);
 
-/// Time for which a runner gets no requests after it refused a connection. One
-/// request then tries again, unless the runner's entry has changed before.
+/// Time for which a runner gets no requests after it refused a connection, unless
+/// its entry tells of a new process before.
 const UNREACHABLE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
 
 /// Weight of the latest result in the moving average of failures.
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -334,9 +334,7 @@
                     }
                 }
             }
-            request::AttemptOutcome::NotSent { cause } => (request::AttemptReach::NotSent, cause),
-            request::AttemptOutcome::NotRun { cause } => (request::AttemptReach::NotRun, cause),
-            request::AttemptOutcome::Broken { cause } => (request::AttemptReach::Ran, cause),
+            request::AttemptOutcome::Unanswered { reach, cause } => (reach, cause),
             request::AttemptOutcome::TimedOut => {
                 request.fail_runner(&target.runners[0], "no answer in time");
                 return error_response.ok_or_else(|| request.timeout_refusal());
--- a/arbutusfold/src/gateway/layout.rs
+++ b/arbutusfold/src/gateway/layout.rs
@@ -93,11 +93,7 @@
         let Some(card) = engine.card(&runners[index].card) else {
             continue;
         };
-        let domain = &runners[index].domain;
-        let near = runners.iter().filter(|runner| runner.domain == *domain);
-        let local = coverage(engine, &bounds, near);
-        let fleet = coverage(engine, &bounds, runners.iter());
-        let Some(layers) = best_span(engine, &bounds, &local, &fleet, card) else {
+        let Some(layers) = best_span(engine, &bounds, &runners, index, card) else {
             continue;
         };
         runners[index].layers = Some(layers);
@@ -138,28 +134,44 @@
     units(&bounds).map(unit_room).collect()
 }
 
+/// Returns the memory that a card with this many layers has for contexts, in tokens
+/// of context times layers; negative if the layers do not fit.
+pub fn context_capacity(
+    engine: &document::EngineSpec,
+    card: &document::CardSpec,
+    layers: u32,
+) -> f64 {
+    let free_mb = card.memory_mb - f64::from(layers) * engine.layer_mb;
+    let token_layer_bytes = engine.token_bytes / f64::from(engine.layers);
+    free_mb * 1e6 / token_layer_bytes.max(1.0)
+}
+
 /// Returns how many contexts of the expected length a card with this many layers
 /// has room for.
-fn context_room(engine: &document::EngineSpec, card: &document::CardSpec, layers: u32) -> f64 {
-    let free_mb = card.memory_mb - f64::from(layers) * engine.layer_mb;
+pub fn context_room(engine: &document::EngineSpec, card: &document::CardSpec, layers: u32) -> f64 {
     let tokens = (engine.prompt_tokens + engine.answer_tokens).max(1.0);
-    let token_share = engine.token_bytes * f64::from(layers) / f64::from(engine.layers);
-    (free_mb * 1e6 / (token_share * tokens).max(1.0)).max(0.0)
+    let room = context_capacity(engine, card, layers) / (tokens * f64::from(layers.max(1)));
+    room.max(0.0)
 }
 
-/// Returns the span with the greatest gain for a card, given the coverage of its
-/// failure domain and of the fleet.
 fn best_span(
     engine: &document::EngineSpec,
     bounds: &[u32],
-    local: &[UnitCoverage],
-    fleet: &[UnitCoverage],
+    runners: &[LayoutRunner],
+    index: usize,
     card: &document::CardSpec,
 ) -> Option<runner::LayerSpan> {
+    let domain = &runners[index].domain;
+    let local = coverage(
+        engine,
+        bounds,
+        runners.iter().filter(|runner| runner.domain == *domain),
+    );
+    let all = coverage(engine, bounds, runners.iter());
     let gains: Vec<_> = local
         .iter()
-        .zip(fleet)
-        .map(|(local, fleet)| gain(local) + FLEET_WEIGHT * gain(fleet))
+        .zip(&all)
+        .map(|(local, all)| gain(local) + FLEET_WEIGHT * gain(all))
         .collect();
     let most = max_span_layers(engine, bounds, card.memory_mb);
     let mut best: Option<(f64, runner::LayerSpan)> = None;
@@ -192,7 +204,9 @@
     let mut covers = vec![UnitCoverage::default(); bounds.len() - 1];
     for runner in runners {
         let Some(held) = runner.layers else { continue };
-        let speed = engine.card(&runner.card).map_or(0.0, speed_of);
+        let speed = engine
+            .card(&runner.card)
+            .map_or(0.0, |card| 1.0 / card.step_factor.max(0.001));
         for (cover, unit) in covers.iter_mut().zip(units(bounds)) {
             if held.covers(unit) {
                 cover.copies += 1.0;
@@ -203,11 +217,6 @@
     covers
 }
 
-/// Returns the speed of a card relative to the engine's base time.
-fn speed_of(card: &document::CardSpec) -> f64 {
-    1.0 / card.step_factor.max(0.001)
-}
-
 fn units(bounds: &[u32]) -> impl Iterator<Item = runner::LayerSpan> {
     bounds.windows(2).map(|pair| runner::LayerSpan {
         from: pair[0],
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -207,18 +207,10 @@
         /// Connection that the body is read from.
         link: link::HttpLink,
     },
-    /// The request was not sent, because there was no connection.
-    NotSent {
-        /// Cause, for the caller and the log.
-        cause: String,
-    },
-    /// A runner rejected the request without running it.
-    NotRun {
-        /// Cause, for the caller and the log.
-        cause: String,
-    },
-    /// The request may have run, but there is no usable response.
-    Broken {
+    /// There is no usable response.
+    Unanswered {
+        /// How far the request came.
+        reach: AttemptReach,
         /// Cause, for the caller and the log.
         cause: String,
     },
@@ -226,7 +218,7 @@
     TimedOut,
 }
 
-/// How far an attempt without a usable response came.
+/// How far an attempt came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptReach {
     /// No runner received the request.
@@ -616,22 +608,23 @@
             Err(error) => {
                 let cause = error.to_string();
                 self.fail_runner(&target.runners[0], &cause);
-                if matches!(
-                    error,
-                    link::LinkError::NotConnected {
-                        is_refused: true,
-                        ..
-                    }
-                ) && let Some(instance) = target.instance(0)
+                if error.is_refused()
+                    && let Some(instance) = target.instance(0)
                 {
                     note_unreachable(&self.core, &instance.crash, &self.head.request);
                 }
-                return AttemptOutcome::NotSent { cause };
+                return AttemptOutcome::Unanswered {
+                    reach: AttemptReach::NotSent,
+                    cause,
+                };
             }
         };
         let Some(request) = self.encode(target, resume_after) else {
             let cause = "the request cannot be passed on".to_owned();
-            return AttemptOutcome::NotSent { cause };
+            return AttemptOutcome::Unanswered {
+                reach: AttemptReach::NotSent,
+                cause,
+            };
         };
         let sent_at = time::Instant::now();
         self.begin_run(&target.runners);
@@ -644,7 +637,10 @@
                 self.executed += 1;
                 let cause = format!("no answer in {} ms", timeout.as_millis());
                 self.exclude_unresponsive(target, &cause).await;
-                return AttemptOutcome::Broken { cause };
+                return AttemptOutcome::Unanswered {
+                    reach: AttemptReach::Ran,
+                    cause,
+                };
             }
             Err(_) => {
                 self.executed += 1;
@@ -657,7 +653,10 @@
                 let cause = error.to_string();
                 self.fail_runner(&target.runners[0], &cause);
                 self.check_crash(target, 0, crash::CrashSign::Connection, false);
-                return AttemptOutcome::Broken { cause };
+                return AttemptOutcome::Unanswered {
+                    reach: AttemptReach::Ran,
+                    cause,
+                };
             }
             Ok(Ok(response)) => response,
         };
@@ -736,7 +735,10 @@
             self.executed += 1;
             let cause = "answer to another request".to_owned();
             self.fail_runner(&target.runners[0], &cause);
-            return AttemptOutcome::Broken { cause };
+            return AttemptOutcome::Unanswered {
+                reach: AttemptReach::Ran,
+                cause,
+            };
         }
         if let Some(instance) = target.instance(0) {
             runner_limit::observe(&self.core, &instance.crash, headers, sent_at);
@@ -753,14 +755,20 @@
             if stage != 0 && sent_at.elapsed() >= LATE_REJECTION {
                 self.check_crash(target, stage, crash::CrashSign::Rejection, false);
             }
-            return AttemptOutcome::NotRun { cause };
+            return AttemptOutcome::Unanswered {
+                reach: AttemptReach::NotRun,
+                cause,
+            };
         }
         self.executed += 1;
         let is_valid = head::has_proof(headers) && !head::is_encoded(headers);
         if status.is_success() && !is_valid {
             let cause = "answer without the runner's proof".to_owned();
             self.fail_runner(&target.runners[0], &cause);
-            return AttemptOutcome::Broken { cause };
+            return AttemptOutcome::Unanswered {
+                reach: AttemptReach::Ran,
+                cause,
+            };
         }
         AttemptOutcome::Head { response, link }
     }
@@ -827,13 +835,7 @@
         let request = self.head.request.clone();
         tokio::spawn(async move {
             let opened = link::HttpLink::open(instance.address, CONNECT_TIMEOUT).await;
-            if matches!(
-                opened,
-                Err(link::LinkError::NotConnected {
-                    is_refused: true,
-                    ..
-                })
-            ) {
+            if opened.is_err_and(|error| error.is_refused()) {
                 note_unreachable(&core, &instance.crash, &request);
             }
         });
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -6,6 +6,7 @@
 use tokio::time;
 
 use crate::gateway::fleet;
+use crate::gateway::layout;
 use crate::gateway::leader;
 use crate::gateway::path;
 
@@ -108,11 +109,7 @@
             .as_deref()
             .and_then(|name| engine.card(name));
         let capacity = match card {
-            Some(card) => {
-                let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
-                let token_layer = engine.token_bytes / f64::from(engine.layers);
-                free_mb * 1e6 / token_layer.max(1.0)
-            }
+            Some(card) => layout::context_capacity(engine, card, layers.len()),
             None => engine.context_tokens as f64 * f64::from(engine.layers),
         };
         let others = self.leads.peer_load(state.key);
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -328,9 +328,7 @@
                 request.note(event::EventCode::AttemptFailed, cause);
                 continue;
             }
-            request::AttemptOutcome::NotSent { cause } => (request::AttemptReach::NotSent, cause),
-            request::AttemptOutcome::NotRun { cause } => (request::AttemptReach::NotRun, cause),
-            request::AttemptOutcome::Broken { cause } => (request::AttemptReach::Ran, cause),
+            request::AttemptOutcome::Unanswered { reach, cause } => (reach, cause),
             request::AttemptOutcome::TimedOut => return Err(request.timeout_refusal()),
         };
         let detail = format!("reach={reach:?} cause={cause} {}", request.describe());
--- a/arbutusfold/src/peer/metrics.rs
+++ b/arbutusfold/src/peer/metrics.rs
@@ -47,26 +47,20 @@
             "Messages between nodes that were dropped, by cause",
             self.dropped.clone(),
         );
-        registry.register(
-            "peer_sent_bytes",
-            "Bytes of messages sent to nodes",
-            self.sent_bytes.clone(),
-        );
-        registry.register(
-            "peer_received_bytes",
-            "Bytes of messages received from nodes",
-            self.received_bytes.clone(),
-        );
-        registry.register(
-            "peer_inbound",
-            "Open connections from nodes",
-            self.inbound.clone(),
-        );
-        registry.register(
-            "peer_lost",
-            "Connections to nodes that broke",
-            self.lost.clone(),
-        );
+        let counters = [
+            ("peer_sent_bytes", "Bytes sent to nodes", &self.sent_bytes),
+            (
+                "peer_received_bytes",
+                "Bytes received from nodes",
+                &self.received_bytes,
+            ),
+            ("peer_lost", "Connections to nodes that broke", &self.lost),
+        ];
+        for (name, help, metric) in counters {
+            registry.register(name, help, metric.clone());
+        }
+        let inbound = self.inbound.clone();
+        registry.register("peer_inbound", "Open connections from nodes", inbound);
     }
 
     /// Counts `number` dropped messages.
--- a/arbutusfold/src/peer/outbound.rs
+++ b/arbutusfold/src/peer/outbound.rs
@@ -2,6 +2,7 @@
 //! connect again.
 
 use std::collections;
+use std::convert;
 use std::io;
 use std::net;
 use std::sync;
@@ -192,17 +193,15 @@
     counters: &metrics::TransportMetrics,
 ) -> io::Error {
     let (reader, writer) = stream.into_split();
-    let ended = tokio::select! {
+    let Err(error) = tokio::select! {
         ended = watch_end(reader) => ended,
         ended = send_messages(writer, queue, counters) => ended,
     };
-    ended
-        .err()
-        .unwrap_or(io::ErrorKind::ConnectionAborted.into())
+    error
 }
 
 /// Checks the header of the receiving end, then waits until it closes the connection.
-async fn watch_end(mut reader: tokio_net::tcp::OwnedReadHalf) -> io::Result<()> {
+async fn watch_end(mut reader: tokio_net::tcp::OwnedReadHalf) -> io::Result<convert::Infallible> {
     let mut header = [0; frame::HEADER_BYTES];
     reader.read_exact(&mut header).await?;
     if header != frame::RECEIVER_HEADER {
@@ -219,7 +218,7 @@
     mut writer: tokio_net::tcp::OwnedWriteHalf,
     queue: &SendQueue,
     counters: &metrics::TransportMetrics,
-) -> io::Result<()> {
+) -> io::Result<convert::Infallible> {
     writer.write_all(&frame::SENDER_HEADER).await?;
     let mut frames = codec::FramedWrite::with_capacity(writer, frame::codec(), WRITE_BUFFER_BYTES);
     frames.set_backpressure_boundary(WRITE_BYTES);
--- a/arbutusfold/tests/peer_transport.rs
+++ b/arbutusfold/tests/peer_transport.rs
@@ -263,7 +263,7 @@
 }
 
 #[tokio::test]
-async fn messages_to_an_absent_peer_expire_and_the_newest_arrive() {
+async fn newest_messages_to_an_absent_peer_arrive_once_it_starts() {
     let one = open(free_address());
     let address = free_address();
     for number in 0..100_u8 {
@@ -273,3 +273,26 @@
     // The queue holds 64 messages; older ones gave way.
     assert_eq!(receive(&mut other).await, [36]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn message_that_waited_too_long_is_dropped() {
+    let queue = peer::outbound::SendQueue::default();
+    queue.push(b"old", time::Instant::now());
+    time::advance(Duration::from_secs(2)).await;
+    queue.push(b"new", time::Instant::now());
+    let (message, expired) = queue.pop(time::Instant::now());
+    assert_eq!((message.as_deref(), expired), (Some(&b"new"[..]), 1));
+    assert_eq!(queue.pop(time::Instant::now()), (None, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn queue_of_a_peer_is_bounded_by_bytes() {
+    let queue = peer::outbound::SendQueue::default();
+    let now = time::Instant::now();
+    let message = vec![1; 1 << 20];
+    let dropped: usize = (0..6).map(|_| queue.push(&message, now)).sum();
+    assert_eq!(dropped, 2);
+    // A message over the bound is kept alone.
+    assert_eq!(queue.push(&vec![2; 8 << 20], now), 4);
+    assert_eq!(queue.pop(now).0.unwrap().len(), 8 << 20);
+}
--- a/bench/src/bin/layout.rs
+++ b/bench/src/bin/layout.rs
@@ -85,9 +85,7 @@
     let layers = slot.layers?;
     let card = engine.card(&slot.card)?;
     let share = f64::from(layers.len()) / f64::from(engine.layers);
-    let free_mb = card.memory_mb - f64::from(layers.len()) * engine.layer_mb;
-    let tokens = engine.prompt_tokens + engine.answer_tokens;
-    let streams = free_mb * 1e6 / (engine.token_bytes * share * tokens);
+    let streams = layout::context_room(engine, card, layers.len());
     let context = engine.context_ms * (engine.prompt_tokens + engine.answer_tokens / 2.0) / 1_000.0;
     let each = engine.sequence_ms + context;
     let step = share * card.step_factor * (engine.step_ms + each * streams) / streams;
