Test: a silence of sound runners cuts streams in mid-answer (known red)

Twelve streams over three gateway processes; the only copy of the model's layers falls silent for 1.3 s (all connections, nothing is reset), while a document is written. Callers wait 2 s for the next event.

The nodes' logs: "silent for 657 ms at i-02", then "retry budget exhausted", then "stream failed".

The stand-in for callers can watch a stream: it checks each chunk as it comes and leaves when an event takes longer than it waits.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -185,6 +185,31 @@
         anyhow::bail!("the fleet was not ready within {START_LIMIT:?}")
     }
 
+    /// Waits until every gateway serves reads and streams. They learn a moment after
+    /// the runners which layers these hold.
+    ///
+    /// # Errors
+    ///
+    /// When that takes longer than `START_LIMIT`.
+    pub async fn wait_serving(&self) -> anyhow::Result<()> {
+        let deadline = tokio::time::Instant::now() + START_LIMIT;
+        for node in &self.nodes {
+            for kind in [caller::CallKind::Get, caller::CallKind::Stream] {
+                let request = format!("start-{kind:?}-{}", node.spec.name);
+                let call = || caller::call(node.spec.callers(), request.clone(), kind, KEY);
+                while call().await.outcome != caller::CallOutcome::Served {
+                    anyhow::ensure!(
+                        tokio::time::Instant::now() < deadline,
+                        "{} did not serve within {START_LIMIT:?}",
+                        node.spec.name
+                    );
+                    tokio::time::sleep(time::Duration::from_millis(50)).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Kills a gateway, if it runs, and starts a new process in its place.
     ///
     /// # Errors
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -396,7 +396,9 @@
             let index = match &call.outcome {
                 caller::CallOutcome::Served => 0,
                 caller::CallOutcome::NotRun(_) => 1,
-                caller::CallOutcome::Failed(_) | caller::CallOutcome::Wrong(_) => 2,
+                caller::CallOutcome::Failed(_)
+                | caller::CallOutcome::Wrong(_)
+                | caller::CallOutcome::Left(_) => 2,
             };
             report.call_counts[index] += 1;
             // A stream may have run on one runner and be refused on a later
