Keep a silent run until another one delivers

Callers saw streams cut, and requests fail with 502, because a sound runner was silent for a second and then went on.

Cause: a silent attempt was dropped before the next one was allowed or had a path. Without a permit of the retry budget, room or a path the request ended although its only run would have gone on. Class: letting go of the only run before there is another.

Now a silent run, of a stream or of a plain request, is held beside the next attempt. The first run that delivers the next event or the answer is used and the others are dropped; where nothing else may start, the held run is waited for as long as the caller waits. Events 207 and 208 tell that a run is held and that it went on.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -60,6 +60,10 @@
     CallerLeft = 205, Info;
     /// A running stream was moved to other runners.
     StreamRerouted = 206, Warning;
+    /// A silent run is kept while another one is sought.
+    RunHeld = 207, Info;
+    /// A silent run went on.
+    RunRegained = 208, Info;
     /// An upstream appeared or became reachable.
     UpstreamFound = 210, Info;
     /// An upstream became unreachable or disappeared.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod event_stream;
 pub mod fleet;
 pub mod forward;
+pub mod held;
 pub mod layout;
 pub mod layout_controller;
 pub mod leader;
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -4,8 +4,10 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold_platform::{document, head};
+use arbutusfold_platform::{document, head, link};
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body;
 use rand::RngExt;
@@ -15,11 +17,13 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
+use crate::gateway::held;
 use crate::gateway::metrics;
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::routing;
 use crate::gateway::stream;
+use crate::id;
 
 /// Time subtracted from a deadline for sending the response to the caller.
 const RESPONSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
@@ -278,73 +282,183 @@
     core.metrics.requests.get_or_create(&labels).inc();
 }
 
+/// A complete response of a plain service.
+struct PlainAnswer {
+    target: request::AttemptTarget,
+    parts: http::response::Parts,
+    bytes: Bytes,
+}
+
+/// Result of one attempt at a plain service.
+enum PlainEnd {
+    Answered(Box<PlainAnswer>),
+    /// The attempt failed.
+    Failed(request::AttemptReach, String),
+    /// The run is silent and may go on.
+    Silent(BoxFuture<'static, HeldEnd>, String),
+    /// Nothing was sent.
+    Unavailable(String),
+    /// The deadline of the request has passed.
+    TimedOut,
+}
+
+type HeldEnd = held::HeldEnd<Box<PlainAnswer>>;
+
 /// Gets the complete response of a plain service before any of it is sent to the
-/// caller, so that a failed attempt can be retried.
+/// caller, so that a failed attempt can be retried. A silent run is kept beside the
+/// next one; the first answer counts.
 async fn serve_plain(
     request: &mut request::CallerRequest,
 ) -> Result<response::GatewayResponse, response::GatewayRefusal> {
     let mut error_response: Option<response::GatewayResponse> = None;
+    let mut held = held::HeldRuns::default();
+    let mut failed: Option<(request::AttemptReach, String)> = None;
     loop {
         if request.time_left().is_zero() {
             return error_response.ok_or_else(|| request.timeout_refusal());
         }
-        let target = match request.acquire_target().await {
-            Ok(target) => target,
-            Err(error) => return error_response.ok_or_else(|| request.refusal(&error.to_string())),
+        let attempt = async {
+            if let Some((reach, cause)) = &failed
+                && !request.claim_retry(*reach).await
+            {
+                return PlainEnd::Unavailable(cause.clone());
+            }
+            try_plain(request).await
         };
-        let guard = request::LoadGuard::new(&request.core, &target);
-        let outcome = request.send(&target, None).await;
-        let (reach, cause) = match outcome {
-            request::AttemptOutcome::Head { response, link } => {
-                let (parts, body) = response.into_parts();
-                let read =
-                    arbutusfold_platform::link::read_body(body, request::RESPONSE_LIMIT_BYTES);
-                let read = time::timeout(request.time_left(), read).await;
-                drop(link);
-                match read {
-                    Ok(Ok(bytes)) if parts.status.is_server_error() => {
-                        if is_own_failure(&parts) {
-                            request.note_survived();
-                        }
-                        lock(&request.core.fleet).note_error(&target.runners[0]);
-                        request.exclude(&target.runners[0]);
-                        error_response = Some(relay(&parts, bytes));
-                        (
-                            request::AttemptReach::Ran,
-                            format!("status {}", parts.status.as_u16()),
-                        )
-                    }
-                    Ok(Ok(bytes)) => {
-                        if parts.status.is_success() {
-                            request.note_begun();
-                        }
-                        request.note_answered();
-                        lock(&request.core.fleet).note_success(&target.runners[0]);
-                        return Ok(relay(&parts, bytes));
-                    }
-                    Ok(Err(error)) => {
-                        let cause = error.to_string();
-                        request.fail_runner(&target.runners[0], &cause);
-                        request.check_crash(&target, 0, crash::CrashSign::Body, false);
-                        (request::AttemptReach::Ran, cause)
+        let end = match held.race(attempt).await {
+            held::RaceEnd::Attempt(end) => end,
+            held::RaceEnd::Held(answer) => regain(request, answer),
+        };
+        request.note_held_failures(&mut held);
+        let end = match end {
+            PlainEnd::Unavailable(_) if !held.is_empty() => {
+                match held.wait(request.time_left()).await {
+                    Some(answer) => regain(request, answer),
+                    None => {
+                        request.note_held_failures(&mut held);
+                        continue;
                     }
-                    Err(_) => {
-                        request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
-                        return Err(request.timeout_refusal());
+                }
+            }
+            end => end,
+        };
+        let (reach, cause) = match end {
+            PlainEnd::Answered(answer) => {
+                let PlainAnswer {
+                    target,
+                    parts,
+                    bytes,
+                } = *answer;
+                if !parts.status.is_server_error() {
+                    if parts.status.is_success() {
+                        request.note_begun();
                     }
+                    request.note_answered();
+                    lock(&request.core.fleet).note_success(&target.runners[0]);
+                    return Ok(relay(&parts, bytes));
+                }
+                if is_own_failure(&parts) {
+                    request.note_survived();
                 }
+                lock(&request.core.fleet).note_error(&target.runners[0]);
+                request.exclude(&target.runners[0]);
+                error_response = Some(relay(&parts, bytes));
+                let cause = format!("status {}", parts.status.as_u16());
+                (request::AttemptReach::Ran, cause)
             }
-            request::AttemptOutcome::Unanswered { reach, cause } => (reach, cause),
-            request::AttemptOutcome::TimedOut => {
-                request.fail_runner(&target.runners[0], "no answer in time");
+            PlainEnd::Failed(reach, cause) => (reach, cause),
+            PlainEnd::Silent(run, cause) => {
+                held.push(run);
+                (request::AttemptReach::Ran, cause)
+            }
+            PlainEnd::Unavailable(cause) => {
+                return error_response.ok_or_else(|| request.refusal(&cause));
+            }
+            PlainEnd::TimedOut => {
                 return error_response.ok_or_else(|| request.timeout_refusal());
             }
         };
-        drop(guard);
         let detail = format!("reach={reach:?} cause={cause} {}", request.describe());
         request.note(event::EventCode::AttemptFailed, detail);
-        if !request.claim_retry(reach).await {
-            return error_response.ok_or_else(|| request.refusal(&cause));
+        failed = Some((reach, cause));
+    }
+}
+
+/// Continues with a silent run that answered.
+fn regain(request: &mut request::CallerRequest, answer: Box<PlainAnswer>) -> PlainEnd {
+    request.note_regained(&answer.target);
+    PlainEnd::Answered(answer)
+}
+
+/// Sends the request to a plain service and reads the complete response.
+async fn try_plain(request: &mut request::CallerRequest) -> PlainEnd {
+    let target = match request.acquire_target().await {
+        Ok(target) => target,
+        Err(error) => return PlainEnd::Unavailable(error.to_string()),
+    };
+    let guard = request::LoadGuard::new(&request.core, &target);
+    let (response, link) = match request.send(&target, None).await {
+        request::AttemptOutcome::Head { response, link } => (response, link),
+        request::AttemptOutcome::Silent { answer, cause } => {
+            request.note_held(&target, &cause);
+            let id = request.head.request.clone();
+            let run = wait_answer(id, answer, guard, target);
+            return PlainEnd::Silent(run.boxed(), cause);
+        }
+        request::AttemptOutcome::Unanswered { reach, cause } => {
+            return PlainEnd::Failed(reach, cause);
+        }
+        request::AttemptOutcome::TimedOut => {
+            request.fail_runner(&target.runners[0], "no answer in time");
+            return PlainEnd::TimedOut;
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES);
+    let read = time::timeout(request.time_left(), read).await;
+    drop(link);
+    match read {
+        Ok(Ok(bytes)) => PlainEnd::Answered(Box::new(PlainAnswer {
+            target,
+            parts,
+            bytes,
+        })),
+        Ok(Err(error)) => {
+            let cause = error.to_string();
+            request.fail_runner(&target.runners[0], &cause);
+            request.check_crash(&target, 0, crash::CrashSign::Body, false);
+            PlainEnd::Failed(request::AttemptReach::Ran, cause)
+        }
+        Err(_) => {
+            request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
+            PlainEnd::TimedOut
+        }
+    }
+}
+
+/// Waits for the complete response of a silent run.
+async fn wait_answer(
+    id: id::RequestId,
+    answer: request::PendingAnswer,
+    _guard: request::LoadGuard,
+    target: request::AttemptTarget,
+) -> HeldEnd {
+    let (response, link) = match answer.wait_valid(&id).await {
+        Ok(answered) => answered,
+        Err(fault) => return Err(fault.at(target, false)),
+    };
+    let (parts, body) = response.into_parts();
+    let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES).await;
+    drop(link);
+    match read {
+        Ok(bytes) => Ok(Box::new(PlainAnswer {
+            target,
+            parts,
+            bytes,
+        })),
+        Err(error) => {
+            let sign = Some(crash::CrashSign::Body);
+            Err(held::RunFault::ran(error.to_string(), sign).at(target, false))
         }
     }
 }
--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -269,7 +269,6 @@
     fn check_unfinished(&mut self) {
         let unfinished = std::mem::take(&mut self.unfinished).into_iter();
         let suspicions: Vec<_> = unfinished
-            .enumerate()
             .map(|(stage, instance)| {
                 self.suspicion(instance, stage, crash::CrashSign::Unfinished, false)
             })
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -5,7 +5,7 @@
 
 use arbutusfold_platform::{document, head, link, runner};
 use bytes::Bytes;
-use futures_util::future;
+use futures_util::{FutureExt, future};
 use http_body_util::Full;
 use hyper::body;
 use rand::RngExt;
@@ -16,6 +16,7 @@
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::fleet;
+use crate::gateway::held;
 use crate::gateway::metrics;
 use crate::gateway::path;
 use crate::gateway::quarantine;
@@ -94,8 +95,9 @@
     pub latest_runners: String,
     /// Runs so far and the deaths of runners during them.
     pub trace: sync::Arc<crash::CrashTrace>,
-    /// Runners of the latest run, while nothing shows that it has ended.
-    pub unfinished: Vec<crash::RunnerInstance>,
+    /// Runners of the runs of which nothing shows that they have ended, each with its
+    /// index on the path.
+    pub unfinished: Vec<(usize, crash::RunnerInstance)>,
     /// Permit for the trial, if the request may only run as one.
     pub trial: Option<trial::TrialPermit>,
     /// Fingerprint, once it was needed.
@@ -197,6 +199,110 @@
     }
 }
 
+/// A request that was sent and whose response head has not arrived.
+#[derive(derive_more::Debug)]
+pub struct PendingAnswer {
+    #[debug(skip)]
+    answer: future::BoxFuture<
+        'static,
+        Result<(http::Response<body::Incoming>, link::HttpLink), link::LinkError>,
+    >,
+}
+
+impl PendingAnswer {
+    fn new(mut link: link::HttpLink, request: http::Request<Full<Bytes>>) -> Self {
+        let answer = async move {
+            let response = link.send(request).await?;
+            Ok((response, link))
+        };
+        Self {
+            answer: answer.boxed(),
+        }
+    }
+
+    /// Waits for the response head. May be cancelled and called again until it has
+    /// returned.
+    ///
+    /// # Errors
+    ///
+    /// [`link::LinkError::Lost`] if the connection breaks or the response is not valid.
+    pub async fn wait(
+        &mut self,
+    ) -> Result<(http::Response<body::Incoming>, link::HttpLink), link::LinkError> {
+        (&mut self.answer).await
+    }
+
+    /// Waits for the response head of the request with this id.
+    ///
+    /// # Errors
+    ///
+    /// The fault of the run if there is no valid answer, or the runner rejected the
+    /// request.
+    pub async fn wait_valid(
+        mut self,
+        request: &str,
+    ) -> Result<(http::Response<body::Incoming>, link::HttpLink), held::RunFault> {
+        let (response, link) = self.wait().await.map_err(|error| {
+            let sign = Some(crash::CrashSign::Connection);
+            held::RunFault::ran(error.to_string(), sign)
+        })?;
+        let verdict = HeadVerdict::of(request, &response);
+        let Some(fault) = verdict.fault() else {
+            return Ok((response, link));
+        };
+        Err(held::RunFault {
+            reach: match verdict {
+                HeadVerdict::NotRun => AttemptReach::NotRun,
+                _ => AttemptReach::Ran,
+            },
+            cause: fault.to_owned(),
+            sign: None,
+        })
+    }
+}
+
+/// What a response head says about the run of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadVerdict {
+    /// It belongs to the runner's answer.
+    Answer,
+    /// The runner did not run the request.
+    NotRun,
+    /// It answers another request.
+    Foreign,
+    /// It lacks the proof that the runner ran the request.
+    Unproved,
+}
+
+impl HeadVerdict {
+    /// Judges the response head of the request with this id.
+    pub fn of(request: &str, response: &http::Response<body::Incoming>) -> Self {
+        let (status, headers) = (response.status(), response.headers());
+        let is_valid = head::has_proof(headers) && !head::is_encoded(headers);
+        if head::is_for_other_request(headers, request) {
+            return Self::Foreign;
+        }
+        if head::is_not_run(status, headers) {
+            return Self::NotRun;
+        }
+        match status.is_success() && !is_valid {
+            true => Self::Unproved,
+            false => Self::Answer,
+        }
+    }
+
+    /// Returns the cause of a failure of the attempt, for the caller and the log, or
+    /// `None` if there is none.
+    pub fn fault(self) -> Option<&'static str> {
+        match self {
+            Self::Answer => None,
+            Self::NotRun => Some("rejected"),
+            Self::Foreign => Some("answer to another request"),
+            Self::Unproved => Some("answer without the runner's proof"),
+        }
+    }
+}
+
 /// Result of one attempt.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -207,6 +313,13 @@
         /// Connection that the body is read from.
         link: link::HttpLink,
     },
+    /// The runner is silent; its response may still come.
+    Silent {
+        /// The response.
+        answer: PendingAnswer,
+        /// Cause, for the log.
+        cause: String,
+    },
     /// There is no usable response.
     Unanswered {
         /// How far the request came.
@@ -294,11 +407,7 @@
         if self.is_held_back().await {
             return false;
         }
-        let allowed = match reach {
-            AttemptReach::Ran => self.is_repeatable() && self.executed < self.rule.max_attempts,
-            AttemptReach::NotSent | AttemptReach::NotRun => true,
-        };
-        let possible = allowed && self.attempts < ATTEMPT_LIMIT;
+        let possible = self.has_attempts(reach);
         if !possible || self.time_left() <= MIN_TIME_LEFT {
             self.count_refused_run(if possible { "time" } else { "attempts" });
             return false;
@@ -320,6 +429,16 @@
         granted
     }
 
+    /// Returns whether the route and the kind of the request leave it another attempt
+    /// after one that came as far as `reach`.
+    pub fn has_attempts(&self, reach: AttemptReach) -> bool {
+        let allowed = match reach {
+            AttemptReach::Ran => self.is_repeatable() && self.executed < self.rule.max_attempts,
+            AttemptReach::NotSent | AttemptReach::NotRun => true,
+        };
+        allowed && self.attempts < ATTEMPT_LIMIT
+    }
+
     /// Counts a run that was not started.
     pub(crate) fn count_refused_run(&self, cause: &'static str) {
         let labels = metrics::RunRefusalLabels { cause };
@@ -603,7 +722,7 @@
         self.attempts += 1;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let mut link = match link::HttpLink::open(target.address, connect).await {
+        let link = match link::HttpLink::open(target.address, connect).await {
             Ok(link) => link,
             Err(error) => {
                 let cause = error.to_string();
@@ -629,27 +748,24 @@
         let sent_at = time::Instant::now();
         self.begin_run(&target.runners);
         let stages = 0..target.runners.len();
-        self.unfinished = stages.filter_map(|stage| target.instance(stage)).collect();
+        let instances = stages.filter_map(|stage| Some((stage, target.instance(stage)?)));
+        self.unfinished.extend(instances);
         let timeout = self.head_timeout();
-        let answer = time::timeout(timeout, link.send(request)).await;
-        let response = match answer {
+        // Counted before the wait, in which this attempt may be dropped.
+        self.executed += 1;
+        let mut answer = PendingAnswer::new(link, request);
+        let (response, link) = match time::timeout(timeout, answer.wait()).await {
             Err(_) if !self.time_left().is_zero() => {
-                self.executed += 1;
                 let cause = format!("no answer in {} ms", timeout.as_millis());
                 self.exclude_unresponsive(target, &cause).await;
-                return AttemptOutcome::Unanswered {
-                    reach: AttemptReach::Ran,
-                    cause,
-                };
+                return AttemptOutcome::Silent { answer, cause };
             }
             Err(_) => {
-                self.executed += 1;
                 self.check_crash(target, 0, crash::CrashSign::Timeout, false);
                 return AttemptOutcome::TimedOut;
             }
             Ok(Err(error)) => {
-                self.executed += 1;
-                self.unfinished.clear();
+                self.end_run(target);
                 let cause = error.to_string();
                 self.fail_runner(&target.runners[0], &cause);
                 self.check_crash(target, 0, crash::CrashSign::Connection, false);
@@ -658,7 +774,7 @@
                     cause,
                 };
             }
-            Ok(Ok(response)) => response,
+            Ok(Ok(answered)) => answered,
         };
         self.check_response(target, response, link, sent_at)
     }
@@ -731,13 +847,13 @@
         sent_at: time::Instant,
     ) -> AttemptOutcome {
         let (status, headers) = (response.status(), response.headers());
-        if head::is_for_other_request(headers, &self.head.request) {
-            self.executed += 1;
-            let cause = "answer to another request".to_owned();
-            self.fail_runner(&target.runners[0], &cause);
+        let verdict = HeadVerdict::of(&self.head.request, &response);
+        let fault = verdict.fault().unwrap_or_default().to_owned();
+        if verdict == HeadVerdict::Foreign {
+            self.fail_runner(&target.runners[0], &fault);
             return AttemptOutcome::Unanswered {
                 reach: AttemptReach::Ran,
-                cause,
+                cause: fault,
             };
         }
         if let Some(instance) = target.instance(0) {
@@ -749,8 +865,9 @@
         if let Some(pause) = head::pause(status, headers) {
             self.note_pause(&target.runners[0], pause);
         }
-        if head::is_not_run(status, headers) {
+        if verdict == HeadVerdict::NotRun {
             let stage = target.stage_at(head::fault_address(headers)).unwrap_or(0);
+            self.executed -= 1;
             let cause = self.note_rejection(target, status, stage);
             if stage != 0 && sent_at.elapsed() >= LATE_REJECTION {
                 self.check_crash(target, stage, crash::CrashSign::Rejection, false);
@@ -760,14 +877,11 @@
                 cause,
             };
         }
-        self.executed += 1;
-        let is_valid = head::has_proof(headers) && !head::is_encoded(headers);
-        if status.is_success() && !is_valid {
-            let cause = "answer without the runner's proof".to_owned();
-            self.fail_runner(&target.runners[0], &cause);
+        if verdict == HeadVerdict::Unproved {
+            self.fail_runner(&target.runners[0], &fault);
             return AttemptOutcome::Unanswered {
                 reach: AttemptReach::Ran,
-                cause,
+                cause: fault,
             };
         }
         AttemptOutcome::Head { response, link }
@@ -803,7 +917,7 @@
     ) -> String {
         let id = target.runners[stage].clone();
         let cause = format!("status {} of {id}", status.as_u16());
-        self.unfinished.clear();
+        self.end_run(target);
         if let Some(permit) = &mut self.trial {
             permit.state = trial::PermitState::Rejected;
         }
@@ -841,6 +955,53 @@
         });
     }
 
+    /// Records that a run has ended.
+    fn end_run(&mut self, target: &AttemptTarget) {
+        self.unfinished
+            .retain(|(_, instance)| !target.runners.contains(&instance.crash.upstream));
+    }
+
+    /// Records the runs that ended without delivering while they were held.
+    pub fn note_held_failures<T>(&mut self, held: &mut held::HeldRuns<T>) {
+        for failure in held.take_failures() {
+            let target = &failure.target;
+            let first = &target.runners[0];
+            self.end_run(target);
+            let held::RunFault { reach, cause, sign } = &failure.fault;
+            match reach {
+                AttemptReach::NotSent | AttemptReach::NotRun => self.executed -= 1,
+                AttemptReach::Ran => self.fail_runner(first, cause),
+            }
+            if let Some(sign) = sign {
+                self.check_crash(target, 0, *sign, failure.progressed);
+            }
+            let detail = format!(
+                "reach={reach:?} cause={cause} held=true runners={} ms={}",
+                target.runners.join(">"),
+                self.started.elapsed().as_millis()
+            );
+            self.note(event::EventCode::AttemptFailed, detail);
+        }
+    }
+
+    /// Records that a silent run is kept while another one is sought.
+    pub fn note_held(&self, target: &AttemptTarget, cause: &str) {
+        let detail = format!("runners={} cause={cause}", target.runners.join(">"));
+        self.note(event::EventCode::RunHeld, detail);
+    }
+
+    /// Records that a silent run went on.
+    pub fn note_regained(&mut self, target: &AttemptTarget) {
+        self.latest_runners = target.runners.join(">");
+        let now = time::Instant::now();
+        let mut fleet = lock(&self.core.fleet);
+        for id in &target.runners {
+            fleet.note_progress(id, now);
+        }
+        drop(fleet);
+        self.note(event::EventCode::RunRegained, self.describe());
+    }
+
     /// Records that a runner failed the request and excludes it from further attempts.
     pub fn fail_runner(&mut self, id: &str, cause: &str) {
         let now = time::Instant::now();
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -5,6 +5,8 @@
 
 use arbutusfold_platform::{head, link, order};
 use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::body;
 use tokio::sync::mpsc;
@@ -15,10 +17,12 @@
 use crate::gateway::crash;
 use crate::gateway::event_stream;
 use crate::gateway::forward;
+use crate::gateway::held;
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::runner_call;
 use crate::gateway::stall;
+use crate::id;
 
 /// Time between two checks of a silent stream.
 const SILENCE_CHECK_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
@@ -29,6 +33,10 @@
 /// Timeout for such a report; a live runner sends it within a few milliseconds.
 const REPORT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
+/// Time from an attempt that could not start, while a silent run is held, to the
+/// next one. Room is found again as other requests end.
+const RESTART_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
+
 /// Most reroutes of one attempt.
 const REROUTE_LIMIT: u32 = 3;
 
@@ -54,6 +62,8 @@
 
 /// One attempt of a stream on a path of runners.
 struct StreamAttempt {
+    /// Head of the response.
+    parts: http::response::Parts,
     body: body::Incoming,
     _link: link::HttpLink,
     guard: request::LoadGuard,
@@ -69,6 +79,19 @@
     reroutes: u32,
 }
 
+/// Result of reading the next event of an attempt.
+enum StreamRead {
+    Event(event_stream::StreamEvent),
+    /// The stream is complete.
+    Ended,
+    /// The stream was cut off or is invalid.
+    Broken {
+        cause: String,
+        /// What suggests that the first runner died, if anything does.
+        sign: Option<crash::CrashSign>,
+    },
+}
+
 /// Result of waiting for the next event.
 enum StreamStep {
     Event(event_stream::StreamEvent),
@@ -83,11 +106,13 @@
     TimedOut,
 }
 
-/// A stream whose first event has arrived.
+/// A stream whose next event for the caller has arrived.
 struct StartedStream {
-    parts: http::response::Parts,
     attempt: StreamAttempt,
+    /// The event, or `None` if the stream is complete.
     first: Option<event_stream::StreamEvent>,
+    /// Position after the event.
+    cursor: event_stream::EventCursor,
 }
 
 /// Result of starting a stream.
@@ -97,11 +122,30 @@
     Response(response::GatewayResponse),
 }
 
+/// Result of one attempt to start a stream.
+enum AttemptEnd {
+    Started(Box<StartedStream>),
+    /// A complete response of a runner that is not a stream.
+    Response(http::response::Parts, Bytes),
+    /// The attempt failed.
+    Failed(request::AttemptReach, String),
+    /// The run is silent and may go on.
+    Silent(BoxFuture<'static, HeldEnd>, String),
+    /// Nothing was sent.
+    Unavailable(String),
+    /// The deadline of the request has passed.
+    TimedOut,
+}
+
+type HeldStreams = held::HeldRuns<Box<StartedStream>>;
+type HeldEnd = held::HeldEnd<Box<StartedStream>>;
+
 /// Serves a request of a streaming route.
 pub async fn serve(mut request: request::CallerRequest) -> response::GatewayResponse {
     let core = std::sync::Arc::clone(&request.core);
     let mut cursor = event_stream::EventCursor::after(request.head.resume_after);
-    let started = match start(&mut request, &mut cursor).await {
+    let held = HeldStreams::default();
+    let started = match start(&mut request, &mut cursor, held, None).await {
         Ok(StartOutcome::Started(started)) => started,
         Ok(StartOutcome::Response(response)) => {
             return forward::finish(&core, &request, Ok(response));
@@ -113,8 +157,9 @@
     let (sender, chunks) = mpsc::channel(EVENT_BUFFER);
     let body = response::ChannelBody::new(chunks);
     let mut response = http::Response::new(body.boxed_unsync());
-    *response.status_mut() = started.parts.status;
-    *response.headers_mut() = head::encode_answer(&started.parts.headers);
+    let parts = &started.attempt.parts;
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = head::encode_answer(&parts.headers);
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
     core.metrics.in_flight.inc();
     tokio::spawn(async move {
@@ -228,180 +273,347 @@
         mut attempt: StreamAttempt,
     ) -> Result<(StreamAttempt, Option<event_stream::StreamEvent>), String> {
         loop {
-            let cause = match attempt.step(&mut self.request).await {
+            let broken = match attempt.step(&mut self.request).await {
                 StreamStep::Event(event) => match self.cursor.accept(&event) {
                     event_stream::EventVerdict::Deliver => return Ok((attempt, Some(event))),
                     event_stream::EventVerdict::Duplicate => continue,
-                    event_stream::EventVerdict::Gap => "an event is missing".to_owned(),
+                    event_stream::EventVerdict::Gap => Some("an event is missing".to_owned()),
                 },
                 StreamStep::Ended => return Ok((attempt, None)),
                 StreamStep::TimedOut => return Err("deadline passed".to_owned()),
-                StreamStep::Broken(cause) => cause,
-                StreamStep::Stalled(silent) => attempt.abandon(&mut self.request, &silent),
+                StreamStep::Broken(cause) => Some(cause),
+                StreamStep::Stalled(silent) => {
+                    let cause = attempt.abandon(&mut self.request, &silent);
+                    self.request.note_held(&attempt.target, &cause);
+                    None
+                }
             };
-            let from = attempt.target.runners.join(">");
-            drop(attempt);
-            let detail = format!("reach=Ran cause={cause} {}", self.request.describe());
-            self.request.note(event::EventCode::AttemptFailed, detail);
-            if !self.request.claim_retry(request::AttemptReach::Ran).await {
-                return Err(cause);
+            let from = attempt.target.runners.clone();
+            let after = self.cursor.last().unwrap_or(0);
+            let mut held = HeldStreams::default();
+            match broken {
+                Some(cause) => {
+                    drop(attempt);
+                    let detail = format!("reach=Ran cause={cause} {}", self.request.describe());
+                    self.request.note(event::EventCode::AttemptFailed, detail);
+                }
+                None => held.push(attempt.wait_silent(self.cursor)),
             }
-            match start(&mut self.request, &mut self.cursor).await {
+            let failed = Some(request::AttemptReach::Ran);
+            let started = start(&mut self.request, &mut self.cursor, held, failed);
+            return match started.await {
                 Ok(StartOutcome::Started(started)) => {
-                    self.request.core.metrics.resumed.inc();
-                    let detail = format!(
-                        "from={from} to={} after={}",
-                        self.request.latest_runners,
-                        self.cursor.last().unwrap_or(0)
-                    );
-                    self.request.note(event::EventCode::StreamResumed, detail);
-                    return Ok((started.attempt, started.first));
+                    let to = &started.attempt.target.runners;
+                    if *to != from {
+                        self.request.core.metrics.resumed.inc();
+                        let (from, to) = (from.join(">"), to.join(">"));
+                        let detail = format!("from={from} to={to} after={after}");
+                        self.request.note(event::EventCode::StreamResumed, detail);
+                    }
+                    Ok((started.attempt, started.first))
                 }
                 Ok(StartOutcome::Response(response)) => {
-                    return Err(format!("status {} on resume", response.status().as_u16()));
+                    Err(format!("status {} on resume", response.status().as_u16()))
                 }
-                Err(refusal) => return Err(refusal.cause),
-            }
+                Err(refusal) => Err(refusal.cause),
+            };
         }
     }
 }
 
-/// Starts the stream on a path and waits for its first event.
+/// Starts the stream on a path, beside the silent runs in `held`, and waits for the
+/// next event of any of them. The first run that delivers it continues the stream;
+/// the others are dropped. `failed` tells how far an earlier attempt came, if there
+/// was one.
 async fn start(
     request: &mut request::CallerRequest,
     cursor: &mut event_stream::EventCursor,
+    mut held: HeldStreams,
+    mut failed: Option<request::AttemptReach>,
 ) -> Result<StartOutcome, response::GatewayRefusal> {
+    let mut response = None;
+    let mut cause = "the stream broke off".to_owned();
     loop {
         if request.time_left().is_zero() {
             return Err(request.timeout_refusal());
         }
-        let target = match request.acquire_target().await {
-            Ok(target) => target,
-            Err(error) => return Err(request.refusal(&error.to_string())),
+        let position = *cursor;
+        let attempt = async {
+            if let Some(reach) = failed
+                && !request.claim_retry(reach).await
+            {
+                return AttemptEnd::Unavailable(cause.clone());
+            }
+            try_start(request, position).await
         };
-        let guard = request::LoadGuard::new(&request.core, &target);
-        let (reach, cause) = match request.send(&target, cursor.last()).await {
-            request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
-                let (parts, body) = response.into_parts();
-                let mut attempt = StreamAttempt {
-                    body,
-                    _link: link,
-                    guard,
-                    target,
-                    splitter: event_stream::EventSplitter::default(),
-                    last_event: time::Instant::now(),
-                    has_events: false,
-                    report_requested: None,
-                    reroutes: 0,
-                };
-                match attempt.first_event(request, cursor).await {
-                    Ok(first) => {
-                        return Ok(StartOutcome::Started(Box::new(StartedStream {
-                            parts,
-                            attempt,
-                            first,
-                        })));
-                    }
-                    Err(Some(cause)) => (request::AttemptReach::Ran, cause),
-                    Err(None) => return Err(request.timeout_refusal()),
-                }
+        let end = match held.race(attempt).await {
+            held::RaceEnd::Held(started) => {
+                return Ok(regain(request, cursor, started));
+            }
+            held::RaceEnd::Attempt(end) => end,
+        };
+        request.note_held_failures(&mut held);
+        let (reach, attempt_cause) = match end {
+            AttemptEnd::Started(started) => {
+                *cursor = started.cursor;
+                return Ok(StartOutcome::Started(started));
             }
-            request::AttemptOutcome::Head { response, link } => {
-                let (parts, body) = response.into_parts();
-                let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES);
-                let read = time::timeout(request.time_left(), read).await;
-                drop(link);
-                lock(&request.core.fleet).note_error(&target.runners[0]);
-                request.exclude(&target.runners[0]);
+            AttemptEnd::Response(parts, bytes) => {
                 let cause = format!("status {}", parts.status.as_u16());
-                if !parts.status.is_server_error() && matches!(read, Ok(Ok(_))) {
-                    request.note_answered();
+                let is_final = !parts.status.is_server_error();
+                response = Some(forward::relay(&parts, bytes));
+                if is_final {
+                    return response
+                        .map(StartOutcome::Response)
+                        .ok_or_else(|| request.refusal(&cause));
                 }
-                if !parts.status.is_server_error()
-                    || !request.claim_retry(request::AttemptReach::Ran).await
-                {
-                    return match read {
-                        Ok(Ok(bytes)) => Ok(StartOutcome::Response(forward::relay(&parts, bytes))),
-                        _ => Err(request.refusal(&cause)),
-                    };
+                (request::AttemptReach::Ran, cause)
+            }
+            AttemptEnd::Failed(reach, cause) => (reach, cause),
+            AttemptEnd::Silent(run, cause) => {
+                held.push(run);
+                (request::AttemptReach::Ran, cause)
+            }
+            AttemptEnd::TimedOut => return Err(request.timeout_refusal()),
+            AttemptEnd::Unavailable(cause) if held.is_empty() => {
+                return response
+                    .map(StartOutcome::Response)
+                    .ok_or_else(|| request.refusal(&cause));
+            }
+            AttemptEnd::Unavailable(_) => {
+                let reach = failed.unwrap_or(request::AttemptReach::Ran);
+                let left = request.time_left();
+                let limit = match request.has_attempts(reach) {
+                    true => left.min(RESTART_PAUSE),
+                    false => left,
+                };
+                if let Some(started) = held.wait(limit).await {
+                    return Ok(regain(request, cursor, started));
                 }
-                request.note(event::EventCode::AttemptFailed, cause);
+                request.note_held_failures(&mut held);
                 continue;
             }
-            request::AttemptOutcome::Unanswered { reach, cause } => (reach, cause),
-            request::AttemptOutcome::TimedOut => return Err(request.timeout_refusal()),
         };
-        let detail = format!("reach={reach:?} cause={cause} {}", request.describe());
+        let detail = format!(
+            "reach={reach:?} cause={attempt_cause} {}",
+            request.describe()
+        );
         request.note(event::EventCode::AttemptFailed, detail);
-        if !request.claim_retry(reach).await {
-            return Err(request.refusal(&cause));
+        failed = Some(reach);
+        cause = attempt_cause;
+    }
+}
+
+/// Continues with a silent run that went on.
+fn regain(
+    request: &mut request::CallerRequest,
+    cursor: &mut event_stream::EventCursor,
+    mut started: Box<StartedStream>,
+) -> StartOutcome {
+    *cursor = started.cursor;
+    request.note_regained(&started.attempt.target);
+    match started.first {
+        Some(_) => {
+            request.note_begun();
+            started.attempt.note_event(request);
         }
+        None => started.attempt.note_end(request),
     }
+    StartOutcome::Started(started)
+}
+
+/// Starts the stream on a path and waits for its first event after `cursor`.
+async fn try_start(
+    request: &mut request::CallerRequest,
+    cursor: event_stream::EventCursor,
+) -> AttemptEnd {
+    let target = match request.acquire_target().await {
+        Ok(target) => target,
+        Err(error) => return AttemptEnd::Unavailable(error.to_string()),
+    };
+    let guard = request::LoadGuard::new(&request.core, &target);
+    match request.send(&target, cursor.last()).await {
+        request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
+            let attempt = StreamAttempt::new(response, link, guard, target);
+            attempt.first_event(request, cursor).await
+        }
+        request::AttemptOutcome::Head { response, link } => {
+            let (parts, body) = response.into_parts();
+            let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES);
+            let read = time::timeout(request.time_left(), read).await;
+            drop(link);
+            lock(&request.core.fleet).note_error(&target.runners[0]);
+            request.exclude(&target.runners[0]);
+            match read {
+                Ok(Ok(bytes)) => {
+                    if !parts.status.is_server_error() {
+                        request.note_answered();
+                    }
+                    AttemptEnd::Response(parts, bytes)
+                }
+                _ => {
+                    let cause = format!("status {}", parts.status.as_u16());
+                    AttemptEnd::Failed(request::AttemptReach::Ran, cause)
+                }
+            }
+        }
+        request::AttemptOutcome::Silent { answer, cause } => {
+            request.note_held(&target, &cause);
+            let id = request.head.request.clone();
+            let run = wait_head(id, answer, guard, target, cursor);
+            AttemptEnd::Silent(run.boxed(), cause)
+        }
+        request::AttemptOutcome::Unanswered { reach, cause } => AttemptEnd::Failed(reach, cause),
+        request::AttemptOutcome::TimedOut => AttemptEnd::TimedOut,
+    }
+}
+
+/// Waits for the response head of a silent run, then for its first event after
+/// `cursor`.
+async fn wait_head(
+    id: id::RequestId,
+    answer: request::PendingAnswer,
+    guard: request::LoadGuard,
+    target: request::AttemptTarget,
+    cursor: event_stream::EventCursor,
+) -> HeldEnd {
+    let (response, link) = match answer.wait_valid(&id).await {
+        Ok(answered) => answered,
+        Err(fault) => return Err(fault.at(target, false)),
+    };
+    if !response.status().is_success() {
+        let cause = format!("status {}", response.status().as_u16());
+        return Err(held::RunFault::ran(cause, None).at(target, false));
+    }
+    let attempt = StreamAttempt::new(response, link, guard, target);
+    attempt.wait_silent(cursor).await
 }
 
 impl StreamAttempt {
-    /// Waits for the first event that the caller does not have yet.
-    ///
-    /// The error is the cause of a failure, or `None` if the deadline has passed.
+    fn new(
+        response: http::Response<body::Incoming>,
+        link: link::HttpLink,
+        guard: request::LoadGuard,
+        target: request::AttemptTarget,
+    ) -> Self {
+        let (parts, body) = response.into_parts();
+        Self {
+            parts,
+            body,
+            _link: link,
+            guard,
+            target,
+            splitter: event_stream::EventSplitter::default(),
+            last_event: time::Instant::now(),
+            has_events: false,
+            report_requested: None,
+            reroutes: 0,
+        }
+    }
+
+    /// Waits for the first event after `cursor`.
     async fn first_event(
-        &mut self,
+        mut self,
         request: &mut request::CallerRequest,
-        cursor: &mut event_stream::EventCursor,
-    ) -> Result<Option<event_stream::StreamEvent>, Option<String>> {
+        mut cursor: event_stream::EventCursor,
+    ) -> AttemptEnd {
+        let ran = request::AttemptReach::Ran;
         loop {
-            match self.step(request).await {
+            let first = match self.step(request).await {
                 StreamStep::Event(event) => match cursor.accept(&event) {
-                    event_stream::EventVerdict::Deliver => return Ok(Some(event)),
-                    event_stream::EventVerdict::Duplicate => {}
+                    event_stream::EventVerdict::Deliver => Some(event),
+                    event_stream::EventVerdict::Duplicate => continue,
                     event_stream::EventVerdict::Gap => {
-                        return Err(Some("an event is missing".to_owned()));
+                        return AttemptEnd::Failed(ran, "an event is missing".to_owned());
                     }
                 },
-                StreamStep::Ended => return Ok(None),
-                StreamStep::Broken(cause) => return Err(Some(cause)),
-                StreamStep::Stalled(silent) => return Err(Some(self.abandon(request, &silent))),
-                StreamStep::TimedOut => return Err(None),
-            }
+                StreamStep::Ended => None,
+                StreamStep::Broken(cause) => return AttemptEnd::Failed(ran, cause),
+                StreamStep::Stalled(silent) => {
+                    let cause = self.abandon(request, &silent);
+                    request.note_held(&self.target, &cause);
+                    return AttemptEnd::Silent(self.wait_silent(cursor).boxed(), cause);
+                }
+                StreamStep::TimedOut => return AttemptEnd::TimedOut,
+            };
+            return AttemptEnd::Started(Box::new(StartedStream {
+                attempt: self,
+                first,
+                cursor,
+            }));
         }
     }
 
-    /// Waits for the next event; reroutes the stream if it stalls.
-    async fn step(&mut self, request: &mut request::CallerRequest) -> StreamStep {
+    /// Waits without a time limit for the next event after `cursor`.
+    async fn wait_silent(mut self, mut cursor: event_stream::EventCursor) -> HeldEnd {
+        let (cause, sign) = loop {
+            let first = match self.read().await {
+                StreamRead::Event(event) => match cursor.accept(&event) {
+                    event_stream::EventVerdict::Deliver => Some(event),
+                    event_stream::EventVerdict::Duplicate => continue,
+                    event_stream::EventVerdict::Gap => {
+                        break ("an event is missing".to_owned(), None);
+                    }
+                },
+                StreamRead::Ended => None,
+                StreamRead::Broken { cause, sign } => break (cause, sign),
+            };
+            return Ok(Box::new(StartedStream {
+                attempt: self,
+                first,
+                cursor,
+            }));
+        };
+        Err(held::RunFault::ran(cause, sign).at(self.target, self.has_events))
+    }
+
+    /// Reads the next event. May be cancelled.
+    async fn read(&mut self) -> StreamRead {
+        let broken = |cause, sign| StreamRead::Broken { cause, sign };
         loop {
             if let Some(event) = self.splitter.next_event() {
-                request.note_begun();
-                self.note_event(request);
-                return StreamStep::Event(event);
+                return StreamRead::Event(event);
             }
             if self.splitter.is_over_limit() {
-                request.fail_runner(&self.target.runners[0], "an event is too long");
-                return StreamStep::Broken("an event is too long".to_owned());
+                return broken("an event is too long".to_owned(), None);
             }
-            match time::timeout(SILENCE_CHECK_PERIOD, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
                     }
                 }
-                Ok(Some(Err(error))) => {
+                Some(Err(error)) => {
                     let cause = format!("the runner broke off: {error}");
-                    request.fail_runner(&self.target.runners[0], &cause);
-                    request.check_crash(&self.target, 0, crash::CrashSign::Body, self.has_events);
-                    return StreamStep::Broken(cause);
+                    return broken(cause, Some(crash::CrashSign::Body));
                 }
-                Ok(None) if self.splitter.is_partial() => {
+                None if self.splitter.is_partial() => {
                     let cause = "the runner ended in the middle of an event".to_owned();
+                    return broken(cause, Some(crash::CrashSign::Body));
+                }
+                None => return StreamRead::Ended,
+            }
+        }
+    }
+
+    /// Waits for the next event; reroutes the stream if it stalls.
+    async fn step(&mut self, request: &mut request::CallerRequest) -> StreamStep {
+        loop {
+            match time::timeout(SILENCE_CHECK_PERIOD, self.read()).await {
+                Ok(StreamRead::Event(event)) => {
+                    request.note_begun();
+                    self.note_event(request);
+                    return StreamStep::Event(event);
+                }
+                Ok(StreamRead::Broken { cause, sign }) => {
                     request.fail_runner(&self.target.runners[0], &cause);
-                    request.check_crash(&self.target, 0, crash::CrashSign::Body, self.has_events);
+                    if let Some(sign) = sign {
+                        request.check_crash(&self.target, 0, sign, self.has_events);
+                    }
                     return StreamStep::Broken(cause);
                 }
-                Ok(None) => {
-                    request.note_answered();
-                    let mut fleet = lock(&request.core.fleet);
-                    self.target
-                        .runners
-                        .iter()
-                        .for_each(|id| fleet.note_success(id));
+                Ok(StreamRead::Ended) => {
+                    self.note_end(request);
                     return StreamStep::Ended;
                 }
                 Err(_) => {
@@ -423,6 +635,15 @@
         }
     }
 
+    fn note_end(&self, request: &mut request::CallerRequest) {
+        request.note_answered();
+        let mut fleet = lock(&request.core.fleet);
+        self.target
+            .runners
+            .iter()
+            .for_each(|id| fleet.note_success(id));
+    }
+
     fn note_event(&mut self, request: &request::CallerRequest) {
         let now = time::Instant::now();
         self.last_event = now;
