Count the failures of one moment at a runner once

Callers saw refusals for seconds after a sound runner had been silent for one: each of its streams noted a failure, the time for which the runner is avoided doubled with each, and a pause of a second kept requests away for 8 s.

Cause: failures were counted by request although requests that are under way together fail together. Class: a silence taken for more than it shows.

Now further failures within the avoidance do not count. A runner that failed gets one request at a time until one succeeds, and a silent run that goes on ends the avoidance.

Evidence: failures_of_one_moment_count_once (20 failures, one avoidance; the time doubled with each before). The check of the doubling now lets the first avoidance end before the second failure, as failures within it belong to the first.

--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -107,8 +107,10 @@
     pub failure_rate: f64,
     /// When the latest event of any stream through it arrived.
     last_progress: Option<time::Instant>,
-    /// Consecutive failures.
+    /// Consecutive failures; those of one moment count once.
     failures: u32,
+    /// Until when further failures belong to the latest one that counts.
+    failing_until: Option<time::Instant>,
     avoided_until: Option<time::Instant>,
     /// Until when no process is assumed to listen at its address.
     unreachable_until: Option<time::Instant>,
@@ -162,9 +164,17 @@
         self.record.leaving || self.answered_leaving
     }
 
-    /// Returns whether requests go to it only if no other runner is left.
+    /// Returns whether requests go to it only if no other runner is left. After a
+    /// failure it gets one request at a time until one succeeds.
     pub fn is_avoided(&self, now: time::Instant) -> bool {
-        self.avoided_until.is_some_and(|until| now < until)
+        let is_tried = self.failures > 0 && self.in_flight > 0;
+        is_tried || self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    fn end_failures(&mut self) {
+        self.failures = 0;
+        self.failing_until = None;
+        self.avoided_until = None;
     }
 
     /// Returns the layers that it holds, as far as known.
@@ -293,21 +303,35 @@
     /// Records a successful answer of a runner.
     pub fn note_success(&mut self, id: &str) {
         if let Some(state) = self.find_mut(id) {
-            state.failures = 0;
             state.failure_rate *= 1.0 - FAILURE_WEIGHT;
-            state.avoided_until = None;
+            state.end_failures();
         }
     }
 
-    /// Records a failure and returns the time for which the runner is avoided.
+    /// Records that a silent run went on through a runner.
+    pub fn note_regained(&mut self, id: &str, now: time::Instant) {
+        if let Some(state) = self.find_mut(id) {
+            state.last_progress = Some(now);
+            state.end_failures();
+        }
+    }
+
+    /// Records a failure and returns the time for which the runner is avoided, or
+    /// `None` if it is avoided already.
     ///
-    /// The time doubles with each consecutive failure, up to a limit.
+    /// Requests that are under way together fail together, so a failure within the
+    /// time of the one before does not count. The time doubles with each consecutive
+    /// failure that counts, up to a limit.
     pub fn note_failure(&mut self, id: &str, now: time::Instant) -> Option<std_time::Duration> {
         let state = self.find_mut(id)?;
+        if state.failing_until.is_some_and(|until| now < until) {
+            return None;
+        }
         state.failure_rate += FAILURE_WEIGHT * (1.0 - state.failure_rate);
         let avoidance = (AVOID_START * (1 << state.failures.min(8))).min(AVOID_LIMIT);
         state.failures += 1;
-        state.avoided_until = Some(now + avoidance);
+        state.failing_until = Some(now + avoidance);
+        state.avoided_until = state.avoided_until.max(state.failing_until);
         Some(avoidance)
     }
 
@@ -436,9 +460,8 @@
                 let left = record.leaving && !state.is_leaving();
                 let changed = state.is_changed(&record);
                 if state.record.started_ms != record.started_ms {
-                    state.failures = 0;
                     state.failure_rate = 0.0;
-                    state.avoided_until = None;
+                    state.end_failures();
                     state.unreachable_until = None;
                     state.checked_at = None;
                     state.last_progress = None;
@@ -469,6 +492,7 @@
                     failure_rate: 0.0,
                     last_progress: None,
                     failures: 0,
+                    failing_until: None,
                     avoided_until: None,
                     unreachable_until: None,
                     checked_at: None,
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -996,7 +996,7 @@
         let now = time::Instant::now();
         let mut fleet = lock(&self.core.fleet);
         for id in &target.runners {
-            fleet.note_progress(id, now);
+            fleet.note_regained(id, now);
         }
         drop(fleet);
         self.note(event::EventCode::RunRegained, self.describe());
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -172,6 +172,7 @@
     let now = time::Instant::now();
     let mut fleet = one_runner();
     let first = fleet.note_failure("i-1", now).unwrap();
+    let now = now + first;
     let second = fleet.note_failure("i-1", now).unwrap();
     assert!(second > first);
     assert!(fleet.get("i-1").unwrap().is_avoided(now));
@@ -180,6 +181,32 @@
     assert_eq!(fleet.note_failure("i-1", now), Some(first));
 }
 
+/// A runner that pauses fails all requests that are under way there together. It must
+/// not be avoided for longer the more of them there are.
+#[tokio::test(start_paused = true)]
+async fn failures_of_one_moment_count_once() {
+    let now = time::Instant::now();
+    let mut fleet = one_runner();
+    let avoidance = fleet.note_failure("i-1", now).unwrap();
+    for _ in 0..20 {
+        assert_eq!(fleet.note_failure("i-1", now), None);
+    }
+    assert!(!fleet.get("i-1").unwrap().is_avoided(now + avoidance));
+}
+
+/// After a failure a runner gets one request, and the next ones only once that one
+/// shows that it works.
+#[tokio::test(start_paused = true)]
+async fn runner_that_failed_is_tried_with_one_request() {
+    let now = time::Instant::now();
+    let mut fleet = one_runner();
+    let later = now + fleet.note_failure("i-1", now).unwrap();
+    fleet.begin("i-1", 100);
+    assert!(fleet.get("i-1").unwrap().is_avoided(later));
+    fleet.note_regained("i-1", later);
+    assert!(!fleet.get("i-1").unwrap().is_avoided(later));
+}
+
 #[tokio::test(start_paused = true)]
 async fn load_is_counted_while_requests_are_under_way() {
     let mut fleet = one_runner();
