--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -67,6 +67,7 @@
         folder: &path::Path,
         subnet: u8,
         size: plan::SoakSize,
+        retries: process::RetryLimit,
     ) -> anyhow::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let ip = |node: usize| net::Ipv4Addr::new(127, 90, subnet, node as u8 + 1);
@@ -106,6 +107,7 @@
                 ip: ip(node),
                 store: proxy.address(),
                 seeds: seeds.clone(),
+                retries,
             };
             let process = process::GatewayProcess::start(program, &spec, folder)?;
             nodes.push(GatewayNode {
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -23,6 +23,24 @@
 const PEERS_PORT: u16 = 8_004;
 const METRICS_PORT: u16 = 8_005;
 
+/// Limit on the retries of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryLimit {
+    /// Retries per request.
+    pub share: f64,
+    /// Retries beyond that share.
+    pub extra: f64,
+}
+
+impl Default for RetryLimit {
+    fn default() -> Self {
+        Self {
+            share: 0.2,
+            extra: 200.0,
+        }
+    }
+}
+
 /// Name and addresses of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySpec {
@@ -36,6 +54,8 @@
     pub store: net::SocketAddr,
     /// Loopback addresses of the gateways that it contacts to join the fleet.
     pub seeds: Vec<net::Ipv4Addr>,
+    /// Limit on retries.
+    pub retries: RetryLimit,
 }
 
 impl GatewaySpec {
@@ -62,11 +82,13 @@
             "directory": "{ip}:{DIRECTORY_PORT}", "peers": "{ip}:{PEERS_PORT}",
             "metrics": "{ip}:{METRICS_PORT}", "seeds": [{}], "store": "{}",
             "peer_keys": ["{PEER_KEY}"], "stop_limit_s": {STOP_LIMIT_SECONDS},
-            "retry_share": 0.2, "retry_extra": 200}}"#,
+            "retry_share": {}, "retry_extra": {}}}"#,
             self.name,
             self.domain,
             seeds.join(", "),
-            self.store
+            self.store,
+            self.retries.share,
+            self.retries.extra
         )
     }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -73,7 +73,9 @@
 ) -> anyhow::Result<SeedReport> {
     let folder = folder.join(format!("seed-{seed}"));
     let subnet = (seed % 250) as u8;
-    let deployment = deployment::SoakDeployment::start(program, &folder, subnet, size).await?;
+    let retries = process::RetryLimit::default();
+    let deployment =
+        deployment::SoakDeployment::start(program, &folder, subnet, size, retries).await?;
     deployment.wait_ready().await?;
     let world = sync::Arc::new(SoakWorld {
         deployment,
--- a/soak/tests/fleet_fixture/mod.rs
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -5,7 +5,7 @@
 use std::path;
 use std::sync;
 
-use arbutusfold_soak::{deployment, plan};
+use arbutusfold_soak::{deployment, plan, process};
 
 fn build_folder() -> path::PathBuf {
     let test = std::env::current_exe().unwrap();
@@ -17,12 +17,22 @@
     name: &str,
     subnet: u8,
     size: plan::SoakSize,
+) -> sync::Arc<deployment::SoakDeployment> {
+    start_with(name, subnet, size, process::RetryLimit::default()).await
+}
+
+/// Starts a deployment whose gateways have this limit on retries.
+pub async fn start_with(
+    name: &str,
+    subnet: u8,
+    size: plan::SoakSize,
+    retries: process::RetryLimit,
 ) -> sync::Arc<deployment::SoakDeployment> {
     let folder = build_folder().join("fleet-tests").join(name);
     // A folder of an earlier run holds logs that would be taken for new ones.
     let _ = std::fs::remove_dir_all(&folder);
     let program = build_folder().join("arbutusfold");
-    let deployment = deployment::SoakDeployment::start(&program, &folder, subnet, size)
+    let deployment = deployment::SoakDeployment::start(&program, &folder, subnet, size, retries)
         .await
         .unwrap();
     deployment.wait_ready().await.unwrap();
--- a/soak/tests/fleet_limit.rs
+++ b/soak/tests/fleet_limit.rs
@@ -87,24 +87,10 @@
     calls.join_all().await
 }
 
-/// Starts a deployment and waits until each node serves both kinds of requests. The
-/// nodes learn a moment after the runners which layers these hold.
+/// Starts a deployment and waits until each node serves both kinds of requests.
 async fn start_serving(name: &str, subnet: u8) -> sync::Arc<deployment::SoakDeployment> {
     let deployment = fleet_fixture::start(name, subnet, SIZE).await;
-    let end = tokio::time::Instant::now() + time::Duration::from_secs(10);
-    for (node, spec) in deployment.nodes.iter().map(|node| &node.spec).enumerate() {
-        for kind in [CallKind::Get, CallKind::Stream] {
-            loop {
-                let request = format!("start-{kind:?}-{node}");
-                let record = caller::call(spec.callers(), request, kind, deployment::KEY).await;
-                if record.outcome == caller::CallOutcome::Served {
-                    break;
-                }
-                assert!(tokio::time::Instant::now() < end, "{:?}", record.outcome);
-                tokio::time::sleep(time::Duration::from_millis(50)).await;
-            }
-        }
-    }
+    deployment.wait_serving().await.unwrap();
     deployment
 }
 
