Test that a changed document leaves no request without an answer

Callers on kept and new connections send plain requests and streams while documents that move, split, shorten and limit follow each other. A stream and a slow upload outlive the route, key, timeout and limits that they began with.

--- /dev/null
+++ b/soak/tests/fleet_answers.rs
@@ -0,0 +1,393 @@
+//! Each whole request gets a complete answer or a refusal, whatever changes on the
+//! node meanwhile.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "fleet_fixture/channel.rs"]
+mod channel;
+mod fleet_fixture;
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use arbutusfold_platform_standin::{caller, operator, runner};
+use arbutusfold_soak::{deployment, plan};
+use channel::{ChannelAnswer, KeptChannel};
+use serde_json::{Value, json};
+
+const SIZE: plan::SoakSize = plan::SoakSize {
+    nodes: 2,
+    runners: 10,
+    plain_runners: 2,
+    fault_window: time::Duration::ZERO,
+    faults: 0,
+    proxied: false,
+};
+
+/// Time within which a document is in force at every node.
+const APPLY_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Longest wait for the answer to a request; its `Deadline-Ms` header says so.
+const DEADLINE: time::Duration = time::Duration::from_secs(6);
+
+/// Name of a second plain service.
+const SPARE: &str = "spare";
+
+/// Key of a second organisation.
+const OTHER_KEY: &str = "other-key";
+
+/// Number of requests so far, which makes their ids unique.
+static REQUEST_COUNT: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
+/// Returns the head of a request with a body of `length` bytes and an answer of
+/// `tokens` tokens.
+fn head(method: &str, path: &str, key: &str, length: usize, tokens: u32) -> String {
+    let count = REQUEST_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {}\r\nRequest-Id: answers-{count}\r\n\
+         Token-Count: 100,{tokens}\r\nDeadline-Ms: {}\r\nAuthorization: Bearer {key}\r\n\
+         Content-Length: {length}\r\n\r\n",
+        operator::HOST,
+        DEADLINE.as_millis()
+    )
+}
+
+/// Returns the body of a stream with an event for each three tokens.
+fn stream_body(tokens: u32) -> String {
+    let events = 1..=tokens / 3;
+    let event = |event| format!("id: {event}\ndata: /model/write {event}\n\n");
+    events.map(event).collect()
+}
+
+async fn in_time<T>(work: impl Future<Output = std::io::Result<T>>) -> std::io::Result<T> {
+    tokio::time::timeout(DEADLINE, work).await?
+}
+
+/// The operator, who writes documents that differ from the usual one.
+struct TestOperator {
+    deployment: sync::Arc<deployment::SoakDeployment>,
+    version: u64,
+}
+
+impl TestOperator {
+    /// Starts a deployment with a second plain service that serves both kinds of
+    /// requests at each node.
+    async fn start(name: &str, subnet: u8) -> Self {
+        let deployment = fleet_fixture::start(name, subnet, SIZE).await;
+        let spec = runner::RunnerSpec {
+            id: "i-spare".to_owned(),
+            service: SPARE.to_owned(),
+            domain: "a".to_owned(),
+            card: None,
+        };
+        let address = std::net::SocketAddr::from(([127, 90, subnet, 201], 0));
+        deployment.fleet.start(spec, address, None).await.unwrap();
+        let mut operator = Self {
+            deployment,
+            version: 100,
+        };
+        operator.put(|_| ()).await;
+        operator.wait_serving().await;
+        operator
+    }
+
+    /// Writes the usual document with two organisations and the second plain
+    /// service, changed by `change`, and a route that only this version has.
+    async fn put(&mut self, change: impl FnOnce(&mut Value)) {
+        self.version += 1;
+        let mut document = operator::usual_document(&operator::DocumentSpec {
+            version: 1,
+            layers: 80,
+            organisation: deployment::ORGANISATION,
+            key: deployment::KEY,
+        });
+        document["version"] = json!(self.version);
+        document["services"]
+            .as_array_mut()
+            .unwrap()
+            .push(json!({ "name": SPARE, "maxConns": 100 }));
+        document["tenants"]
+            .as_array_mut()
+            .unwrap()
+            .push(json!({ "name": "guest", "apiKeys": [OTHER_KEY], "priority": 1 }));
+        change(&mut document);
+        let marker = json!({ "name": "marker", "hostname": operator::HOST,
+            "prefix": self.marker(), "type": "idempotent", "timeoutMs": 6_000, "goalMs": 500,
+            "service": "plain" });
+        document["routes"].as_array_mut().unwrap().push(marker);
+        operator::put_value(&self.deployment.store, &document);
+    }
+
+    fn marker(&self) -> String {
+        format!("/marker{}/", self.version)
+    }
+
+    /// Waits until the latest document is in force at each node.
+    async fn wait_applied(&self) {
+        let end = tokio::time::Instant::now() + APPLY_LIMIT;
+        for node in &self.deployment.nodes {
+            loop {
+                let request = format!("marker-{}", REQUEST_COUNT.load(atomic::Ordering::Relaxed));
+                let address = node.spec.callers();
+                let path = self.marker();
+                let found = caller::has_route(address, &path, &request, deployment::KEY).await;
+                if found == Some(true) {
+                    break;
+                }
+                assert!(tokio::time::Instant::now() < end, "{path}: {found:?}");
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Waits until each node serves streams and plain requests.
+    async fn wait_serving(&self) {
+        let end = tokio::time::Instant::now() + time::Duration::from_secs(10);
+        for node in &self.deployment.nodes {
+            for kind in [caller::CallKind::Get, caller::CallKind::Stream] {
+                loop {
+                    let count = REQUEST_COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+                    let request = format!("start-{count}");
+                    let address = node.spec.callers();
+                    let record = caller::call(address, request, kind, deployment::KEY).await;
+                    if record.outcome == caller::CallOutcome::Served {
+                        break;
+                    }
+                    assert!(tokio::time::Instant::now() < end, "{:?}", record.outcome);
+                    tokio::time::sleep(time::Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Changes a field of the routes with this prefix.
+fn set_route(document: &mut Value, prefix: &str, field: &str, value: Value) {
+    let routes = document["routes"].as_array_mut().unwrap();
+    for route in routes.iter_mut().filter(|route| route["prefix"] == prefix) {
+        route[field] = value.clone();
+    }
+}
+
+/// Applies the change of this number to a document: services, weights, timeouts,
+/// keys and limits, in turn.
+fn change_document(document: &mut Value, number: usize) {
+    let split = |plain: u32, spare: u32| {
+        json!([{ "service": "plain", "weight": plain }, { "service": SPARE, "weight": spare }])
+    };
+    for prefix in ["/get/", "/post/"] {
+        match number % 8 {
+            0 => set_route(document, prefix, "service", json!(SPARE)),
+            1 => set_route(document, prefix, "trafficSplit", split(1, 1)),
+            2 => set_route(document, prefix, "trafficSplit", split(9, 1)),
+            3 => set_route(document, prefix, "timeoutMs", json!(2_000)),
+            _ => {}
+        }
+    }
+    match number % 8 {
+        3 => set_route(document, "/model/", "timeoutMs", json!(2_000)),
+        4 => document["tenants"][1]["apiKeys"] = json!([]),
+        5 => {
+            document["limits"] = json!({ "maxBodyBytes": 65_536, "maxHeaderBytes": 4_096,
+                "headerTimeoutMs": 1_000, "idleTimeoutMs": 1_000 });
+        }
+        6 => {
+            let services = document["services"].as_array_mut().unwrap();
+            services.retain(|service| service["name"] != SPARE);
+        }
+        _ => {}
+    }
+}
+
+/// Sends requests of each kind on one kept connection until `end` and returns what
+/// is wrong with an answer, and the number of answers and of refusals.
+async fn press_kept(
+    node: std::net::SocketAddr,
+    pause: time::Duration,
+    end: tokio::time::Instant,
+) -> (Vec<String>, [usize; 2]) {
+    let mut channel = KeptChannel::open(node).await.unwrap();
+    let (mut faults, mut counts) = (Vec::new(), [0; 2]);
+    for number in 0.. {
+        if tokio::time::Instant::now() >= end {
+            break;
+        }
+        let (request, expected) = match number % 3 {
+            0 => (
+                head("POST", "/model/write", deployment::KEY, 5, 45),
+                stream_body(45),
+            ),
+            1 => (
+                head("POST", "/post/hold", deployment::KEY, 5, 45),
+                "POST /post/hold".to_owned(),
+            ),
+            _ => (
+                head("GET", "/get/look", deployment::KEY, 5, 45),
+                "GET /get/look".to_owned(),
+            ),
+        };
+        let answer = in_time(channel.ask(&format!("{request}order"))).await;
+        match answer {
+            Ok(ChannelAnswer {
+                status: 200, body, ..
+            }) if body == expected => counts[0] += 1,
+            Ok(ChannelAnswer {
+                status: 429 | 503, ..
+            }) => counts[1] += 1,
+            answer => {
+                faults.push(format!("{} {answer:?}", request.replace("\r\n", " ")));
+                channel = KeptChannel::open(node).await.unwrap();
+            }
+        }
+        tokio::time::sleep(pause).await;
+    }
+    (faults, counts)
+}
+
+/// Guards against requests that a change of the document ends, on kept and on new
+/// connections, while documents follow each other within a fraction of a second.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_of_the_document_leave_no_request_without_an_answer() {
+    let mut operator = TestOperator::start("changes", 215).await;
+    let deployment = sync::Arc::clone(&operator.deployment);
+    let end = tokio::time::Instant::now() + time::Duration::from_secs(8);
+    let mut kept = tokio::task::JoinSet::new();
+    for node in &deployment.nodes {
+        for pause in [0, 30, 250, 790] {
+            let pause = time::Duration::from_millis(pause);
+            kept.spawn(press_kept(node.spec.callers(), pause, end));
+        }
+    }
+    let mut fresh = tokio::task::JoinSet::new();
+    for number in 0.. {
+        if tokio::time::Instant::now() >= end {
+            break;
+        }
+        if number % 4 == 0 {
+            operator
+                .put(|document| change_document(document, number / 4))
+                .await;
+        }
+        let kinds = [
+            caller::CallKind::Get,
+            caller::CallKind::Post,
+            caller::CallKind::Stream,
+        ];
+        let address = deployment.nodes[number % SIZE.nodes].spec.callers();
+        let kind = kinds[number % 3];
+        let request = format!("fresh-{number}");
+        fresh.spawn(caller::call(address, request, kind, deployment::KEY));
+        tokio::time::sleep(time::Duration::from_millis(40)).await;
+    }
+    let (mut faults, mut answers, mut refusals) = (Vec::new(), 0, 0);
+    for (found, counts) in kept.join_all().await {
+        faults.extend(found);
+        answers += counts[0];
+        refusals += counts[1];
+    }
+    for record in fresh.join_all().await {
+        match record.outcome {
+            caller::CallOutcome::Served => answers += 1,
+            caller::CallOutcome::NotRun(429 | 503) => refusals += 1,
+            outcome => faults.push(format!("{}: {outcome:?}", record.request)),
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+    // All runners are sound and far from full.
+    assert_eq!(refusals, 0, "{answers} answers");
+    operator.wait_applied().await;
+}
+
+/// Guards against requests that are held to a document that came into force while
+/// they run: its shorter timeout and smaller limits, and what it no longer has.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_keeps_the_document_that_it_began_with() {
+    let mut operator = TestOperator::start("keeps", 216).await;
+    let node = operator.deployment.nodes[0].spec.callers();
+    // Three seconds of events.
+    let tokens = 600;
+    let mut stream = KeptChannel::open(node).await.unwrap();
+    let request = head("POST", "/model/write", OTHER_KEY, 5, tokens);
+    stream
+        .send(format!("{request}order").as_bytes())
+        .await
+        .unwrap();
+    let mut slow = KeptChannel::open(node).await.unwrap();
+    let request = head("POST", "/post/hold", OTHER_KEY, 10, 45);
+    slow.send(format!("{request}order").as_bytes())
+        .await
+        .unwrap();
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    operator
+        .put(|document| {
+            document["routes"] = json!([]);
+            document["services"] = json!([{ "name": "plain", "maxConns": 100 }]);
+            document["tenants"][1]["apiKeys"] = json!([]);
+            document["limits"] = json!({ "maxBodyBytes": 1, "maxHeaderBytes": 1_024,
+                "headerTimeoutMs": 100, "idleTimeoutMs": 100 });
+        })
+        .await;
+    operator.wait_applied().await;
+    // A shorter timeout than these requests have lasted already.
+    operator
+        .put(|document| {
+            for prefix in ["/model/", "/post/"] {
+                set_route(document, prefix, "timeoutMs", json!(200));
+            }
+            document["tenants"][1]["apiKeys"] = json!([]);
+        })
+        .await;
+    operator.wait_applied().await;
+    slow.send(b"order").await.unwrap();
+    let answer = in_time(slow.read_answer()).await.unwrap();
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, "POST /post/hold")
+    );
+    let answer = in_time(stream.read_answer()).await.unwrap();
+    assert_eq!(
+        (answer.status, answer.body),
+        (200, stream_body(tokens)),
+        "the stream"
+    );
+    // The same connections are held to the new document from the next request on.
+    let request = head("GET", "/get/look", OTHER_KEY, 0, 45);
+    for channel in [&mut slow, &mut stream] {
+        let answer = in_time(channel.ask(&request)).await.unwrap();
+        assert_eq!(answer.status, 401);
+    }
+}
+
+/// Guards against refusals that are lost because the node closes the connection
+/// while the caller still sends: the reset discards what the caller has not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_reaches_a_caller_that_still_sends_its_body() {
+    let operator = TestOperator::start("refusal", 217).await;
+    let node = operator.deployment.nodes[0].spec.callers();
+    let piece = vec![b'x'; 64 << 10];
+    let pieces = 8;
+    let mut faults = Vec::new();
+    for (path, key, status) in [
+        ("/get/look", "no-key", 401),
+        ("/none/look", deployment::KEY, 404),
+    ] {
+        for _ in 0..5 {
+            let ask = async {
+                let mut channel = KeptChannel::open(node).await?;
+                let request = head("POST", path, key, pieces * piece.len(), 45);
+                channel.send(request.as_bytes()).await?;
+                for _ in 0..pieces {
+                    channel.send(&piece).await?;
+                    tokio::time::sleep(time::Duration::from_millis(20)).await;
+                }
+                channel.read_answer().await
+            };
+            match in_time(ask).await {
+                Ok(answer) if answer.status == status => {}
+                answer => faults.push(format!("{path}: {answer:?}")),
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{} of 10: {faults:#?}", faults.len());
+}
