Keep a refusal from being lost to a caller that still sends

A request that is refused before its body was read, with 401, 404 or 503, got a reset connection instead of the refusal if its caller was still sending: hyper closes the socket after the answer, and the kernel resets a connection that is closed with unread bytes.

--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -16,6 +16,8 @@
 use tokio::time;
 use tokio_io_timeout::TimeoutStream;
 
+mod linger;
+
 /// Delay before accepting again after the system failed to accept a connection.
 const ACCEPT_RETRY_DELAY: std_time::Duration = std_time::Duration::from_millis(20);
 
@@ -88,7 +90,8 @@
         let _ = socket.set_nodelay(true);
         let service =
             hyper_util::service::TowerToHyperService::new(tower::service_fn(answer.clone()));
-        let mut stream = Box::pin(TimeoutStream::new(socket));
+        let stream = linger::LingeringStream::new(socket);
+        let mut stream = Box::pin(TimeoutStream::new(stream));
         stream
             .as_mut()
             .set_write_timeout_pinned(Some(limits.write_timeout));
--- a/arbutusfold/tests/serve.rs
+++ b/arbutusfold/tests/serve.rs
@@ -165,3 +165,27 @@
     assert!(answer.ends_with(b"0\r\n\r\n"));
     assert!(answers.all_finished(time::Duration::from_secs(1)).await);
 }
+
+/// A client that sends on after its answer gets no more than some seconds: it would
+/// keep the place of another one.
+#[tokio::test]
+async fn client_that_sends_on_after_its_answer_is_closed_in_time() {
+    let limits = serve::ServeLimits {
+        connections: 1,
+        ..serve::ServeLimits::default()
+    };
+    let (address, _, _closing) = start(limits, 1);
+    let mut greedy = tokio::net::TcpStream::connect(address).await.unwrap();
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999\r\n\r\n";
+    greedy.write_all(head.as_bytes()).await.unwrap();
+    let sending = async {
+        while greedy.write_all(&[b'x'; CHUNK_BYTES]).await.is_ok() {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    };
+    let closed = tokio::time::timeout(time::Duration::from_secs(5), sending).await;
+    assert!(closed.is_ok());
+    let mut second = tokio::net::TcpStream::connect(address).await.unwrap();
+    second.write_all(GET).await.unwrap();
+    assert!(second.read_u8().await.is_ok());
+}
