Record panics, and fail only what panicked

A panic in the handling of a request closed its connection: the caller got neither an answer nor a refusal, and no event or counter told of it. One in the task that follows the store, in another background task or in the handler of a peer's message ended that task for good, and the node went on without it. No such panic is known; this was found by reading.

Each panic is now counted (panics) and recorded as event 104 with its place. A request whose handler panics gets 500, which claims nothing about a run; background tasks start again after a second, and a message whose handler panics is dropped.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -42,6 +42,8 @@
     StopBegan = 102, Info;
     /// A node finished its graceful stop.
     StopFinished = 103, Info;
+    /// A task panicked; what it was doing failed, and the process goes on.
+    TaskPanicked = 104, Error;
     /// A request was answered completely.
     RequestAnswered = 110, Info;
     /// A request was refused or failed.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -33,6 +33,7 @@
 pub mod leader_driver;
 pub mod metrics;
 pub mod mirror;
+pub mod panics;
 pub mod path;
 pub mod quarantine;
 pub mod replication;
@@ -90,6 +91,7 @@
     reload: mpsc::Receiver<settings::GatewaySettings>,
 ) -> Result<(), GatewayError> {
     let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+    panics::install(&core.panics);
     let monitor = peer::TransportMonitor {
         recorder: sync::Arc::clone(&core.recorder),
         metrics: core.metrics.transport.clone(),
@@ -144,19 +146,19 @@
             received,
             reload,
         )),
-        tokio::spawn(layout_controller::run(sync::Arc::clone(&core))),
-        tokio::spawn(leader_driver::run(sync::Arc::clone(&core))),
-        tokio::spawn(survey::run(sync::Arc::clone(&core))),
-        tokio::spawn(suspects::run(sync::Arc::clone(&core))),
-        tokio::spawn(suspects::learn(sync::Arc::clone(&core))),
-        tokio::spawn(suspect_store::run(sync::Arc::clone(&core))),
+        panics::spawn(&core, layout_controller::run),
+        panics::spawn(&core, leader_driver::run),
+        panics::spawn(&core, survey::run),
+        panics::spawn(&core, suspects::run),
+        panics::spawn(&core, suspects::learn),
+        panics::spawn(&core, suspect_store::run),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
         serve_metrics(&core, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
     let serving = tokio::spawn(serve::serve(callers, limits(), closed, move |request| {
-        forward::handle(sync::Arc::clone(&caller_core), request)
+        panics::answer(forward::handle(sync::Arc::clone(&caller_core), request))
     }));
 
     drain_gateway(&core, &driver, stop, closing, serving).await;
@@ -223,13 +225,18 @@
                     let phase = member::MemberPhase::Serving;
                     driver.step(member::MemberEvent::Phase(phase), now);
                 }
-                driver.step(member::MemberEvent::Tick, time::Instant::now());
-                core.tick(now);
+                panics::contain(|| {
+                    driver.step(member::MemberEvent::Tick, time::Instant::now());
+                    core.tick(now);
+                });
+                panics::record(&core);
             }
             message = received.recv() => {
                 let Some(message) = message else { return };
-                // A message that cannot be opened is dropped, as if it had been lost.
-                let _ = core.post.receive(&message);
+                panics::contain(|| {
+                    // A message that cannot be opened is dropped, as if it had been lost.
+                    let _ = core.post.receive(&message);
+                });
             }
             Some(reloaded) = reload.recv() => {
                 let now = time::Instant::now();
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -15,6 +15,7 @@
 use crate::gateway::leader;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
+use crate::gateway::panics;
 use crate::gateway::routing;
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
@@ -46,6 +47,8 @@
     pub recorder: sync::Arc<event::EventRecorder>,
     /// Metrics.
     pub metrics: metrics::GatewayMetrics,
+    /// Panics of the process.
+    pub panics: sync::Arc<panics::PanicLog>,
     /// Client of the platform's store.
     pub store: store::StoreClient,
     /// Members of the fleet as this node knows them.
@@ -109,9 +112,11 @@
             window: settings.retry_window_s,
             has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
+        let metrics = metrics::GatewayMetrics::default();
         Self {
             recorder: sync::Arc::new(event::EventRecorder::with_capacity(logger, EVENT_CAPACITY)),
-            metrics: metrics::GatewayMetrics::default(),
+            panics: sync::Arc::new(panics::PanicLog::new(metrics.panics.clone())),
+            metrics,
             store: store::StoreClient::new(settings.store, STORE_TIMEOUT),
             members,
             post: sync::Arc::new(post),
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -61,6 +61,8 @@
     pub orders: counter::Counter,
     /// Calls to the platform's store.
     pub store_calls: counter::Counter,
+    /// Panics, each of which ended a task or the handling of a request.
+    pub panics: counter::Counter,
     /// Messages between nodes.
     pub transport: peer::TransportMetrics,
     /// Version of the document in force.
@@ -90,6 +92,7 @@
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
+            panics: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
             document_version: gauge::Gauge::default(),
             first_seconds: latency(),
@@ -128,6 +131,7 @@
         );
         registry.register("orders", "Orders sent to runners", set.orders.clone());
         registry.register("store_calls", "Calls to the store", set.store_calls.clone());
+        registry.register("panics", "Panics of tasks", set.panics.clone());
         set.transport.register(registry);
         let version = set.document_version.clone();
         registry.register(
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -9,6 +9,7 @@
 use crate::event;
 use crate::gateway::core;
 use crate::gateway::mirror;
+use crate::gateway::panics;
 use crate::gateway::replication;
 
 /// Delay before the first retry of a failed call.
@@ -40,7 +41,7 @@
 pub fn spawn(core: &sync::Arc<core::GatewayCore>) -> Vec<task::JoinHandle<()>> {
     let tables = store::WatchedTable::ALL.into_iter();
     tables
-        .map(|table| tokio::spawn(watch(sync::Arc::clone(core), table)))
+        .map(|table| panics::spawn(core, move |core| watch(core, table)))
         .collect()
 }
 
--- a/soak/tests/fleet_answers.rs
+++ b/soak/tests/fleet_answers.rs
@@ -173,9 +173,8 @@
 /// Applies the change of this number to a document: services, weights, timeouts,
 /// keys and limits, in turn.
 fn change_document(document: &mut Value, number: usize) {
-    let split = |plain: u32, spare: u32| {
-        json!([{ "service": "plain", "weight": plain }, { "service": SPARE, "weight": spare }])
-    };
+    let share = |service: &str, weight: u32| json!({ "service": service, "weight": weight });
+    let split = |plain, spare| json!([share("plain", plain), share(SPARE, spare)]);
     for prefix in ["/get/", "/post/"] {
         match number % 8 {
             0 => set_route(document, prefix, "service", json!(SPARE)),
