Test stops, settings and pauses with requests under way

Uploads, streams and requests on kept connections are answered while their node stops, and while its settings are read again, changed or faulty. A node that was suspended for 1.5 s ends sound streams when it goes on: it takes the time for which it did not run for silence of their runners.

--- a/arbutusfold/tests/gateway_panics.rs
+++ b/arbutusfold/tests/gateway_panics.rs
@@ -1,6 +1,4 @@
 //! A panic is counted and recorded, and fails only what its task was doing.
-//!
-//! The hook belongs to the process; nextest runs each test in one of its own.
 
 #![allow(clippy::unwrap_used)]
 
@@ -21,6 +19,9 @@
     sync::Arc::new(core::GatewayCore::new(settings, logger))
 }
 
+/// The hook belongs to the process, so the tests run one after the other.
+static HOOK: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 fn panic_in_thread(message: &'static str) {
     let thread = std::thread::spawn(move || std::panic::panic_any(message));
     assert!(thread.join().is_err());
@@ -29,6 +30,7 @@
 /// Guards against connections and tasks that end without a trace.
 #[test]
 fn panic_is_counted_and_recorded() {
+    let _alone = HOOK.blocking_lock();
     let core = core();
     panics::install(&core.panics);
     panic_in_thread("lost");
@@ -48,6 +50,7 @@
 /// Guards against a record of panics that grows without bound.
 #[test]
 fn many_panics_are_counted_and_few_are_kept() {
+    let _alone = HOOK.blocking_lock();
     let core = core();
     panics::install(&core.panics);
     for _ in 0..100 {
@@ -62,6 +65,7 @@
 /// since the handler panicked; the failure claims nothing about a run.
 #[tokio::test]
 async fn request_whose_handler_panics_is_answered() {
+    let _alone = HOOK.lock().await;
     let answer = panics::answer(async { panic!("in the handler") });
     let answer = answer.await.unwrap();
     assert_eq!(answer.status(), http::StatusCode::INTERNAL_SERVER_ERROR);
@@ -72,6 +76,7 @@
 /// watches the runners or compares the records.
 #[tokio::test(start_paused = true)]
 async fn background_task_that_panics_is_started_again() {
+    let _alone = HOOK.lock().await;
     let starts = sync::Arc::new(atomic::AtomicUsize::new(0));
     let counted = sync::Arc::clone(&starts);
     let task = panics::spawn(&core(), move |_| {
@@ -88,5 +93,6 @@
 /// Guards against one message that ends the loop of the membership.
 #[test]
 fn work_that_panics_is_contained() {
+    let _alone = HOOK.blocking_lock();
     panics::contain(|| panic!("in a message"));
 }
--- a/soak/tests/fleet_answers.rs
+++ b/soak/tests/fleet_answers.rs
@@ -390,3 +390,138 @@
     }
     assert!(faults.is_empty(), "{} of 10: {faults:#?}", faults.len());
 }
+
+/// Time from a stop signal until a node closes its listener: that in which callers
+/// keep addresses, and the time for telling peers.
+const LISTEN_TIME: time::Duration = time::Duration::from_millis(2_500);
+
+/// Guards against requests that a planned stop cuts while they are read, answered or
+/// sent on kept and new connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_around_a_planned_stop_are_answered() {
+    let operator = TestOperator::start("stopped", 218).await;
+    let node = operator.deployment.nodes[0].spec.callers();
+    let post = |length| head("POST", "/post/hold", deployment::KEY, length, 45);
+    let mut uploads = Vec::new();
+    for _ in 0..2 {
+        let mut upload = KeptChannel::open(node).await.unwrap();
+        upload.send(post(10).as_bytes()).await.unwrap();
+        upload.send(b"order").await.unwrap();
+        uploads.push(upload);
+    }
+    let mut kept = KeptChannel::open(node).await.unwrap();
+    let mut stream = KeptChannel::open(node).await.unwrap();
+    // Events for two and a half seconds.
+    let tokens = 480;
+    let request = head("POST", "/model/write", deployment::KEY, 5, tokens);
+    stream
+        .send(format!("{request}order").as_bytes())
+        .await
+        .unwrap();
+    let reading = tokio::spawn(async move { in_time(stream.read_answer()).await });
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    let mut slot = operator.deployment.nodes[0].process.lock().await;
+    let process = slot.as_mut().unwrap();
+    process.signal(nix::sys::signal::Signal::SIGTERM).unwrap();
+    let stopped_at = tokio::time::Instant::now();
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    let asked = in_time(kept.ask(&format!("{}order", post(5)))).await;
+    assert_eq!(asked.unwrap().header("connection"), Some("close"));
+    let mut late = KeptChannel::open(node).await.unwrap();
+    let asked = in_time(late.ask(&format!("{}order", post(5)))).await;
+    assert_eq!(asked.unwrap().status, 200);
+    let finish = async |upload: &mut KeptChannel| {
+        upload.send(b"order").await?;
+        upload.read_answer().await
+    };
+    assert_eq!(in_time(finish(&mut uploads[0])).await.unwrap().status, 200);
+    // The last one ends after the listener was closed.
+    tokio::time::sleep_until(stopped_at + LISTEN_TIME + time::Duration::from_millis(200)).await;
+    assert_eq!(in_time(finish(&mut uploads[1])).await.unwrap().status, 200);
+    assert_eq!(reading.await.unwrap().unwrap().body, stream_body(tokens));
+    let ended = process.wait(time::Duration::from_secs(3)).await;
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
+/// Sends requests on kept connections to each node while `disturb` runs, and returns
+/// what is wrong with the answers and the number of refusals.
+async fn press_while(
+    deployment: &deployment::SoakDeployment,
+    length: time::Duration,
+    disturb: impl Future<Output = ()>,
+) -> (Vec<String>, usize) {
+    let end = tokio::time::Instant::now() + length;
+    let mut kept = tokio::task::JoinSet::new();
+    for node in &deployment.nodes {
+        for pause in [0, 30, 250] {
+            let pause = time::Duration::from_millis(pause);
+            kept.spawn(press_kept(node.spec.callers(), pause, end));
+        }
+    }
+    disturb.await;
+    let results = kept.join_all().await;
+    let refusals = results.iter().map(|(_, counts)| counts[1]).sum();
+    let faults = results.into_iter().flat_map(|(faults, _)| faults).collect();
+    (faults, refusals)
+}
+
+/// Guards against requests that end because the settings are read again, changed or
+/// faulty.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_are_read_again_end_no_request() {
+    let operator = TestOperator::start("reloaded", 219).await;
+    let deployment = &operator.deployment;
+    let disturb = async {
+        for round in 0..8 {
+            for node in &deployment.nodes {
+                let path = deployment.folder.join(format!("{}.jsonc", node.spec.name));
+                let text = std::fs::read_to_string(&path).unwrap();
+                let text = match round % 4 {
+                    0 => text.replace("\"seeds\": [", "\"seeds\": [\"127.0.0.1:9\", "),
+                    1 => format!("{text}{{"),
+                    2 => text.trim_end_matches('{').to_owned(),
+                    _ => text.replace("\"127.0.0.1:9\", ", ""),
+                };
+                std::fs::write(&path, text).unwrap();
+                let slot = node.process.lock().await;
+                let hang_up = nix::sys::signal::Signal::SIGHUP;
+                slot.as_ref().unwrap().signal(hang_up).unwrap();
+            }
+            tokio::time::sleep(time::Duration::from_millis(250)).await;
+        }
+    };
+    let (faults, refusals) = press_while(deployment, time::Duration::from_secs(3), disturb).await;
+    assert!(faults.is_empty(), "{faults:#?}");
+    assert_eq!(refusals, 0);
+    for node in &deployment.nodes {
+        let mut slot = node.process.lock().await;
+        assert!(slot.as_mut().unwrap().try_wait().unwrap().is_none());
+    }
+}
+
+/// Guards against a node that ends sound streams when it goes on after a pause: the
+/// time for which it did not run is no silence of the runners.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_was_suspended_ends_no_request() {
+    let operator = TestOperator::start("suspended", 220).await;
+    let node = &operator.deployment.nodes[0];
+    let tokens = 300;
+    let mut reading = tokio::task::JoinSet::new();
+    for _ in 0..12 {
+        let mut stream = KeptChannel::open(node.spec.callers()).await.unwrap();
+        reading.spawn(async move {
+            let request = head("POST", "/model/write", deployment::KEY, 5, tokens);
+            in_time(stream.ask(&format!("{request}order"))).await
+        });
+    }
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let slot = node.process.lock().await;
+    let process = slot.as_ref().unwrap();
+    process.signal(nix::sys::signal::Signal::SIGSTOP).unwrap();
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    process.signal(nix::sys::signal::Signal::SIGCONT).unwrap();
+    for answer in reading.join_all().await {
+        let answer = answer.unwrap();
+        assert_eq!((answer.status, answer.body), (200, stream_body(tokens)));
+    }
+}
