Test malformed answers, rows and documents against real processes

A runner that sends copies of its answer, at once or later, answers to other requests, parts of answers and bytes that are none; rows and documents that cannot be read. Each caller gets its own answer or a failure, and no process ends.

--- a/soak/tests/fleet_answers.rs
+++ b/soak/tests/fleet_answers.rs
@@ -15,6 +15,7 @@
 use arbutusfold_soak::{deployment, plan};
 use channel::{ChannelAnswer, KeptChannel};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const SIZE: plan::SoakSize = plan::SoakSize {
     nodes: 2,
@@ -525,3 +526,196 @@
         assert_eq!((answer.status, answer.body), (200, stream_body(tokens)));
     }
 }
+
+/// What a faulty runner does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunnerFault {
+    /// It sends its answer twice at once.
+    Copy,
+    /// It sends its answer again later.
+    LateCopy,
+    /// It sends the answer to another request.
+    OtherRequest,
+    /// It closes the connection in the middle of its answer.
+    Cut,
+    /// It sends bytes that are no answer.
+    Garbage,
+    /// It sends an answer in chunks, one of which has no length.
+    BadChunk,
+    /// It sends a head without end.
+    LongHead,
+}
+
+const RUNNER_FAULTS: [RunnerFault; 7] = [
+    RunnerFault::Copy,
+    RunnerFault::LateCopy,
+    RunnerFault::OtherRequest,
+    RunnerFault::Cut,
+    RunnerFault::Garbage,
+    RunnerFault::BadChunk,
+    RunnerFault::LongHead,
+];
+
+/// Answers one request of a node with a fault.
+async fn answer_faultily(
+    stream: &mut tokio::net::TcpStream,
+    fault: RunnerFault,
+) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let id = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        name.eq_ignore_ascii_case("request-id").then_some(value)
+    });
+    let id = match fault {
+        RunnerFault::OtherRequest => "another",
+        _ => id.unwrap_or("none"),
+    };
+    let stamp = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {id}\r\n");
+    let answer = format!("{stamp}Content-Length: 16\r\n\r\nGET /faulty/look");
+    match fault {
+        RunnerFault::Copy => {
+            let twice = format!("{answer}{answer}");
+            stream.write_all(twice.as_bytes()).await?;
+        }
+        RunnerFault::LateCopy => {
+            stream.write_all(answer.as_bytes()).await?;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+            stream.write_all(answer.as_bytes()).await?;
+        }
+        RunnerFault::OtherRequest => stream.write_all(answer.as_bytes()).await?,
+        RunnerFault::Cut => {
+            let half = &answer.as_bytes()[..answer.len() - 5];
+            stream.write_all(half).await?;
+        }
+        RunnerFault::Garbage => stream.write_all(&[0xff; 300]).await?,
+        RunnerFault::BadChunk => {
+            let chunks = format!("{stamp}Transfer-Encoding: chunked\r\n\r\n5\r\nGET /\r\nzz\r\n");
+            stream.write_all(chunks.as_bytes()).await?;
+        }
+        RunnerFault::LongHead => {
+            for _ in 0..2_000 {
+                let line = format!("X: {}\r\n", "x".repeat(1_000));
+                stream.write_all(line.as_bytes()).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Starts a runner that answers with each fault in turn, and
+/// returns its address.
+async fn start_faulty(subnet: u8) -> std::net::SocketAddr {
+    let any_port = std::net::SocketAddr::from(([127, 90, subnet, 201], 0));
+    let listener = tokio::net::TcpListener::bind(any_port).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for fault in RUNNER_FAULTS.into_iter().cycle() {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            // A node may close the connection at any time.
+            tokio::spawn(async move { answer_faultily(&mut stream, fault).await });
+        }
+    });
+    address
+}
+
+/// Guards against one malformed answer, row or document that ends a process or that
+/// reaches a caller as an answer, and against a copy of an answer that is taken for
+/// the answer to the next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_answers_and_rows_end_no_process_and_reach_no_caller() {
+    let subnet = 221;
+    let mut operator = TestOperator::start("malformed", subnet).await;
+    operator
+        .put(|document| {
+            let route = json!({ "name": "faulty", "hostname": operator::HOST,
+                "prefix": "/faulty/", "type": "idempotent", "timeoutMs": 6_000, "goalMs": 500,
+                "service": "faulty", "maxAttempts": 2 });
+            document["routes"].as_array_mut().unwrap().push(route);
+        })
+        .await;
+    operator.wait_applied().await;
+    let deployment = &operator.deployment;
+    let address = start_faulty(subnet).await;
+    let entry = json!({ "service": "faulty", "address": address.to_string(), "zone": "a",
+        "version": "v1", "slots": 64, "coldLeftMs": 0, "state": "ready", "born": 1, "sequence": 1 });
+    let rows = [
+        b"{".to_vec(),
+        vec![0xff; 64],
+        b"null".to_vec(),
+        b"[[[[]]]]".to_vec(),
+        br#"{"service":5,"address":"1.2.3.4:99999","slots":-1,"born":1e300}"#.to_vec(),
+        br#"{"service":"plain","address":"","state":"ready","slots":0,"layers":{"from":9,"target":1}}"#
+            .to_vec(),
+    ];
+    let text = entry.to_string();
+    deployment
+        .store
+        .put("servers", "i-faulty", Some(text.into_bytes()));
+    for (index, row) in rows.iter().enumerate() {
+        let key = format!("i-row-{index}");
+        deployment.store.put("servers", &key, Some(row.clone()));
+        deployment.store.put("op", "config", Some(row.clone()));
+        deployment.store.put("op", &key, Some(row.clone()));
+    }
+    let (mut wrong, mut served, mut failed) = (Vec::new(), 0, 0);
+    let mut channels = Vec::new();
+    for node in &deployment.nodes {
+        let mut channel = KeptChannel::open(node.spec.callers()).await.unwrap();
+        // The node learns of the faulty runner a moment later.
+        let end = tokio::time::Instant::now() + APPLY_LIMIT;
+        loop {
+            let request = head("GET", "/faulty/look", deployment::KEY, 0, 45);
+            if in_time(channel.ask(&request)).await.unwrap().status != 503 {
+                break;
+            }
+            assert!(tokio::time::Instant::now() < end);
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        channels.push(channel);
+    }
+    for number in 0..200 {
+        let node = number % SIZE.nodes;
+        let is_faulty = number % 4 < 2;
+        let path = match is_faulty {
+            true => "/faulty/look",
+            false => "/get/look",
+        };
+        let request = head("GET", path, deployment::KEY, 0, 45);
+        let answer = in_time(channels[node].ask(&request)).await;
+        match answer {
+            Ok(answer) if answer.status == 200 => {
+                let stamp = answer.header("response-stamp").unwrap_or_default();
+                let is_own = request.contains(&format!("Request-Id: {stamp}\r\n"));
+                match is_own && answer.body == format!("GET {path}") {
+                    true => served += 1,
+                    false => wrong.push(format!("{answer:?}")),
+                }
+            }
+            Ok(answer) if is_faulty && answer.status == 502 => failed += 1,
+            answer => {
+                wrong.push(format!("{path}: {answer:?}"));
+                let address = deployment.nodes[node].spec.callers();
+                channels[node] = KeptChannel::open(address).await.unwrap();
+            }
+        }
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    // All requests to sound runners, and some whose answers only had a copy; checks
+    // of the faulty runner take some of the faults.
+    assert!(served >= 110, "served {served}, failed {failed}");
+    assert!(failed >= 40, "served {served}, failed {failed}");
+    for node in &deployment.nodes {
+        let mut slot = node.process.lock().await;
+        let process = slot.as_mut().unwrap();
+        assert!(process.try_wait().unwrap().is_none());
+        let log = std::fs::read_to_string(process.log_path()).unwrap();
+        assert!(!log.contains("TaskPanicked"));
+    }
+}
