Leave descriptors for runners, peers and the store

A node whose callers held as many connections as it may open descriptors refused sound requests on other connections, avoided sound runners ("Too many open files") and did not answer readiness checks: the limit of 10,000 connections was above what hosts allow (4,100). Callers get three quarters of the descriptors now, as the new setting descriptor_limit or the system states them; connections beyond are closed unread, as before.

A lack of descriptors at the connection to a runner still counts against the runner (request.rs, send).

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod claim;
 pub mod core;
 pub mod crash;
+pub mod descriptors;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
@@ -157,9 +158,19 @@
         serve_metrics(&core, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
-    let serving = tokio::spawn(serve::serve(callers, limits(), closed, move |request| {
-        panics::answer(forward::handle(sync::Arc::clone(&caller_core), request))
-    }));
+    let mut caller_limits = limits();
+    let allowed = core.settings.descriptor_limit;
+    let allowed = allowed.or_else(descriptors::system_limit);
+    if let Some(allowed) = allowed {
+        let connections = descriptors::caller_connections(allowed);
+        caller_limits.connections = caller_limits.connections.min(connections);
+    }
+    let serving = tokio::spawn(serve::serve(
+        callers,
+        caller_limits,
+        closed,
+        move |request| panics::answer(forward::handle(sync::Arc::clone(&caller_core), request)),
+    ));
 
     drain_gateway(&core, &driver, stop, closing, serving).await;
     core.note(event::EventCode::StopFinished, &name, "");
--- a/arbutusfold/src/gateway/settings.rs
+++ b/arbutusfold/src/gateway/settings.rs
@@ -59,6 +59,9 @@
     #[serde(default = "default_contact")]
     #[serde_as(as = "serde_with::DurationMilliSecondsWithFrac<f64>")]
     pub contact_ms: time::Duration,
+    /// Descriptors that the process may open; by default, what the system allows it.
+    #[serde(default)]
+    pub descriptor_limit: Option<usize>,
     /// Retries per request that may be sent to a service.
     #[serde(default = "default_retry_share")]
     pub retry_share: f64,
@@ -71,6 +74,9 @@
     pub retry_window_s: time::Duration,
 }
 
+/// A gateway needs a few dozen descriptors for listeners, peers and the store.
+const DESCRIPTORS: check::FieldKind = check::FieldKind::Number(128, 1 << 20);
+
 const MILLISECONDS: check::FieldKind = check::FieldKind::Decimal(1.0, TIME_LIMIT_MS);
 const SECONDS: check::FieldKind = check::FieldKind::Decimal(0.001, TIME_LIMIT_MS / 1_000.0);
 
@@ -96,6 +102,7 @@
     check::FieldSpec::optional("answer_keep_ms", MILLISECONDS),
     check::FieldSpec::optional("stop_limit_s", SECONDS),
     check::FieldSpec::optional("contact_ms", MILLISECONDS),
+    check::FieldSpec::optional("descriptor_limit", DESCRIPTORS),
     check::FieldSpec::optional("retry_share", check::FieldKind::Decimal(0.0, 10.0)),
     check::FieldSpec::optional("retry_extra", check::FieldKind::Decimal(0.0, RETRY_LIMIT)),
     check::FieldSpec::optional("retry_window_s", SECONDS),
--- a/arbutusfold/tests/gateway_settings.rs
+++ b/arbutusfold/tests/gateway_settings.rs
@@ -4,7 +4,7 @@
 
 mod gateway_fixture;
 
-use arbutusfold::gateway::{entry, settings};
+use arbutusfold::gateway::{descriptors, entry, settings};
 use arbutusfold::member;
 use gateway_fixture::record;
 
@@ -72,3 +72,22 @@
     assert_eq!(entry::choose_addresses(&members, None).len(), 3);
     assert!(entry::choose_addresses(&members[3..], None).is_empty());
 }
+
+#[test]
+fn callers_leave_descriptors_for_everything_else() {
+    let given = settings::parse_file("test", &text(r#""descriptor_limit": 4100,"#)).unwrap();
+    assert_eq!(given.descriptor_limit, Some(4_100));
+    assert_eq!(descriptors::caller_connections(4_100), 3_075);
+    assert_eq!(
+        descriptors::caller_connections(usize::MAX / 100 * 100),
+        usize::MAX / 100 * 75
+    );
+    let limits = "Max processes  1 2 processes\nMax open files            1024   4096   files\n";
+    assert_eq!(descriptors::parse_limits(limits), Some(1_024));
+    assert_eq!(
+        descriptors::parse_limits("Max open files unlimited unlimited files"),
+        None
+    );
+    assert_eq!(descriptors::parse_limits(""), None);
+    assert!(descriptors::system_limit().is_some());
+}
