Add up the loads of other nodes without overflow

Loads in a message of a peer that add up beyond their type ended the task that sends the summaries in a debug build, and gave a small sum in a release build. Sums stop at the largest number. Red before: "attempt to add with overflow" at leader.rs:326.

--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -323,8 +323,9 @@
     loads.dedup_by(|load, sum| {
         let same = load.runner == sum.runner;
         if same {
-            sum.in_flight += load.in_flight;
-            sum.token_layers += load.token_layers;
+            // The loads come from other nodes, and no sum of them may end this one.
+            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+            sum.token_layers = sum.token_layers.saturating_add(load.token_layers);
         }
         same
     });
@@ -332,7 +333,8 @@
 }
 
 fn total(loads: &[RunnerLoad]) -> u32 {
-    loads.iter().map(|load| load.in_flight).sum()
+    let counts = loads.iter().map(|load| load.in_flight);
+    counts.fold(0, u32::saturating_add)
 }
 
 fn find(loads: &[RunnerLoad], runner: RunnerKey) -> RunnerLoad {
--- a/arbutusfold/tests/gateway_lead.rs
+++ b/arbutusfold/tests/gateway_lead.rs
@@ -205,3 +205,25 @@
     view.receive("leader", leader::LeaderMessage::FleetSummary(fleet), now);
     assert_eq!(view.unreported_load(90, 60), 0.0);
 }
+
+/// Guards against a node that a message with impossible loads ends or confuses.
+#[test]
+fn loads_beyond_any_number_add_up_to_the_largest_one() {
+    let now = time::Instant::now();
+    let mut view = leader::LoadView::default();
+    let huge = leader::RunnerLoad {
+        runner: 1,
+        in_flight: u32::MAX,
+        token_layers: u64::MAX,
+    };
+    for host in ["n1", "n2"] {
+        let loads = vec![huge, leader::RunnerLoad { runner: 2, ..huge }];
+        view.receive(host, leader::LeaderMessage::NodeLoads(loads), now);
+    }
+    let domain = view.domain_summary(summary(vec![load(1, 1)], 0));
+    assert_eq!(domain.loads[0], huge);
+    let fleet = view.fleet_summary(&domain, now);
+    view.receive("n1", leader::LeaderMessage::FleetSummary(fleet), now);
+    assert_eq!(view.peer_load(1).in_flight, u32::MAX);
+    assert!(view.unreported_load(5, 3) >= 0.0);
+}
