Bound the pause that an issuer of permits may ask for

An answer to a claim with a pause that no clock can hold made the request that waited for it panic ("overflow when adding duration to instant"). It is limited to 30 s; the smallest rate makes an issuer ask for at most 10.

--- a/arbutusfold/src/gateway/runner_limit.rs
+++ b/arbutusfold/src/gateway/runner_limit.rs
@@ -29,6 +29,9 @@
 /// Time for which a runner is paused whose issuer did not answer.
 const UNANSWERED_PAUSE: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Longest pause that an issuer may ask for; the smallest rate makes it ask for less.
+const PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
+
 /// Permits that this node issues, and its own claims.
 #[derive(Debug, Default)]
 pub struct LimitState {
@@ -134,7 +137,7 @@
             core.metrics.limit_permits.inc();
             return true;
         }
-        Some(issuer::ClaimAnswer::Denied(pause)) => pause,
+        Some(issuer::ClaimAnswer::Denied(pause)) => pause.min(PAUSE_LIMIT),
         None => UNANSWERED_PAUSE,
     };
     core.metrics.limit_denials.inc();
