State how long a connection is kept if the operator allows longer

Callers reuse a connection that was idle for up to four fifths of the operator's limit, and a node closes it after 90 s. With a limit above 112 s their requests could cross the close. Answers state Keep-Alive: timeout=80 while the limit is above 90 s; callers keep to what is stated. The header was absent before.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -5,9 +5,11 @@
 //! all other persistent state. The crate `arbutusfold-platform` decodes the
 //! platform's formats; this module and its children make the decisions.
 
+use std::convert;
 use std::sync;
 
 use derive_more::{Display, Error};
+use hyper::body;
 use tokio::sync::{mpsc, watch};
 use tokio::{task, time};
 
@@ -63,9 +65,14 @@
 
 /// Time after which an idle connection of a caller is closed. Callers reuse
 /// connections for most of the operator's limit, which may change while the
-/// node runs, so this timeout is longer than any usual limit.
+/// node runs, so this timeout is longer than any usual limit. If the limit is
+/// longer still, answers state [`STATED_IDLE_TIME`].
 const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(90);
 
+/// Time for which callers may reuse an idle connection if the operator's limit
+/// exceeds [`IDLE_TIMEOUT`]. The difference is for requests on their way.
+const STATED_IDLE_TIME: std::time::Duration = std::time::Duration::from_secs(80);
+
 /// Maximum size of a request head in bytes.
 const HEAD_LIMIT_BYTES: usize = 64 << 10;
 
@@ -165,12 +172,8 @@
         let connections = descriptors::caller_connections(allowed);
         caller_limits.connections = caller_limits.connections.min(connections);
     }
-    let serving = tokio::spawn(serve::serve(
-        callers,
-        caller_limits,
-        closed,
-        move |request| panics::answer(forward::handle(sync::Arc::clone(&caller_core), request)),
-    ));
+    let answer = move |request| answer_caller(sync::Arc::clone(&caller_core), request);
+    let serving = tokio::spawn(serve::serve(callers, caller_limits, closed, answer));
 
     drain_gateway(&core, &driver, stop, closing, serving).await;
     core.note(event::EventCode::StopFinished, &name, "");
@@ -189,6 +192,30 @@
     }
 }
 
+async fn answer_caller(
+    core: sync::Arc<core::GatewayCore>,
+    request: http::Request<body::Incoming>,
+) -> Result<response::GatewayResponse, convert::Infallible> {
+    let handled = forward::handle(sync::Arc::clone(&core), request);
+    let mut answer = panics::answer(handled).await?;
+    state_idle_time(&core, &mut answer);
+    Ok(answer)
+}
+
+/// States in an answer for how long its connection may be reused, if that is less
+/// than the operator's limit lets callers assume.
+fn state_idle_time(core: &core::GatewayCore, answer: &mut response::GatewayResponse) {
+    let limit = core.routing().map(|table| table.limits().idle_time);
+    if limit.is_none_or(|limit| limit <= IDLE_TIMEOUT) {
+        return;
+    }
+    let stated = format!("timeout={}", STATED_IDLE_TIME.as_secs());
+    if let Ok(stated) = http::HeaderValue::from_str(&stated) {
+        let name = http::HeaderName::from_static("keep-alive");
+        answer.headers_mut().insert(name, stated);
+    }
+}
+
 fn serve_entry(
     core: &sync::Arc<core::GatewayCore>,
     listener: tokio::net::TcpListener,
