--- a/soak/tests/fleet_answers.rs
+++ b/soak/tests/fleet_answers.rs
@@ -785,3 +785,50 @@
     // Less than the 90 s for which the node keeps it.
     assert_eq!(ask().await.header("keep-alive"), Some("timeout=80"));
 }
+
+/// Returns the number of requests that a node handles now.
+async fn in_flight(node: &deployment::GatewayNode) -> usize {
+    let metrics = std::net::SocketAddr::from((node.spec.ip, 8_005));
+    let mut channel = KeptChannel::open(metrics).await.unwrap();
+    let request = "GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n";
+    let answer = in_time(channel.ask(request)).await.unwrap();
+    let mut lines = answer.body.lines();
+    let value = lines.find_map(|line| line.strip_prefix("arbutusfold_in_flight "));
+    value.unwrap().parse().unwrap()
+}
+
+/// Guards against a slow caller whose sound stream is cut, and against a stream whose
+/// caller stalls and that holds its runners beyond its time.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_caller_gets_its_stream_and_a_stalled_one_holds_none() {
+    let mut operator = TestOperator::start("slow", 225).await;
+    let limit = time::Duration::from_secs(4);
+    operator
+        .put(|document| {
+            let limit = json!(limit.as_millis() as u64);
+            set_route(document, "/model/", "timeoutMs", limit);
+        })
+        .await;
+    operator.wait_applied().await;
+    let node = &operator.deployment.nodes[0];
+    let begun_at = tokio::time::Instant::now();
+    // Runners repeat the path in each event, so that the events are more than the
+    // buffers of both ends hold.
+    let mut stalled = KeptChannel::open_narrow(node.spec.callers()).await.unwrap();
+    let path = format!("/model/{}", "x".repeat(30_000));
+    let request = head("POST", &path, deployment::KEY, 0, 3_000);
+    stalled.send(request.as_bytes()).await.unwrap();
+    let mut slow = KeptChannel::open_narrow(node.spec.callers()).await.unwrap();
+    let request = head("POST", "/model/write", deployment::KEY, 0, 300);
+    slow.send(request.as_bytes()).await.unwrap();
+    assert_eq!(in_time(slow.read_head()).await.unwrap().0, 200);
+    let mut body = Vec::new();
+    while let Some(chunk) = in_time(slow.read_chunk()).await.unwrap() {
+        body.extend(chunk);
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    assert_eq!(String::from_utf8(body).unwrap(), stream_body(300));
+    tokio::time::sleep_until(begun_at + limit + time::Duration::from_millis(500)).await;
+    assert_eq!(in_flight(node).await, 0);
+    drop(stalled);
+}
--- a/soak/tests/fleet_fixture/channel.rs
+++ b/soak/tests/fleet_fixture/channel.rs
@@ -51,6 +51,17 @@
         })
     }
 
+    /// Opens a connection whose receive buffer is as small as the system allows.
+    pub async fn open_narrow(node: net::SocketAddr) -> io::Result<Self> {
+        let socket = tokio_net::TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(1)?;
+        let stream = tokio::time::timeout(CONNECT_LIMIT, socket.connect(node)).await??;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream: tokio::io::BufReader::new(stream),
+        })
+    }
+
     /// Sends bytes.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
