--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -5,9 +5,11 @@
 //! all other persistent state. The crate `arbutusfold-platform` decodes the
 //! platform's formats; this module and its children make the decisions.
 
+use std::convert;
 use std::sync;
 
 use derive_more::{Display, Error};
+use hyper::body;
 use tokio::sync::{mpsc, watch};
 use tokio::{task, time};
 
@@ -23,6 +25,7 @@
 pub mod claim;
 pub mod core;
 pub mod crash;
+pub mod descriptors;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
@@ -34,6 +37,7 @@
 pub mod leader_driver;
 pub mod metrics;
 pub mod mirror;
+pub mod panics;
 pub mod path;
 pub mod quarantine;
 pub mod replication;
@@ -62,9 +66,14 @@
 
 /// Time after which an idle connection of a caller is closed. Callers reuse
 /// connections for most of the operator's limit, which may change while the
-/// node runs, so this timeout is longer than any usual limit.
+/// node runs, so this timeout is longer than any usual limit. If the limit is
+/// longer still, answers state [`STATED_IDLE_TIME`].
 const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(90);
 
+/// Time for which callers may reuse an idle connection if the operator's limit
+/// exceeds [`IDLE_TIMEOUT`]. The difference is for requests on their way.
+const STATED_IDLE_TIME: std::time::Duration = std::time::Duration::from_secs(80);
+
 /// Maximum size of a request head in bytes.
 const HEAD_LIMIT_BYTES: usize = 64 << 10;
 
@@ -91,6 +100,7 @@
     reload: mpsc::Receiver<settings::GatewaySettings>,
 ) -> Result<(), GatewayError> {
     let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
+    panics::install(&core.panics);
     let monitor = peer::TransportMonitor {
         recorder: sync::Arc::clone(&core.recorder),
         metrics: core.metrics.transport.clone(),
@@ -145,20 +155,26 @@
             received,
             reload,
         )),
-        tokio::spawn(layout_controller::run(sync::Arc::clone(&core))),
-        tokio::spawn(leader_driver::run(sync::Arc::clone(&core))),
-        tokio::spawn(survey::run(sync::Arc::clone(&core))),
-        tokio::spawn(suspects::run(sync::Arc::clone(&core))),
-        tokio::spawn(suspects::learn(sync::Arc::clone(&core))),
-        tokio::spawn(suspect_store::run(sync::Arc::clone(&core))),
+        panics::spawn(&core, layout_controller::run),
+        panics::spawn(&core, leader_driver::run),
+        panics::spawn(&core, survey::run),
+        panics::spawn(&core, suspects::run),
+        panics::spawn(&core, suspects::learn),
+        panics::spawn(&core, suspect_store::run),
         serve_entry(&core, ready, &closed),
         serve_entry(&core, directory, &closed),
         serve_metrics(&core, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
-    let serving = tokio::spawn(serve::serve(callers, limits(), closed, move |request| {
-        forward::handle(sync::Arc::clone(&caller_core), request)
-    }));
+    let mut caller_limits = limits();
+    let allowed = core.settings.descriptor_limit;
+    let allowed = allowed.or_else(descriptors::system_limit);
+    if let Some(allowed) = allowed {
+        let connections = descriptors::caller_connections(allowed);
+        caller_limits.connections = caller_limits.connections.min(connections);
+    }
+    let answer = move |request| answer_caller(sync::Arc::clone(&caller_core), request);
+    let serving = tokio::spawn(serve::serve(callers, caller_limits, closed, answer));
 
     drain_gateway(&core, &driver, stop, closing, serving).await;
     core.note(event::EventCode::StopFinished, &name, "");
@@ -177,6 +193,30 @@
     }
 }
 
+async fn answer_caller(
+    core: sync::Arc<core::GatewayCore>,
+    request: http::Request<body::Incoming>,
+) -> Result<response::GatewayResponse, convert::Infallible> {
+    let handled = forward::handle(sync::Arc::clone(&core), request);
+    let mut answer = panics::answer(handled).await?;
+    state_idle_time(&core, &mut answer);
+    Ok(answer)
+}
+
+/// States in an answer for how long its connection may be reused, if that is less
+/// than the operator's limit lets callers assume.
+fn state_idle_time(core: &core::GatewayCore, answer: &mut response::GatewayResponse) {
+    let limit = core.routing().map(|table| table.limits().idle_time);
+    if limit.is_none_or(|limit| limit <= IDLE_TIMEOUT) {
+        return;
+    }
+    let stated = format!("timeout={}", STATED_IDLE_TIME.as_secs());
+    if let Ok(stated) = http::HeaderValue::from_str(&stated) {
+        let name = http::HeaderName::from_static("keep-alive");
+        answer.headers_mut().insert(name, stated);
+    }
+}
+
 fn serve_entry(
     core: &sync::Arc<core::GatewayCore>,
     listener: tokio::net::TcpListener,
@@ -224,13 +264,18 @@
                     let phase = member::MemberPhase::Serving;
                     driver.step(member::MemberEvent::Phase(phase), now);
                 }
-                driver.step(member::MemberEvent::Tick, time::Instant::now());
-                core.tick(now);
+                panics::contain(|| {
+                    driver.step(member::MemberEvent::Tick, time::Instant::now());
+                    core.tick(now);
+                });
+                panics::record(&core);
             }
             message = received.recv() => {
                 let Some(message) = message else { return };
-                // A message that cannot be opened is dropped, as if it had been lost.
-                let _ = core.post.receive(&message);
+                panics::contain(|| {
+                    // A message that cannot be opened is dropped, as if it had been lost.
+                    let _ = core.post.receive(&message);
+                });
             }
             Some(reloaded) = reload.recv() => {
                 let now = time::Instant::now();
