Bound the time for which a stalled caller holds its runners

Runners were held for up to 30 s by a caller that reads nothing: sending an event to it had no deadline. It has that of the request now.

Evidence: slow_caller_gets_its_stream_and_a_stalled_one_holds_none was red (known red until this commit), and passes; a slow caller gets its stream.

--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -241,8 +241,13 @@
             match event {
                 Some(event) => {
                     self.events += 1;
-                    if self.sender.send(event.bytes).await.is_err() {
-                        return PumpEnd::CallerLeft;
+                    // A caller that reads nothing must not hold its runners for longer
+                    // than the request may take.
+                    let sent = self.sender.send(event.bytes);
+                    match time::timeout_at(self.request.deadline, sent).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(_)) => return PumpEnd::CallerLeft,
+                        Err(_) => return PumpEnd::Failed("deadline passed".to_owned()),
                     }
                 }
                 None => {
