Let a held run that fails end no other attempt

Callers got 500 although another run of their request was about to answer, and 502 or 504 where a runner had reported the failure itself.

Cause: a held run that ended with a 5xx counted as the first answer, so the attempt beside it was dropped; with maxAttempts 2 nothing could follow. A held run of a stream that ended so was dropped without its response.

Now such a response is a failure of the held run. It is relayed only if no run answers.

Evidence: failure_of_a_held_run_ends_no_other_attempt got 500, and failure_of_a_held_run_is_relayed_if_no_other_run_answers got 502 for the stream before; both pass.

--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -329,13 +329,13 @@
             held::RaceEnd::Attempt(end) => end,
             held::RaceEnd::Held(answer) => regain(request, answer),
         };
-        request.note_held_failures(&mut held);
+        note_failures(request, &mut held, &mut error_response);
         let end = match end {
             PlainEnd::Unavailable(_) if !held.is_empty() => {
                 match held.wait(request.time_left()).await {
                     Some(answer) => regain(request, answer),
                     None => {
-                        request.note_held_failures(&mut held);
+                        note_failures(request, &mut held, &mut error_response);
                         continue;
                     }
                 }
@@ -357,11 +357,7 @@
                     lock(&request.core.fleet).note_success(&target.runners[0]);
                     return Ok(relay(&parts, bytes));
                 }
-                if is_own_failure(&parts) {
-                    request.note_survived();
-                }
-                lock(&request.core.fleet).note_error(&target.runners[0]);
-                request.exclude(&target.runners[0]);
+                request.note_reported_failure(&target, &parts);
                 error_response = Some(relay(&parts, bytes));
                 let cause = format!("status {}", parts.status.as_u16());
                 (request::AttemptReach::Ran, cause)
@@ -384,6 +380,18 @@
     }
 }
 
+/// Records the runs that failed while they were held, and the response of the latest
+/// one that sent any.
+pub fn note_failures<T>(
+    request: &mut request::CallerRequest,
+    held: &mut held::HeldRuns<T>,
+    error_response: &mut Option<response::GatewayResponse>,
+) {
+    if let Some(reported) = request.note_held_failures(held) {
+        *error_response = Some(relay(&reported.parts, reported.bytes));
+    }
+}
+
 /// Continues with a silent run that answered.
 fn regain(request: &mut request::CallerRequest, answer: Box<PlainAnswer>) -> PlainEnd {
     request.note_regained(&answer.target);
@@ -436,7 +444,8 @@
     }
 }
 
-/// Waits for the complete response of a silent run.
+/// Waits for the complete response of a silent run. A failure is no delivery: it would
+/// end another attempt that may succeed.
 async fn wait_answer(
     id: id::RequestId,
     answer: request::PendingAnswer,
@@ -451,6 +460,10 @@
     let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES).await;
     drop(link);
     match read {
+        Ok(bytes) if parts.status.is_server_error() => {
+            let response = held::FailureResponse { parts, bytes };
+            Err(held::RunFault::reported(response).at(target, false))
+        }
         Ok(bytes) => Ok(Box::new(PlainAnswer {
             target,
             parts,
@@ -463,12 +476,6 @@
     }
 }
 
-/// Returns whether a runner ran the request and failed it, which shows that the
-/// request does not crash it.
-fn is_own_failure(parts: &http::response::Parts) -> bool {
-    parts.status == http::StatusCode::INTERNAL_SERVER_ERROR && head::has_proof(&parts.headers)
-}
-
 /// Converts a runner's response to the response for the caller.
 pub fn relay(parts: &http::response::Parts, bytes: Bytes) -> response::GatewayResponse {
     let mut response = http::Response::new(response::full_body(bytes));
--- a/arbutusfold/src/gateway/held.rs
+++ b/arbutusfold/src/gateway/held.rs
@@ -5,6 +5,7 @@
 
 use std::time as std_time;
 
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt, future};
@@ -22,6 +23,17 @@
     pub cause: String,
     /// What suggests that the first runner died, if anything does.
     pub sign: Option<crash::CrashSign>,
+    /// The response, if the runner reported a failure of its own.
+    pub response: Option<FailureResponse>,
+}
+
+/// Complete response of a runner that failed a request.
+#[derive(Debug)]
+pub struct FailureResponse {
+    /// Head of the response.
+    pub parts: http::response::Parts,
+    /// Complete body.
+    pub bytes: Bytes,
 }
 
 impl RunFault {
@@ -31,6 +43,16 @@
             reach: request::AttemptReach::Ran,
             cause: cause.into(),
             sign,
+            response: None,
+        }
+    }
+
+    /// Returns the fault of a run whose runner reported a failure.
+    pub fn reported(response: FailureResponse) -> Self {
+        let cause = format!("status {}", response.parts.status.as_u16());
+        Self {
+            response: Some(response),
+            ..Self::ran(cause, None)
         }
     }
 
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -257,6 +257,7 @@
             },
             cause: fault.to_owned(),
             sign: None,
+            response: None,
         })
     }
 }
@@ -374,6 +375,12 @@
     }
 }
 
+/// Returns whether a runner ran the request and failed it, which shows that the
+/// request does not crash it.
+fn is_own_failure(parts: &http::response::Parts) -> bool {
+    parts.status == http::StatusCode::INTERNAL_SERVER_ERROR && head::has_proof(&parts.headers)
+}
+
 /// Records that nothing listens at the address of a runner's process.
 fn note_unreachable(core: &core::GatewayCore, process: &suspect::CrashId, request: &str) {
     let (id, started_ms) = (&process.upstream, process.incarnation);
@@ -961,19 +968,42 @@
             .retain(|(_, instance)| !target.runners.contains(&instance.crash.upstream));
     }
 
-    /// Records the runs that ended without delivering while they were held.
-    pub fn note_held_failures<T>(&mut self, held: &mut held::HeldRuns<T>) {
+    /// Records that a runner reported a failure of the request.
+    pub fn note_reported_failure(&mut self, target: &AttemptTarget, parts: &http::response::Parts) {
+        if is_own_failure(parts) {
+            self.note_survived();
+        }
+        lock(&self.core.fleet).note_error(&target.runners[0]);
+        self.exclude(&target.runners[0]);
+    }
+
+    /// Records the runs that ended without delivering while they were held; returns
+    /// the latest failure that a runner reported.
+    pub fn note_held_failures<T>(
+        &mut self,
+        held: &mut held::HeldRuns<T>,
+    ) -> Option<held::FailureResponse> {
+        let mut reported = None;
         for failure in held.take_failures() {
             let target = &failure.target;
             let first = &target.runners[0];
             self.end_run(target);
-            let held::RunFault { reach, cause, sign } = &failure.fault;
-            match reach {
-                AttemptReach::NotSent | AttemptReach::NotRun => self.executed -= 1,
-                AttemptReach::Ran => self.fail_runner(first, cause),
+            let held::RunFault {
+                reach,
+                cause,
+                sign,
+                response,
+            } = failure.fault;
+            match (reach, &response) {
+                (AttemptReach::NotSent | AttemptReach::NotRun, _) => self.executed -= 1,
+                (AttemptReach::Ran, Some(response)) => {
+                    self.note_reported_failure(target, &response.parts);
+                }
+                (AttemptReach::Ran, None) => self.fail_runner(first, &cause),
             }
+            reported = response.or(reported);
             if let Some(sign) = sign {
-                self.check_crash(target, 0, *sign, failure.progressed);
+                self.check_crash(target, 0, sign, failure.progressed);
             }
             let detail = format!(
                 "reach={reach:?} cause={cause} held=true runners={} ms={}",
@@ -982,6 +1012,7 @@
             );
             self.note(event::EventCode::AttemptFailed, detail);
         }
+        reported
     }
 
     /// Records that a silent run is kept while another one is sought.
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -352,7 +352,7 @@
             }
             held::RaceEnd::Attempt(end) => end,
         };
-        request.note_held_failures(&mut held);
+        forward::note_failures(request, &mut held, &mut response);
         let (reach, attempt_cause) = match end {
             AttemptEnd::Started(started) => {
                 *cursor = started.cursor;
@@ -390,7 +390,7 @@
                 if let Some(started) = held.wait(limit).await {
                     return Ok(regain(request, cursor, started));
                 }
-                request.note_held_failures(&mut held);
+                forward::note_failures(request, &mut held, &mut response);
                 continue;
             }
         };
@@ -482,8 +482,13 @@
         Err(fault) => return Err(fault.at(target, false)),
     };
     if !response.status().is_success() {
-        let cause = format!("status {}", response.status().as_u16());
-        return Err(held::RunFault::ran(cause, None).at(target, false));
+        let (parts, body) = response.into_parts();
+        let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES).await;
+        let fault = match read {
+            Ok(bytes) => held::RunFault::reported(held::FailureResponse { parts, bytes }),
+            Err(error) => held::RunFault::ran(error.to_string(), Some(crash::CrashSign::Body)),
+        };
+        return Err(fault.at(target, false));
     }
     let attempt = StreamAttempt::new(response, link, guard, target);
     attempt.wait_silent(cursor).await
