Let no refused resumption cut a stream that may go on

Callers saw a stream cut because another runner answered its resumption with a 4xx, although the silent runner went on a moment later. Where a silent run of a new stream ended with a 4xx, its caller got 504 at the deadline.

Cause: a response that is not a stream was final also in mid-answer, when it can't reach the caller; and a held run counted it as a failure.

Now it is final only while the caller has nothing yet, from held runs, too. In mid-answer it is a failed attempt like any other.

Evidence: stream_outlasts_a_resumption_that_is_answered_with_a_failure was cut after 2 of 4 events, final_answer_of_a_held_run_of_a_stream_is_relayed got 504 before; both pass.

--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -118,7 +118,7 @@
 /// Result of starting a stream.
 enum StartOutcome {
     Started(Box<StartedStream>),
-    /// A final response of a runner that is not a stream.
+    /// A complete response of a runner that is not a stream.
     Response(response::GatewayResponse),
 }
 
@@ -137,8 +137,8 @@
     TimedOut,
 }
 
-type HeldStreams = held::HeldRuns<Box<StartedStream>>;
-type HeldEnd = held::HeldEnd<Box<StartedStream>>;
+type HeldStreams = held::HeldRuns<StartOutcome>;
+type HeldEnd = held::HeldEnd<StartOutcome>;
 
 /// Serves a request of a streaming route.
 pub async fn serve(mut request: request::CallerRequest) -> response::GatewayResponse {
@@ -324,13 +324,15 @@
 /// Starts the stream on a path, beside the silent runs in `held`, and waits for the
 /// next event of any of them. The first run that delivers it continues the stream;
 /// the others are dropped. `failed` tells how far an earlier attempt came, if there
-/// was one.
+/// was one. A response that is not a stream ends only a stream of which the caller has
+/// nothing yet.
 async fn start(
     request: &mut request::CallerRequest,
     cursor: &mut event_stream::EventCursor,
     mut held: HeldStreams,
     mut failed: Option<request::AttemptReach>,
 ) -> Result<StartOutcome, response::GatewayRefusal> {
+    let is_resumption = failed.is_some();
     let mut response = None;
     let mut cause = "the stream broke off".to_owned();
     loop {
@@ -344,11 +346,11 @@
             {
                 return AttemptEnd::Unavailable(cause.clone());
             }
-            try_start(request, position).await
+            try_start(request, position, is_resumption).await
         };
         let end = match held.race(attempt).await {
-            held::RaceEnd::Held(started) => {
-                return Ok(regain(request, cursor, started));
+            held::RaceEnd::Held(outcome) => {
+                return Ok(regain(request, cursor, outcome));
             }
             held::RaceEnd::Attempt(end) => end,
         };
@@ -360,9 +362,10 @@
             }
             AttemptEnd::Response(parts, bytes) => {
                 let cause = format!("status {}", parts.status.as_u16());
-                let is_final = !parts.status.is_server_error();
+                let is_final = !is_resumption && !parts.status.is_server_error();
                 response = Some(forward::relay(&parts, bytes));
                 if is_final {
+                    request.note_answered();
                     return response
                         .map(StartOutcome::Response)
                         .ok_or_else(|| request.refusal(&cause));
@@ -387,8 +390,8 @@
                     true => left.min(RESTART_PAUSE),
                     false => left,
                 };
-                if let Some(started) = held.wait(limit).await {
-                    return Ok(regain(request, cursor, started));
+                if let Some(outcome) = held.wait(limit).await {
+                    return Ok(regain(request, cursor, outcome));
                 }
                 forward::note_failures(request, &mut held, &mut response);
                 continue;
@@ -404,12 +407,19 @@
     }
 }
 
-/// Continues with a silent run that went on.
+/// Continues with a silent run that went on or gave a final response.
 fn regain(
     request: &mut request::CallerRequest,
     cursor: &mut event_stream::EventCursor,
-    mut started: Box<StartedStream>,
+    outcome: StartOutcome,
 ) -> StartOutcome {
+    let mut started = match outcome {
+        StartOutcome::Started(started) => started,
+        StartOutcome::Response(_) => {
+            request.note_answered();
+            return outcome;
+        }
+    };
     *cursor = started.cursor;
     request.note_regained(&started.attempt.target);
     match started.first {
@@ -426,6 +436,7 @@
 async fn try_start(
     request: &mut request::CallerRequest,
     cursor: event_stream::EventCursor,
+    is_resumption: bool,
 ) -> AttemptEnd {
     let target = match request.acquire_target().await {
         Ok(target) => target,
@@ -445,12 +456,7 @@
             lock(&request.core.fleet).note_error(&target.runners[0]);
             request.exclude(&target.runners[0]);
             match read {
-                Ok(Ok(bytes)) => {
-                    if !parts.status.is_server_error() {
-                        request.note_answered();
-                    }
-                    AttemptEnd::Response(parts, bytes)
-                }
+                Ok(Ok(bytes)) => AttemptEnd::Response(parts, bytes),
                 _ => {
                     let cause = format!("status {}", parts.status.as_u16());
                     AttemptEnd::Failed(request::AttemptReach::Ran, cause)
@@ -460,7 +466,7 @@
         request::AttemptOutcome::Silent { answer, cause } => {
             request.note_held(&target, &cause);
             let id = request.head.request.clone();
-            let run = wait_head(id, answer, guard, target, cursor);
+            let run = wait_head(id, answer, guard, target, cursor, is_resumption);
             AttemptEnd::Silent(run.boxed(), cause)
         }
         request::AttemptOutcome::Unanswered { reach, cause } => AttemptEnd::Failed(reach, cause),
@@ -476,6 +482,7 @@
     guard: request::LoadGuard,
     target: request::AttemptTarget,
     cursor: event_stream::EventCursor,
+    is_resumption: bool,
 ) -> HeldEnd {
     let (response, link) = match answer.wait_valid(&id).await {
         Ok(answered) => answered,
@@ -485,6 +492,9 @@
         let (parts, body) = response.into_parts();
         let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES).await;
         let fault = match read {
+            Ok(bytes) if !is_resumption && !parts.status.is_server_error() => {
+                return Ok(StartOutcome::Response(forward::relay(&parts, bytes)));
+            }
             Ok(bytes) => held::RunFault::reported(held::FailureResponse { parts, bytes }),
             Err(error) => held::RunFault::ran(error.to_string(), Some(crash::CrashSign::Body)),
         };
@@ -563,11 +573,11 @@
                 StreamRead::Ended => None,
                 StreamRead::Broken { cause, sign } => break (cause, sign),
             };
-            return Ok(Box::new(StartedStream {
+            return Ok(StartOutcome::Started(Box::new(StartedStream {
                 attempt: self,
                 first,
                 cursor,
-            }));
+            })));
         };
         Err(held::RunFault::ran(cause, sign).at(self.target, self.has_events))
     }
--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -26,6 +26,9 @@
     "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":2,"public":true,"service":"s"}],
     "services":[{"name":"s","healthPath":"/health","maxConns":10,"protocol":"h1","tls":false}]}"#;
 
+/// Head of a stream, whose body ends with its connection.
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n";
+
 /// Parts of the answer to one run, each sent after a pause in milliseconds. The
 /// connection closes after the last one.
 type Script = Vec<(u64, String)>;
@@ -90,6 +93,13 @@
     format!("HTTP/1.1 {status} X\r\nResponse-Stamp: s\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// Returns the events of a stream with these numbers.
+fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
+    numbers
+        .map(|number| format!("id: {number}\ndata: x\n\n"))
+        .collect()
+}
+
 /// Starts a node that knows these runners.
 async fn start_node(runners: &TestRunners) -> (sync::Arc<core::GatewayCore>, net::SocketAddr) {
     let core = gateway_network::core_of(&gateway_network::record(1));
@@ -152,6 +162,21 @@
     parts.to_vec()
 }
 
+/// A run without any answer.
+fn silent() -> Script {
+    script(&[(10_000, String::new())])
+}
+
+/// Asserts that a stream came to its caller complete, in order and once.
+fn assert_whole(answer: &str, last: u64) {
+    let lines = answer.lines();
+    let numbers: Vec<u64> = lines
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect();
+    assert_eq!(numbers, (1..=last).collect::<Vec<_>>(), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
 /// A held run that ends with a failure leaves the attempt beside it alone, which may
 /// be the last one that the route allows.
 #[tokio::test]
@@ -178,3 +203,32 @@
         assert!(answer.starts_with("HTTP/1.1 500"), "{path} {answer}");
     }
 }
+
+/// A silent run that ends with a final answer which is no stream has answered the
+/// request.
+#[tokio::test]
+async fn final_answer_of_a_held_run_of_a_stream_is_relayed() {
+    let refusing = script(&[(400, answer(400, "no such session"))]);
+    let runners = start_runners(2, vec![refusing, silent()]).await;
+    let (core, node) = start_node(&runners).await;
+    grant_retries(&core);
+    let answer = call(node, "/s/x").await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+}
+
+/// An answer to the resumption of a stream that is no stream ends nothing while the
+/// silent run may go on.
+#[tokio::test]
+async fn stream_outlasts_a_resumption_that_is_answered_with_a_failure() {
+    for status in [400, 500] {
+        let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+        let paused = script(&[head, (900, events(3..=4))]);
+        let failing = script(&[(0, answer(status, "failed"))]);
+        let runners = start_runners(2, vec![paused, failing]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        let answer = call(node, "/s/x").await;
+        assert_eq!(runners.runs.load(atomic::Ordering::SeqCst), 2);
+        assert_whole(&answer, 4);
+    }
+}
