Take no retry from the budget for an attempt that sends nothing

Callers of other streams got no retry while one that had no path used it up.

Cause: a retry is taken before a path is sought. A stream that holds a silent run seeks a path every 200 ms and took a retry each time, also where "no path has room" was the answer.

Now a retry that was not sent is given back to the part of the window that it was taken in: when no runner is found, when a held run goes on first, and at the end of the request. After an attempt that reached no runner it is kept, since the next one takes none.

The metric of retries counts those that were sent.

--- a/arbutusfold/src/gateway/budget.rs
+++ b/arbutusfold/src/gateway/budget.rs
@@ -100,6 +100,15 @@
         true
     }
 
+    /// Returns a retry taken at `taken_at` that was not sent.
+    pub fn give_back(&mut self, service: &str, taken_at: time::Instant) {
+        let index = self.service_index(service);
+        let mut buckets = self.services[index].buckets.iter_mut().rev();
+        if let Some(bucket) = buckets.find(|bucket| bucket.start <= taken_at) {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// Returns the bucket for the current time and drops expired ones.
     fn current_bucket(&mut self, service: &str, now: time::Instant) -> &mut WindowBucket {
         let window = self.policy.window;
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -190,6 +190,7 @@
         trace: sync::Arc::default(),
         unfinished: Vec::new(),
         trial: None,
+        unsent_retry: None,
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
         has_begun: false,
@@ -332,6 +333,8 @@
         note_failures(request, &mut held, &mut error_response);
         let end = match end {
             PlainEnd::Unavailable(_) if !held.is_empty() => {
+                let reach = failed.as_ref().map(|(reach, _)| *reach);
+                request.note_unsent(reach.unwrap_or(request::AttemptReach::Ran));
                 match held.wait(request.time_left()).await {
                     Some(answer) => regain(request, answer),
                     None => {
--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -283,6 +283,7 @@
     /// Records the runners that died under a request without an answer, also one
     /// whose caller left.
     fn drop(&mut self) {
+        self.return_retry();
         self.trace.end(crash::RequestEnd::Unanswered);
         let mut crashes = self.trace.crashes();
         if self.trace.ended() != Some(crash::RequestEnd::Unanswered) {
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -100,6 +100,8 @@
     pub unfinished: Vec<(usize, crash::RunnerInstance)>,
     /// Permit for the trial, if the request may only run as one.
     pub trial: Option<trial::TrialPermit>,
+    /// When the retry that was not sent yet was taken from the budget.
+    pub unsent_retry: Option<time::Instant>,
     /// Fingerprint, once it was needed.
     pub fingerprint: sync::OnceLock<suspect::RequestFingerprint>,
     /// Fingerprints of the shared parts of the prompt, once they were needed.
@@ -422,11 +424,10 @@
         if reach == AttemptReach::NotSent {
             return true;
         }
-        let granted = lock(&self.core.budget).take(&self.service, time::Instant::now());
+        let now = time::Instant::now();
+        let granted = lock(&self.core.budget).take(&self.service, now);
         match granted {
-            true => {
-                self.core.metrics.retries.inc();
-            }
+            true => self.unsent_retry = Some(now),
             false => {
                 self.count_refused_run("budget");
                 let detail = format!("service={} retry budget exhausted", self.service);
@@ -436,6 +437,22 @@
         granted
     }
 
+    /// Records that no runner was found for an attempt after one that came as far as
+    /// `reach`. The retry is not taken again after an attempt that reached no runner, so
+    /// it is kept then.
+    pub fn note_unsent(&mut self, reach: AttemptReach) {
+        if reach != AttemptReach::NotSent {
+            self.return_retry();
+        }
+    }
+
+    /// Gives the budget back a retry that was not sent.
+    pub fn return_retry(&mut self) {
+        if let Some(taken_at) = self.unsent_retry.take() {
+            lock(&self.core.budget).give_back(&self.service, taken_at);
+        }
+    }
+
     /// Returns whether the route and the kind of the request leave it another attempt
     /// after one that came as far as `reach`.
     pub fn has_attempts(&self, reach: AttemptReach) -> bool {
@@ -753,6 +770,9 @@
             };
         };
         let sent_at = time::Instant::now();
+        if self.unsent_retry.take().is_some() {
+            self.core.metrics.retries.inc();
+        }
         self.begin_run(&target.runners);
         let stages = 0..target.runners.len();
         let instances = stages.filter_map(|stage| Some((stage, target.instance(stage)?)));
@@ -1023,6 +1043,7 @@
 
     /// Records that a silent run went on.
     pub fn note_regained(&mut self, target: &AttemptTarget) {
+        self.return_retry();
         self.latest_runners = target.runners.join(">");
         let now = time::Instant::now();
         let mut fleet = lock(&self.core.fleet);
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -385,6 +385,7 @@
             }
             AttemptEnd::Unavailable(_) => {
                 let reach = failed.unwrap_or(request::AttemptReach::Ran);
+                request.note_unsent(reach);
                 let left = request.time_left();
                 let limit = match request.has_attempts(reach) {
                     true => left.min(RESTART_PAUSE),
--- a/arbutusfold/tests/gateway_budget.rs
+++ b/arbutusfold/tests/gateway_budget.rs
@@ -81,3 +81,20 @@
     assert_eq!(take_all(&mut budget, now + POLICY.window / 2), 0);
     assert_eq!(take_all(&mut budget, now + POLICY.window * 2), first);
 }
+
+/// A retry that is given back may be taken again, but not twice, nor once it has left
+/// the window.
+#[tokio::test(start_paused = true)]
+async fn retry_given_back_counts_in_its_own_window() {
+    let started = time::Instant::now();
+    let taken_at = started + POLICY.window;
+    let mut budget = budget::RetryBudget::new(POLICY, started);
+    let whole = take_all(&mut budget, taken_at);
+    let later = taken_at + POLICY.window / 2;
+    budget.give_back(SERVICE, taken_at);
+    assert_eq!(take_all(&mut budget, later), 1);
+    let after = taken_at + POLICY.window * 2;
+    assert_eq!(take_all(&mut budget, after), whole);
+    budget.give_back(SERVICE, taken_at);
+    assert_eq!(take_all(&mut budget, after), 0);
+}
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -73,6 +73,7 @@
         trace: sync::Arc::default(),
         unfinished: Vec::new(),
         trial: None,
+        unsent_retry: None,
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
         has_begun: false,
--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -142,6 +142,13 @@
     (0..1_000).for_each(|_| budget.note_request("s", now));
 }
 
+/// Returns how many retries the budget of the node holds, and takes them.
+fn take_retries(core: &core::GatewayCore) -> usize {
+    let mut budget = core.budget.lock().unwrap();
+    let taken = (0..1_000).take_while(|_| budget.take("s", time::Instant::now()));
+    taken.count()
+}
+
 /// Sends a request with the id `request-1`; returns the complete answer as text.
 async fn call(node: net::SocketAddr, path: &str) -> String {
     let mut socket = tokio::net::TcpStream::connect(node).await.unwrap();
@@ -232,3 +239,25 @@
         assert_whole(&answer, 4);
     }
 }
+
+/// A retry that finds no runner is not taken from the budget, which others need.
+#[tokio::test]
+async fn retries_that_find_no_runner_take_nothing_from_the_budget() {
+    for path in ["/p/x", "/s/x"] {
+        let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+        let paused = match path {
+            "/s/x" => script(&[head, (1_200, events(3..=4))]),
+            _ => script(&[(1_200, answer(200, "late"))]),
+        };
+        let runners = start_runners(1, vec![paused]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        let answer = call(node, path).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{path} {answer}");
+        let (untouched, _) = start_node(&runners).await;
+        grant_retries(&untouched);
+        let whole = take_retries(&untouched);
+        assert!(whole > 10, "{whole}");
+        assert_eq!(take_retries(&core), whole, "{path}");
+    }
+}
