Seek a run beside a silent plain one again

Callers of a plain request got 504 at their deadline where its only run never went on, although another runner was free after half a second.

Cause: without a retry, room or a runner at the first try, the silent run was waited for until the deadline; only streams tried again.

Now both try again every 200 ms while the route leaves them attempts.

Evidence: silent_run_gets_a_companion_once_the_budget_allows_it, 504 for the plain request before, 200 now.

--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -334,8 +334,9 @@
         let end = match end {
             PlainEnd::Unavailable(_) if !held.is_empty() => {
                 let reach = failed.as_ref().map(|(reach, _)| *reach);
-                request.note_unsent(reach.unwrap_or(request::AttemptReach::Ran));
-                match held.wait(request.time_left()).await {
+                let reach = reach.unwrap_or(request::AttemptReach::Ran);
+                request.note_unsent(reach);
+                match held.wait(request.restart_wait(reach)).await {
                     Some(answer) => regain(request, answer),
                     None => {
                         note_failures(request, &mut held, &mut error_response);
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -47,6 +47,10 @@
 /// A request is not retried unless more than this time is left.
 const MIN_TIME_LEFT: std_time::Duration = std_time::Duration::from_millis(20);
 
+/// Time from an attempt that could not start, while a silent run is held, to the
+/// next one. Room and retries are found again as other requests end.
+const RESTART_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
+
 /// Longest response of a plain service in bytes.
 pub const RESPONSE_LIMIT_BYTES: usize = 16 << 20;
 
@@ -463,6 +467,16 @@
         allowed && self.attempts < ATTEMPT_LIMIT
     }
 
+    /// Returns how long silent runs are waited for before another attempt is sought
+    /// after one that came as far as `reach`.
+    pub fn restart_wait(&self, reach: AttemptReach) -> std_time::Duration {
+        let left = self.time_left();
+        match self.has_attempts(reach) {
+            true => left.min(RESTART_PAUSE),
+            false => left,
+        }
+    }
+
     /// Counts a run that was not started.
     pub(crate) fn count_refused_run(&self, cause: &'static str) {
         let labels = metrics::RunRefusalLabels { cause };
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -33,10 +33,6 @@
 /// Timeout for such a report; a live runner sends it within a few milliseconds.
 const REPORT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
-/// Time from an attempt that could not start, while a silent run is held, to the
-/// next one. Room is found again as other requests end.
-const RESTART_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
-
 /// Most reroutes of one attempt.
 const REROUTE_LIMIT: u32 = 3;
 
@@ -386,12 +382,7 @@
             AttemptEnd::Unavailable(_) => {
                 let reach = failed.unwrap_or(request::AttemptReach::Ran);
                 request.note_unsent(reach);
-                let left = request.time_left();
-                let limit = match request.has_attempts(reach) {
-                    true => left.min(RESTART_PAUSE),
-                    false => left,
-                };
-                if let Some(outcome) = held.wait(limit).await {
+                if let Some(outcome) = held.wait(request.restart_wait(reach)).await {
                     return Ok(regain(request, cursor, outcome));
                 }
                 forward::note_failures(request, &mut held, &mut response);
--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -261,3 +261,23 @@
         assert_eq!(take_retries(&core), whole, "{path}");
     }
 }
+
+/// A request whose run is silent for good gets another one as soon as the budget
+/// allows it.
+#[tokio::test]
+async fn silent_run_gets_a_companion_once_the_budget_allows_it() {
+    for path in ["/p/x", "/s/x"] {
+        let stream = format!("{STREAM_HEAD}{}", events(1..=2));
+        let sound = match path {
+            "/s/x" => script(&[(0, stream)]),
+            _ => script(&[(0, answer(200, "sound"))]),
+        };
+        let runners = start_runners(2, vec![silent(), sound]).await;
+        let (core, node) = start_node(&runners).await;
+        let call = tokio::spawn(async move { call(node, path).await });
+        time::sleep(std_time::Duration::from_millis(500)).await;
+        grant_retries(&core);
+        let answer = call.await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{path} {answer}");
+    }
+}
