Log a refused run once between two attempts

A stream that waited beside its silent run noted RetryRefused, or SuspectQuarantined, and counted a refused run, every 200 ms: 50 lines for a request of 10 s. They push other events out of the record.

Now a request notes and counts the first one after each attempt.

Evidence: wait_without_a_permit_is_logged_once saw more than one before.

--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -191,6 +191,7 @@
         unfinished: Vec::new(),
         trial: None,
         unsent_retry: None,
+        is_refusal_noted: false,
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
         has_begun: false,
--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -153,7 +153,10 @@
         left.is_some()
     }
 
-    fn note_quarantine(&self, left: std_time::Duration) {
+    fn note_quarantine(&mut self, left: std_time::Duration) {
+        if !self.begin_refusal() {
+            return;
+        }
         self.count_refused_run("suspect");
         let key = match &self.trial {
             Some(permit) => permit.fingerprint,
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -106,6 +106,8 @@
     pub trial: Option<trial::TrialPermit>,
     /// When the retry that was not sent yet was taken from the budget.
     pub unsent_retry: Option<time::Instant>,
+    /// Whether a refused run was counted and logged since the latest attempt.
+    pub is_refusal_noted: bool,
     /// Fingerprint, once it was needed.
     pub fingerprint: sync::OnceLock<suspect::RequestFingerprint>,
     /// Fingerprints of the shared parts of the prompt, once they were needed.
@@ -422,7 +424,9 @@
         }
         let possible = self.has_attempts(reach);
         if !possible || self.time_left() <= MIN_TIME_LEFT {
-            self.count_refused_run(if possible { "time" } else { "attempts" });
+            if self.begin_refusal() {
+                self.count_refused_run(if possible { "time" } else { "attempts" });
+            }
             return false;
         }
         if reach == AttemptReach::NotSent {
@@ -432,11 +436,12 @@
         let granted = lock(&self.core.budget).take(&self.service, now);
         match granted {
             true => self.unsent_retry = Some(now),
-            false => {
+            false if self.begin_refusal() => {
                 self.count_refused_run("budget");
                 let detail = format!("service={} retry budget exhausted", self.service);
                 self.note(event::EventCode::RetryRefused, detail);
             }
+            false => {}
         }
         granted
     }
@@ -477,6 +482,12 @@
         }
     }
 
+    /// Returns whether this is the first refused run since the latest attempt. A request
+    /// that holds a silent run seeks another one many times.
+    pub(crate) fn begin_refusal(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_refusal_noted, true)
+    }
+
     /// Counts a run that was not started.
     pub(crate) fn count_refused_run(&self, cause: &'static str) {
         let labels = metrics::RunRefusalLabels { cause };
@@ -758,6 +769,7 @@
         resume_after: Option<u64>,
     ) -> AttemptOutcome {
         self.attempts += 1;
+        self.is_refusal_noted = false;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
         let link = match link::HttpLink::open(target.address, connect).await {
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -74,6 +74,7 @@
         unfinished: Vec::new(),
         trial: None,
         unsent_retry: None,
+        is_refusal_noted: false,
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
         has_begun: false,
--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -281,3 +281,18 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{path} {answer}");
     }
 }
+
+/// A stream that waits without a permit says so once.
+#[tokio::test]
+async fn wait_without_a_permit_is_logged_once() {
+    let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+    let paused = script(&[head, (1_500, events(3..=4))]);
+    let runners = start_runners(2, vec![paused]).await;
+    let (core, node) = start_node(&runners).await;
+    assert_whole(&call(node, "/s/x").await, 4);
+    let records = core.recorder.about("request-1");
+    let refused = records
+        .iter()
+        .filter(|record| record.name == "RetryRefused");
+    assert_eq!(refused.count(), 1, "{records:#?}");
+}
