--- a/arbutusfold/src/gateway/quarantine.rs
+++ b/arbutusfold/src/gateway/quarantine.rs
@@ -153,7 +153,10 @@
         left.is_some()
     }
 
-    fn note_quarantine(&self, left: std_time::Duration) {
+    fn note_quarantine(&mut self, left: std_time::Duration) {
+        if !self.begin_refusal() {
+            return;
+        }
         self.count_refused_run("suspect");
         let key = match &self.trial {
             Some(permit) => permit.fingerprint,
@@ -283,6 +286,7 @@
     /// Records the runners that died under a request without an answer, also one
     /// whose caller left.
     fn drop(&mut self) {
+        self.return_retry();
         self.trace.end(crash::RequestEnd::Unanswered);
         let mut crashes = self.trace.crashes();
         if self.trace.ended() != Some(crash::RequestEnd::Unanswered) {
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -47,6 +47,10 @@
 /// A request is not retried unless more than this time is left.
 const MIN_TIME_LEFT: std_time::Duration = std_time::Duration::from_millis(20);
 
+/// Time from an attempt that could not start, while a silent run is held, to the
+/// next one. Room and retries are found again as other requests end.
+const RESTART_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
+
 /// Longest response of a plain service in bytes.
 pub const RESPONSE_LIMIT_BYTES: usize = 16 << 20;
 
@@ -100,6 +104,10 @@
     pub unfinished: Vec<(usize, crash::RunnerInstance)>,
     /// Permit for the trial, if the request may only run as one.
     pub trial: Option<trial::TrialPermit>,
+    /// When the retry that was not sent yet was taken from the budget.
+    pub unsent_retry: Option<time::Instant>,
+    /// Whether a refused run was counted and logged since the latest attempt.
+    pub is_refusal_noted: bool,
     /// Fingerprint, once it was needed.
     pub fingerprint: sync::OnceLock<suspect::RequestFingerprint>,
     /// Fingerprints of the shared parts of the prompt, once they were needed.
@@ -257,6 +265,7 @@
             },
             cause: fault.to_owned(),
             sign: None,
+            response: None,
         })
     }
 }
@@ -374,6 +383,12 @@
     }
 }
 
+/// Returns whether a runner ran the request and failed it, which shows that the
+/// request does not crash it.
+fn is_own_failure(parts: &http::response::Parts) -> bool {
+    parts.status == http::StatusCode::INTERNAL_SERVER_ERROR && head::has_proof(&parts.headers)
+}
+
 /// Records that nothing listens at the address of a runner's process.
 fn note_unreachable(core: &core::GatewayCore, process: &suspect::CrashId, request: &str) {
     let (id, started_ms) = (&process.upstream, process.incarnation);
@@ -409,26 +424,44 @@
         }
         let possible = self.has_attempts(reach);
         if !possible || self.time_left() <= MIN_TIME_LEFT {
-            self.count_refused_run(if possible { "time" } else { "attempts" });
+            if self.begin_refusal() {
+                self.count_refused_run(if possible { "time" } else { "attempts" });
+            }
             return false;
         }
         if reach == AttemptReach::NotSent {
             return true;
         }
-        let granted = lock(&self.core.budget).take(&self.service, time::Instant::now());
+        let now = time::Instant::now();
+        let granted = lock(&self.core.budget).take(&self.service, now);
         match granted {
-            true => {
-                self.core.metrics.retries.inc();
-            }
-            false => {
+            true => self.unsent_retry = Some(now),
+            false if self.begin_refusal() => {
                 self.count_refused_run("budget");
                 let detail = format!("service={} retry budget exhausted", self.service);
                 self.note(event::EventCode::RetryRefused, detail);
             }
+            false => {}
         }
         granted
     }
 
+    /// Records that no runner was found for an attempt after one that came as far as
+    /// `reach`. The retry is not taken again after an attempt that reached no runner, so
+    /// it is kept then.
+    pub fn note_unsent(&mut self, reach: AttemptReach) {
+        if reach != AttemptReach::NotSent {
+            self.return_retry();
+        }
+    }
+
+    /// Gives the budget back a retry that was not sent.
+    pub fn return_retry(&mut self) {
+        if let Some(taken_at) = self.unsent_retry.take() {
+            lock(&self.core.budget).give_back(&self.service, taken_at);
+        }
+    }
+
     /// Returns whether the route and the kind of the request leave it another attempt
     /// after one that came as far as `reach`.
     pub fn has_attempts(&self, reach: AttemptReach) -> bool {
@@ -439,6 +472,22 @@
         allowed && self.attempts < ATTEMPT_LIMIT
     }
 
+    /// Returns how long silent runs are waited for before another attempt is sought
+    /// after one that came as far as `reach`.
+    pub fn restart_wait(&self, reach: AttemptReach) -> std_time::Duration {
+        let left = self.time_left();
+        match self.has_attempts(reach) {
+            true => left.min(RESTART_PAUSE),
+            false => left,
+        }
+    }
+
+    /// Returns whether this is the first refused run since the latest attempt. A request
+    /// that holds a silent run seeks another one many times.
+    pub(crate) fn begin_refusal(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_refusal_noted, true)
+    }
+
     /// Counts a run that was not started.
     pub(crate) fn count_refused_run(&self, cause: &'static str) {
         let labels = metrics::RunRefusalLabels { cause };
@@ -720,6 +769,7 @@
         resume_after: Option<u64>,
     ) -> AttemptOutcome {
         self.attempts += 1;
+        self.is_refusal_noted = false;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
         let link = match link::HttpLink::open(target.address, connect).await {
@@ -746,6 +796,9 @@
             };
         };
         let sent_at = time::Instant::now();
+        if self.unsent_retry.take().is_some() {
+            self.core.metrics.retries.inc();
+        }
         self.begin_run(&target.runners);
         let stages = 0..target.runners.len();
         let instances = stages.filter_map(|stage| Some((stage, target.instance(stage)?)));
@@ -961,19 +1014,42 @@
             .retain(|(_, instance)| !target.runners.contains(&instance.crash.upstream));
     }
 
-    /// Records the runs that ended without delivering while they were held.
-    pub fn note_held_failures<T>(&mut self, held: &mut held::HeldRuns<T>) {
+    /// Records that a runner reported a failure of the request.
+    pub fn note_reported_failure(&mut self, target: &AttemptTarget, parts: &http::response::Parts) {
+        if is_own_failure(parts) {
+            self.note_survived();
+        }
+        lock(&self.core.fleet).note_error(&target.runners[0]);
+        self.exclude(&target.runners[0]);
+    }
+
+    /// Records the runs that ended without delivering while they were held; returns
+    /// the latest failure that a runner reported.
+    pub fn note_held_failures<T>(
+        &mut self,
+        held: &mut held::HeldRuns<T>,
+    ) -> Option<held::FailureResponse> {
+        let mut reported = None;
         for failure in held.take_failures() {
             let target = &failure.target;
             let first = &target.runners[0];
             self.end_run(target);
-            let held::RunFault { reach, cause, sign } = &failure.fault;
-            match reach {
-                AttemptReach::NotSent | AttemptReach::NotRun => self.executed -= 1,
-                AttemptReach::Ran => self.fail_runner(first, cause),
+            let held::RunFault {
+                reach,
+                cause,
+                sign,
+                response,
+            } = failure.fault;
+            match (reach, &response) {
+                (AttemptReach::NotSent | AttemptReach::NotRun, _) => self.executed -= 1,
+                (AttemptReach::Ran, Some(response)) => {
+                    self.note_reported_failure(target, &response.parts);
+                }
+                (AttemptReach::Ran, None) => self.fail_runner(first, &cause),
             }
+            reported = response.or(reported);
             if let Some(sign) = sign {
-                self.check_crash(target, 0, *sign, failure.progressed);
+                self.check_crash(target, 0, sign, failure.progressed);
             }
             let detail = format!(
                 "reach={reach:?} cause={cause} held=true runners={} ms={}",
@@ -982,6 +1058,7 @@
             );
             self.note(event::EventCode::AttemptFailed, detail);
         }
+        reported
     }
 
     /// Records that a silent run is kept while another one is sought.
@@ -992,6 +1069,7 @@
 
     /// Records that a silent run went on.
     pub fn note_regained(&mut self, target: &AttemptTarget) {
+        self.return_retry();
         self.latest_runners = target.runners.join(">");
         let now = time::Instant::now();
         let mut fleet = lock(&self.core.fleet);
