Connections to runners start from the node's own loopback address

On one host the kernel starts all of them from 127.0.0.1, so that a runner, or a proxy before it, cannot tell nodes apart; the emulator needs this for paths that are cut for some nodes only. Between loopback addresses the source is that of `peers`. Nothing changes elsewhere, where the route selects it.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic;
 use std::time as std_time;
 
-use arbutusfold_platform::{document, store};
+use arbutusfold_platform::{document, link, store};
 use tokio::sync::watch;
 use tokio::time;
 
@@ -146,6 +146,11 @@
         self.recorder.record(code, subject, detail);
     }
 
+    /// Returns the local address that connections to runners start from.
+    pub fn link_source(&self) -> link::LinkSource {
+        link::LinkSource::new(self.settings.peers.ip())
+    }
+
     /// Returns the version, domain and addresses of this node for the log.
     pub fn describe(&self) -> String {
         let settings = &self.settings;
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -603,22 +603,24 @@
         self.attempts += 1;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let mut link = match link::HttpLink::open(target.address, connect).await {
-            Ok(link) => link,
-            Err(error) => {
-                let cause = error.to_string();
-                self.fail_runner(&target.runners[0], &cause);
-                if error.is_refused()
-                    && let Some(instance) = target.instance(0)
-                {
-                    note_unreachable(&self.core, &instance.crash, &self.head.request);
+        let mut link =
+            match link::HttpLink::open_from(self.core.link_source(), target.address, connect).await
+            {
+                Ok(link) => link,
+                Err(error) => {
+                    let cause = error.to_string();
+                    self.fail_runner(&target.runners[0], &cause);
+                    if error.is_refused()
+                        && let Some(instance) = target.instance(0)
+                    {
+                        note_unreachable(&self.core, &instance.crash, &self.head.request);
+                    }
+                    return AttemptOutcome::Unanswered {
+                        reach: AttemptReach::NotSent,
+                        cause,
+                    };
                 }
-                return AttemptOutcome::Unanswered {
-                    reach: AttemptReach::NotSent,
-                    cause,
-                };
-            }
-        };
+            };
         let Some(request) = self.encode(target, resume_after) else {
             let cause = "the request cannot be passed on".to_owned();
             return AttemptOutcome::Unanswered {
@@ -681,7 +683,9 @@
         let first = &target.runners[0];
         let report = match target.path.is_empty() {
             true => Err(cause.to_owned()),
-            false => runner_call::report(target.address, CONNECT_TIMEOUT).await,
+            false => {
+                runner_call::report(self.core.link_source(), target.address, CONNECT_TIMEOUT).await
+            }
         };
         let stalled = match report {
             Err(cause) => {
@@ -834,7 +838,8 @@
         let core = sync::Arc::clone(&self.core);
         let request = self.head.request.clone();
         tokio::spawn(async move {
-            let opened = link::HttpLink::open(instance.address, CONNECT_TIMEOUT).await;
+            let source = core.link_source();
+            let opened = link::HttpLink::open_from(source, instance.address, CONNECT_TIMEOUT).await;
             if opened.is_err_and(|error| error.is_refused()) {
                 note_unreachable(&core, &instance.crash, &request);
             }
--- a/arbutusfold/src/gateway/runner_call.rs
+++ b/arbutusfold/src/gateway/runner_call.rs
@@ -17,19 +17,20 @@
 /// Pause between two such attempts.
 const CHECK_PAUSE: std_time::Duration = std_time::Duration::from_millis(100);
 
-/// Fetches a runner's report within `timeout`.
+/// Fetches a runner's report within `timeout`, on a connection from `source`.
 ///
 /// # Errors
 ///
 /// Returns the cause when no valid report arrives in time.
 pub async fn report(
+    source: link::LinkSource,
     address: std::net::SocketAddr,
     timeout: std_time::Duration,
 ) -> Result<runner::RunnerReport, String> {
     let request = order::encode_report_call(address).map_err(|error| error.to_string())?;
     let timeout = timeout.min(CALL_TIMEOUT);
     let call = async {
-        let mut link = link::HttpLink::open(address, timeout).await?;
+        let mut link = link::HttpLink::open_from(source, address, timeout).await?;
         let response = link.send(request).await?;
         link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
     };
@@ -46,6 +47,7 @@
 ///
 /// A runner that is silent after it accepted a connection exists.
 pub async fn is_gone(
+    source: link::LinkSource,
     address: std::net::SocketAddr,
     started_ms: u64,
     timeout: std_time::Duration,
@@ -54,7 +56,7 @@
         let Ok(request) = order::encode_report_call(address) else {
             return false;
         };
-        let Ok(mut link) = link::HttpLink::open(address, timeout).await else {
+        let Ok(mut link) = link::HttpLink::open_from(source, address, timeout).await else {
             return true;
         };
         let answer = async {
@@ -82,6 +84,7 @@
 /// Returns the cause when it is unknown whether the runner received the order;
 /// it may still take effect later.
 pub async fn order(
+    source: link::LinkSource,
     address: std::net::SocketAddr,
     id: &str,
     order: &order::RunnerOrder,
@@ -89,7 +92,7 @@
 ) -> Result<order::OrderAnswer, String> {
     let request = order::encode(address, id, order, guard).map_err(|error| error.to_string())?;
     let call = async {
-        let mut link = link::HttpLink::open(address, CALL_TIMEOUT).await?;
+        let mut link = link::HttpLink::open_from(source, address, CALL_TIMEOUT).await?;
         let response = link.send(request).await?;
         Ok::<_, link::LinkError>(order::decode(response.status()))
     };
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -447,7 +447,12 @@
             .is_none_or(|requested| requested.elapsed() >= REPORT_PERIOD)
         {
             self.report_requested = Some(time::Instant::now());
-            let report = runner_call::report(self.target.address, REPORT_TIMEOUT).await;
+            let report = runner_call::report(
+                request.core.link_source(),
+                self.target.address,
+                REPORT_TIMEOUT,
+            )
+            .await;
             let index = match report {
                 Ok(report) => self.target.stalled_stage(&request.head.request, &report),
                 Err(_) => Some(0),
@@ -497,7 +502,8 @@
         };
         request.core.metrics.orders.inc();
         let (first, guard) = (&target.runners[0], order::OrderGuard::default());
-        let answer = runner_call::order(target.address, first, &reroute_order, guard).await;
+        let source = request.core.link_source();
+        let answer = runner_call::order(source, target.address, first, &reroute_order, guard).await;
         let detail = format!(
             "silence_ms={} from={} to={} answer={answer:?}",
             self.last_event.elapsed().as_millis(),
--- a/arbutusfold/src/gateway/survey.rs
+++ b/arbutusfold/src/gateway/survey.rs
@@ -66,8 +66,9 @@
         .filter(|state| state.layers().is_some() && state.record.card.is_some())
         .map(|state| (state.key, state.record.address))
         .collect();
+    let source = core.link_source();
     let calls = targets.iter().map(|(key, address)| async move {
-        let report = runner_call::report(*address, REPORT_TIMEOUT).await;
+        let report = runner_call::report(source, *address, REPORT_TIMEOUT).await;
         (*key, report.ok().map(|report| report.slowness))
     });
     let reports = futures_util::future::join_all(calls).await;
