Proxy: paths from some source addresses can be cut

A cut hangs, resets, refuses new connections or passes one direction only. For a path that hangs, a packet filter on the listening socket drops what its source sends, so that connections are not established, as on a network; before, the kernel accepted them and the proxy was silent. A refused connection is established and then reset: a socket cannot refuse by source.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -128,6 +128,17 @@
         Ok(deployment)
     }
 
+    /// Cuts the paths from a gateway to all runners, or heals them.
+    ///
+    /// # Errors
+    ///
+    /// When the kernel does not take a proxy's packet filter.
+    pub fn set_cut(&self, node: usize, cut: Option<proxy::PathCut>) -> std::io::Result<()> {
+        let source = self.nodes[node].spec.ip;
+        let mut proxies = self.proxies.iter();
+        proxies.try_for_each(|proxy| proxy.set_cut(source, cut))
+    }
+
     /// Writes the next version of the document, which adds one route and keeps
     /// all earlier ones.
     pub fn put_document(&self) {
