--- a/soak/tests/fleet_limit.rs
+++ b/soak/tests/fleet_limit.rs
@@ -5,7 +5,6 @@
 
 mod fleet_fixture;
 
-use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -87,27 +86,6 @@
     calls.join_all().await
 }
 
-/// Starts a deployment and waits until each node serves both kinds of requests. The
-/// nodes learn a moment after the runners which layers these hold.
-async fn start_serving(name: &str, subnet: u8) -> sync::Arc<deployment::SoakDeployment> {
-    let deployment = fleet_fixture::start(name, subnet, SIZE).await;
-    let end = tokio::time::Instant::now() + time::Duration::from_secs(10);
-    for (node, spec) in deployment.nodes.iter().map(|node| &node.spec).enumerate() {
-        for kind in [CallKind::Get, CallKind::Stream] {
-            loop {
-                let request = format!("start-{kind:?}-{node}");
-                let record = caller::call(spec.callers(), request, kind, deployment::KEY).await;
-                if record.outcome == caller::CallOutcome::Served {
-                    break;
-                }
-                assert!(tokio::time::Instant::now() < end, "{:?}", record.outcome);
-                tokio::time::sleep(time::Duration::from_millis(50)).await;
-            }
-        }
-    }
-    deployment
-}
-
 /// Returns what is wrong with what a runner received.
 fn find_excess(id: &str, history: &runner::LimitHistory) -> Option<String> {
     let most = history.most_arrivals(CONTACT, node_of);
@@ -189,7 +167,7 @@
 /// while their entries still say that they are ready.
 #[tokio::test(flavor = "multi_thread")]
 async fn runners_whose_answers_say_that_they_leave_get_no_more_requests() {
-    let deployment = start_serving("leaving", 250).await;
+    let deployment = fleet_fixture::start_serving("leaving", 250, SIZE).await;
     let ids = deployment.fleet.ids();
     // One plain runner, and one model runner.
     let leaving = [&ids[0], &ids[SIZE.plain_runners]];
@@ -220,7 +198,7 @@
 /// seconds, at the only two runners of a service and at those of a model.
 #[tokio::test(flavor = "multi_thread")]
 async fn runners_that_turn_requests_away_get_none_until_the_time_that_they_named() {
-    let deployment = start_serving("paused", 251).await;
+    let deployment = fleet_fixture::start_serving("paused", 251, SIZE).await;
     let ids = deployment.fleet.ids();
     let pause = time::Duration::from_millis(2_500);
     let paused = [&ids[0], &ids[1], &ids[SIZE.plain_runners]];
