--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -772,7 +772,8 @@
         self.is_refusal_noted = false;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let link = match link::HttpLink::open(target.address, connect).await {
+        let source = self.core.link_source();
+        let link = match link::HttpLink::open_from(source, target.address, connect).await {
             Ok(link) => link,
             Err(error) => {
                 let cause = error.to_string();
@@ -850,7 +851,9 @@
         let first = &target.runners[0];
         let report = match target.path.is_empty() {
             true => Err(cause.to_owned()),
-            false => runner_call::report(target.address, CONNECT_TIMEOUT).await,
+            false => {
+                runner_call::report(self.core.link_source(), target.address, CONNECT_TIMEOUT).await
+            }
         };
         let stalled = match report {
             Err(cause) => {
@@ -1001,7 +1004,8 @@
         let core = sync::Arc::clone(&self.core);
         let request = self.head.request.clone();
         tokio::spawn(async move {
-            let opened = link::HttpLink::open(instance.address, CONNECT_TIMEOUT).await;
+            let source = core.link_source();
+            let opened = link::HttpLink::open_from(source, instance.address, CONNECT_TIMEOUT).await;
             if opened.is_err_and(|error| error.is_refused()) {
                 note_unreachable(&core, &instance.crash, &request);
             }
--- a/soak/tests/fleet_fixture/mod.rs
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -69,3 +69,16 @@
     deployment.wait_ready().await.unwrap();
     sync::Arc::new(deployment)
 }
+
+/// Starts a deployment as [`start`] does and waits until each node serves both kinds
+/// of services. The nodes learn a moment after the runners which layers these hold.
+#[allow(dead_code, reason = "not every test binary uses it")]
+pub async fn start_serving(
+    name: &str,
+    subnet: u8,
+    size: plan::SoakSize,
+) -> sync::Arc<deployment::SoakDeployment> {
+    let deployment = start(name, subnet, size).await;
+    deployment.wait_serving().await.unwrap();
+    deployment
+}
