--- a/arbutusfold/src/peer.rs
+++ b/arbutusfold/src/peer.rs
@@ -16,6 +16,8 @@
 pub mod metrics;
 pub mod outbound;
 pub mod transport;
+pub mod tunnel;
+pub mod tunnel_flow;
 
 pub use envelope::{
     BroadcastTag, MessageError, MessageKind, MessageSigner, PeerEnvelope, ReplayGuard,
--- a/arbutusfold/src/peer/envelope.rs
+++ b/arbutusfold/src/peer/envelope.rs
@@ -139,6 +139,11 @@
         Self { keys }
     }
 
+    /// Returns the keys; the first one signs.
+    pub(crate) fn keys(&self) -> &[[u8; settings::PEER_KEY_BYTES]] {
+        &self.keys
+    }
+
     /// Returns the encoded and signed message for the host at `to`.
     pub fn sign(&self, to: net::SocketAddr, envelope: &PeerEnvelope) -> Option<Vec<u8>> {
         let key = self.keys.first()?;
--- a/arbutusfold/src/peer/frame.rs
+++ b/arbutusfold/src/peer/frame.rs
@@ -16,6 +16,9 @@
 /// Header that the receiving end sends: protocol `pull`, version 0.
 pub const RECEIVER_HEADER: [u8; HEADER_BYTES] = [0, b'S', b'P', 0, 0, 0x51, 0, 0];
 
+/// Header that a node sends instead to ask for a tunnel.
+pub const TUNNEL_HEADER: [u8; HEADER_BYTES] = *b"AFTUNNEL";
+
 /// Maximum size of a message in bytes.
 pub const MESSAGE_LIMIT_BYTES: usize = 16 << 20;
 
--- a/arbutusfold/src/peer/inbound.rs
+++ b/arbutusfold/src/peer/inbound.rs
@@ -48,6 +48,27 @@
     _share: tokio_sync::OwnedSemaphorePermit,
 }
 
+/// Serves connections that a node opens for something else than messages.
+#[async_trait::async_trait]
+pub trait TunnelAcceptor: Send + Sync {
+    /// Reads what the node asks for, within a few seconds.
+    ///
+    /// # Errors
+    ///
+    /// The reason why the connection is closed.
+    async fn open(&self, stream: tokio_net::TcpStream) -> io::Result<Box<dyn TunnelSession>>;
+}
+
+/// A connection whose opening is complete.
+#[async_trait::async_trait]
+pub trait TunnelSession: Send {
+    /// Serves the connection until it ends.
+    async fn run(self: Box<Self>);
+}
+
+/// Acceptor of tunnels, once one is attached.
+pub type AcceptorSlot = sync::Arc<sync::OnceLock<sync::Arc<dyn TunnelAcceptor>>>;
+
 /// Passes received messages on to the node.
 #[derive(Clone, Debug)]
 pub struct MessageSender {
@@ -91,7 +112,11 @@
 }
 
 /// Accepts connections and receives their messages. Never returns.
-pub async fn serve(listener: tokio_net::TcpListener, sender: MessageSender) {
+pub async fn serve(
+    listener: tokio_net::TcpListener,
+    sender: MessageSender,
+    acceptor: AcceptorSlot,
+) {
     let places = sync::Arc::new(tokio_sync::Semaphore::new(CONNECTION_LIMIT));
     // Ends the connections together with this future.
     let mut connections = tokio::task::JoinSet::new();
@@ -108,21 +133,37 @@
             continue;
         };
         let sender = sender.clone();
+        let acceptor = sync::Arc::clone(&acceptor);
         connections.spawn(async move {
             sender.counters.inbound.inc();
             // The peer that dialled notices the end and connects again.
-            let _ = receive(stream, &sender).await;
+            let received = receive(stream, &sender, &acceptor).await;
             sender.counters.inbound.dec();
             drop(place);
+            // The session has its own limit of connections.
+            if let Ok(Some(session)) = received {
+                session.run().await;
+            }
         });
     }
 }
 
-/// Receives messages until the connection ends or breaks the protocol.
-async fn receive(mut stream: tokio_net::TcpStream, sender: &MessageSender) -> io::Result<()> {
+/// Receives messages until the connection ends or breaks the protocol. Returns the
+/// session if the peer opened a tunnel.
+async fn receive(
+    mut stream: tokio_net::TcpStream,
+    sender: &MessageSender,
+    acceptor: &AcceptorSlot,
+) -> io::Result<Option<Box<dyn TunnelSession>>> {
     stream.write_all(&frame::RECEIVER_HEADER).await?;
     let mut header = [0; frame::HEADER_BYTES];
     time::timeout(HEADER_TIMEOUT, stream.read_exact(&mut header)).await??;
+    if header == frame::TUNNEL_HEADER
+        && let Some(acceptor) = acceptor.get()
+    {
+        let opening = time::timeout(HEADER_TIMEOUT, acceptor.open(stream));
+        return opening.await?.map(Some);
+    }
     if header != frame::SENDER_HEADER {
         return Err(io::ErrorKind::InvalidData.into());
     }
@@ -130,5 +171,5 @@
     while let Some(message) = time::timeout(MESSAGE_TIMEOUT, frames.next()).await? {
         sender.pass(message?);
     }
-    Ok(())
+    Ok(None)
 }
--- a/arbutusfold/src/peer/transport.rs
+++ b/arbutusfold/src/peer/transport.rs
@@ -69,6 +69,7 @@
     monitor: TransportMonitor,
     runtime: runtime::Handle,
     listener: task::JoinHandle<()>,
+    acceptor: inbound::AcceptorSlot,
 }
 
 impl TcpTransport {
@@ -90,15 +91,24 @@
             reason: error.reason,
         })?;
         let (sender, receiver) = inbound::channel(monitor.metrics.clone());
+        let acceptor = inbound::AcceptorSlot::default();
+        let receiving = inbound::serve(listener, sender, sync::Arc::clone(&acceptor));
         let transport = Self {
             links: sync::Mutex::default(),
             monitor,
-            listener: runtime.spawn(inbound::serve(listener, sender)),
+            listener: runtime.spawn(receiving),
+            acceptor,
             runtime,
         };
         Ok((transport, receiver))
     }
 
+    /// Serves the tunnels that nodes open; without an acceptor they are refused. A
+    /// second call has no effect.
+    pub fn accept_tunnels(&self, acceptor: sync::Arc<dyn inbound::TunnelAcceptor>) {
+        let _ = self.acceptor.set(acceptor);
+    }
+
     fn start_link(&self, to: net::SocketAddr, now: time::Instant) -> PeerLink {
         let queue = sync::Arc::new(outbound::SendQueue::default());
         let sender = outbound::run(to, sync::Arc::clone(&queue), self.monitor.clone());
