A node that reaches no runner goes through a neighbour

Callers of hosts that lost the path to all runners were refused (1 of 141 first tries served there, 314 of 315 at other hosts): such a host tried four runners directly and gave up, although its neighbours reached every runner.

Connections to runners are now opened by the first way that works: directly first; after 50 ms, or at once when the direct attempt failed, also through up to three other serving members, chosen at random by their load. Nothing is sent before one way is chosen, so nothing runs twice. A failed direct way is remembered for a second, in which requests start at a neighbour and one attempt at a time probes the direct way. A neighbour opens direct connections only, to known runners, for members, and its planned stop waits for them.

What a node that may be cut off finds shows nothing: a runner counts as dead, failed or unreachable only if a node that reached another runner just before failed as well. The loss of a neighbour blames no runner.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -84,6 +84,10 @@
     /// No process listens at the address of an upstream; it receives no requests for
     /// some time.
     UpstreamUnreachable = 220, Warning;
+    /// An upstream is reached through another node instead of directly.
+    UpstreamRelayed = 221, Warning;
+    /// An upstream that was reached through another node is reached directly again.
+    UpstreamDirect = 222, Info;
     /// A request was refused because its organisation reached its rate limit.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
@@ -162,6 +166,11 @@
     PeerLinkLost = 706, Info;
     /// A peer can be connected to again.
     PeerLinkRegained = 707, Info;
+    /// A node is left out as a way to upstreams for a moment, since a tunnel through
+    /// it was lost, refused or not opened.
+    TunnelLost = 708, Warning;
+    /// This node refused to serve a tunnel.
+    TunnelRefused = 709, Warning;
     /// A request that was still in flight was cut off at the end of a stop.
     StopCut = 710, Warning;
     /// Changed settings were loaded.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -23,6 +23,8 @@
 pub mod claim;
 pub mod core;
 pub mod crash;
+pub mod dial;
+pub mod direct;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
@@ -33,8 +35,13 @@
 pub mod leader_driver;
 pub mod metrics;
 pub mod mirror;
+pub mod neighbour;
 pub mod path;
 pub mod quarantine;
+pub mod race;
+pub mod reach;
+pub mod relay;
+pub mod relay_server;
 pub mod replication;
 pub mod request;
 pub mod response;
@@ -96,6 +103,7 @@
     };
     let (transport, received) =
         peer::TcpTransport::open(core.settings.peers, monitor).map_err(GatewayError::Peer)?;
+    transport.accept_tunnels(sync::Arc::new(core.relay_server.clone()));
     core.post.attach(sync::Arc::new(transport));
     let callers = listen::open(core.settings.callers).map_err(GatewayError::Listen)?;
     let ready = listen::open(core.settings.ready).map_err(GatewayError::Listen)?;
@@ -155,9 +163,15 @@
         serve_metrics(&core, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
-    let serving = tokio::spawn(serve::serve(callers, limits(), closed, move |request| {
+    let serving = serve::serve(callers, limits(), closed, move |request| {
         forward::handle(sync::Arc::clone(&caller_core), request)
-    }));
+    });
+    let relay_server = core.relay_server.clone();
+    let serving = tokio::spawn(async move {
+        serving.await;
+        // What runs through this node for others is work in progress as well.
+        relay_server.wait_idle().await;
+    });
 
     drain_gateway(&core, &driver, stop, closing, serving).await;
     core.note(event::EventCode::StopFinished, &name, "");
@@ -251,7 +265,9 @@
     let limit = settings.stop_limit_s.saturating_sub(keep + STOP_MARGIN);
     let keeper = drain::DrainSequence::new(keep, limit);
     let note = |code| {
-        let detail = format!("in_flight={}", core.metrics.in_flight.get());
+        let in_flight = core.metrics.in_flight.get();
+        let tunnels = core.relay_server.active();
+        let detail = format!("in_flight={in_flight} tunnels={tunnels}");
         core.note(code, &settings.name, detail);
     };
     let announce = || {
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -11,10 +11,15 @@
 use crate::event;
 use crate::gateway::budget;
 use crate::gateway::crash;
+use crate::gateway::dial;
+use crate::gateway::direct;
 use crate::gateway::fleet;
 use crate::gateway::leader;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
+use crate::gateway::race;
+use crate::gateway::relay;
+use crate::gateway::relay_server;
 use crate::gateway::routing;
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
@@ -53,7 +58,11 @@
     /// Sends messages to peers and dispatches those received.
     pub post: sync::Arc<peer::PeerEndpoint>,
     /// Runners of all services and this node's load on them.
-    pub fleet: sync::Mutex<fleet::RunnerFleet>,
+    pub fleet: sync::Arc<sync::Mutex<fleet::RunnerFleet>>,
+    /// Opens connections to runners.
+    pub dialer: sync::Arc<dyn dial::RunnerDialer>,
+    /// Opens connections to runners for other nodes.
+    pub relay_server: relay_server::RelayServer,
     /// Load of all nodes on the runners, as far as reported.
     pub loads: sync::Mutex<leader::LoadView>,
     /// Retry budgets of this node.
@@ -109,13 +118,38 @@
             window: settings.retry_window_s,
             has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
+        let recorder = event::EventRecorder::with_capacity(logger, EVENT_CAPACITY);
+        let metrics = metrics::GatewayMetrics::default();
+        let context = dial::DialContext {
+            host: settings.name.clone(),
+            address: settings.peers,
+            signer: node_settings::peer_signer(&settings.peer_keys),
+            members: sync::Arc::clone(&members),
+            post: sync::Arc::new(post),
+            fleet: sync::Arc::default(),
+            recorder: sync::Arc::new(recorder),
+            metrics: metrics.tunnels.clone(),
+        };
+        let opener = sync::Arc::new(direct::TcpOpener);
+        let direct = sync::Arc::new(direct::DirectDialer::new(context.clone(), opener));
+        let relay = sync::Arc::new(relay::RelayDialer::new(context.clone()));
+        let direct_only = race::RaceDialer::new(sync::Arc::clone(&direct), None);
         Self {
-            recorder: sync::Arc::new(event::EventRecorder::with_capacity(logger, EVENT_CAPACITY)),
-            metrics: metrics::GatewayMetrics::default(),
+            recorder: sync::Arc::clone(&context.recorder),
+            metrics,
+            post: sync::Arc::clone(&context.post),
+            fleet: sync::Arc::clone(&context.fleet),
+            dialer: sync::Arc::new(race::RaceDialer::new(
+                sync::Arc::clone(&direct),
+                Some(relay),
+            )),
+            relay_server: relay_server::RelayServer::new(
+                context,
+                direct,
+                sync::Arc::new(direct_only),
+            ),
             store: store::StoreClient::new(settings.store, STORE_TIMEOUT),
             members,
-            post: sync::Arc::new(post),
-            fleet: sync::Mutex::default(),
             loads: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
@@ -186,6 +220,7 @@
     /// Marks this node as stopping.
     pub fn begin_stop(&self) {
         self.stopping.store(true, atomic::Ordering::Relaxed);
+        self.relay_server.begin_stop();
     }
 
     /// Returns the sum of the latest row versions of all tables.
--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -337,7 +337,7 @@
     let result = lock(&core.crash_checks).result(&instance.crash, time::Instant::now());
     let check = || {
         let started_ms = instance.crash.incarnation;
-        runner_call::is_gone(instance.address, started_ms, CHECK_TIMEOUT)
+        runner_call::is_gone(&*core.dialer, instance.address, started_ms, CHECK_TIMEOUT)
     };
     *result.get_or_init(check).await
 }
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -324,8 +324,10 @@
                     }
                     Ok(Err(error)) => {
                         let cause = error.to_string();
-                        request.fail_runner(&target.runners[0], &cause);
-                        request.check_crash(&target, 0, crash::CrashSign::Body, false);
+                        if !error.is_way_lost() {
+                            request.fail_runner(&target.runners[0], &cause);
+                            request.check_crash(&target, 0, crash::CrashSign::Body, false);
+                        }
                         (request::AttemptReach::Ran, cause)
                     }
                     Err(_) => {
--- a/arbutusfold/src/gateway/layout_controller.rs
+++ b/arbutusfold/src/gateway/layout_controller.rs
@@ -262,17 +262,19 @@
     async fn send_order(&self, required: &RequiredLoad, fencing: id::FencingNumber) -> OrderResult {
         let core = &self.core;
         let id = &required.record.id;
-        let report = match runner_call::report(required.record.address, REPORT_TIMEOUT).await {
-            Ok(report) => report,
-            Err(cause) => {
-                core.note(
-                    event::EventCode::OrderRefused,
-                    id,
-                    format!("no report: {cause}"),
-                );
-                return OrderResult::Refused;
-            }
-        };
+        let report =
+            match runner_call::report(&*core.dialer, required.record.address, REPORT_TIMEOUT).await
+            {
+                Ok(report) => report,
+                Err(cause) => {
+                    core.note(
+                        event::EventCode::OrderRefused,
+                        id,
+                        format!("no report: {cause}"),
+                    );
+                    return OrderResult::Refused;
+                }
+            };
         let changed =
             report.started_ms.is_some() && report.started_ms != required.record.started_ms;
         let holds = report.layers.is_some_and(|layers| !layers.is_empty());
@@ -302,7 +304,8 @@
             required.duration.as_millis()
         );
         let record = &required.record;
-        match runner_call::order(record.address, &record.id, &placement, guard).await {
+        match runner_call::order(&*core.dialer, record.address, &record.id, &placement, guard).await
+        {
             Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds) => {
                 core.note(event::EventCode::OrderTaken, id, detail);
                 OrderResult::Accepted
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -35,6 +35,55 @@
     pub cause: &'static str,
 }
 
+/// Labels of the counter of refused tunnels.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TunnelRefusalLabels {
+    /// Why this node refused the tunnel.
+    pub cause: String,
+}
+
+/// Counters of the tunnels between nodes; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct TunnelMetrics {
+    /// Tunnels that this node opened through others.
+    pub opened: counter::Counter,
+    /// Tunnels that this node served.
+    pub served: counter::Counter,
+    /// Tunnels that this node refused, by cause.
+    pub refused: family::Family<TunnelRefusalLabels, counter::Counter>,
+    /// Opened tunnels that were lost before their end.
+    pub lost: counter::Counter,
+    /// Tunnels through other nodes that are open.
+    pub open: gauge::Gauge,
+    /// Tunnels that are being served.
+    pub serving: gauge::Gauge,
+}
+
+impl TunnelMetrics {
+    fn register(&self, registry: &mut registry::Registry) {
+        let counters = [
+            ("tunnels_opened", "Tunnels through nodes", &self.opened),
+            ("tunnels_served", "Tunnels served for nodes", &self.served),
+            ("tunnels_lost", "Tunnels that broke", &self.lost),
+        ];
+        for (name, help, metric) in counters {
+            registry.register(name, help, metric.clone());
+        }
+        registry.register(
+            "tunnels_refused",
+            "Tunnels that were not served, by cause",
+            self.refused.clone(),
+        );
+        let gauges = [
+            ("tunnels_open", "Open tunnels through nodes", &self.open),
+            ("tunnels_serving", "Open tunnels for nodes", &self.serving),
+        ];
+        for (name, help, metric) in gauges {
+            registry.register(name, help, metric.clone());
+        }
+    }
+}
+
 /// Metrics of a gateway and the registry that exports them.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -63,6 +112,8 @@
     pub store_calls: counter::Counter,
     /// Messages between nodes.
     pub transport: peer::TransportMetrics,
+    /// Tunnels between nodes.
+    pub tunnels: TunnelMetrics,
     /// Version of the document in force.
     pub document_version: gauge::Gauge,
     /// Time to the first event of a stream, in seconds.
@@ -91,6 +142,7 @@
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
+            tunnels: TunnelMetrics::default(),
             document_version: gauge::Gauge::default(),
             first_seconds: latency(),
             total_seconds: latency(),
@@ -129,6 +181,7 @@
         registry.register("orders", "Orders sent to runners", set.orders.clone());
         registry.register("store_calls", "Calls to the store", set.store_calls.clone());
         set.transport.register(registry);
+        set.tunnels.register(registry);
         let version = set.document_version.clone();
         registry.register(
             "document_version",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
+use crate::gateway::dial;
 use crate::gateway::fleet;
 use crate::gateway::metrics;
 use crate::gateway::path;
@@ -603,12 +604,22 @@
         self.attempts += 1;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let mut link = match link::HttpLink::open(target.address, connect).await {
-            Ok(link) => link,
+        let opened = dial::open_link(&*self.core.dialer, target.address, connect).await;
+        let mut link = match opened {
+            Ok(dialed) => {
+                if let Some(via) = &dialed.via {
+                    self.latest_runners.push_str(&format!(" via={via}"));
+                }
+                dialed.link
+            }
             Err(error) => {
                 let cause = error.to_string();
-                self.fail_runner(&target.runners[0], &cause);
-                if error.is_refused()
+                match error.is_confirmed {
+                    true => self.fail_runner(&target.runners[0], &cause),
+                    // This node may be cut off from all runners.
+                    false => self.exclude(&target.runners[0]),
+                }
+                if error.is_closed()
                     && let Some(instance) = target.instance(0)
                 {
                     note_unreachable(&self.core, &instance.crash, &self.head.request);
@@ -649,8 +660,15 @@
             }
             Ok(Err(error)) => {
                 self.executed += 1;
-                self.unfinished.clear();
                 let cause = error.to_string();
+                if error.is_way_lost() {
+                    // The runner may still be at work.
+                    return AttemptOutcome::Unanswered {
+                        reach: AttemptReach::Ran,
+                        cause,
+                    };
+                }
+                self.unfinished.clear();
                 self.fail_runner(&target.runners[0], &cause);
                 self.check_crash(target, 0, crash::CrashSign::Connection, false);
                 return AttemptOutcome::Unanswered {
@@ -681,7 +699,7 @@
         let first = &target.runners[0];
         let report = match target.path.is_empty() {
             true => Err(cause.to_owned()),
-            false => runner_call::report(target.address, CONNECT_TIMEOUT).await,
+            false => runner_call::report(&*self.core.dialer, target.address, CONNECT_TIMEOUT).await,
         };
         let stalled = match report {
             Err(cause) => {
@@ -834,8 +852,8 @@
         let core = sync::Arc::clone(&self.core);
         let request = self.head.request.clone();
         tokio::spawn(async move {
-            let opened = link::HttpLink::open(instance.address, CONNECT_TIMEOUT).await;
-            if opened.is_err_and(|error| error.is_refused()) {
+            let opened = core.dialer.open(instance.address, CONNECT_TIMEOUT).await;
+            if opened.is_err_and(|error| error.is_closed()) {
                 note_unreachable(&core, &instance.crash, &request);
             }
         });
--- a/arbutusfold/src/gateway/runner_call.rs
+++ b/arbutusfold/src/gateway/runner_call.rs
@@ -3,8 +3,12 @@
 use std::time as std_time;
 
 use arbutusfold_platform::{link, order, runner};
+use bytes::Bytes;
+use http_body_util::Full;
 use tokio::time;
 
+use crate::gateway::dial;
+
 /// Longest duration of a call to a runner.
 const CALL_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
@@ -23,44 +27,54 @@
 ///
 /// Returns the cause when no valid report arrives in time.
 pub async fn report(
+    dialer: &dyn dial::RunnerDialer,
     address: std::net::SocketAddr,
     timeout: std_time::Duration,
 ) -> Result<runner::RunnerReport, String> {
     let request = order::encode_report_call(address).map_err(|error| error.to_string())?;
     let timeout = timeout.min(CALL_TIMEOUT);
     let call = async {
-        let mut link = link::HttpLink::open(address, timeout).await?;
-        let response = link.send(request).await?;
-        link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
+        let opened = dial::open_link(dialer, address, timeout).await;
+        let mut dialed = opened.map_err(|error| error.to_string())?;
+        let answer = read_report(&mut dialed.link, request).await;
+        answer.map_err(|error| error.to_string())
     };
     let body = time::timeout(timeout, call)
         .await
-        .map_err(|_| "no answer in time".to_owned())?
-        .map_err(|error| error.to_string())?;
+        .map_err(|_| "no answer in time".to_owned())??;
     runner::decode_report(&body).map_err(|error| error.to_string())
 }
 
+async fn read_report(
+    link: &mut link::HttpLink,
+    request: http::Request<Full<Bytes>>,
+) -> Result<Bytes, link::LinkError> {
+    let response = link.send(request).await?;
+    link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
+}
+
 /// Returns whether the process of a runner that started at `started_ms` no
 /// longer exists: nothing accepts connections at its address, each one is closed
 /// without an answer, or the answer states a later start.
 ///
-/// A runner that is silent after it accepted a connection exists.
+/// A runner that is silent after it accepted a connection exists. What only this
+/// node finds, while it may be cut off from all runners, shows nothing.
 pub async fn is_gone(
+    dialer: &dyn dial::RunnerDialer,
     address: std::net::SocketAddr,
     started_ms: u64,
     timeout: std_time::Duration,
 ) -> bool {
+    let mut is_confirmed = false;
     for _ in 0..CHECK_ATTEMPTS {
         let Ok(request) = order::encode_report_call(address) else {
             return false;
         };
-        let Ok(mut link) = link::HttpLink::open(address, timeout).await else {
-            return true;
-        };
-        let answer = async {
-            let response = link.send(request).await?;
-            link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
+        let mut dialed = match dial::open_link(dialer, address, timeout).await {
+            Ok(dialed) => dialed,
+            Err(error) => return error.is_confirmed,
         };
+        let answer = read_report(&mut dialed.link, request);
         match time::timeout(timeout, answer).await {
             Err(_) => return false,
             Ok(Ok(body)) => {
@@ -69,10 +83,16 @@
                 return started_ms != 0 && reported.is_some_and(|reported| reported != started_ms);
             }
             // A runner with too many connections closes new ones, too.
-            Ok(Err(_)) => time::sleep(CHECK_PAUSE).await,
+            Ok(Err(error)) => {
+                match dialed.via {
+                    Some(_) => is_confirmed |= !error.is_way_lost(),
+                    None => dialer.note_lost(address),
+                }
+                time::sleep(CHECK_PAUSE).await;
+            }
         }
     }
-    true
+    is_confirmed || dialer.reaches_other(address, timeout).await
 }
 
 /// Sends an order to the runner with this id.
@@ -82,6 +102,7 @@
 /// Returns the cause when it is unknown whether the runner received the order;
 /// it may still take effect later.
 pub async fn order(
+    dialer: &dyn dial::RunnerDialer,
     address: std::net::SocketAddr,
     id: &str,
     order: &order::RunnerOrder,
@@ -89,14 +110,15 @@
 ) -> Result<order::OrderAnswer, String> {
     let request = order::encode(address, id, order, guard).map_err(|error| error.to_string())?;
     let call = async {
-        let mut link = link::HttpLink::open(address, CALL_TIMEOUT).await?;
-        let response = link.send(request).await?;
+        let Ok(mut dialed) = dial::open_link(dialer, address, CALL_TIMEOUT).await else {
+            // Without a connection the order cannot have reached the runner.
+            return Ok(order::OrderAnswer::NotSent);
+        };
+        let response = dialed.link.send(request).await?;
         Ok::<_, link::LinkError>(order::decode(response.status()))
     };
     match time::timeout(CALL_TIMEOUT, call).await {
         Ok(Ok(answer)) => Ok(answer),
-        // Without a connection the order cannot have reached the runner.
-        Ok(Err(link::LinkError::NotConnected { .. })) => Ok(order::OrderAnswer::NotSent),
         Ok(Err(error)) => Err(error.to_string()),
         Err(_) => Err("no answer in time".to_owned()),
     }
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -384,6 +384,9 @@
                     }
                 }
                 Ok(Some(Err(error))) => {
+                    if link::is_way_lost(&error) {
+                        return StreamStep::Broken(format!("the way to the runner broke: {error}"));
+                    }
                     let cause = format!("the runner broke off: {error}");
                     request.fail_runner(&self.target.runners[0], &cause);
                     request.check_crash(&self.target, 0, crash::CrashSign::Body, self.has_events);
@@ -447,7 +450,9 @@
             .is_none_or(|requested| requested.elapsed() >= REPORT_PERIOD)
         {
             self.report_requested = Some(time::Instant::now());
-            let report = runner_call::report(self.target.address, REPORT_TIMEOUT).await;
+            let report =
+                runner_call::report(&*request.core.dialer, self.target.address, REPORT_TIMEOUT)
+                    .await;
             let index = match report {
                 Ok(report) => self.target.stalled_stage(&request.head.request, &report),
                 Err(_) => Some(0),
@@ -497,7 +502,14 @@
         };
         request.core.metrics.orders.inc();
         let (first, guard) = (&target.runners[0], order::OrderGuard::default());
-        let answer = runner_call::order(target.address, first, &reroute_order, guard).await;
+        let answer = runner_call::order(
+            &*request.core.dialer,
+            target.address,
+            first,
+            &reroute_order,
+            guard,
+        )
+        .await;
         let detail = format!(
             "silence_ms={} from={} to={} answer={answer:?}",
             self.last_event.elapsed().as_millis(),
--- a/arbutusfold/src/gateway/survey.rs
+++ b/arbutusfold/src/gateway/survey.rs
@@ -67,7 +67,7 @@
         .map(|state| (state.key, state.record.address))
         .collect();
     let calls = targets.iter().map(|(key, address)| async move {
-        let report = runner_call::report(*address, REPORT_TIMEOUT).await;
+        let report = runner_call::report(&*core.dialer, *address, REPORT_TIMEOUT).await;
         (*key, report.ok().map(|report| report.slowness))
     });
     let reports = futures_util::future::join_all(calls).await;
--- /dev/null
+++ b/arbutusfold/tests/gateway_reach.rs
@@ -0,0 +1,146 @@
+//! What a node remembers of its ways to runners.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net;
+use std::time as std_time;
+
+use arbutusfold::gateway::{neighbour, reach};
+use tokio::time;
+
+const fn ms(number: u64) -> std_time::Duration {
+    std_time::Duration::from_millis(number)
+}
+
+fn address(port: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn hosts(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn failed_direct_way_is_remembered_for_a_second() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    assert!(!book.is_lost(address(1), now));
+    book.note_failed(address(1), "refused", now, now);
+    assert!(book.is_lost(address(1), now + ms(999)));
+    assert!(!book.is_lost(address(1), now + ms(1_000)));
+    assert!(!book.is_lost(address(2), now));
+    book.note_failed(address(1), "refused", now + ms(900), now + ms(900));
+    assert!(book.is_lost(address(1), now + ms(1_899)));
+    book.note_reached(address(1), ms(1), now + ms(1_000));
+    assert!(!book.is_lost(address(1), now + ms(1_000)));
+}
+
+/// An attempt that began before the cut ended may fail after a later one succeeded.
+#[tokio::test(start_paused = true)]
+async fn late_failure_of_an_earlier_attempt_changes_nothing() {
+    let mut book = reach::ReachBook::default();
+    let started = time::Instant::now();
+    book.note_reached(address(1), ms(1), started + ms(100));
+    book.note_failed(address(1), "no answer", started, started + ms(300));
+    assert!(!book.is_lost(address(1), started + ms(300)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_attempt_at_a_time_probes_the_direct_way() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    assert!(book.begin_probe(address(1), now));
+    assert!(!book.begin_probe(address(1), now + ms(900)), "under way");
+    assert!(book.begin_probe(address(2), now));
+    book.end_probe(address(1), now + ms(10));
+    book.end_probe(address(2), now + ms(10));
+    assert!(!book.begin_probe(address(1), now + ms(249)), "too early");
+    assert!(book.begin_probe(address(1), now + ms(250)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_loss_of_the_direct_way_is_told_once() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    assert_eq!(book.note_other_way(address(1), now), None);
+    book.note_failed(address(1), "refused", now, now);
+    book.note_failed(address(1), "no answer", now, now + ms(20));
+    let loss = book.note_other_way(address(1), now + ms(50)).unwrap();
+    assert_eq!((loss.age, loss.cause.as_str()), (ms(50), "no answer"));
+    assert_eq!(book.note_other_way(address(1), now + ms(60)), None);
+    let loss = book.note_reached(address(1), ms(1), now + ms(70)).unwrap();
+    assert_eq!(loss.age, ms(70));
+    assert_eq!(book.note_reached(address(1), ms(1), now + ms(80)), None);
+    // A loss during which no other way was used is not told.
+    book.note_failed(address(1), "refused", now + ms(90), now + ms(90));
+    assert_eq!(book.note_reached(address(1), ms(1), now + ms(99)), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn other_way_waits_longer_for_a_runner_that_is_far_away() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    assert_eq!(book.race_delay(address(1)), ms(50), "never reached");
+    for (took, delay) in [(1, 50), (30, 90), (400, 150)] {
+        book.note_reached(address(1), ms(took), now);
+        assert_eq!(book.race_delay(address(1)), ms(delay));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn ways_are_bounded() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    for port in 0..5_000_u16 {
+        let at = now + std_time::Duration::from_micros(u64::from(port));
+        book.note_failed(address(port), "refused", at, at);
+    }
+    let known = (0..5_000).filter(|port| book.is_lost(address(*port), now + ms(5)));
+    assert_eq!(known.count(), 1_024);
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_that_failed_as_a_way_is_left_out_for_a_second() {
+    let mut book = neighbour::NeighbourBook::default();
+    let all = hosts(&["a", "b"]);
+    let now = time::Instant::now();
+    assert!(book.note_failed("a", now));
+    assert!(!book.note_failed("a", now + ms(1)), "known");
+    for _ in 0..50 {
+        assert_eq!(book.choose(&all, &[], now).unwrap(), "b");
+    }
+    assert_eq!(book.choose(&all, &hosts(&["b"]), now), None);
+    assert_eq!(
+        book.choose(&all, &hosts(&["b"]), now + ms(1_001)).unwrap(),
+        "a"
+    );
+    book.note_worked("a");
+    assert_eq!(book.choose(&all, &hosts(&["b"]), now).unwrap(), "a");
+}
+
+#[tokio::test(start_paused = true)]
+async fn ways_are_chosen_by_their_load() {
+    let mut book = neighbour::NeighbourBook::default();
+    let names: Vec<String> = (0..6).map(|number| format!("host-{number}")).collect();
+    let now = time::Instant::now();
+    // Each choice opens a tunnel; the chosen node reports what it serves.
+    let mut load = [20_u32, 0, 0, 0, 0, 0];
+    book.note_load("host-0", 20, now);
+    for _ in 0..100 {
+        let chosen = book.choose(&names, &[], now).unwrap().clone();
+        let index = names.binary_search(&chosen).unwrap();
+        load[index] += 1;
+        book.begin(&chosen);
+        book.note_load(&chosen, load[index], now);
+    }
+    let (least, most) = (load.iter().min().unwrap(), load.iter().max().unwrap());
+    assert!(most - least <= 6, "{load:?}");
+    // Loads that were reported long ago count no more, own tunnels do.
+    let later = now + ms(10_000);
+    names.iter().for_each(|name| {
+        (0..200).for_each(|_| book.end(name));
+    });
+    book.begin("host-1");
+    let drawn = (0..200).map(|_| book.choose(&names[..2], &[], later).unwrap().as_str());
+    assert!(drawn.into_iter().all(|name| name == "host-0"));
+}
