Merge the tunnel through a neighbour: hosts that reach no runner serve again

Callers of hosts that lost the path to all runners were refused although every neighbour reaches the runners. Joined with the runs that are held: a run whose way was lost blames no runner (RunFault), and a held run keeps that.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -26,6 +26,8 @@
 pub mod core;
 pub mod crash;
 pub mod descriptors;
+pub mod dial;
+pub mod direct;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
@@ -37,9 +39,14 @@
 pub mod leader_driver;
 pub mod metrics;
 pub mod mirror;
+pub mod neighbour;
 pub mod panics;
 pub mod path;
 pub mod quarantine;
+pub mod race;
+pub mod reach;
+pub mod relay;
+pub mod relay_server;
 pub mod replication;
 pub mod request;
 pub mod response;
@@ -107,6 +114,7 @@
     };
     let (transport, received) =
         peer::TcpTransport::open(core.settings.peers, monitor).map_err(GatewayError::Peer)?;
+    transport.accept_tunnels(sync::Arc::new(core.relay_server.clone()));
     core.post.attach(sync::Arc::new(transport));
     let callers = listen::open(core.settings.callers).map_err(GatewayError::Listen)?;
     let ready = listen::open(core.settings.ready).map_err(GatewayError::Listen)?;
@@ -174,7 +182,13 @@
         caller_limits.connections = caller_limits.connections.min(connections);
     }
     let answer = move |request| answer_caller(sync::Arc::clone(&caller_core), request);
-    let serving = tokio::spawn(serve::serve(callers, caller_limits, closed, answer));
+    let serving = serve::serve(callers, caller_limits, closed, answer);
+    let relay_server = core.relay_server.clone();
+    let serving = tokio::spawn(async move {
+        serving.await;
+        // What runs through this node for others is work in progress as well.
+        relay_server.wait_idle().await;
+    });
 
     drain_gateway(&core, &driver, stop, closing, serving).await;
     core.note(event::EventCode::StopFinished, &name, "");
@@ -297,7 +311,9 @@
     let limit = settings.stop_limit_s.saturating_sub(keep + STOP_MARGIN);
     let keeper = drain::DrainSequence::new(keep, limit);
     let note = |code| {
-        let detail = format!("in_flight={}", core.metrics.in_flight.get());
+        let in_flight = core.metrics.in_flight.get();
+        let tunnels = core.relay_server.active();
+        let detail = format!("in_flight={in_flight} tunnels={tunnels}");
         core.note(code, &settings.name, detail);
     };
     let announce = || {
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -11,11 +11,16 @@
 use crate::event;
 use crate::gateway::budget;
 use crate::gateway::crash;
+use crate::gateway::dial;
+use crate::gateway::direct;
 use crate::gateway::fleet;
 use crate::gateway::leader;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::panics;
+use crate::gateway::race;
+use crate::gateway::relay;
+use crate::gateway::relay_server;
 use crate::gateway::routing;
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
@@ -56,7 +61,11 @@
     /// Sends messages to peers and dispatches those received.
     pub post: sync::Arc<peer::PeerEndpoint>,
     /// Runners of all services and this node's load on them.
-    pub fleet: sync::Mutex<fleet::RunnerFleet>,
+    pub fleet: sync::Arc<sync::Mutex<fleet::RunnerFleet>>,
+    /// Opens connections to runners.
+    pub dialer: sync::Arc<dyn dial::RunnerDialer>,
+    /// Opens connections to runners for other nodes.
+    pub relay_server: relay_server::RelayServer,
     /// Load of all nodes on the runners, as far as reported.
     pub loads: sync::Mutex<leader::LoadView>,
     /// Retry budgets of this node.
@@ -112,15 +121,40 @@
             window: settings.retry_window_s,
             has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
+        let recorder = event::EventRecorder::with_capacity(logger, EVENT_CAPACITY);
         let metrics = metrics::GatewayMetrics::default();
+        let context = dial::DialContext {
+            host: settings.name.clone(),
+            address: settings.peers,
+            signer: node_settings::peer_signer(&settings.peer_keys),
+            members: sync::Arc::clone(&members),
+            post: sync::Arc::new(post),
+            fleet: sync::Arc::default(),
+            recorder: sync::Arc::new(recorder),
+            metrics: metrics.tunnels.clone(),
+        };
+        let source = link::LinkSource::new(settings.peers.ip());
+        let opener = sync::Arc::new(direct::TcpOpener::new(source));
+        let direct = sync::Arc::new(direct::DirectDialer::new(context.clone(), opener));
+        let relay = sync::Arc::new(relay::RelayDialer::new(context.clone()));
+        let direct_only = race::RaceDialer::new(sync::Arc::clone(&direct), None);
         Self {
-            recorder: sync::Arc::new(event::EventRecorder::with_capacity(logger, EVENT_CAPACITY)),
+            recorder: sync::Arc::clone(&context.recorder),
             panics: sync::Arc::new(panics::PanicLog::new(metrics.panics.clone())),
             metrics,
+            post: sync::Arc::clone(&context.post),
+            fleet: sync::Arc::clone(&context.fleet),
+            dialer: sync::Arc::new(race::RaceDialer::new(
+                sync::Arc::clone(&direct),
+                Some(relay),
+            )),
+            relay_server: relay_server::RelayServer::new(
+                context,
+                direct,
+                sync::Arc::new(direct_only),
+            ),
             store: store::StoreClient::new(settings.store, STORE_TIMEOUT),
             members,
-            post: sync::Arc::new(post),
-            fleet: sync::Mutex::default(),
             loads: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
@@ -151,11 +185,6 @@
         self.recorder.record(code, subject, detail);
     }
 
-    /// Returns the local address that connections to runners start from.
-    pub fn link_source(&self) -> link::LinkSource {
-        link::LinkSource::new(self.settings.peers.ip())
-    }
-
     /// Returns the version, domain and addresses of this node for the log.
     pub fn describe(&self) -> String {
         let settings = &self.settings;
@@ -196,6 +225,7 @@
     /// Marks this node as stopping.
     pub fn begin_stop(&self) {
         self.stopping.store(true, atomic::Ordering::Relaxed);
+        self.relay_server.begin_stop();
     }
 
     /// Returns the sum of the latest row versions of all tables.
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -437,10 +437,9 @@
             bytes,
         })),
         Ok(Err(error)) => {
-            let cause = error.to_string();
-            request.fail_runner(&target.runners[0], &cause);
-            request.check_crash(&target, 0, crash::CrashSign::Body, false);
-            PlainEnd::Failed(request::AttemptReach::Ran, cause)
+            let fault = held::RunFault::lost(&error, crash::CrashSign::Body);
+            request.note_fault(&target, &fault, false);
+            PlainEnd::Failed(request::AttemptReach::Ran, fault.cause)
         }
         Err(_) => {
             request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
@@ -475,8 +474,8 @@
             bytes,
         })),
         Err(error) => {
-            let sign = Some(crash::CrashSign::Body);
-            Err(held::RunFault::ran(error.to_string(), sign).at(target, false))
+            let fault = held::RunFault::lost(&error, crash::CrashSign::Body);
+            Err(fault.at(target, false))
         }
     }
 }
--- a/arbutusfold/src/gateway/held.rs
+++ b/arbutusfold/src/gateway/held.rs
@@ -5,6 +5,7 @@
 
 use std::time as std_time;
 
+use arbutusfold_platform::link;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -21,6 +22,8 @@
     pub reach: request::AttemptReach,
     /// Cause, for the log.
     pub cause: String,
+    /// Whether the first runner is at fault, and not only the way to it.
+    pub is_blamed: bool,
     /// What suggests that the first runner died, if anything does.
     pub sign: Option<crash::CrashSign>,
     /// The response, if the runner reported a failure of its own.
@@ -42,11 +45,21 @@
         Self {
             reach: request::AttemptReach::Ran,
             cause: cause.into(),
+            is_blamed: true,
             sign,
             response: None,
         }
     }
 
+    /// Returns the fault of a run whose connection broke.
+    pub fn lost(error: &link::LinkError, sign: crash::CrashSign) -> Self {
+        let is_blamed = !error.is_way_lost();
+        Self {
+            is_blamed,
+            ..Self::ran(error.to_string(), Some(sign).filter(|_| is_blamed))
+        }
+    }
+
     /// Returns the fault of a run whose runner reported a failure.
     pub fn reported(response: FailureResponse) -> Self {
         let cause = format!("status {}", response.parts.status.as_u16());
--- a/arbutusfold/src/gateway/layout_controller.rs
+++ b/arbutusfold/src/gateway/layout_controller.rs
@@ -263,8 +263,7 @@
         let core = &self.core;
         let id = &required.record.id;
         let report =
-            match runner_call::report(core.link_source(), required.record.address, REPORT_TIMEOUT)
-                .await
+            match runner_call::report(&*core.dialer, required.record.address, REPORT_TIMEOUT).await
             {
                 Ok(report) => report,
                 Err(cause) => {
@@ -305,14 +304,7 @@
             required.duration.as_millis()
         );
         let record = &required.record;
-        match runner_call::order(
-            core.link_source(),
-            record.address,
-            &record.id,
-            &placement,
-            guard,
-        )
-        .await
+        match runner_call::order(&*core.dialer, record.address, &record.id, &placement, guard).await
         {
             Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds) => {
                 core.note(event::EventCode::OrderTaken, id, detail);
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
+use crate::gateway::dial;
 use crate::gateway::fleet;
 use crate::gateway::held;
 use crate::gateway::metrics;
@@ -250,10 +251,10 @@
         mut self,
         request: &str,
     ) -> Result<(http::Response<body::Incoming>, link::HttpLink), held::RunFault> {
-        let (response, link) = self.wait().await.map_err(|error| {
-            let sign = Some(crash::CrashSign::Connection);
-            held::RunFault::ran(error.to_string(), sign)
-        })?;
+        let (response, link) = self
+            .wait()
+            .await
+            .map_err(|error| held::RunFault::lost(&error, crash::CrashSign::Connection))?;
         let verdict = HeadVerdict::of(request, &response);
         let Some(fault) = verdict.fault() else {
             return Ok((response, link));
@@ -264,6 +265,7 @@
                 _ => AttemptReach::Ran,
             },
             cause: fault.to_owned(),
+            is_blamed: false,
             sign: None,
             response: None,
         })
@@ -772,13 +774,22 @@
         self.is_refusal_noted = false;
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let source = self.core.link_source();
-        let link = match link::HttpLink::open_from(source, target.address, connect).await {
-            Ok(link) => link,
+        let opened = dial::open_link(&*self.core.dialer, target.address, connect).await;
+        let link = match opened {
+            Ok(dialed) => {
+                if let Some(via) = &dialed.via {
+                    self.latest_runners.push_str(&format!(" via={via}"));
+                }
+                dialed.link
+            }
             Err(error) => {
                 let cause = error.to_string();
-                self.fail_runner(&target.runners[0], &cause);
-                if error.is_refused()
+                match error.is_confirmed {
+                    true => self.fail_runner(&target.runners[0], &cause),
+                    // This node may be cut off from all runners.
+                    false => self.exclude(&target.runners[0]),
+                }
+                if error.is_closed()
                     && let Some(instance) = target.instance(0)
                 {
                     note_unreachable(&self.core, &instance.crash, &self.head.request);
@@ -819,13 +830,11 @@
                 return AttemptOutcome::TimedOut;
             }
             Ok(Err(error)) => {
-                self.end_run(target);
-                let cause = error.to_string();
-                self.fail_runner(&target.runners[0], &cause);
-                self.check_crash(target, 0, crash::CrashSign::Connection, false);
+                let fault = held::RunFault::lost(&error, crash::CrashSign::Connection);
+                self.note_fault(target, &fault, false);
                 return AttemptOutcome::Unanswered {
                     reach: AttemptReach::Ran,
-                    cause,
+                    cause: fault.cause,
                 };
             }
             Ok(Ok(answered)) => answered,
@@ -851,9 +860,7 @@
         let first = &target.runners[0];
         let report = match target.path.is_empty() {
             true => Err(cause.to_owned()),
-            false => {
-                runner_call::report(self.core.link_source(), target.address, CONNECT_TIMEOUT).await
-            }
+            false => runner_call::report(&*self.core.dialer, target.address, CONNECT_TIMEOUT).await,
         };
         let stalled = match report {
             Err(cause) => {
@@ -1004,9 +1011,8 @@
         let core = sync::Arc::clone(&self.core);
         let request = self.head.request.clone();
         tokio::spawn(async move {
-            let source = core.link_source();
-            let opened = link::HttpLink::open_from(source, instance.address, CONNECT_TIMEOUT).await;
-            if opened.is_err_and(|error| error.is_refused()) {
+            let opened = core.dialer.open(instance.address, CONNECT_TIMEOUT).await;
+            if opened.is_err_and(|error| error.is_closed()) {
                 note_unreachable(&core, &instance.crash, &request);
             }
         });
@@ -1027,6 +1033,19 @@
         self.exclude(&target.runners[0]);
     }
 
+    /// Records why a run broke. If only the way to its runner was lost, the runner may
+    /// still be at work.
+    pub fn note_fault(&mut self, target: &AttemptTarget, fault: &held::RunFault, progressed: bool) {
+        if !fault.is_blamed {
+            return;
+        }
+        self.end_run(target);
+        self.fail_runner(&target.runners[0], &fault.cause);
+        if let Some(sign) = fault.sign {
+            self.check_crash(target, 0, sign, progressed);
+        }
+    }
+
     /// Records the runs that ended without delivering while they were held; returns
     /// the latest failure that a runner reported.
     pub fn note_held_failures<T>(
@@ -1035,26 +1054,20 @@
     ) -> Option<held::FailureResponse> {
         let mut reported = None;
         for failure in held.take_failures() {
-            let target = &failure.target;
-            let first = &target.runners[0];
-            self.end_run(target);
-            let held::RunFault {
-                reach,
-                cause,
-                sign,
-                response,
-            } = failure.fault;
-            match (reach, &response) {
-                (AttemptReach::NotSent | AttemptReach::NotRun, _) => self.executed -= 1,
+            let (target, fault) = (&failure.target, failure.fault);
+            match (fault.reach, &fault.response) {
+                (AttemptReach::NotSent | AttemptReach::NotRun, _) => {
+                    self.end_run(target);
+                    self.executed -= 1;
+                }
                 (AttemptReach::Ran, Some(response)) => {
+                    self.end_run(target);
                     self.note_reported_failure(target, &response.parts);
                 }
-                (AttemptReach::Ran, None) => self.fail_runner(first, &cause),
-            }
-            reported = response.or(reported);
-            if let Some(sign) = sign {
-                self.check_crash(target, 0, sign, failure.progressed);
+                (AttemptReach::Ran, None) => self.note_fault(target, &fault, failure.progressed),
             }
+            let held::RunFault { reach, cause, .. } = fault;
+            reported = fault.response.or(reported);
             let detail = format!(
                 "reach={reach:?} cause={cause} held=true runners={} ms={}",
                 target.runners.join(">"),
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -81,11 +81,7 @@
     /// The stream is complete.
     Ended,
     /// The stream was cut off or is invalid.
-    Broken {
-        cause: String,
-        /// What suggests that the first runner died, if anything does.
-        sign: Option<crash::CrashSign>,
-    },
+    Broken(held::RunFault),
 }
 
 /// Result of waiting for the next event.
@@ -493,7 +489,7 @@
                 return Ok(StartOutcome::Response(forward::relay(&parts, bytes)));
             }
             Ok(bytes) => held::RunFault::reported(held::FailureResponse { parts, bytes }),
-            Err(error) => held::RunFault::ran(error.to_string(), Some(crash::CrashSign::Body)),
+            Err(error) => held::RunFault::lost(&error, crash::CrashSign::Body),
         };
         return Err(fault.at(target, false));
     }
@@ -558,17 +554,17 @@
 
     /// Waits without a time limit for the next event after `cursor`.
     async fn wait_silent(mut self, mut cursor: event_stream::EventCursor) -> HeldEnd {
-        let (cause, sign) = loop {
+        let fault = loop {
             let first = match self.read().await {
                 StreamRead::Event(event) => match cursor.accept(&event) {
                     event_stream::EventVerdict::Deliver => Some(event),
                     event_stream::EventVerdict::Duplicate => continue,
                     event_stream::EventVerdict::Gap => {
-                        break ("an event is missing".to_owned(), None);
+                        break held::RunFault::ran("an event is missing", None);
                     }
                 },
                 StreamRead::Ended => None,
-                StreamRead::Broken { cause, sign } => break (cause, sign),
+                StreamRead::Broken(fault) => break fault,
             };
             return Ok(StartOutcome::Started(Box::new(StartedStream {
                 attempt: self,
@@ -576,18 +572,18 @@
                 cursor,
             })));
         };
-        Err(held::RunFault::ran(cause, sign).at(self.target, self.has_events))
+        Err(fault.at(self.target, self.has_events))
     }
 
     /// Reads the next event. May be cancelled.
     async fn read(&mut self) -> StreamRead {
-        let broken = |cause, sign| StreamRead::Broken { cause, sign };
+        let broken = |cause: &str, sign| StreamRead::Broken(held::RunFault::ran(cause, sign));
         loop {
             if let Some(event) = self.splitter.next_event() {
                 return StreamRead::Event(event);
             }
             if self.splitter.is_over_limit() {
-                return broken("an event is too long".to_owned(), None);
+                return broken("an event is too long", None);
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -595,12 +591,19 @@
                         self.splitter.push(bytes);
                     }
                 }
+                Some(Err(error)) if link::is_way_lost(&error) => {
+                    let cause = format!("the way to the runner broke: {error}");
+                    return StreamRead::Broken(held::RunFault {
+                        is_blamed: false,
+                        ..held::RunFault::ran(cause, None)
+                    });
+                }
                 Some(Err(error)) => {
                     let cause = format!("the runner broke off: {error}");
-                    return broken(cause, Some(crash::CrashSign::Body));
+                    return broken(&cause, Some(crash::CrashSign::Body));
                 }
                 None if self.splitter.is_partial() => {
-                    let cause = "the runner ended in the middle of an event".to_owned();
+                    let cause = "the runner ended in the middle of an event";
                     return broken(cause, Some(crash::CrashSign::Body));
                 }
                 None => return StreamRead::Ended,
@@ -617,12 +620,9 @@
                     self.note_event(request);
                     return StreamStep::Event(event);
                 }
-                Ok(StreamRead::Broken { cause, sign }) => {
-                    request.fail_runner(&self.target.runners[0], &cause);
-                    if let Some(sign) = sign {
-                        request.check_crash(&self.target, 0, sign, self.has_events);
-                    }
-                    return StreamStep::Broken(cause);
+                Ok(StreamRead::Broken(fault)) => {
+                    request.note_fault(&self.target, &fault, self.has_events);
+                    return StreamStep::Broken(fault.cause);
                 }
                 Ok(StreamRead::Ended) => {
                     self.note_end(request);
@@ -680,12 +680,9 @@
             .is_none_or(|requested| requested.elapsed() >= REPORT_PERIOD)
         {
             self.report_requested = Some(time::Instant::now());
-            let report = runner_call::report(
-                request.core.link_source(),
-                self.target.address,
-                REPORT_TIMEOUT,
-            )
-            .await;
+            let report =
+                runner_call::report(&*request.core.dialer, self.target.address, REPORT_TIMEOUT)
+                    .await;
             let index = match report {
                 Ok(report) => self.target.stalled_stage(&request.head.request, &report),
                 Err(_) => Some(0),
@@ -735,8 +732,14 @@
         };
         request.core.metrics.orders.inc();
         let (first, guard) = (&target.runners[0], order::OrderGuard::default());
-        let source = request.core.link_source();
-        let answer = runner_call::order(source, target.address, first, &reroute_order, guard).await;
+        let answer = runner_call::order(
+            &*request.core.dialer,
+            target.address,
+            first,
+            &reroute_order,
+            guard,
+        )
+        .await;
         let detail = format!(
             "silence_ms={} from={} to={} answer={answer:?}",
             self.last_event.elapsed().as_millis(),
