Let a runner that was silent serve a stream again

Callers saw a stream cut for "no runner is left": it had moved from a silent runner to another one, that one broke off, and the first was sound again.

Cause: a silence excluded a runner from the whole rest of the request, as a failure does.

Now it is excluded until a run delivers, which is also when held runs are dropped. It stays avoided by the score of the fleet, and attempts and retries stay bounded.

Evidence: runner_that_was_silent_resumes_a_stream_that_breaks_off_elsewhere was cut after 3 of 5 events before. Also new, and not red before: tests of several silences in a row, of a rejection beside a held run, and of the deadline.

--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -184,6 +184,7 @@
         started,
         deadline,
         excluded: Vec::new(),
+        silent: Vec::new(),
         executed: 0,
         attempts: 0,
         latest_runners: String::new(),
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -91,6 +91,9 @@
     pub deadline: time::Instant,
     /// Runners that get no further attempts.
     pub excluded: Vec<id::UpstreamName>,
+    /// Runners that fell silent, which get no further attempts until another run
+    /// delivers.
+    pub silent: Vec<id::UpstreamName>,
     /// Attempts that ran or may have run.
     pub executed: u32,
     /// All attempts.
@@ -737,6 +740,7 @@
                 && state.is_usable(now)
                 && state.pause_left(now).is_none()
                 && !self.excluded.contains(&state.record.id)
+                && !self.silent.contains(&state.record.id)
         })
     }
 
@@ -854,15 +858,16 @@
         };
         let stalled = match report {
             Err(cause) => {
-                self.fail_runner(first, &cause);
+                self.note_failed_runner(first, &cause);
+                self.exclude_silent(first);
                 Some(0)
             }
             Ok(report) => {
                 let stalled = target.stalled_stage(&self.head.request, &report);
-                match stalled {
-                    Some(index) => self.fail_runner(&target.runners[index], cause),
-                    None => self.exclude(first),
+                if let Some(index) = stalled {
+                    self.note_failed_runner(&target.runners[index], cause);
                 }
+                self.exclude_silent(&target.runners[stalled.unwrap_or(0)]);
                 stalled
             }
         };
@@ -1082,6 +1087,12 @@
 
     /// Records that a runner failed the request and excludes it from further attempts.
     pub fn fail_runner(&mut self, id: &str, cause: &str) {
+        self.note_failed_runner(id, cause);
+        self.exclude(id);
+    }
+
+    /// Records that a runner failed the request or is silent.
+    pub fn note_failed_runner(&self, id: &str, cause: &str) {
         let now = time::Instant::now();
         let pause = lock(&self.core.fleet).note_failure(id, now);
         if let Some(pause) = pause {
@@ -1093,7 +1104,6 @@
             self.core
                 .note(event::EventCode::UpstreamAvoided, id, detail);
         }
-        self.exclude(id);
     }
 
     /// Excludes a runner from further attempts.
@@ -1103,6 +1113,13 @@
         }
     }
 
+    /// Excludes a silent runner from further attempts until another run delivers.
+    pub fn exclude_silent(&mut self, id: &str) {
+        if !self.silent.iter().any(|silent| silent == id) {
+            self.silent.push(id.to_owned());
+        }
+    }
+
     /// Returns the `Retry-After` time of a refusal. A model has capacity again when
     /// some running streams end; a plain service has it much sooner. If all runners
     /// named limits, the first of them that may be tried again decides.
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -354,6 +354,7 @@
         let (reach, attempt_cause) = match end {
             AttemptEnd::Started(started) => {
                 *cursor = started.cursor;
+                request.silent.clear();
                 return Ok(StartOutcome::Started(started));
             }
             AttemptEnd::Response(parts, bytes) => {
@@ -413,6 +414,7 @@
         }
     };
     *cursor = started.cursor;
+    request.silent.clear();
     request.note_regained(&started.attempt.target);
     match started.first {
         Some(_) => {
@@ -759,13 +761,16 @@
     fn exclude_silent(&self, request: &mut request::CallerRequest, silent: &[usize]) {
         let runners = &self.target.runners;
         match silent {
-            [index] if *index < runners.len() => request.fail_runner(&runners[*index], "silent"),
+            [index] if *index < runners.len() => {
+                request.note_failed_runner(&runners[*index], "silent");
+            }
             // If several are silent, most of them only wait for another one.
-            _ => silent
-                .iter()
-                .filter_map(|index| runners.get(*index))
-                .for_each(|id| request.exclude(id)),
+            _ => {}
         }
+        silent
+            .iter()
+            .filter_map(|index| runners.get(*index))
+            .for_each(|id| request.exclude_silent(id));
     }
 
     /// Excludes the silent runners and returns the cause, for the caller and the log.
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -67,6 +67,7 @@
         started: now,
         deadline: now + std_time::Duration::from_secs(2),
         excluded: Vec::new(),
+        silent: Vec::new(),
         executed: 0,
         attempts: 0,
         latest_runners: String::new(),
--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -23,7 +23,9 @@
     {"name":"plain","hostname":"h","prefix":"/p/","type":"idempotent","timeoutMs":2500,
     "goalMs":50,"maxAttempts":2,"public":true,"service":"s"},
     {"name":"stream","hostname":"h","prefix":"/s/","type":"streaming","resumable":true,
-    "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":2,"public":true,"service":"s"}],
+    "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":2,"public":true,"service":"s"},
+    {"name":"three","hostname":"h","prefix":"/three/","type":"streaming","resumable":true,
+    "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":3,"public":true,"service":"s"}],
     "services":[{"name":"s","healthPath":"/health","maxConns":10,"protocol":"h1","tls":false}]}"#;
 
 /// Head of a stream, whose body ends with its connection.
@@ -296,3 +298,65 @@
         .filter(|record| record.name == "RetryRefused");
     assert_eq!(refused.count(), 1, "{records:#?}");
 }
+
+/// A stream whose run falls silent several times comes in order and once, also while
+/// another run has the same events.
+#[tokio::test]
+async fn stream_outlasts_several_silences_in_a_row() {
+    let part = |number| (350, events(number..=number));
+    let head = (0, format!("{STREAM_HEAD}{}", events(1..=1)));
+    let paused = script(&[head, part(2), part(3), part(4), part(5)]);
+    let beside = script(&[(400, format!("{STREAM_HEAD}{}", events(2..=5)))]);
+    for other in [silent(), beside] {
+        let runners = start_runners(2, vec![paused.clone(), other]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        assert_whole(&call(node, "/s/x").await, 5);
+        assert_eq!(runners.runs.load(atomic::Ordering::SeqCst), 2);
+    }
+}
+
+/// A request is not refused as if it had not run while a silent run of it may go on.
+#[tokio::test]
+async fn rejection_beside_a_held_run_is_no_refusal() {
+    let late = script(&[(900, answer(200, "late"))]);
+    let rejecting = script(&[(0, answer(421, "rejected"))]);
+    let runners = start_runners(2, vec![late, rejecting]).await;
+    let (core, node) = start_node(&runners).await;
+    grant_retries(&core);
+    let answer = call(node, "/p/x").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Requests whose runs are all silent end in time.
+#[tokio::test]
+async fn silent_runs_end_at_the_deadline() {
+    for path in ["/p/x", "/s/x", "/three/x"] {
+        let runners = start_runners(3, vec![silent(), silent(), silent()]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        let started = time::Instant::now();
+        let answer = call(node, path).await;
+        let took = started.elapsed();
+        assert!(answer.starts_with("HTTP/1.1 504"), "{path} {answer}");
+        assert!(
+            took < std_time::Duration::from_millis(2_900),
+            "{path} {took:?}"
+        );
+    }
+}
+
+/// A runner whose run was given up for another one may resume the stream when that one
+/// breaks off: a silence is no failure.
+#[tokio::test]
+async fn runner_that_was_silent_resumes_a_stream_that_breaks_off_elsewhere() {
+    let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+    let paused = script(&[head, (10_000, String::new())]);
+    let broken = script(&[(0, format!("{STREAM_HEAD}{}id: 4", events(3..=3)))]);
+    let resumed = script(&[(0, format!("{STREAM_HEAD}{}", events(4..=5)))]);
+    let runners = start_runners(2, vec![paused, broken, resumed]).await;
+    let (core, node) = start_node(&runners).await;
+    grant_retries(&core);
+    let answer = call(node, "/three/x").await;
+    assert_whole(&answer, 5);
+}
