Test: silent runs end when their caller leaves

Two or three runs of a request are closed at their runners within 300 ms, before and after the response head.

--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -40,6 +40,8 @@
     addresses: Vec<net::SocketAddr>,
     /// Number of runs that began.
     runs: sync::Arc<atomic::AtomicUsize>,
+    /// Number of runs whose connection the node closed before their end.
+    left: sync::Arc<atomic::AtomicUsize>,
 }
 
 /// Starts runners; the run that begins as number `n` at any of them is answered by
@@ -47,25 +49,32 @@
 async fn start_runners(count: usize, scripts: Vec<Script>) -> TestRunners {
     let scripts = sync::Arc::new(scripts);
     let runs = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let left = sync::Arc::new(atomic::AtomicUsize::new(0));
     let mut addresses = Vec::new();
     for _ in 0..count {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         addresses.push(listener.local_addr().unwrap());
-        let (scripts, runs) = (sync::Arc::clone(&scripts), sync::Arc::clone(&runs));
+        let scripts = sync::Arc::clone(&scripts);
+        let counts = (sync::Arc::clone(&runs), sync::Arc::clone(&left));
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                let (scripts, runs) = (sync::Arc::clone(&scripts), sync::Arc::clone(&runs));
-                tokio::spawn(async move { play(socket, &scripts, &runs).await });
+                let (scripts, (runs, left)) = (sync::Arc::clone(&scripts), counts.clone());
+                tokio::spawn(async move { play(socket, &scripts, &runs, &left).await });
             }
         });
     }
-    TestRunners { addresses, runs }
+    TestRunners {
+        addresses,
+        runs,
+        left,
+    }
 }
 
 async fn play(
     mut socket: tokio::net::TcpStream,
     scripts: &[Script],
     runs: &atomic::AtomicUsize,
+    left: &atomic::AtomicUsize,
 ) -> Option<()> {
     let head = read_head(&mut socket).await?;
     if head.starts_with("GET /v1/report") {
@@ -74,7 +83,13 @@
     }
     let script = scripts.get(runs.fetch_add(1, atomic::Ordering::SeqCst))?;
     for (pause_ms, part) in script {
-        time::sleep(std_time::Duration::from_millis(*pause_ms)).await;
+        tokio::select! {
+            () = time::sleep(std_time::Duration::from_millis(*pause_ms)) => {}
+            _ = socket.read_u8() => {
+                left.fetch_add(1, atomic::Ordering::SeqCst);
+                return None;
+            }
+        }
         socket.write_all(part.as_bytes()).await.ok()?;
     }
     Some(())
@@ -360,3 +375,26 @@
     let answer = call(node, "/three/x").await;
     assert_whole(&answer, 5);
 }
+
+/// All runs of a request end soon after its caller has left, the silent ones too.
+#[tokio::test]
+async fn silent_runs_end_when_their_caller_leaves() {
+    for path in ["/p/x", "/s/x", "/three/x"] {
+        let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+        let first = match path {
+            "/three/x" => script(&[head, (10_000, String::new())]),
+            _ => silent(),
+        };
+        let runners = start_runners(3, vec![first, silent(), silent()]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        let caller = tokio::spawn(async move { call(node, path).await });
+        time::sleep(std_time::Duration::from_millis(500)).await;
+        let runs = runners.runs.load(atomic::Ordering::SeqCst);
+        assert!(runs >= 2, "{path} {runs}");
+        caller.abort();
+        time::sleep(std_time::Duration::from_millis(300)).await;
+        let left = runners.left.load(atomic::Ordering::SeqCst);
+        assert_eq!(left, runs, "{path}");
+    }
+}
