Count no trial that a silent runner rejects after all

A request that may only run as a trial was counted as tried in vain, and so came nearer to its quarantine, although no runner ran it.

Cause: a rejection by a held run left the permit of the trial as sent. At its end an unanswered trial is recorded as a death.

Now the permit is marked as rejected if the held run was the trial.

--- a/arbutusfold/src/gateway/crash.rs
+++ b/arbutusfold/src/gateway/crash.rs
@@ -160,6 +160,14 @@
         Some((age, kind))
     }
 
+    /// Returns what was known of the request when the latest run on a runner began.
+    pub fn kind_at(&self, runner: &str) -> Option<RunKind> {
+        let state = lock(&self.state);
+        let mut exposures = state.exposures.iter().rev();
+        let exposure = exposures.find(|exposure| exposure.runners.iter().any(|id| id == runner))?;
+        Some(exposure.kind)
+    }
+
     /// Returns the deaths that count.
     pub fn crashes(&self) -> Vec<ledger::CrashRecord> {
         lock(&self.state).crashes.clone()
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -1046,7 +1046,13 @@
                 response,
             } = failure.fault;
             match (reach, &response) {
-                (AttemptReach::NotSent | AttemptReach::NotRun, _) => self.executed -= 1,
+                (AttemptReach::NotSent | AttemptReach::NotRun, _) => {
+                    self.executed -= 1;
+                    let is_trial = self.trace.kind_at(first) == Some(crash::RunKind::Trial);
+                    if let Some(permit) = self.trial.as_mut().filter(|_| is_trial) {
+                        permit.state = trial::PermitState::Rejected;
+                    }
+                }
                 (AttemptReach::Ran, Some(response)) => {
                     self.note_reported_failure(target, &response.parts);
                 }
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -8,13 +8,14 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{core, mirror, request, routing, selector};
+use arbutusfold::gateway::{core, held, mirror, request, routing, selector, trial};
 use arbutusfold_platform::{head, store};
 use bytes::Bytes;
+use tokio::io::AsyncWriteExt;
 use tokio::time;
 
 const DOCUMENT: &str = r#"{"version":1,"routes":[{"name":"r","hostname":"h","prefix":"/p/",
-    "type":"idempotent","timeoutMs":2000,"maxAttempts":2,"public":true,"service":"s"}],
+    "type":"idempotent","timeoutMs":2000,"goalMs":20,"maxAttempts":2,"public":true,"service":"s"}],
     "services":[{"name":"s","healthPath":"/health","maxConns":10,"protocol":"h1","tls":false}]}"#;
 
 fn row(key: &str, value: String) -> mirror::MirrorRow {
@@ -135,3 +136,45 @@
     assert!(request(&core).acquire_target().await.is_ok());
     drop((held, listener));
 }
+
+/// A trial that a silent runner rejects after all did not run, so it counts neither as
+/// a run nor against the request.
+#[tokio::test]
+async fn late_rejection_of_a_trial_is_no_run() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut sockets = Vec::new();
+        for number in 0.. {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            // The first connection asks whether the runner is alive, and so may later
+            // ones; only the request is answered.
+            if number == 1 {
+                time::sleep(std_time::Duration::from_millis(100)).await;
+                let head = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n";
+                socket.write_all(head.as_bytes()).await.unwrap();
+            }
+            sockets.push(socket);
+        }
+    });
+    let core = node(&[address]);
+    let mut request = request(&core);
+    request.trial = trial::claim(&core, &request.fingerprint()).await;
+    assert!(request.trial.is_some());
+    let target = request.acquire_target().await.unwrap();
+    let outcome = request.send(&target, None).await;
+    let request::AttemptOutcome::Silent { answer, .. } = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(request.executed, 1);
+    let mut runs = held::HeldRuns::<()>::default();
+    runs.push(async move {
+        let fault = answer.wait_valid("request-1").await.unwrap_err();
+        Err(fault.at(target, false))
+    });
+    assert!(runs.wait(std_time::Duration::from_secs(1)).await.is_none());
+    request.note_held_failures(&mut runs);
+    assert_eq!(request.executed, 0);
+    let state = request.trial.as_ref().map(|permit| permit.state);
+    assert_eq!(state, Some(trial::PermitState::Rejected));
+}
