--- a/arbutusfold/tests/gateway_silence.rs
+++ b/arbutusfold/tests/gateway_silence.rs
@@ -23,7 +23,9 @@
     {"name":"plain","hostname":"h","prefix":"/p/","type":"idempotent","timeoutMs":2500,
     "goalMs":50,"maxAttempts":2,"public":true,"service":"s"},
     {"name":"stream","hostname":"h","prefix":"/s/","type":"streaming","resumable":true,
-    "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":2,"public":true,"service":"s"}],
+    "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":2,"public":true,"service":"s"},
+    {"name":"three","hostname":"h","prefix":"/three/","type":"streaming","resumable":true,
+    "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":3,"public":true,"service":"s"}],
     "services":[{"name":"s","healthPath":"/health","maxConns":10,"protocol":"h1","tls":false}]}"#;
 
 /// Head of a stream, whose body ends with its connection.
@@ -38,6 +40,8 @@
     addresses: Vec<net::SocketAddr>,
     /// Number of runs that began.
     runs: sync::Arc<atomic::AtomicUsize>,
+    /// Number of runs whose connection the node closed before their end.
+    left: sync::Arc<atomic::AtomicUsize>,
 }
 
 /// Starts runners; the run that begins as number `n` at any of them is answered by
@@ -45,25 +49,32 @@
 async fn start_runners(count: usize, scripts: Vec<Script>) -> TestRunners {
     let scripts = sync::Arc::new(scripts);
     let runs = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let left = sync::Arc::new(atomic::AtomicUsize::new(0));
     let mut addresses = Vec::new();
     for _ in 0..count {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         addresses.push(listener.local_addr().unwrap());
-        let (scripts, runs) = (sync::Arc::clone(&scripts), sync::Arc::clone(&runs));
+        let scripts = sync::Arc::clone(&scripts);
+        let counts = (sync::Arc::clone(&runs), sync::Arc::clone(&left));
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                let (scripts, runs) = (sync::Arc::clone(&scripts), sync::Arc::clone(&runs));
-                tokio::spawn(async move { play(socket, &scripts, &runs).await });
+                let (scripts, (runs, left)) = (sync::Arc::clone(&scripts), counts.clone());
+                tokio::spawn(async move { play(socket, &scripts, &runs, &left).await });
             }
         });
     }
-    TestRunners { addresses, runs }
+    TestRunners {
+        addresses,
+        runs,
+        left,
+    }
 }
 
 async fn play(
     mut socket: tokio::net::TcpStream,
     scripts: &[Script],
     runs: &atomic::AtomicUsize,
+    left: &atomic::AtomicUsize,
 ) -> Option<()> {
     let head = read_head(&mut socket).await?;
     if head.starts_with("GET /v1/report") {
@@ -72,7 +83,13 @@
     }
     let script = scripts.get(runs.fetch_add(1, atomic::Ordering::SeqCst))?;
     for (pause_ms, part) in script {
-        time::sleep(std_time::Duration::from_millis(*pause_ms)).await;
+        tokio::select! {
+            () = time::sleep(std_time::Duration::from_millis(*pause_ms)) => {}
+            _ = socket.read_u8() => {
+                left.fetch_add(1, atomic::Ordering::SeqCst);
+                return None;
+            }
+        }
         socket.write_all(part.as_bytes()).await.ok()?;
     }
     Some(())
@@ -296,3 +313,88 @@
         .filter(|record| record.name == "RetryRefused");
     assert_eq!(refused.count(), 1, "{records:#?}");
 }
+
+/// A stream whose run falls silent several times comes in order and once, also while
+/// another run has the same events.
+#[tokio::test]
+async fn stream_outlasts_several_silences_in_a_row() {
+    let part = |number| (350, events(number..=number));
+    let head = (0, format!("{STREAM_HEAD}{}", events(1..=1)));
+    let paused = script(&[head, part(2), part(3), part(4), part(5)]);
+    let beside = script(&[(400, format!("{STREAM_HEAD}{}", events(2..=5)))]);
+    for other in [silent(), beside] {
+        let runners = start_runners(2, vec![paused.clone(), other]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        assert_whole(&call(node, "/s/x").await, 5);
+        assert_eq!(runners.runs.load(atomic::Ordering::SeqCst), 2);
+    }
+}
+
+/// A request is not refused as if it had not run while a silent run of it may go on.
+#[tokio::test]
+async fn rejection_beside_a_held_run_is_no_refusal() {
+    let late = script(&[(900, answer(200, "late"))]);
+    let rejecting = script(&[(0, answer(421, "rejected"))]);
+    let runners = start_runners(2, vec![late, rejecting]).await;
+    let (core, node) = start_node(&runners).await;
+    grant_retries(&core);
+    let answer = call(node, "/p/x").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Requests whose runs are all silent end in time.
+#[tokio::test]
+async fn silent_runs_end_at_the_deadline() {
+    for path in ["/p/x", "/s/x", "/three/x"] {
+        let runners = start_runners(3, vec![silent(), silent(), silent()]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        let started = time::Instant::now();
+        let answer = call(node, path).await;
+        let took = started.elapsed();
+        assert!(answer.starts_with("HTTP/1.1 504"), "{path} {answer}");
+        assert!(
+            took < std_time::Duration::from_millis(2_900),
+            "{path} {took:?}"
+        );
+    }
+}
+
+/// A runner whose run was given up for another one may resume the stream when that one
+/// breaks off: a silence is no failure.
+#[tokio::test]
+async fn runner_that_was_silent_resumes_a_stream_that_breaks_off_elsewhere() {
+    let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+    let paused = script(&[head, (10_000, String::new())]);
+    let broken = script(&[(0, format!("{STREAM_HEAD}{}id: 4", events(3..=3)))]);
+    let resumed = script(&[(0, format!("{STREAM_HEAD}{}", events(4..=5)))]);
+    let runners = start_runners(2, vec![paused, broken, resumed]).await;
+    let (core, node) = start_node(&runners).await;
+    grant_retries(&core);
+    let answer = call(node, "/three/x").await;
+    assert_whole(&answer, 5);
+}
+
+/// All runs of a request end soon after its caller has left, the silent ones too.
+#[tokio::test]
+async fn silent_runs_end_when_their_caller_leaves() {
+    for path in ["/p/x", "/s/x", "/three/x"] {
+        let head = (0, format!("{STREAM_HEAD}{}", events(1..=2)));
+        let first = match path {
+            "/three/x" => script(&[head, (10_000, String::new())]),
+            _ => silent(),
+        };
+        let runners = start_runners(3, vec![first, silent(), silent()]).await;
+        let (core, node) = start_node(&runners).await;
+        grant_retries(&core);
+        let caller = tokio::spawn(async move { call(node, path).await });
+        time::sleep(std_time::Duration::from_millis(500)).await;
+        let runs = runners.runs.load(atomic::Ordering::SeqCst);
+        assert!(runs >= 2, "{path} {runs}");
+        caller.abort();
+        time::sleep(std_time::Duration::from_millis(300)).await;
+        let left = runners.left.load(atomic::Ordering::SeqCst);
+        assert_eq!(left, runs, "{path}");
+    }
+}
