Keep to the limit of a runner while nodes hear only some of the others

Nodes that lose each other, while all of them reach a runner that named a limit, chose an issuer of permits on each side, and each one issued the whole limit: 40 requests in four seconds for 33 allowed, with one of three domains cut off for 12 s. What a node cannot hear it took for dead. An issuer now issues the share of the nodes that it hears of the largest fleet of the last 30 s, so that the shares of all sides add up to the limit. When nodes really die, the others use a smaller share until then, and all of it afterwards, which the test checks, too.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -375,7 +375,7 @@
     }
 
     /// Drops runners whose grace period has ended and passes the size of the
-    /// fleet to the retry budgets.
+    /// fleet to the retry budgets and the limits of runners.
     pub fn tick(&self, now: time::Instant) {
         let changes = lock(&self.fleet).expire(now);
         changes
@@ -383,6 +383,7 @@
             .for_each(|change| self.record_change(change));
         let nodes = self.members.fleet_size();
         lock(&self.budget).note_nodes(nodes);
+        lock(&self.limits).note_nodes(nodes, now);
     }
 
     /// Returns the other nodes of this node's failure domain among `members`.
--- a/arbutusfold/src/gateway/runner_limit.rs
+++ b/arbutusfold/src/gateway/runner_limit.rs
@@ -32,11 +32,32 @@
 /// Longest pause that an issuer may ask for; the smallest rate makes it ask for less.
 const PAUSE_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
 
+/// Time after which nodes that are not heard any more count as gone. Until then they
+/// may only be cut off from this one, and use permits of an issuer of their own.
+const ABSENCE_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
+
 /// Permits that this node issues, and its own claims.
 #[derive(Debug, Default)]
 pub struct LimitState {
     issuer: issuer::LimitIssuer,
     claims: claim::PendingClaims<issuer::ClaimAnswer>,
+    /// Largest recent size of the fleet, and when it had that size last.
+    largest_fleet: Option<(usize, time::Instant)>,
+}
+
+impl LimitState {
+    /// Records the number of nodes that this one hears, and returns the share of the
+    /// fleet that they are.
+    pub fn note_nodes(&mut self, nodes: usize, now: time::Instant) -> f64 {
+        let recent = self.largest_fleet.filter(|(largest, seen_at)| {
+            *largest > nodes && now.saturating_duration_since(*seen_at) < ABSENCE_LIMIT
+        });
+        let (largest, _) = *self.largest_fleet.insert(recent.unwrap_or((nodes, now)));
+        match largest {
+            0 => 1.0,
+            _ => nodes as f64 / largest as f64,
+        }
+    }
 }
 
 /// Limit of a runner, as one node tells it to another.
@@ -201,7 +222,8 @@
 }
 
 /// Issues a permit, by the limit that this node knows. It may have been lifted
-/// since the claim was sent.
+/// since the claim was sent. Nodes that were heard lately may issue permits, too, so
+/// this one issues only the share of those that it hears.
 fn issue(core: &core::GatewayCore, claimed: &LimitReport) -> issuer::ClaimAnswer {
     let rate = match lock(&core.fleet).get(&claimed.runner) {
         Some(state) => state.limit().and_then(|limit| limit.rate),
@@ -211,7 +233,10 @@
         return issuer::ClaimAnswer::Granted;
     };
     let now = time::Instant::now();
-    lock(&core.limits).issuer.claim(&claimed.runner, rate, now)
+    let nodes = core.members.fleet_size();
+    let mut limits = lock(&core.limits);
+    let share = limits.note_nodes(nodes, now);
+    limits.issuer.claim(&claimed.runner, rate * share, now)
 }
 
 /// Applies what is known of a limit, and tells other nodes of a change.
--- a/arbutusfold/tests/gateway_limits.rs
+++ b/arbutusfold/tests/gateway_limits.rs
@@ -252,3 +252,45 @@
         assert!(bytes / nodes as f64 <= 1_000.0, "{nodes} nodes: {bytes}");
     }
 }
+
+/// Guards against nodes that cannot hear each other and that each take the whole
+/// limit of a runner, which all of them reach.
+#[tokio::test(start_paused = true)]
+async fn limit_is_kept_when_a_domain_is_cut_off_from_the_others() {
+    let rate = 4.7;
+    let network = start(9, 0.0, 3);
+    put_runner(&network, 7);
+    let nodes = network.nodes.get().unwrap();
+    answer(&nodes[0], 7, Some("4.7"), time::Instant::now());
+    let period = std_time::Duration::from_millis(300);
+    press(&network, Some("4.7"), period, CONTACT).await;
+    nodes
+        .iter()
+        .for_each(|core| core.tick(time::Instant::now()));
+    network.cut.store(0, atomic::Ordering::Relaxed);
+    publish(&network, |own, other| {
+        (own % DOMAINS == 0) == (other % DOMAINS == 0)
+    });
+    let reached = press(&network, Some("4.7"), period, WINDOW * 3).await;
+    let most = most_in_window(&reached);
+    assert!(most <= allowed(rate), "{most} of {}", allowed(rate));
+    // Both sides together use most of it.
+    let used = reached.len() as f64 / (rate * (WINDOW * 3).as_secs_f64());
+    assert!(used >= 0.7, "{used}");
+    // Nodes that do not come back are gone in the end, and the others take all of it.
+    time::sleep(std_time::Duration::from_secs(30)).await;
+    let remaining = &nodes[1];
+    let mut sent = 0;
+    let end = time::Instant::now() + WINDOW * 3;
+    while time::Instant::now() < end {
+        time::sleep(std_time::Duration::from_millis(20)).await;
+        let now = time::Instant::now();
+        let is_paused = {
+            let fleet = remaining.fleet.lock().unwrap();
+            fleet.get(RUNNER).unwrap().pause_left(now).is_some()
+        };
+        sent += usize::from(!is_paused && runner_limit::claim(remaining, RUNNER, "r").await);
+    }
+    let used = sent as f64 / (rate * (WINDOW * 3).as_secs_f64());
+    assert!(used >= 0.85, "{used}");
+}
