Serve all connections that wait when the listener closes

A node that stops serves what waits in its backlog and then closes the listener, which resets the rest. Of 300 connections with a whole request each, 128 were reset: the runtime tells a task that has done much that nothing is there, so that it yields, and the loop took that for an empty backlog. The look is outside of that budget now, and repeated once after the runtime had time to learn of new connections. Same form of mistake as elsewhere: what is not heard is taken for gone.

--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -3,6 +3,8 @@
 
 use std::convert;
 use std::future;
+use std::io;
+use std::net as std_net;
 use std::sync;
 use std::time as std_time;
 
@@ -13,7 +15,7 @@
 use tokio::net;
 use tokio::sync as tokio_sync;
 use tokio::sync::watch;
-use tokio::time;
+use tokio::{task, time};
 use tokio_io_timeout::TimeoutStream;
 
 mod linger;
@@ -70,9 +72,8 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|closed| *closed) => {
-                // Connections that are already in the backlog are still served.
-                match listener.accept().now_or_never() {
+            _ = async { closed.wait_for(|closed| *closed).await.is_ok() } => {
+                match accept_waiting(&listener).await {
                     Some(accepted) => accepted,
                     None => break,
                 }
@@ -112,6 +113,25 @@
     shutdown.shutdown().await;
 }
 
+/// An accepted connection with the address of its client.
+type Accepted = io::Result<(net::TcpStream, std_net::SocketAddr)>;
+
+/// Accepts a connection that is already in the backlog; those are still served.
+async fn accept_waiting(listener: &net::TcpListener) -> Option<Accepted> {
+    let accepted = accept_now(listener);
+    if accepted.is_some() {
+        return accepted;
+    }
+    // Lets the runtime learn of connections since its last look.
+    task::yield_now().await;
+    accept_now(listener)
+}
+
+fn accept_now(listener: &net::TcpListener) -> Option<Accepted> {
+    // A task that has done much is told that nothing is there, so that it yields.
+    task::coop::unconstrained(listener.accept()).now_or_never()
+}
+
 fn connection_builder(limits: &ServeLimits) -> conn::auto::Builder<rt::TokioExecutor> {
     let mut builder = conn::auto::Builder::new(rt::TokioExecutor::new());
     builder
--- a/arbutusfold/tests/serve.rs
+++ b/arbutusfold/tests/serve.rs
@@ -189,3 +189,33 @@
     second.write_all(GET).await.unwrap();
     assert!(second.read_u8().await.is_ok());
 }
+
+/// Guards against connections that are reset because the listener closes while many
+/// of them wait to be accepted.
+#[tokio::test]
+async fn all_connections_that_wait_are_served_when_the_server_closes() {
+    let listener = listen::open("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut waiting = Vec::new();
+    for _ in 0..300 {
+        let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+        socket.write_all(GET).await.unwrap();
+        waiting.push(socket);
+    }
+    let (_closing, closed) = watch::channel(true);
+    let answers = OpenAnswers::default();
+    let limits = serve::ServeLimits::default();
+    let serving = serve::serve(listener, limits, closed, move |_request| {
+        let answer = answers.answer(1);
+        async move { Ok(answer) }
+    });
+    let serving = tokio::spawn(serving);
+    let mut unanswered = 0;
+    for socket in &mut waiting {
+        let mut answer = Vec::new();
+        let read = socket.read_to_end(&mut answer).await;
+        unanswered += usize::from(read.is_err() || !answer.ends_with(b"0\r\n\r\n"));
+    }
+    assert_eq!(unanswered, 0);
+    serving.await.unwrap();
+}
