Soak: gateways cut from all runners, with a check of the rule

They are drawn last and none by default, so that seeds keep the faults that they had. From 3 s after the cut on, callers there have to be served two thirds as often as at the others.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -15,7 +15,7 @@
 const LAYERS: u32 = 80;
 
 /// Failure domains, assigned to runners and gateways in turn.
-const DOMAINS: [&str; 2] = ["a", "b"];
+const DOMAINS: [&str; plan::DOMAIN_COUNT] = ["a", "b"];
 
 /// API key of the only organisation.
 pub const KEY: &str = "soak-key";
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -39,7 +39,10 @@
     /// Number of faults in each seed
     #[bpaf(long, argument("COUNT"), fallback(12))]
     faults: usize,
-    /// Seconds within which every fault starts
+    /// Number of cuts of gateways from all runners in each seed, one every ten seconds
+    #[bpaf(long, argument("COUNT"), fallback(0))]
+    cuts: usize,
+    /// Seconds within which every other fault starts
     #[bpaf(long, argument("SECONDS"), fallback(6))]
     seconds: u64,
 }
@@ -53,6 +56,7 @@
         plain_runners: 2,
         fault_window: time::Duration::from_secs(options.seconds),
         faults: options.faults,
+        cuts: options.cuts,
         proxied: true,
     };
     let mut seeds = options.first..options.first + options.seeds;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! Random schedule of the faults of one seed.
 
+use std::ops;
 use std::time;
 
 use rand::RngExt;
@@ -8,6 +9,42 @@
 
 use crate::proxy;
 
+/// Number of failure domains, which gateways and runners are assigned to in turn.
+pub const DOMAIN_COUNT: usize = 2;
+
+/// Time from the start of a cut from the runners to that of the next one.
+const CUT_PERIOD: time::Duration = time::Duration::from_secs(10);
+
+/// Spread of the starts within a period.
+const CUT_SPREAD: time::Duration = time::Duration::from_secs(1);
+
+/// Durations of cuts in milliseconds: longer than the deployments' `contactMs`, which
+/// does not count, and over before the next one.
+const CUT_MS: ops::Range<u64> = 5_000..8_500;
+
+/// Gateways that are cut from all runners together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutGroup {
+    /// One of them.
+    One(usize),
+    /// All in a domain but one.
+    MostOfDomain(usize),
+    /// All in a domain.
+    Domain(usize),
+}
+
+impl CutGroup {
+    /// Returns the gateways in the group, of `count` gateways.
+    pub fn nodes(self, count: usize) -> Vec<usize> {
+        let in_domain = |domain| (domain..count).step_by(DOMAIN_COUNT);
+        match self {
+            Self::One(node) => vec![node],
+            Self::MostOfDomain(domain) => in_domain(domain).skip(1).collect(),
+            Self::Domain(domain) => in_domain(domain).collect(),
+        }
+    }
+}
+
 /// A fault to inject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakFault {
@@ -35,6 +72,8 @@
     RunnerPath(usize, proxy::ProxyFault),
     /// The operator writes a document with one more route.
     NewDocument,
+    /// Cuts gateways from all runners.
+    RunnersCut(CutGroup, proxy::PathCut),
 }
 
 /// A fault with its start and duration.
@@ -61,6 +100,8 @@
     pub fault_window: time::Duration,
     /// Number of faults.
     pub faults: usize,
+    /// Number of cuts of gateways from all runners beside them, one after the other.
+    pub cuts: usize,
     /// Whether gateways reach runners through proxies. A proxy can be disturbed,
     /// but it accepts connections for a runner that is dead, too.
     pub proxied: bool,
@@ -76,10 +117,31 @@
             fault: draw_fault(&mut rng, size),
         })
         .collect();
+    // Drawn last, so that a seed has the same other faults with and without cuts.
+    faults.extend((0..size.cuts).map(|number| draw_cut(&mut rng, size, number)));
     faults.sort_by_key(|planned| planned.start);
     faults
 }
 
+fn draw_cut(rng: &mut rand_chacha::ChaCha8Rng, size: SoakSize, number: usize) -> PlannedFault {
+    let domain = rng.random_range(0..DOMAIN_COUNT);
+    let groups = [
+        CutGroup::One(rng.random_range(0..size.nodes)),
+        CutGroup::MostOfDomain(domain),
+        CutGroup::Domain(domain),
+    ];
+    let group = groups.choose(rng).copied();
+    let cut = proxy::PathCut::ALL.choose(rng).copied();
+    PlannedFault {
+        start: CUT_PERIOD * number as u32 + CUT_SPREAD.mul_f64(rng.random()),
+        duration: time::Duration::from_millis(rng.random_range(CUT_MS)),
+        fault: SoakFault::RunnersCut(
+            group.unwrap_or(CutGroup::Domain(domain)),
+            cut.unwrap_or(proxy::PathCut::Hang),
+        ),
+    }
+}
+
 fn draw_fault(rng: &mut rand_chacha::ChaCha8Rng, size: SoakSize) -> SoakFault {
     let node = rng.random_range(0..size.nodes);
     let runner = rng.random_range(0..size.runners);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -27,6 +27,9 @@
 /// they know; equals the deployments' `contactMs`.
 const CONTACT: time::Duration = time::Duration::from_secs(3);
 
+/// Time before the end of a cut from which on calls may wait for it.
+const CUT_MARGIN: time::Duration = time::Duration::from_secs(1);
+
 /// Requests that crash the runners that run them, and the interval at which they
 /// are sent again.
 const CRASH_CALLS: [(caller::CallKind, &str); 2] = [
@@ -52,9 +55,27 @@
     pub run_count: usize,
 }
 
+/// A first try of a caller at a gateway.
+#[derive(Clone, Debug)]
+struct FirstTry {
+    node: usize,
+    span: ops::Range<tokio::time::Instant>,
+    is_served: bool,
+}
+
+/// Gateways that were cut from all runners.
+#[derive(Clone, Debug)]
+struct CutSpan {
+    nodes: Vec<usize>,
+    kind: proxy::PathCut,
+    span: ops::Range<tokio::time::Instant>,
+}
+
 struct SoakWorld {
     deployment: deployment::SoakDeployment,
     calls: sync::Mutex<Vec<caller::CallRecord>>,
+    first_tries: sync::Mutex<Vec<FirstTry>>,
+    cuts: sync::Mutex<Vec<CutSpan>>,
     /// Faults so far, with the time from the start to the end.
     faults: sync::Mutex<Vec<(plan::SoakFault, ops::Range<tokio::time::Instant>)>>,
     violations: sync::Mutex<Vec<String>>,
@@ -78,6 +99,8 @@
     let world = sync::Arc::new(SoakWorld {
         deployment,
         calls: sync::Mutex::default(),
+        first_tries: sync::Mutex::default(),
+        cuts: sync::Mutex::default(),
         faults: sync::Mutex::default(),
         violations: sync::Mutex::default(),
     });
@@ -165,17 +188,55 @@
     /// for [`CONTACT`] before it.
     fn is_in_touch(&self, request: &str, at: tokio::time::Instant) -> bool {
         let node = request.split('-').next().and_then(|node| node.parse().ok());
-        let concerns = |fault: &plan::SoakFault| match fault {
-            plan::SoakFault::KillNode(index)
-            | plan::SoakFault::StopNode(index)
-            | plan::SoakFault::FreezeNode(index)
-            | plan::SoakFault::StorePath(index, _) => Some(*index) == node,
+        self.is_undisturbed(at, |fault| match fault {
+            plan::SoakFault::StorePath(index, _) => Some(*index) == node,
             plan::SoakFault::StoreBusy
             | plan::SoakFault::StoreSilent
             | plan::SoakFault::StoreLosesAnswers
             | plan::SoakFault::StoreDropsHistory => true,
-            _ => false,
+            _ => node.is_some_and(|node| is_process_fault(fault, node)),
+        })
+    }
+
+    /// Returns what is wrong if callers at cut gateways were served less than two
+    /// thirds as often as those at the others, from [`CONTACT`] after the cut began,
+    /// and more than a few of them failed. Gateways whose processes were disturbed do
+    /// not count, and the end of a cut must not be what serves a call.
+    fn find_unserved(&self, cut: &CutSpan) -> Option<String> {
+        let counted = cut.span.start + CONTACT..cut.span.end - CUT_MARGIN;
+        let first_tries = lock(&self.first_tries);
+        let share = |is_cut: bool| {
+            let tries = first_tries.iter().filter(|first_try| {
+                counted.contains(&first_try.span.start)
+                    && cut.nodes.contains(&first_try.node) == is_cut
+                    && self.is_undisturbed(first_try.span.start, |fault| {
+                        is_process_fault(fault, first_try.node)
+                    })
+            });
+            let is_served =
+                |first_try: &&FirstTry| first_try.is_served && first_try.span.end < cut.span.end;
+            (tries.clone().filter(is_served).count(), tries.count())
         };
+        let ((served, sent), (other_served, other_sent)) = (share(true), share(false));
+        let fraction = |served: usize, sent: usize| served as f64 / sent.max(1) as f64;
+        let is_rare = fraction(served, sent) * 3.0 < fraction(other_served, other_sent) * 2.0;
+        let allowed = 10 + (sent + other_sent) / 50;
+        (is_rare && sent - served > allowed).then(|| {
+            format!(
+                "{:?} of gateways {:?}: {served} of {sent} first tries served there, \
+                 {other_served} of {other_sent} at others",
+                cut.kind, cut.nodes
+            )
+        })
+    }
+
+    /// Returns whether no fault that `concerns` tells was in force at a time or for
+    /// [`CONTACT`] before it.
+    fn is_undisturbed(
+        &self,
+        at: tokio::time::Instant,
+        concerns: impl Fn(&plan::SoakFault) -> bool,
+    ) -> bool {
         !lock(&self.faults)
             .iter()
             .any(|(fault, span)| concerns(fault) && span.start <= at && at < span.end + CONTACT)
@@ -188,7 +249,9 @@
             caller::CallKind::Stream,
             caller::CallKind::Get,
         ];
-        let node = &self.deployment.nodes[number as usize % self.deployment.nodes.len()];
+        let index = number as usize % self.deployment.nodes.len();
+        let node = &self.deployment.nodes[index];
+        let sent_at = tokio::time::Instant::now();
         let kind = kinds[(number / 7) as usize % kinds.len()];
         let record = caller::call(
             node.spec.callers(),
@@ -201,6 +264,11 @@
             self.record_violation(format!("{request} {kind:?} at {}: {cause}", node.spec.name));
         }
         let end = record.outcome.clone();
+        lock(&self.first_tries).push(FirstTry {
+            node: index,
+            span: sent_at..tokio::time::Instant::now(),
+            is_served: end == caller::CallOutcome::Served,
+        });
         lock(&self.calls).push(record);
         end
     }
@@ -297,6 +365,19 @@
                 self.deployment.proxies[index].set_fault(proxy::ProxyFault::None);
             }
             plan::SoakFault::NewDocument => self.deployment.put_document(),
+            plan::SoakFault::RunnersCut(group, kind) => {
+                let nodes = group.nodes(self.deployment.nodes.len());
+                let start = tokio::time::Instant::now();
+                for node in &nodes {
+                    self.deployment.set_cut(*node, Some(kind))?;
+                }
+                tokio::time::sleep(duration).await;
+                let span = start..tokio::time::Instant::now();
+                for node in &nodes {
+                    self.deployment.set_cut(*node, None)?;
+                }
+                lock(&self.cuts).push(CutSpan { nodes, kind, span });
+            }
         }
         Ok(())
     }
@@ -385,6 +466,9 @@
             ..SeedReport::default()
         };
         report.violations.extend(self.deployment.fleet.violations());
+        let cuts = lock(&self.cuts);
+        let unserved = cuts.iter().filter_map(|cut| self.find_unserved(cut));
+        report.violations.extend(unserved);
         for (_, path) in CRASH_CALLS {
             let late = self.late_repeats(path);
             if late.len() > runner::LATE_RETRIES {
@@ -429,6 +513,16 @@
     }
 }
 
+/// Returns whether a fault disturbs the process of a node.
+fn is_process_fault(fault: &plan::SoakFault, node: usize) -> bool {
+    match fault {
+        plan::SoakFault::KillNode(index)
+        | plan::SoakFault::StopNode(index)
+        | plan::SoakFault::FreezeNode(index) => *index == node,
+        _ => false,
+    }
+}
+
 async fn join_all<F>(calls: impl Iterator<Item = F>) -> Vec<caller::CallOutcome>
 where
     F: Future<Output = caller::CallOutcome>,
--- a/soak/tests/fleet_soak.rs
+++ b/soak/tests/fleet_soak.rs
@@ -13,6 +13,7 @@
     plain_runners: 2,
     fault_window: time::Duration::from_secs(6),
     faults: 12,
+    cuts: 0,
     proxied: true,
 };
 
@@ -23,16 +24,20 @@
     4, 12,
 ];
 
+/// Seeds that cut gateways from the runners: 119 a domain whose new connections are
+/// refused, 115 one gateway that no answer reaches.
+const CUT_SEEDS: [u64; 2] = [119, 115];
+
 /// Returns the folder of the built programs, the parent of the test binaries' folder.
 fn build_folder() -> path::PathBuf {
     let test = std::env::current_exe().unwrap();
     test.ancestors().nth(2).unwrap().to_owned()
 }
 
-async fn run_seed(seed: u64) {
+async fn run_seed(seed: u64, size: plan::SoakSize) {
     let folder = build_folder().join("soak-tests");
     let program = build_folder().join("arbutusfold");
-    let report = world::run_seed(&program, &folder, seed, SIZE)
+    let report = world::run_seed(&program, &folder, seed, size)
         .await
         .unwrap();
     assert!(
@@ -46,11 +51,21 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn regression_seeds_keep_every_promise() {
     for seed in REGRESSIONS {
-        run_seed(seed).await;
+        run_seed(seed, SIZE).await;
+    }
+}
+
+/// Guards against gateways that refuse callers while they alone are cut from all
+/// runners, beside other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_cut_gateways_are_served_beside_other_faults() {
+    let size = plan::SoakSize { cuts: 1, ..SIZE };
+    for seed in CUT_SEEDS {
+        run_seed(seed, size).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seeded_faults_break_no_promise() {
-    run_seed(101).await;
+    run_seed(101, SIZE).await;
 }
