A check of a failed runner costs others no connection where requests show it

Before a runner counts as dead, its node must have reached another one. Each check opened connections of its own for that; a runner that fell silent under many requests would have cost sound runners a connection for each of them and at each neighbour. Now an attempt of any request that began after the failure counts, and checks of one moment share one attempt. What was reached before the failure shows nothing: the node may have been cut off in between.

--- a/arbutusfold/src/gateway/direct.rs
+++ b/arbutusfold/src/gateway/direct.rs
@@ -8,6 +8,7 @@
 use futures_util::future;
 use rand::seq::IndexedRandom;
 use tokio::net as tokio_net;
+use tokio::sync as tokio_sync;
 use tokio::time;
 
 use crate::event;
@@ -22,6 +23,9 @@
 /// reaches any.
 const OTHER_RUNNERS: usize = 2;
 
+/// Time in which attempts of requests may show that before.
+const OTHER_DELAY: std_time::Duration = std_time::Duration::from_millis(10);
+
 /// Least time without an answer after which a runner counts as silent.
 const SILENCE_TIME: std_time::Duration = std_time::Duration::from_millis(50);
 
@@ -55,6 +59,9 @@
     context: dial::DialContext,
     opener: sync::Arc<dyn SocketOpener>,
     book: sync::Mutex<reach::ReachBook>,
+    /// Held while other runners are connected to only to find out whether any is
+    /// reached.
+    other_check: tokio_sync::Mutex<()>,
 }
 
 impl DirectDialer {
@@ -64,6 +71,7 @@
             context,
             opener,
             book: sync::Mutex::default(),
+            other_check: tokio_sync::Mutex::default(),
         }
     }
 
@@ -118,8 +126,9 @@
         limit: std_time::Duration,
         unless_alone: bool,
     ) -> Result<dial::RunnerConnection, dial::DialError> {
-        let deadline = time::Instant::now() + limit;
-        let is_sound = self.connects_other(address, limit).await;
+        let began_at = time::Instant::now();
+        let deadline = began_at + limit;
+        let is_sound = self.connects_other(address, began_at, limit).await;
         if !is_sound.unwrap_or(!unless_alone) {
             return Err(dial::DialError {
                 address,
@@ -144,21 +153,33 @@
     }
 
     /// Returns whether this node can connect to some other runner within `limit`, or
-    /// `None` if there is none.
+    /// `None` if there is none. Attempts of requests that began at `since` or later
+    /// count, too, since each further connection costs a runner something.
     pub async fn connects_other(
         &self,
         address: net::SocketAddr,
+        since: time::Instant,
         limit: std_time::Duration,
     ) -> Option<bool> {
         let others = self.other_addresses(address);
-        let attempts = others
-            .into_iter()
-            .map(|other| Box::pin(self.connect(other, limit)));
-        let attempts: Vec<_> = attempts.collect();
-        if attempts.is_empty() {
+        if others.is_empty() {
             return None;
         }
-        Some(future::select_ok(attempts).await.is_ok())
+        let check = async {
+            time::sleep(OTHER_DELAY).await;
+            // Checks of one moment share their attempts.
+            let _turn = self.other_check.lock().await;
+            if self.book().reached_other(address, since) {
+                return true;
+            }
+            let attempts = others.into_iter().map(|other| {
+                let attempt = self.connect(other, limit);
+                Box::pin(attempt)
+            });
+            future::select_ok(attempts).await.is_ok()
+        };
+        let checked = time::timeout(limit, check).await;
+        Some(checked.unwrap_or(false))
     }
 
     /// Returns some other runners, those that were not lost a short time ago first.
--- a/arbutusfold/src/gateway/race.rs
+++ b/arbutusfold/src/gateway/race.rs
@@ -110,7 +110,8 @@
     }
 
     async fn reaches_other(&self, address: net::SocketAddr, limit: std_time::Duration) -> bool {
-        let connects = self.direct.connects_other(address, limit).await;
+        let now = time::Instant::now();
+        let connects = self.direct.connects_other(address, now, limit).await;
         connects.unwrap_or(true)
     }
 }
--- a/arbutusfold/src/gateway/reach.rs
+++ b/arbutusfold/src/gateway/reach.rs
@@ -84,6 +84,16 @@
         self.get_mut(address, now).confirmed_at = Some(now);
     }
 
+    /// Returns whether an attempt at another runner that began at `since` or later
+    /// succeeded.
+    pub fn reached_other(&self, address: net::SocketAddr, since: time::Instant) -> bool {
+        let mut others = self.ways.iter().filter(|way| way.address != address);
+        others.any(|way| {
+            let began_at = way.reached_at.map(|at| at - way.connect_time);
+            began_at.is_some_and(|began_at| began_at >= since)
+        })
+    }
+
     /// Returns how long a direct attempt may take until another way is tried, too.
     pub fn race_delay(&self, address: net::SocketAddr) -> std_time::Duration {
         let usual = self.get(address).map(|way| way.connect_time);
--- a/arbutusfold/src/peer/tunnel_flow.rs
+++ b/arbutusfold/src/peer/tunnel_flow.rs
@@ -231,26 +231,14 @@
     }
 }
 
-/// How a tunnel ended at the node that served it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServeEnd {
-    /// The asking node closed it, or it was lost.
-    Asking,
-    /// The target broke off.
-    Target,
-}
-
 /// Passes bytes between a tunnel and `target` until one of them ends.
 ///
 /// The target is closed as soon as the tunnel is.
-pub async fn serve(
-    frames: tunnel::TunnelFrames,
-    target: impl AsyncRead + AsyncWrite + Unpin,
-) -> ServeEnd {
+pub async fn serve(frames: tunnel::TunnelFrames, target: impl AsyncRead + AsyncWrite + Unpin) {
     let (mut sink, mut stream) = frames.split();
     let state = FlowState::new();
     let (mut reader, mut writer) = tokio_io::split(target);
-    let end = {
+    let is_target_lost = {
         let sending = async {
             match send(&state, &mut reader, &mut sink).await {
                 Ok(error) => error,
@@ -264,18 +252,17 @@
             std::future::pending::<()>().await
         };
         tokio::select! {
-            _ = receive(&state, &mut stream) => ServeEnd::Asking,
-            _ = sending => ServeEnd::Target,
-            () = delivering => ServeEnd::Target,
+            _ = receive(&state, &mut stream) => false,
+            _ = sending => true,
+            () = delivering => true,
         }
     };
     drop((reader, writer));
-    if end == ServeEnd::Target {
+    if is_target_lost {
         let rest = async { while let Some(Ok(_)) = stream.next().await {} };
         // The asking node closes the connection once it has read the end.
         let _ = time::timeout(CLOSE_TIME, rest).await;
     }
-    end
 }
 
 /// What a tunnel reports to at the asking node.
--- a/arbutusfold/tests/gateway_reach.rs
+++ b/arbutusfold/tests/gateway_reach.rs
@@ -87,6 +87,23 @@
     }
 }
 
+/// What was reached before an attempt failed does not show that the node was not cut
+/// off since.
+#[tokio::test(start_paused = true)]
+async fn only_attempts_after_a_failure_show_that_others_are_reached() {
+    let mut book = reach::ReachBook::default();
+    let failed_at = time::Instant::now() + ms(100);
+    book.note_reached(address(2), ms(30), failed_at + ms(29));
+    assert!(!book.reached_other(address(1), failed_at));
+    book.note_reached(address(1), ms(1), failed_at + ms(40));
+    assert!(
+        !book.reached_other(address(1), failed_at),
+        "the same runner"
+    );
+    book.note_reached(address(2), ms(30), failed_at + ms(30));
+    assert!(book.reached_other(address(1), failed_at));
+}
+
 #[tokio::test(start_paused = true)]
 async fn ways_are_bounded() {
     let mut book = reach::ReachBook::default();
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -98,6 +98,37 @@
     assert_eq!(next, Err(selector::PathError::Unreachable));
 }
 
+/// A node that reaches no runner may be cut off from all of them, so it takes none
+/// for gone and avoids none.
+#[tokio::test]
+async fn node_that_reaches_no_runner_takes_none_for_gone() {
+    let core = node(&[closed_address(), closed_address()]);
+    let mut first = request(&core);
+    for _ in 0..2 {
+        let target = first.acquire_target().await.unwrap();
+        first.send(&target, None).await;
+    }
+    assert!(request(&core).acquire_target().await.is_ok());
+    let fleet = core.fleet.lock().unwrap();
+    let now = time::Instant::now();
+    let runners = fleet.runners().iter();
+    assert!(runners.into_iter().all(|state| !state.is_avoided(now)));
+}
+
+/// A node that reaches another runner knows that the one that refused it is gone.
+#[tokio::test]
+async fn node_that_reaches_another_runner_takes_a_closed_one_for_gone() {
+    let live = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let core = node(&[closed_address(), live.local_addr().unwrap()]);
+    let mut first = request(&core);
+    let target = first.acquire_target().await.unwrap();
+    assert_eq!(target.runners, ["i-0"]);
+    first.send(&target, None).await;
+    let now = time::Instant::now();
+    let fleet = core.fleet.lock().unwrap();
+    assert!(fleet.get("i-0").unwrap().is_unreachable(now));
+}
+
 /// An attempt that reached no runner is no retry: a request may go on without any
 /// budget, which a node that has just started does not have.
 #[tokio::test]
