--- a/soak/tests/fleet_answers.rs
+++ b/soak/tests/fleet_answers.rs
@@ -23,6 +23,7 @@
     plain_runners: 2,
     fault_window: time::Duration::ZERO,
     faults: 0,
+    cuts: 0,
     proxied: false,
 };
 
--- a/soak/tests/fleet_silence.rs
+++ b/soak/tests/fleet_silence.rs
@@ -30,6 +30,7 @@
     plain_runners: 2,
     fault_window: time::Duration::ZERO,
     faults: 0,
+    cuts: 0,
     proxied: true,
 };
 
