Do not take an open connection for a way that works again

A connection that breaks without an answer now keeps requests on another way for a second, whatever opens meanwhile.

--- a/arbutusfold/src/gateway/direct.rs
+++ b/arbutusfold/src/gateway/direct.rs
@@ -238,9 +238,7 @@
 
     /// Records that a direct connection was lost without an answer.
     pub fn note_lost(&self, address: net::SocketAddr) {
-        let now = time::Instant::now();
-        self.book()
-            .note_failed(address, "connection lost", now, now);
+        self.book().note_broken(address, time::Instant::now());
     }
 
     /// Records that a runner was reached through another node.
