Soak: sound runners fall silent after the faults, and no answer ends for that

After the faults of a seed and the recovery, five runners in turn fall silent for 0.3 to 2.5 s and go on: suspended, or with silent connections. A document is written meanwhile. The faults of each seed stay as they were. A call that met only silences must not fail while its caller certainly still waits; calls near deaths of runners, disturbed paths and stopped nodes are excused for 3 s.

A suspended runner of the stand-in can be part of a new path.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -80,8 +80,9 @@
         let [served, not_run, failed_calls] = report.call_counts;
         println!(
             "seed {seed}: {served} served, {not_run} not run, {failed_calls} failed, \
-             {} runs, {} violations",
+             {} runs, {} beside a silence only, {} violations",
             report.run_count,
+            report.silent_count,
             report.violations.len()
         );
         match report.violations.is_empty() {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! Random schedule of the faults of one seed.
 
+use std::ops;
 use std::time;
 
 use rand::RngExt;
@@ -31,6 +32,8 @@
     KillRunner(usize),
     /// A runner stops responding and is restarted without layers.
     SilenceRunner(usize),
+    /// Suspends a runner, which then goes on.
+    SuspendRunner(usize),
     /// Disturbs the connections of all gateways to one runner.
     RunnerPath(usize, proxy::ProxyFault),
     /// The operator writes a document with one more route.
@@ -66,6 +69,18 @@
     pub proxied: bool,
 }
 
+/// Number of silences in one seed.
+const SILENCES: usize = 5;
+
+/// Period within which every silence starts.
+const SILENCE_WINDOW: time::Duration = time::Duration::from_secs(5);
+
+/// Separates the random numbers of silences from those of the faults.
+const SILENCE_STREAM: u64 = 1;
+
+/// Length of a silence in milliseconds.
+const SILENCE_MS: ops::Range<u64> = 300..2_500;
+
 /// Returns the faults of a seed, ordered by start.
 pub fn plan_faults(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
@@ -80,6 +95,32 @@
     faults
 }
 
+/// Returns the silences of sound runners of a seed, ordered by start, with a document
+/// in between. They follow the faults, so that nothing else ends an answer.
+pub fn plan_silences(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(SILENCE_STREAM);
+    let silences = (0..SILENCES).map(|_| {
+        let runner = rng.random_range(0..size.runners);
+        PlannedFault {
+            start: SILENCE_WINDOW.mul_f64(rng.random()),
+            duration: time::Duration::from_millis(rng.random_range(SILENCE_MS)),
+            fault: match rng.random() {
+                true => SoakFault::SuspendRunner(runner),
+                false => SoakFault::RunnerPath(runner, proxy::ProxyFault::Silence),
+            },
+        }
+    });
+    let mut planned: Vec<_> = silences.collect();
+    planned.push(PlannedFault {
+        start: SILENCE_WINDOW / 2,
+        duration: time::Duration::ZERO,
+        fault: SoakFault::NewDocument,
+    });
+    planned.sort_by_key(|planned| planned.start);
+    planned
+}
+
 fn draw_fault(rng: &mut rand_chacha::ChaCha8Rng, size: SoakSize) -> SoakFault {
     let node = rng.random_range(0..size.nodes);
     let runner = rng.random_range(0..size.runners);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -35,9 +35,17 @@
 ];
 const CRASH_PERIOD: time::Duration = time::Duration::from_millis(350);
 
+/// Time after a fault that ends runs for which it excuses calls that were cut: the
+/// layers are moved then.
+const AFTERMATH: time::Duration = time::Duration::from_secs(3);
+
 /// Interval between two calls.
 const CALL_PERIOD: time::Duration = time::Duration::from_millis(12);
 
+/// Time that callers of a stream certainly wait for the next event. A stand-in ends a
+/// stream itself if other runners keep it waiting for somewhat longer.
+const PATIENCE: time::Duration = time::Duration::from_secs(2);
+
 /// Time limit for a graceful stop of a gateway process.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(6);
 
@@ -50,11 +58,20 @@
     pub call_counts: [usize; 3],
     /// Number of executions that the runners recorded.
     pub run_count: usize,
+    /// Number of calls whose only disturbance was the silence of sound runners.
+    pub silent_count: usize,
+}
+
+/// A call with the node that it was sent to.
+struct SoakCall {
+    record: caller::CallRecord,
+    node: usize,
+    span: ops::Range<tokio::time::Instant>,
 }
 
 struct SoakWorld {
     deployment: deployment::SoakDeployment,
-    calls: sync::Mutex<Vec<caller::CallRecord>>,
+    calls: sync::Mutex<Vec<SoakCall>>,
     /// Faults so far, with the time from the start to the end.
     faults: sync::Mutex<Vec<(plan::SoakFault, ops::Range<tokio::time::Instant>)>>,
     violations: sync::Mutex<Vec<String>>,
@@ -93,12 +110,32 @@
     let checker = sync::Arc::clone(&world);
     background.spawn(async move { checker.check_documents().await });
 
-    let mut faults = task::JoinSet::new();
+    inject_faults(&world, plan::plan_faults(seed, size)).await?;
+    let recovered = world.wait_recovered(seed).await;
+    tokio::time::sleep(AFTERMATH).await;
+    inject_faults(&world, plan::plan_silences(seed, size)).await?;
+    background.shutdown().await;
+    // Lets executions in flight finish before calls and executions are compared.
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    if !recovered {
+        world.record_violation(format!(
+            "the fleet did not recover within {RECOVERY_LIMIT:?} after the last fault"
+        ));
+    }
+    Ok(world.report())
+}
+
+/// Injects these faults at their times and waits until they are over.
+async fn inject_faults(
+    world: &sync::Arc<SoakWorld>,
+    faults: Vec<plan::PlannedFault>,
+) -> anyhow::Result<()> {
+    let mut injected = task::JoinSet::new();
     let start = tokio::time::Instant::now();
-    for planned in plan::plan_faults(seed, size) {
+    for planned in faults {
         tokio::time::sleep_until(start + planned.start).await;
-        let world = sync::Arc::clone(&world);
-        faults.spawn(async move {
+        let world = sync::Arc::clone(world);
+        injected.spawn(async move {
             let start = tokio::time::Instant::now();
             let injected = world.inject_fault(planned).await;
             let span = start..tokio::time::Instant::now();
@@ -106,19 +143,10 @@
             injected
         });
     }
-    while let Some(done) = faults.join_next().await {
+    while let Some(done) = injected.join_next().await {
         done.context("a fault panicked")??;
     }
-    let recovered = world.wait_recovered(seed).await;
-    background.shutdown().await;
-    // Lets executions in flight finish before calls and executions are compared.
-    tokio::time::sleep(time::Duration::from_secs(1)).await;
-    if !recovered {
-        world.record_violation(format!(
-            "the fleet did not recover within {RECOVERY_LIMIT:?} after the last fault"
-        ));
-    }
-    Ok(world.report())
+    Ok(())
 }
 
 impl SoakWorld {
@@ -183,6 +211,67 @@
             .any(|(fault, span)| concerns(fault) && span.start <= at && at < span.end + CONTACT)
     }
 
+    /// Returns whether runners that a call can have met were silent, and nothing else
+    /// happened that can have ended the call.
+    fn met_only_silence(&self, call: &SoakCall, crashes: &[tokio::time::Instant]) -> bool {
+        let span = &call.span;
+        let overlaps = |fault: &ops::Range<tokio::time::Instant>, after: time::Duration| {
+            fault.start <= span.end && span.start < fault.end + after
+        };
+        let is_silence = |fault: &plan::SoakFault| {
+            let silence = proxy::ProxyFault::Silence;
+            matches!(fault, plan::SoakFault::SuspendRunner(_))
+                || matches!(fault, plan::SoakFault::RunnerPath(_, fault) if *fault == silence)
+        };
+        let can_end = |fault: &plan::SoakFault| match fault {
+            plan::SoakFault::KillNode(index)
+            | plan::SoakFault::StopNode(index)
+            | plan::SoakFault::FreezeNode(index) => *index == call.node,
+            plan::SoakFault::KillRunner(_)
+            | plan::SoakFault::SilenceRunner(_)
+            | plan::SoakFault::RunnerPath(_, _) => !is_silence(fault),
+            _ => false,
+        };
+        let faults = lock(&self.faults);
+        let mut faults = faults.iter();
+        let met_silence = faults
+            .clone()
+            .any(|(fault, during)| is_silence(fault) && overlaps(during, time::Duration::ZERO));
+        let crashed = crashes
+            .iter()
+            .any(|crash| overlaps(&(*crash..*crash), AFTERMATH));
+        let ended = faults.any(|(fault, during)| can_end(fault) && overlaps(during, AFTERMATH));
+        met_silence && !crashed && !ended
+    }
+
+    /// Returns the number of calls that met only the silence of sound runners, and
+    /// those of them that a node cut or failed while their callers still waited.
+    fn find_cut(&self) -> (usize, Vec<String>) {
+        let histories = CRASH_CALLS.map(|(_, path)| self.deployment.fleet.crash_history(path));
+        let crashes = histories.iter().flat_map(|history| &history.crashes);
+        let crashes: Vec<_> = crashes.map(|(_, at)| *at).collect();
+        let calls = lock(&self.calls);
+        let met: Vec<_> = calls
+            .iter()
+            .filter(|call| self.met_only_silence(call, &crashes))
+            .collect();
+        let describe = |call: &&SoakCall| {
+            let took = call.span.end - call.span.start;
+            let is_waiting = call.record.kind != caller::CallKind::Stream || took < PATIENCE;
+            match &call.record.outcome {
+                caller::CallOutcome::Failed(cause) if is_waiting => Some(format!(
+                    "{} {:?} at {}: {cause} after {} ms, beside a silence",
+                    call.record.request,
+                    call.record.kind,
+                    self.deployment.nodes[call.node].spec.name,
+                    took.as_millis()
+                )),
+                _ => None,
+            }
+        };
+        (met.len(), met.iter().filter_map(describe).collect())
+    }
+
     async fn call(&self, request: &str, number: u64) -> caller::CallOutcome {
         let kinds = [
             caller::CallKind::Stream,
@@ -190,7 +279,9 @@
             caller::CallKind::Stream,
             caller::CallKind::Get,
         ];
-        let node = &self.deployment.nodes[number as usize % self.deployment.nodes.len()];
+        let index = number as usize % self.deployment.nodes.len();
+        let node = &self.deployment.nodes[index];
+        let start = tokio::time::Instant::now();
         let kind = kinds[(number / 7) as usize % kinds.len()];
         let record = caller::call(
             node.spec.callers(),
@@ -203,7 +294,11 @@
             self.record_violation(format!("{request} {kind:?} at {}: {cause}", node.spec.name));
         }
         let end = record.outcome.clone();
-        lock(&self.calls).push(record);
+        lock(&self.calls).push(SoakCall {
+            record,
+            node: index,
+            span: start..tokio::time::Instant::now(),
+        });
         end
     }
 
@@ -293,6 +388,12 @@
                 tokio::time::sleep(duration).await;
                 self.deployment.fleet.restart(&id).await?;
             }
+            plan::SoakFault::SuspendRunner(index) => {
+                let id = self.deployment.fleet.ids()[index].clone();
+                self.deployment.fleet.suspend(&id);
+                tokio::time::sleep(duration).await;
+                self.deployment.fleet.resume(&id);
+            }
             plan::SoakFault::RunnerPath(index, fault) => {
                 self.deployment.proxies[index].set_fault(fault);
                 tokio::time::sleep(duration).await;
@@ -377,6 +478,7 @@
     }
 
     fn report(&self) -> SeedReport {
+        let (silent_count, cut) = self.find_cut();
         let runs = self.deployment.fleet.runs();
         let mut ran: Vec<_> = runs.iter().map(|run| run.request.as_str()).collect();
         ran.sort_unstable();
@@ -384,9 +486,11 @@
         let mut report = SeedReport {
             violations: lock(&self.violations).clone(),
             run_count: runs.len(),
+            silent_count,
             ..SeedReport::default()
         };
         report.violations.extend(self.deployment.fleet.violations());
+        report.violations.extend(cut);
         for (_, path) in CRASH_CALLS {
             let late = self.late_repeats(path);
             if late.len() > runner::LATE_RETRIES {
@@ -394,7 +498,7 @@
                 report.violations.push(violation);
             }
         }
-        for call in calls.iter() {
+        for call in calls.iter().map(|call| &call.record) {
             let index = match &call.outcome {
                 caller::CallOutcome::Served => 0,
                 caller::CallOutcome::NotRun(_) => 1,
