--- a/arbutusfold/src/gateway/direct.rs
+++ b/arbutusfold/src/gateway/direct.rs
@@ -238,7 +238,9 @@
 
     /// Records that a direct connection was lost without an answer.
     pub fn note_lost(&self, address: net::SocketAddr) {
-        self.book().note_broken(address, time::Instant::now());
+        let now = time::Instant::now();
+        self.book()
+            .note_failed(address, "connection lost", now, now);
     }
 
     /// Records that a runner was reached through another node.
--- a/arbutusfold/src/gateway/reach.rs
+++ b/arbutusfold/src/gateway/reach.rs
@@ -36,9 +36,6 @@
     /// When the first and the latest of the attempts failed that did so since.
     lost_since: Option<time::Instant>,
     failed_at: Option<time::Instant>,
-    /// When a connection that was open broke without an answer. Later connections do
-    /// not end this loss, since they may break as well.
-    broken_at: Option<time::Instant>,
     cause: String,
     /// When it was shown that the failure is not due to this node.
     confirmed_at: Option<time::Instant>,
@@ -69,10 +66,8 @@
     /// Returns whether direct attempts failed a short time ago and none succeeded
     /// since.
     pub fn is_lost(&self, address: net::SocketAddr, now: time::Instant) -> bool {
-        let lost_at = self
-            .get(address)
-            .and_then(|way| way.failed_at.max(way.broken_at));
-        lost_at.is_some_and(|lost_at| now.saturating_duration_since(lost_at) < LOST_TIME)
+        let failed_at = self.get(address).and_then(|way| way.failed_at);
+        failed_at.is_some_and(|failed_at| now.saturating_duration_since(failed_at) < LOST_TIME)
     }
 
     /// Returns whether [`Self::is_lost`] holds, and for all that is known it is due to
@@ -150,12 +145,6 @@
         cause.clone_into(&mut way.cause);
     }
 
-    /// Records that an open direct connection broke without an answer.
-    pub fn note_broken(&mut self, address: net::SocketAddr, now: time::Instant) {
-        self.note_failed(address, "connection lost", now, now);
-        self.get_mut(address, now).broken_at = Some(now);
-    }
-
     /// Records that another way was used; returns why, once for each loss of the
     /// direct way.
     pub fn note_other_way(
@@ -213,7 +202,6 @@
                         connect_time: std_time::Duration::ZERO,
                         lost_since: None,
                         failed_at: None,
-                        broken_at: None,
                         cause: String::new(),
                         confirmed_at: None,
                         is_told: false,
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -779,12 +779,12 @@
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
         let opened = dial::open_link(&*self.core.dialer, target.address, connect).await;
-        let (link, is_direct) = match opened {
+        let link = match opened {
             Ok(dialed) => {
                 if let Some(via) = &dialed.via {
                     self.latest_runners.push_str(&format!(" via={via}"));
                 }
-                (dialed.link, dialed.via.is_none())
+                dialed.link
             }
             Err(error) => {
                 let cause = error.to_string();
@@ -835,9 +835,6 @@
             }
             Ok(Err(error)) => {
                 let fault = held::RunFault::lost(&error, crash::CrashSign::Connection);
-                if is_direct {
-                    self.core.dialer.note_lost(target.address);
-                }
                 self.note_fault(target, &fault, false);
                 return AttemptOutcome::Unanswered {
                     reach: AttemptReach::Ran,
