--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -191,6 +191,8 @@
     StoreReread = 802, Info;
     /// Rows of the store were received from a peer.
     RowsFromPeer = 803, Info;
+    /// Rows of the store that this node lacks were requested from a peer.
+    RowsRequested = 804, Info;
 }
 
 impl EventCode {
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -11,6 +11,7 @@
 
 use arbutusfold_platform::store;
 use bytes::Bytes;
+use derive_more::Display;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time;
@@ -63,11 +64,13 @@
 }
 
 /// Part of a table that a list of rows makes up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RowExtent {
     /// All rows of the table as of this version.
+    #[display("full:{_0}")]
     Full(store::RowVersion),
     /// The rows that changed after this version.
+    #[display("after:{_0}")]
     After(store::RowVersion),
 }
 
@@ -160,12 +163,17 @@
         let Some(table) = store::WatchedTable::ALL.get(table).copied() else {
             return;
         };
-        let detail = format!("table={} rows={} from={sender}", table.index(), rows.len());
-        self.core
-            .note(event::EventCode::RowsFromPeer, "store", detail);
         let before = self
             .core
             .with_mirror(table, mirror::TableMirror::latest_version);
+        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let detail = format!(
+            "table={} rows={} newest={newest} extent={extent} before={before} from={sender}",
+            table.index(),
+            rows.len()
+        );
+        self.core
+            .note(event::EventCode::RowsFromPeer, "store", detail);
         let changed = match extent {
             RowExtent::Full(version) => Some(self.core.replace(table, rows, version)),
             RowExtent::After(after) => self.core.merge_after(table, after, rows),
@@ -203,7 +211,10 @@
 /// `REQUEST_PERIOD`.
 pub fn request_rows(core: &core::GatewayCore, peer: &str) {
     if core.may_request_rows(REQUEST_PERIOD) {
-        send(core, peer, &MirrorMessage::Request(known_versions(core)));
+        let known = known_versions(core);
+        let detail = format!("from={peer} known={known:?}");
+        core.note(event::EventCode::RowsRequested, "store", detail);
+        send(core, peer, &MirrorMessage::Request(known));
     }
 }
 
