Compare the versions of each table, and know up to where a copy is complete

What callers saw: a confirmed change was not in force in time at some nodes.

Cause: nodes compared the sum of the latest versions of both tables. A node that is ahead in runner entries and behind in the document takes itself for current and asks nobody; a whole read after the history was lost makes such a surplus. And the latest row counted as proof that nothing before it is missing, also after pages that were read one after the other.

Change: a copy knows the version up to which it is complete. Nodes name the newest change of each copy behind the messages of leaders and of the membership; whoever is not complete up to there asks the peers that have it, one after the other. The sum stays in the messages for nodes of the release before, which ignore what follows a message; their messages, without versions, are judged by the sum as before. New metric rows_behind_ms.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -62,6 +62,7 @@
 pub mod suspect_store;
 pub mod suspects;
 pub mod trial;
+pub mod versions;
 
 /// Time allowed for sending the last messages to peers before the sockets close.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(50);
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -26,6 +26,7 @@
 use crate::gateway::settings;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
+use crate::gateway::versions;
 use crate::id;
 use crate::member;
 use crate::peer;
@@ -99,6 +100,8 @@
     /// When the store last answered for each table.
     store_answered_at: sync::Mutex<[Option<time::Instant>; store::WatchedTable::ALL.len()]>,
     leading: atomic::AtomicBool,
+    /// Versions that peers named, and rows that this node lacks.
+    pub row_lag: sync::Mutex<versions::RowLag>,
     /// When this node last requested rows from a peer.
     rows_requested_at: sync::Mutex<Option<time::Instant>>,
     stopping: atomic::AtomicBool,
@@ -173,6 +176,7 @@
             store_lost: atomic::AtomicBool::new(false),
             store_answered_at: sync::Mutex::default(),
             leading: atomic::AtomicBool::new(false),
+            row_lag: sync::Mutex::default(),
             rows_requested_at: sync::Mutex::default(),
             stopping: atomic::AtomicBool::new(false),
             started_at: time::Instant::now(),
@@ -230,8 +234,9 @@
 
     /// Returns the sum of the latest row versions of all tables.
     ///
-    /// It grows with every row that this node receives, so nodes compare it to
-    /// find out which of them has newer rows.
+    /// It grows with every row that this node receives. Nodes of the release before
+    /// compare it to find out which of them has newer rows; others compare
+    /// [`Self::table_versions`].
     pub fn store_version(&self) -> u64 {
         let mirrors = lock(&self.mirrors);
         mirrors
@@ -240,6 +245,24 @@
             .sum()
     }
 
+    /// Returns the version of the newest change in the copy of each table.
+    pub fn table_versions(&self) -> versions::TableVersions {
+        let mirrors = lock(&self.mirrors);
+        mirrors
+            .iter()
+            .map(mirror::TableMirror::change_version)
+            .collect()
+    }
+
+    /// Returns the version up to which the copy of each table has every change.
+    pub fn complete_versions(&self) -> versions::TableVersions {
+        let mirrors = lock(&self.mirrors);
+        mirrors
+            .iter()
+            .map(mirror::TableMirror::complete_version)
+            .collect()
+    }
+
     /// Calls `read` with the copy of a table.
     pub fn with_mirror<T>(
         &self,
@@ -278,6 +301,20 @@
         Some(changes)
     }
 
+    /// Merges the changes after one version up to another one, as
+    /// [`Self::merge_after`] does.
+    pub fn merge_between(
+        &self,
+        table: store::WatchedTable,
+        after: store::RowVersion,
+        until: store::RowVersion,
+        rows: Vec<mirror::MirrorRow>,
+    ) -> Option<Vec<mirror::MirrorRow>> {
+        let changes = lock(&self.mirrors)[table.index()].merge_between(after, until, rows)?;
+        self.apply_changes(table, &changes);
+        Some(changes)
+    }
+
     /// Replaces the copy of a table by the whole table as of a version and
     /// applies the changes.
     ///
@@ -376,16 +413,21 @@
     ///
     /// It returns `true` at most once in each period, and records the request.
     pub fn may_request_rows(&self, period: std_time::Duration) -> bool {
-        let now = time::Instant::now();
-        let mut requested_at = lock(&self.rows_requested_at);
-        let due = requested_at
-            .is_none_or(|requested_at| now.saturating_duration_since(requested_at) >= period);
+        let due = self.rows_request_due(period).is_zero();
         if due {
-            *requested_at = Some(now);
+            *lock(&self.rows_requested_at) = Some(time::Instant::now());
         }
         due
     }
 
+    /// Returns the time until this node may request rows again.
+    pub fn rows_request_due(&self, period: std_time::Duration) -> std_time::Duration {
+        let requested_at = *lock(&self.rows_requested_at);
+        requested_at.map_or(std_time::Duration::ZERO, |requested_at| {
+            period.saturating_sub(requested_at.elapsed())
+        })
+    }
+
     /// Records whether this node leads its failure domain.
     pub fn set_leading(&self, leading: bool) {
         self.leading.store(leading, atomic::Ordering::Relaxed);
@@ -419,6 +461,8 @@
         let nodes = self.members.fleet_size();
         lock(&self.budget).note_nodes(nodes);
         lock(&self.limits).note_nodes(nodes, now);
+        let lag = lock(&self.row_lag).age(&self.complete_versions(), now);
+        self.metrics.rows_behind_ms.set(lag.as_millis() as i64);
     }
 
     /// Returns the other nodes of this node's failure domain among `members`.
--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -95,7 +95,8 @@
     /// Milliseconds since the store last answered this leader or, in the
     /// summary of the fleet, any leader.
     pub store_age_ms: u32,
-    /// A number that grows with every row that the leader receives; see
+    /// A number that grows with every row that the leader receives, for nodes of the
+    /// release before; see
     /// [`GatewayCore::store_version`](crate::gateway::core::GatewayCore::store_version).
     pub store_version: u64,
 }
--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -8,6 +8,7 @@
 use crate::gateway::core::lock;
 use crate::gateway::leader;
 use crate::gateway::replication;
+use crate::gateway::versions;
 use crate::peer;
 
 /// Sends this node's loads to its leader, or the summaries if this node leads,
@@ -72,7 +73,9 @@
 }
 
 fn send(core: &core::GatewayCore, to: &str, message: &leader::LeaderMessage) {
-    core.send_message(to, peer::MessageKind::Lead, message);
+    if let Ok(body) = versions::encode(message, &core.table_versions()) {
+        core.post.send(to, peer::MessageKind::Lead, &body);
+    }
 }
 
 /// Handles the messages of nodes and leaders.
@@ -90,7 +93,7 @@
 impl peer::MessageHandler for LeaderHandler {
     fn handle(&self, sender: &str, body: &[u8]) {
         // Messages that a later release added cannot be decoded and are dropped.
-        let Ok(message) = postcard::from_bytes::<leader::LeaderMessage>(body) else {
+        let Ok((message, named)) = versions::decode::<leader::LeaderMessage>(body) else {
             return;
         };
         let is_fleet_summary = matches!(message, leader::LeaderMessage::FleetSummary(_));
@@ -104,8 +107,12 @@
         if is_fleet_summary {
             self.core.record_summary(sender, now);
         }
-        if version > self.core.store_version() {
-            replication::request_later(&self.core, version, sender);
+        match named {
+            Some(named) => replication::note_versions(&self.core, named, sender),
+            None if version > self.core.store_version() => {
+                replication::request_later(&self.core, version, sender);
+            }
+            None => {}
         }
     }
 }
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -118,6 +118,8 @@
     pub tunnels: TunnelMetrics,
     /// Version of the document in force.
     pub document_version: gauge::Gauge,
+    /// Time for which this node has known of a row that it lacks.
+    pub rows_behind_ms: gauge::Gauge,
     /// Time to the first event of a stream, in seconds.
     pub first_seconds: histogram::Histogram,
     /// Time to the end of a response, in seconds.
@@ -147,6 +149,7 @@
             transport: peer::TransportMetrics::default(),
             tunnels: TunnelMetrics::default(),
             document_version: gauge::Gauge::default(),
+            rows_behind_ms: gauge::Gauge::default(),
             first_seconds: latency(),
             total_seconds: latency(),
             gap_seconds: latency(),
@@ -192,6 +195,11 @@
             "Version of the document in force",
             version,
         );
+        registry.register(
+            "rows_behind_ms",
+            "Time since a peer named a newer row than this node has",
+            set.rows_behind_ms.clone(),
+        );
         let first = set.first_seconds.clone();
         registry.register("first_seconds", "Time to the first event or answer", first);
         let total = set.total_seconds.clone();
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -31,15 +31,35 @@
     latest_version: store::RowVersion,
     /// Version up to which tombstones may have been purged.
     purged_version: store::RowVersion,
-    /// Whether the whole table has been received at least once.
-    complete: bool,
+    /// Version up to which the copy has every change, `None` until the whole table
+    /// has been received. Rows may be newer: pages of one table are read one after
+    /// the other.
+    complete_version: Option<store::RowVersion>,
 }
 
 impl TableMirror {
     /// Returns whether the whole table has been received at least once, from
     /// the store or from a peer.
     pub fn is_complete(&self) -> bool {
-        self.complete
+        self.complete_version.is_some()
+    }
+
+    /// Returns the version up to which the copy has every change, 0 until it is
+    /// complete.
+    pub fn complete_version(&self) -> store::RowVersion {
+        self.complete_version.unwrap_or(0)
+    }
+
+    /// Returns the version of the newest change in the part of the copy that is
+    /// complete, 0 for none.
+    pub fn change_version(&self) -> store::RowVersion {
+        let complete = self.complete_version();
+        if self.latest_version <= complete {
+            return self.latest_version;
+        }
+        let versions = self.rows.iter().map(|row| row.version);
+        let settled = versions.filter(|version| *version <= complete);
+        settled.max().unwrap_or(0)
     }
 
     /// Returns the highest version among the rows.
@@ -66,17 +86,31 @@
         changes
     }
 
-    /// Merges the changes after a version and returns the rows whose content
-    /// changed.
+    /// Merges the changes after a version, up to the newest of them, and returns the
+    /// rows whose content changed.
     ///
-    /// Returns `None` and merges nothing if this copy is older than that
+    /// Returns `None` and merges nothing if this copy is not complete up to that
     /// version: the rows in between would be missing and nothing would show it.
     pub fn merge_after(
         &mut self,
         after: store::RowVersion,
         rows: Vec<MirrorRow>,
     ) -> Option<Vec<MirrorRow>> {
-        (self.latest_version >= after).then(|| self.merge(rows))
+        let newest = rows.iter().map(|row| row.version).max().unwrap_or(after);
+        self.merge_between(after, newest, rows)
+    }
+
+    /// Merges the changes after one version up to another one, as
+    /// [`Self::merge_after`] does.
+    pub fn merge_between(
+        &mut self,
+        after: store::RowVersion,
+        until: store::RowVersion,
+        rows: Vec<MirrorRow>,
+    ) -> Option<Vec<MirrorRow>> {
+        let complete = self.complete_version.filter(|version| *version >= after)?;
+        self.complete_version = Some(complete.max(until));
+        Some(self.merge(rows))
     }
 
     /// Replaces the copy by the whole table as of a version and returns the rows
@@ -96,14 +130,18 @@
                 value: None,
             })
             .collect();
-        self.complete = true;
+        self.complete_version = self.complete_version.max(Some(version));
         self.merge(rows.into_iter().chain(removed))
     }
 
-    /// Returns the rows that changed after a version, or `None` if tombstones
-    /// from after that version may have been purged.
+    /// Returns the rows that changed after a version, up to the one up to which a
+    /// whole copy is complete, or `None` if tombstones from after that version may have
+    /// been purged.
     pub fn changes_after(&self, version: store::RowVersion) -> Option<Vec<MirrorRow>> {
-        let changed = self.rows.iter().filter(|row| row.version > version);
+        let is_settled =
+            |row: &&MirrorRow| self.complete_version.is_none_or(|end| row.version <= end);
+        let settled = self.rows.iter().filter(is_settled);
+        let changed = settled.filter(|row| row.version > version);
         (version >= self.purged_version).then(|| changed.cloned().collect())
     }
 
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -3,8 +3,8 @@
 //! A leader that receives changed rows forwards them to the nodes of its
 //! failure domain, which pass them on along a tree: a large document would
 //! occupy the leader's link for seconds. The messages of leaders and of the
-//! membership also carry the sender's store version, and a node with a lower
-//! version requests the rows that it lacks.
+//! membership also carry the versions of the sender's copies, and a node that
+//! lacks rows requests them.
 
 use std::sync;
 use std::time as std_time;
@@ -18,7 +18,9 @@
 
 use crate::event;
 use crate::gateway::core;
+use crate::gateway::core::lock;
 use crate::gateway::mirror;
+use crate::gateway::versions;
 use crate::id;
 use crate::member;
 use crate::peer;
@@ -89,7 +91,21 @@
 
 impl member::driver::MemberListener for MembershipListener {
     fn newer_config(&self, version: id::DocumentVersion, from: &str) {
-        request_later(&self.core, version, from);
+        // The sum says nothing about a peer that names the version of each table.
+        let now = time::Instant::now();
+        if !lock(&self.core.row_lag).is_known(from, now) {
+            request_later(&self.core, version, from);
+        }
+    }
+
+    fn attachment(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.core.table_versions()).unwrap_or_default()
+    }
+
+    fn attached(&self, attachment: &[u8], from: &str) {
+        if let Ok(named) = postcard::from_bytes(attachment) {
+            note_versions(&self.core, named, from);
+        }
     }
 
     fn superseded(&self) {
@@ -165,7 +181,7 @@
         };
         let before = self
             .core
-            .with_mirror(table, mirror::TableMirror::latest_version);
+            .with_mirror(table, mirror::TableMirror::change_version);
         let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
         let detail = format!(
             "table={} rows={} newest={newest} extent={extent} before={before} from={sender}",
@@ -195,8 +211,47 @@
     }
 }
 
-/// Requests the rows up to a store version from a peer that has them, unless they
-/// arrive unasked in the meantime.
+/// Records the versions that a peer named, and requests the rows that this node
+/// lacks, unless they arrive unasked in the meantime.
+pub fn note_versions(
+    core: &sync::Arc<core::GatewayCore>,
+    named: versions::TableVersions,
+    peer: &str,
+) {
+    let known = core.complete_versions();
+    let now = time::Instant::now();
+    if lock(&core.row_lag).note(peer, named, &known, now) {
+        let core = sync::Arc::clone(core);
+        tokio::spawn(async move {
+            time::sleep(head_start(&core)).await;
+            request_until_current(&core).await;
+        });
+    }
+}
+
+/// Returns the time that rows have to arrive unasked. A leader that lost the store
+/// gets none.
+fn head_start(core: &core::GatewayCore) -> std_time::Duration {
+    match core.is_leading() && core.is_store_lost() {
+        true => std_time::Duration::ZERO,
+        false => LEADER_HEAD_START,
+    }
+}
+
+/// Requests rows from one peer after the other until none has rows that this node
+/// lacks.
+async fn request_until_current(core: &core::GatewayCore) {
+    loop {
+        time::sleep(core.rows_request_due(REQUEST_PERIOD)).await;
+        let known = core.complete_versions();
+        let source = lock(&core.row_lag).next_source(&known, time::Instant::now());
+        let Some(peer) = source else { return };
+        request_rows(core, &peer);
+    }
+}
+
+/// Requests the rows up to a store version from a peer of the release before, which
+/// names a sum of versions, unless they arrive unasked in the meantime.
 pub fn request_later(core: &sync::Arc<core::GatewayCore>, version: u64, peer: &str) {
     let (core, peer) = (sync::Arc::clone(core), peer.to_owned());
     tokio::spawn(async move {
@@ -211,7 +266,7 @@
 /// `REQUEST_PERIOD`.
 pub fn request_rows(core: &core::GatewayCore, peer: &str) {
     if core.may_request_rows(REQUEST_PERIOD) {
-        let known = known_versions(core);
+        let known = core.complete_versions();
         let detail = format!("from={peer} known={known:?}");
         core.note(event::EventCode::RowsRequested, "store", detail);
         send(core, peer, &MirrorMessage::Request(known));
@@ -230,6 +285,11 @@
     if rows.is_empty() || !core.is_leading() {
         return;
     }
+    // Rows of a later page are newer than what the copy is complete up to. Peers
+    // request them once it is.
+    let complete = core.with_mirror(table, mirror::TableMirror::complete_version);
+    let settled = rows.into_iter().filter(|row| row.version <= complete);
+    let rows: Vec<_> = settled.collect();
     let has_removals = after == 0 || rows.iter().any(|row| row.value.is_none());
     let failed_ms = outage_age_ms(core).filter(|_| has_removals);
     let message = match after {
@@ -295,15 +355,6 @@
     u32::try_from(age.as_millis()).ok()
 }
 
-fn known_versions(core: &core::GatewayCore) -> Vec<store::RowVersion> {
-    let tables = store::WatchedTable::ALL.into_iter();
-    let known = |mirror: &mirror::TableMirror| match mirror.is_complete() {
-        true => mirror.latest_version(),
-        false => 0,
-    };
-    tables.map(|table| core.with_mirror(table, known)).collect()
-}
-
 /// Returns the rows of a table that a peer lacks whose copy ends at version
 /// `after`, or `None` if it lacks none.
 fn missing_rows(
@@ -313,7 +364,7 @@
 ) -> Option<MirrorMessage> {
     let table = store::WatchedTable::ALL.get(index).copied()?;
     core.with_mirror(table, |mirror| {
-        if !mirror.is_complete() || mirror.latest_version() <= after {
+        if !mirror.is_complete() || mirror.change_version() <= after {
             return None;
         }
         let changed = mirror.changes_after(after).filter(|_| after > 0);
@@ -325,7 +376,7 @@
             },
             None => MirrorMessage::Rows {
                 table: index,
-                extent: RowExtent::Full(mirror.latest_version()),
+                extent: RowExtent::Full(mirror.complete_version()),
                 rows: mirror.rows().cloned().collect(),
             },
         })
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -59,7 +59,7 @@
         if !watching {
             // Rows that peers have sent in the meantime need not be read again.
             position = core.with_mirror(table, |mirror| {
-                mirror.is_complete().then_some(mirror.latest_version())
+                mirror.is_complete().then_some(mirror.complete_version())
             });
             watching = true;
         }
@@ -74,12 +74,12 @@
                 core.record_store_call(table, true, started, "answered");
                 retry_delay = RETRY_DELAY_MIN;
                 let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
-                let before = core.with_mirror(table, mirror::TableMirror::latest_version);
+                let before = core.with_mirror(table, mirror::TableMirror::change_version);
                 let changed = match position {
-                    Some(_) => core.merge(table, rows),
-                    None => core.replace(table, rows, page.version),
+                    Some(after) => core.merge_between(table, after, page.version, rows),
+                    None => Some(core.replace(table, rows, page.version)),
                 };
-                replication::forward_changes(&core, table, before, changed);
+                replication::forward_changes(&core, table, before, changed.unwrap_or_default());
                 // Changes come in bursts, for example when runners register or
                 // their entries expire.
                 time::sleep(match core.is_leading() {
--- a/arbutusfold/src/member/driver.rs
+++ b/arbutusfold/src/member/driver.rs
@@ -16,6 +16,15 @@
     /// Called when a peer has a newer configuration.
     fn newer_config(&self, version: crate::id::DocumentVersion, from: &str);
 
+    /// Returns bytes that follow each message to a peer. A release that does not know
+    /// them ignores them.
+    fn attachment(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    /// Called with the bytes that followed a message of a peer, if there were any.
+    fn attached(&self, _attachment: &[u8], _from: &str) {}
+
     /// Called when another process has this host's name and started later.
     fn superseded(&self);
 }
@@ -135,7 +144,9 @@
         receiver: crate::id::IncarnationNumber,
         message: &message::MemberMessage,
     ) {
-        if let Ok(body) = postcard::to_stdvec(message) {
+        if let Ok(mut body) = postcard::to_stdvec(message) {
+            let listener = self.listener.get().and_then(sync::Weak::upgrade);
+            body.extend(listener.iter().flat_map(|listener| listener.attachment()));
             let kind = peer::MessageKind::Membership;
             self.endpoint.send_to(to, receiver, kind, &body);
         }
@@ -146,9 +157,13 @@
     /// Decodes the body of a membership message and processes it as [`Self::step`] does.
     pub fn receive(&self, sender: &str, body: &[u8], now: time::Instant) -> Vec<MemberAction> {
         // A message with additions of a later release cannot be decoded; it is dropped.
-        let Ok(message) = postcard::from_bytes::<message::MemberMessage>(body) else {
+        let Ok((message, rest)) = postcard::take_from_bytes::<message::MemberMessage>(body) else {
             return Vec::new();
         };
+        let listener = self.listener.get().and_then(sync::Weak::upgrade);
+        if let Some(listener) = listener.filter(|_| !rest.is_empty()) {
+            listener.attached(rest, sender);
+        }
         let sender = sender.to_owned();
         let message = Box::new(message);
         self.step(MemberEvent::Received { sender, message }, now)
--- a/arbutusfold/tests/gateway_mirror.rs
+++ b/arbutusfold/tests/gateway_mirror.rs
@@ -92,3 +92,23 @@
     assert_eq!(table.merge_after(5, filled).unwrap().len(), 2);
     assert_eq!(table.latest_version(), 7);
 }
+
+/// Guards against a runner's change that peers never get: the pages of a table are
+/// read one after the other, and a row of a later page is newer than changes to
+/// earlier ones that the copy lacks.
+#[test]
+fn row_of_a_later_page_does_not_hide_a_change_before_it() {
+    let mut table = mirror::TableMirror::default();
+    // The table was read as of version 5; the second page was read after version 8.
+    table.replace(vec![row("a", 3, Some("ready")), row("z", 8, Some("x"))], 5);
+    assert_eq!(table.complete_version(), 5);
+    assert_eq!(table.change_version(), 3);
+    let behind_the_gap = vec![row("b", 9, Some("y"))];
+    assert!(table.merge_after(7, behind_the_gap).is_none());
+    // A peer gets nothing from behind the gap as if it were complete.
+    let sent = table.changes_after(0).unwrap();
+    assert_eq!(sent, [row("a", 3, Some("ready"))]);
+    table.merge_between(5, 8, vec![row("a", 7, Some("leaving"))]);
+    let sent = table.changes_after(3).unwrap();
+    assert_eq!(sent, [row("a", 7, Some("leaving")), row("z", 8, Some("x"))]);
+}
--- a/arbutusfold/tests/gateway_replication.rs
+++ b/arbutusfold/tests/gateway_replication.rs
@@ -161,10 +161,13 @@
     let nodes = network.nodes.get().unwrap();
     let leader = nodes.iter().find(|core| core.is_leading()).unwrap();
     answer_leader(leader);
-    let before = leader.with_mirror(table, mirror::TableMirror::latest_version);
+    let before = leader.with_mirror(table, mirror::TableMirror::change_version);
+    let version = row.version;
     let changed = match before {
         0 => leader.replace(table, vec![row], 1),
-        _ => leader.merge(table, vec![row]),
+        _ => leader
+            .merge_between(table, before, version, vec![row])
+            .unwrap(),
     };
     replication::forward_changes(leader, table, before, changed);
 }
