Tell all nodes of a change that a node without a lead reads from the store

What callers saw: a confirmed change was late at nodes that the store turned away, while it served one that does not lead its failure domain.

Cause: only leaders passed rows on. Others learned of them through membership messages, waited 0.3 s, asked one peer, and were asked in turn.

Change: whoever reads changes from the store names its versions at once, a leader to the other leaders, another node to its whole domain and all leaders. Rows that a peer asked for are compressed. The message is new; the release before drops it.

--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -19,6 +19,7 @@
 use crate::event;
 use crate::gateway::core;
 use crate::gateway::core::lock;
+use crate::gateway::leader;
 use crate::gateway::mirror;
 use crate::gateway::versions;
 use crate::id;
@@ -63,6 +64,9 @@
         /// may have removed the entries of live runners.
         failed_ms: Option<u32>,
     },
+    /// Versions of the sender's copies, sent when they changed. The release before
+    /// drops it.
+    Versions(versions::TableVersions),
 }
 
 /// Part of a table that a list of rows makes up.
@@ -138,8 +142,9 @@
         match message {
             MirrorMessage::Request(after) => {
                 for (index, after) in after.into_iter().enumerate() {
-                    if let Some(missing) = missing_rows(&self.core, index, after) {
-                        send(&self.core, sender, &missing);
+                    let missing = missing_rows(&self.core, index, after);
+                    if let Some(packed) = missing.and_then(|missing| pack(&missing)) {
+                        relay(&self.core, &packed, &[sender.to_owned()], None);
                     }
                 }
             }
@@ -148,6 +153,7 @@
                 extent,
                 rows,
             } => self.receive_rows(sender, table, extent, rows),
+            MirrorMessage::Versions(named) => note_versions(&self.core, named, sender),
             MirrorMessage::Relay {
                 packed,
                 receivers,
@@ -273,6 +279,36 @@
     }
 }
 
+/// Passes on changes after a version that the store delivered.
+///
+/// A leader forwards them to its failure domain, and the leaders of other domains
+/// learn that it has them. A node that does not lead reads the store only while its
+/// leader does not reach it: it tells its whole domain and all leaders that it has
+/// them, and whoever lacks them requests them.
+pub fn share_changes(
+    core: &core::GatewayCore,
+    table: store::WatchedTable,
+    after: store::RowVersion,
+    rows: Vec<mirror::MirrorRow>,
+) {
+    if rows.is_empty() {
+        return;
+    }
+    let is_leading = core.is_leading();
+    forward_changes(core, table, after, rows);
+    let members = core.members.alive();
+    let leaders = leader::leaders(&members);
+    let domain = &core.settings.domain;
+    let others = leaders
+        .into_iter()
+        .filter(|record| record.domain != *domain);
+    let own = core.domain_peers(&members).filter(|_| !is_leading);
+    let message = MirrorMessage::Versions(core.table_versions());
+    others
+        .chain(own)
+        .for_each(|record| send(core, &record.name, &message));
+}
+
 /// Forwards the changes after a version to the other nodes of the failure
 /// domain, if this node leads it. A node that had no rows before forwards the
 /// whole table, as it does not know which rows were removed.
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -79,7 +79,7 @@
                     Some(after) => core.merge_between(table, after, page.version, rows),
                     None => Some(core.replace(table, rows, page.version)),
                 };
-                replication::forward_changes(&core, table, before, changed.unwrap_or_default());
+                replication::share_changes(&core, table, before, changed.unwrap_or_default());
                 // Changes come in bursts, for example when runners register or
                 // their entries expire.
                 time::sleep(match core.is_leading() {
--- a/arbutusfold/tests/gateway_versions.rs
+++ b/arbutusfold/tests/gateway_versions.rs
@@ -109,6 +109,65 @@
     nodes.try_into().ok().unwrap()
 }
 
+/// Records whether the store answered a node for each table.
+fn record_answer(core: &core::GatewayCore, answered: bool) {
+    for table in store::WatchedTable::ALL {
+        core.record_store_call(table, answered, time::Instant::now(), "");
+    }
+}
+
+/// Lets a node receive the document of a version from the store, which tells nobody
+/// else of it, and returns the time until all nodes have it in force.
+async fn read_alone(
+    nodes: &[sync::Arc<core::GatewayCore>],
+    reader: usize,
+    version: u64,
+) -> std_time::Duration {
+    let (reader, table) = (&nodes[reader], store::WatchedTable::Operator);
+    record_answer(reader, true);
+    let before = reader.with_mirror(table, mirror::TableMirror::change_version);
+    let rows = vec![document_row(version)];
+    let changed = reader.merge_between(table, before, version, rows).unwrap();
+    replication::share_changes(reader, table, before, changed);
+    let read_at = time::Instant::now();
+    while nodes.iter().any(|core| core.document_version() < version) {
+        time::sleep(5 * MS).await;
+        if read_at.elapsed() > 4 * APPLY_LIMIT {
+            break;
+        }
+    }
+    read_at.elapsed()
+}
+
+/// Guards against a confirmed change that is late at most nodes, since the only one
+/// that the store serves does not lead its failure domain and tells nobody.
+#[tokio::test(start_paused = true)]
+async fn change_that_a_node_without_a_lead_reads_reaches_all_nodes_in_time() {
+    for size in [9, 60, 95] {
+        let nodes = start(size, 3);
+        time::sleep(2_000 * MS).await;
+        for core in &nodes {
+            core.replace(store::WatchedTable::Operator, vec![document_row(1)], 1);
+            core.replace(store::WatchedTable::Runners, Vec::new(), 1);
+        }
+        let reader = nodes.iter().position(|core| !core.is_leading()).unwrap();
+        // The others do not know yet that the store does not serve them.
+        let took = read_alone(&nodes, reader, 7).await;
+        assert!(took < APPLY_LIMIT, "{size} nodes: {took:?}");
+        for (index, core) in nodes.iter().enumerate() {
+            record_answer(core, index == reader);
+        }
+        time::sleep(1_000 * MS).await;
+        let took = read_alone(&nodes, reader, 9).await;
+        assert!(took < APPLY_LIMIT / 2, "{size} nodes: {took:?}");
+        // The leaders pass on what they get, so few others request it.
+        let requests = nodes.iter().map(|core| core.recorder.about("store"));
+        let requests = requests.flatten();
+        let requests = requests.filter(|record| record.name == "RowsRequested");
+        assert!(requests.count() <= 2 * size, "{size} nodes");
+    }
+}
+
 /// Guards against a confirmed change that never comes into force at a node whose copy
 /// of the other table is newer than its leader's: added up, its versions are higher,
 /// and it asks nobody.
