Decide a request by the document that is in force once it may be decided

What callers saw: 404 for a route that had been added, at a node that had just started.

Cause: the routing table was taken before a wait of up to 0.3 s for what a started node has to know first, and decided after it.

Change: the table is taken after the wait; a node without any document still refuses at once.

Evidence: document_that_arrives_while_a_request_waits_decides_it fails on the parent commit (404), passes now.

--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -126,19 +126,19 @@
     request: http::Request<body::Incoming>,
     started: time::Instant,
 ) -> Result<request::CallerRequest, response::GatewayRefusal> {
-    let Some(table) = core.routing() else {
+    let unready = || {
         let cause = "no document is known yet";
-        return Err(response::GatewayRefusal::not_run(
-            cause,
-            UNREADY_RETRY_AFTER,
-        ));
+        response::GatewayRefusal::not_run(cause, UNREADY_RETRY_AFTER)
     };
+    core.routing().ok_or_else(unready)?;
     let mut known = core.suspects_known.subscribe();
     let learned = time::timeout(LEARN_TIMEOUT, known.wait_for(|known| *known));
     if !matches!(learned.await, Ok(Ok(_))) {
         let cause = "this node has just started";
         return Err(response::GatewayRefusal::not_run(cause, LEARN_TIMEOUT));
     }
+    // A newer document may have come into force meanwhile.
+    let table = core.routing().ok_or_else(unready)?;
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
