--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -272,10 +272,22 @@
     /// Returns whether the latest summary comes from a leader that, directly or
     /// through another leader, got an answer from the store less than `limit` ago.
     pub fn leader_reaches_store(&self, limit: std_time::Duration, now: time::Instant) -> bool {
-        self.fleet.as_ref().is_some_and(|received| {
-            let age = age_ms(received, now).saturating_add(received.summary.store_age_ms);
-            u128::from(age) < limit.as_millis()
-        })
+        !self.store_trust_left(limit, now).is_zero()
+    }
+
+    /// Returns the time for which the latest summary still shows, without another
+    /// one, that a leader got an answer from the store less than `limit` ago.
+    pub fn store_trust_left(
+        &self,
+        limit: std_time::Duration,
+        now: time::Instant,
+    ) -> std_time::Duration {
+        self.fleet
+            .as_ref()
+            .map_or(std_time::Duration::ZERO, |received| {
+                let age = age_ms(received, now).saturating_add(received.summary.store_age_ms);
+                limit.saturating_sub(std_time::Duration::from_millis(age.into()))
+            })
     }
 }
 
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -108,8 +108,11 @@
         until: store::RowVersion,
         rows: Vec<MirrorRow>,
     ) -> Option<Vec<MirrorRow>> {
-        let complete = self.complete_version.filter(|version| *version >= after)?;
-        self.complete_version = Some(complete.max(until));
+        let end = self.complete_version.unwrap_or(self.latest_version);
+        if end < after {
+            return None;
+        }
+        self.complete_version = self.complete_version.map(|end| end.max(until));
         Some(self.merge(rows))
     }
 
