Notice within a second that the store answers no leader

Cause: the same wait of 0.25 of contact_ms for both tables, and an age of 0.45 of it from which a leader counts as cut off, looked at each 0.2 s. A call after a failed one waited as well, and a node that came to lead waited up to 3 s as one that does not lead does.

Change: calls for the document wait 0.2, those for runners 0.33 of contact_ms (as many calls); the age is compared as of the one, and a node looks when it runs out. A call after a failed one does not wait. A node that comes to lead calls at once.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -24,6 +24,7 @@
 use crate::gateway::routing;
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
+use crate::gateway::store_watch;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
 use crate::gateway::versions;
@@ -99,7 +100,7 @@
     store_lost: atomic::AtomicBool,
     /// When the store last answered for each table.
     store_answered_at: sync::Mutex<[Option<time::Instant>; store::WatchedTable::ALL.len()]>,
-    leading: atomic::AtomicBool,
+    leading: watch::Sender<bool>,
     /// Versions that peers named, and rows that this node lacks.
     pub row_lag: sync::Mutex<versions::RowLag>,
     /// When this node last requested rows from a peer.
@@ -175,7 +176,7 @@
             outage: sync::Mutex::default(),
             store_lost: atomic::AtomicBool::new(false),
             store_answered_at: sync::Mutex::default(),
-            leading: atomic::AtomicBool::new(false),
+            leading: watch::Sender::new(false),
             row_lag: sync::Mutex::default(),
             rows_requested_at: sync::Mutex::default(),
             stopping: atomic::AtomicBool::new(false),
@@ -401,12 +402,19 @@
 
     /// Returns the milliseconds since the store last answered for the table for
     /// which that is longest ago, or the maximum if it never did for one of them.
+    ///
+    /// A table whose answers come more often counts as older by the difference, so
+    /// that one limit fits all tables.
     pub fn store_age_ms(&self, now: time::Instant) -> u32 {
         let answered_at = *lock(&self.store_answered_at);
-        let oldest = answered_at.into_iter().min().flatten();
-        let age = oldest.map(|oldest| now.saturating_duration_since(oldest).as_millis());
-        age.and_then(|age| u32::try_from(age).ok())
-            .unwrap_or(u32::MAX)
+        let wait = |table| store_watch::poll_wait(table, self.settings.contact_ms);
+        let longest = store::WatchedTable::ALL.into_iter().map(wait).max();
+        let ages = store::WatchedTable::ALL.into_iter().map(|table| {
+            let age = now.saturating_duration_since(answered_at[table.index()]?);
+            let age = age + longest.unwrap_or_default().saturating_sub(wait(table));
+            u32::try_from(age.as_millis()).ok()
+        });
+        ages.map(|age| age.unwrap_or(u32::MAX)).max().unwrap_or(0)
     }
 
     /// Returns whether this node may request rows from a peer now.
@@ -430,25 +438,38 @@
 
     /// Records whether this node leads its failure domain.
     pub fn set_leading(&self, leading: bool) {
-        self.leading.store(leading, atomic::Ordering::Relaxed);
+        self.leading
+            .send_if_modified(|before| std::mem::replace(before, leading) != leading);
     }
 
     /// Returns whether this node leads its failure domain.
     pub fn is_leading(&self) -> bool {
-        self.leading.load(atomic::Ordering::Relaxed)
+        *self.leading.borrow()
     }
 
-    /// Returns whether this node has to watch the store itself: it leads its
-    /// domain, or it knows no leader that reaches the store.
-    pub fn should_watch_store(&self, now: time::Instant) -> bool {
+    /// Waits until this node leads its failure domain.
+    pub async fn leads(&self) {
+        // The sender is a part of this state, so it exists as long as the call.
+        let _ = self.leading.subscribe().wait_for(|leading| *leading).await;
+    }
+
+    /// Returns the time for which this node may rely on a leader that reaches the
+    /// store. It is zero if this node has to watch the store itself: it leads its
+    /// domain, or it knows no such leader.
+    pub fn store_trust_left(&self, now: time::Instant) -> std_time::Duration {
+        if self.is_leading() {
+            return std_time::Duration::ZERO;
+        }
         let limit = self.store_age_limit();
-        self.is_leading() || !lock(&self.loads).leader_reaches_store(limit, now)
+        lock(&self.loads).store_trust_left(limit, now)
     }
 
     /// Returns the age of the store's latest answer from which a leader counts as
-    /// cut off from the store.
+    /// cut off from the store. A summary is up to a period old before the next one
+    /// comes.
     fn store_age_limit(&self) -> std_time::Duration {
-        self.settings.contact_ms.mul_f64(leader::STORE_AGE_FRACTION)
+        let limit = self.settings.contact_ms.mul_f64(leader::STORE_AGE_FRACTION);
+        limit + lock(&self.loads).period()
     }
 
     /// Drops runners whose grace period has ended and passes the size of the
--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -35,8 +35,9 @@
 const TYPICAL_STAGES: f64 = 4.0;
 
 /// Fraction of the time limit for detecting a lost dependency. A node whose
-/// leader has not reached the store for that long watches it itself.
-pub const STORE_AGE_FRACTION: f64 = 0.45;
+/// leader has not reached the store for that long, and for the time between two
+/// summaries, watches it itself.
+pub const STORE_AGE_FRACTION: f64 = 0.43;
 
 /// Hash of a runner's id that identifies it in messages between nodes.
 pub type RunnerKey = u32;
@@ -125,6 +126,8 @@
     counted: u32,
     /// Slow runners found by this node's own survey, sorted by key.
     slow: Vec<SlowRunner>,
+    /// Time between two summaries.
+    period: std_time::Duration,
 }
 
 impl LoadView {
@@ -153,6 +156,7 @@
 
     /// Removes summaries that are older than `EXPIRY_PERIODS` periods.
     pub fn expire(&mut self, period: std_time::Duration, now: time::Instant) {
+        self.period = period;
         let limit = period * EXPIRY_PERIODS;
         let fresh = |received: &ReceivedSummary| {
             now.saturating_duration_since(received.received_at) < limit
@@ -162,6 +166,11 @@
         self.fleet = self.fleet.take().filter(fresh);
     }
 
+    /// Returns the time between two summaries.
+    pub fn period(&self) -> std_time::Duration {
+        self.period
+    }
+
     /// Stores the own load as it is sent to the leader.
     pub fn set_sent(&mut self, loads: Vec<RunnerLoad>) {
         self.sent = loads;
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -29,13 +29,27 @@
 /// Delay after an answer of a node that does not lead.
 const FOLLOWER_BATCH_DELAY: std_time::Duration = std_time::Duration::from_millis(250);
 
-/// Time between two checks whether this node has to watch the store.
+/// Longest time between two checks whether this node has to watch the store.
 const WATCH_CHECK_PERIOD: std_time::Duration = std_time::Duration::from_millis(200);
 
-/// Longest wait of one call for changes, as a fraction of the time limit for
-/// detecting a lost dependency. It leaves enough time for a summary of the
-/// leader to arrive before nodes assume that it has lost the store.
-const POLL_WAIT_FRACTION: f64 = 0.25;
+/// Shortest such time.
+const WATCH_CHECK_MIN: std_time::Duration = std_time::Duration::from_millis(20);
+
+/// Longest wait of one call for changes of the document, as a fraction of the time
+/// limit for detecting a lost dependency. A silent store is noticed by the answers
+/// to these calls, so they come more often than the others.
+const DOCUMENT_WAIT_FRACTION: f64 = 0.2;
+
+/// Longest wait of one call for changes of runner entries, as such a fraction.
+const RUNNERS_WAIT_FRACTION: f64 = 1.0 / 3.0;
+
+/// Returns the longest wait of one call for changes of a table.
+pub fn poll_wait(table: store::WatchedTable, contact: std_time::Duration) -> std_time::Duration {
+    contact.mul_f64(match table {
+        store::WatchedTable::Operator => DOCUMENT_WAIT_FRACTION,
+        store::WatchedTable::Runners => RUNNERS_WAIT_FRACTION,
+    })
+}
 
 /// Spawns one watch task for each table.
 pub fn spawn(core: &sync::Arc<core::GatewayCore>) -> Vec<task::JoinHandle<()>> {
@@ -46,14 +60,16 @@
 }
 
 async fn watch(core: sync::Arc<core::GatewayCore>, table: store::WatchedTable) {
-    let wait = core.settings.contact_ms.mul_f64(POLL_WAIT_FRACTION);
+    let poll_wait = poll_wait(table, core.settings.contact_ms);
     let mut position: Option<store::RowVersion> = None;
     let mut retry_delay = RETRY_DELAY_MIN;
     let mut watching = false;
     loop {
-        if !core.should_watch_store(time::Instant::now()) {
+        let trust_left = core.store_trust_left(time::Instant::now());
+        if !trust_left.is_zero() {
             watching = false;
-            time::sleep(WATCH_CHECK_PERIOD).await;
+            let pause = trust_left.clamp(WATCH_CHECK_MIN, WATCH_CHECK_PERIOD);
+            let _ = time::timeout(pause, core.leads()).await;
             continue;
         }
         if !watching {
@@ -62,7 +78,13 @@
                 mirror.is_complete().then_some(mirror.complete_version())
             });
             watching = true;
+            retry_delay = RETRY_DELAY_MIN;
         }
+        // A call after a failed one shows that the store is back, and does not wait.
+        let wait = match core.is_store_lost() {
+            true => std_time::Duration::ZERO,
+            false => poll_wait,
+        };
         core.metrics.store_calls.inc();
         let started = time::Instant::now();
         let answer = match position {
@@ -87,7 +109,7 @@
                     false => FOLLOWER_BATCH_DELAY,
                 })
                 .await;
-                position = position.max(Some(page.version));
+                position = Some(core.with_mirror(table, mirror::TableMirror::complete_version));
             }
             Err(store::StoreError::HistoryLost) => {
                 let detail = format!("after={}", position.unwrap_or(0));
@@ -96,12 +118,11 @@
             }
             Err(error) => {
                 core.record_store_call(table, false, started, &error.to_string());
-                time::sleep(retry_delay).await;
-                let limit = match core.is_leading() {
-                    true => LEADER_RETRY_DELAY_MAX,
-                    false => FOLLOWER_RETRY_DELAY_MAX,
-                };
-                retry_delay = (retry_delay * 2).min(limit);
+                time::sleep(retry_delay.min(LEADER_RETRY_DELAY_MAX)).await;
+                // A node that comes to lead does not wait any longer.
+                let rest = retry_delay.saturating_sub(LEADER_RETRY_DELAY_MAX);
+                let _ = time::timeout(rest, core.leads()).await;
+                retry_delay = (retry_delay * 2).min(FOLLOWER_RETRY_DELAY_MAX);
             }
         }
     }
