Take a rejection for proof only if it names the request

A runner that writes an earlier rejection once more, without an id, made a request run at a second runner.

Cause: a rejection without an echoed id counted as one of this request. The id was compared only where there was one.

Change: a rejection that names no request proves nothing; the attempt counts as run and its connection is closed. The same judgement holds for runs that are held and for resumed streams, which share it. Each attempt has a connection of its own, so no copy can wait on a kept one.

--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -284,6 +284,8 @@
     NotRun,
     /// It answers another request.
     Foreign,
+    /// It rejects a request that it does not name, which may be an earlier one.
+    Unnamed,
     /// It lacks the proof that the runner ran the request.
     Unproved,
 }
@@ -293,11 +295,15 @@
     pub fn of(request: &str, response: &http::Response<body::Incoming>) -> Self {
         let (status, headers) = (response.status(), response.headers());
         let is_valid = head::has_proof(headers) && !head::is_encoded(headers);
-        if head::is_for_other_request(headers, request) {
+        let named = head::named_request(headers, request);
+        if named == head::NamedRequest::Other {
             return Self::Foreign;
         }
         if head::is_not_run(status, headers) {
-            return Self::NotRun;
+            return match named {
+                head::NamedRequest::This => Self::NotRun,
+                _ => Self::Unnamed,
+            };
         }
         match status.is_success() && !is_valid {
             true => Self::Unproved,
@@ -312,6 +318,7 @@
             Self::Answer => None,
             Self::NotRun => Some("rejected"),
             Self::Foreign => Some("answer to another request"),
+            Self::Unnamed => Some("rejection that names no request"),
             Self::Unproved => Some("answer without the runner's proof"),
         }
     }
@@ -917,7 +924,7 @@
         let (status, headers) = (response.status(), response.headers());
         let verdict = HeadVerdict::of(&self.head.request, &response);
         let fault = verdict.fault().unwrap_or_default().to_owned();
-        if verdict == HeadVerdict::Foreign {
+        if matches!(verdict, HeadVerdict::Foreign | HeadVerdict::Unnamed) {
             self.fail_runner(&target.runners[0], &fault);
             return AttemptOutcome::Unanswered {
                 reach: AttemptReach::Ran,
--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -22,6 +22,8 @@
 pub const DOCUMENT: &str = r#"{"version":1,"routes":[
     {"name":"plain","hostname":"h","prefix":"/p/","type":"idempotent","timeoutMs":2500,
     "goalMs":50,"maxAttempts":2,"public":true,"service":"s"},
+    {"name":"once","hostname":"h","prefix":"/once/","type":"non_idempotent","timeoutMs":2500,
+    "goalMs":50,"maxAttempts":2,"public":true,"service":"s"},
     {"name":"stream","hostname":"h","prefix":"/s/","type":"streaming","resumable":true,
     "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":2,"public":true,"service":"s"},
     {"name":"three","hostname":"h","prefix":"/three/","type":"streaming","resumable":true,
@@ -111,6 +113,11 @@
     format!("HTTP/1.1 {status} X\r\nResponse-Stamp: s\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// Returns a rejection with these header lines, each with its end.
+pub fn rejection(status: u16, lines: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\nNot-Executed: 1\r\n{lines}Content-Length: 0\r\n\r\n")
+}
+
 /// Returns the events of a stream with these numbers.
 pub fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
     numbers
