Continue a broken stream with numbered events only

Cause: an event without a number was passed on wherever it came. An error that a runner writes as such an event after a sound head looked like the continuation. Other errors (status, rejection, no answer, text, another type) did not get into the stream.

Change: where another run is to continue a stream, its first event has a number or is a comment; else the run is of no use and the next one is tried.

--- a/arbutusfold/src/gateway/event_stream.rs
+++ b/arbutusfold/src/gateway/event_stream.rs
@@ -15,6 +15,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether it consists of comments and empty lines.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+    }
+}
+
 /// Splits a byte stream into events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
@@ -87,6 +95,20 @@
     Duplicate,
     /// At least one event before it is missing.
     Gap,
+    /// It has no number where another run is to continue the stream, so it may be
+    /// no part of it.
+    Unnumbered,
+}
+
+impl EventVerdict {
+    /// Returns why the run that sent the event is of no use, or `None` if it is.
+    pub fn fault(self) -> Option<&'static str> {
+        match self {
+            Self::Deliver | Self::Duplicate => None,
+            Self::Gap => Some("an event is missing"),
+            Self::Unnumbered => Some("an event without a number does not continue the stream"),
+        }
+    }
 }
 
 impl EventCursor {
@@ -100,6 +122,15 @@
         self.last
     }
 
+    /// Checks the first event of another run and advances if it is the next one.
+    pub fn accept_first(&mut self, event: &StreamEvent) -> EventVerdict {
+        let continues = self.last.is_none() || event.number.is_some() || event.is_comment();
+        match continues {
+            true => self.accept(event),
+            false => EventVerdict::Unnumbered,
+        }
+    }
+
     /// Checks an event of the current attempt and advances if it is the next one.
     pub fn accept(&mut self, event: &StreamEvent) -> EventVerdict {
         let Some(number) = event.number else {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -271,11 +271,16 @@
     ) -> Result<(StreamAttempt, Option<event_stream::StreamEvent>), String> {
         loop {
             let broken = match attempt.step(&mut self.request).await {
-                StreamStep::Event(event) => match self.cursor.accept(&event) {
-                    event_stream::EventVerdict::Deliver => return Ok((attempt, Some(event))),
-                    event_stream::EventVerdict::Duplicate => continue,
-                    event_stream::EventVerdict::Gap => Some("an event is missing".to_owned()),
-                },
+                StreamStep::Event(event) => {
+                    let verdict = self.cursor.accept(&event);
+                    if verdict == event_stream::EventVerdict::Deliver {
+                        return Ok((attempt, Some(event)));
+                    }
+                    let Some(cause) = verdict.fault() else {
+                        continue;
+                    };
+                    Some(cause.to_owned())
+                }
                 StreamStep::Ended => return Ok((attempt, None)),
                 StreamStep::TimedOut => return Err("deadline passed".to_owned()),
                 StreamStep::Broken(cause) => Some(cause),
@@ -530,13 +535,16 @@
         let ran = request::AttemptReach::Ran;
         loop {
             let first = match self.step(request).await {
-                StreamStep::Event(event) => match cursor.accept(&event) {
-                    event_stream::EventVerdict::Deliver => Some(event),
-                    event_stream::EventVerdict::Duplicate => continue,
-                    event_stream::EventVerdict::Gap => {
-                        return AttemptEnd::Failed(ran, "an event is missing".to_owned());
+                StreamStep::Event(event) => {
+                    let verdict = cursor.accept_first(&event);
+                    if let Some(cause) = verdict.fault() {
+                        return AttemptEnd::Failed(ran, cause.to_owned());
+                    }
+                    if verdict == event_stream::EventVerdict::Duplicate {
+                        continue;
                     }
-                },
+                    Some(event)
+                }
                 StreamStep::Ended => None,
                 StreamStep::Broken(cause) => return AttemptEnd::Failed(ran, cause),
                 StreamStep::Stalled(silent) => {
@@ -558,13 +566,19 @@
     async fn wait_silent(mut self, mut cursor: event_stream::EventCursor) -> HeldEnd {
         let fault = loop {
             let first = match self.read().await {
-                StreamRead::Event(event) => match cursor.accept(&event) {
-                    event_stream::EventVerdict::Deliver => Some(event),
-                    event_stream::EventVerdict::Duplicate => continue,
-                    event_stream::EventVerdict::Gap => {
-                        break held::RunFault::ran("an event is missing", None);
+                StreamRead::Event(event) => {
+                    let verdict = match self.has_events {
+                        true => cursor.accept(&event),
+                        false => cursor.accept_first(&event),
+                    };
+                    if let Some(cause) = verdict.fault() {
+                        break held::RunFault::ran(cause, None);
                     }
-                },
+                    if verdict == event_stream::EventVerdict::Duplicate {
+                        continue;
+                    }
+                    Some(event)
+                }
                 StreamRead::Ended => None,
                 StreamRead::Broken(fault) => break fault,
             };
