--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -486,6 +486,32 @@
         self.metrics.rows_behind_ms.set(lag.as_millis() as i64);
     }
 
+    /// Tells the list of runners the addresses of the nodes.
+    pub fn set_nodes(&self, members: &[member::MemberRecord]) {
+        let settings = &self.settings;
+        let own = [
+            settings.callers,
+            settings.ready,
+            settings.directory,
+            settings.peers,
+            settings.metrics,
+        ];
+        let members = members.iter();
+        let others = members.flat_map(|record| [record.callers, record.peers]);
+        let mut addresses: Vec<_> = own.into_iter().chain(others).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        let (mut changes, entries) = lock(&self.fleet).set_nodes(addresses);
+        let table = store::WatchedTable::Runners;
+        for id in entries {
+            let row = self.with_mirror(table, |mirror| mirror.get(&id).cloned());
+            changes.extend(row.and_then(|row| lock(&self.fleet).update(&row, None)));
+        }
+        changes
+            .into_iter()
+            .for_each(|change| self.record_change(change));
+    }
+
     /// Returns the other nodes of this node's failure domain among `members`.
     pub fn domain_peers<'a>(
         &'a self,
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -33,6 +33,9 @@
 /// its entry tells of a new process before.
 const UNREACHABLE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Why the entry of a runner at the address of a node is not used.
+const NODE_ADDRESS: &str = "address: belongs to a node";
+
 /// Weight of the latest result in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -203,7 +206,7 @@
     Kept(id::UpstreamName, time::Instant),
     /// A runner restarted or holds other layers.
     Changed(id::UpstreamName, String),
-    /// An entry could not be decoded; its runner is dropped.
+    /// An entry could not be decoded or names a node; its runner is dropped.
     Unreadable(id::UpstreamName, String),
 }
 
@@ -212,6 +215,10 @@
 pub struct RunnerFleet {
     /// Runners, sorted by id.
     runners: Vec<RunnerState>,
+    /// Entries that name no runner to use, with the reason, sorted by id.
+    unreadable: Vec<(id::UpstreamName, String)>,
+    /// Addresses of nodes, in ascending order.
+    node_addresses: Vec<net::SocketAddr>,
 }
 
 impl RunnerFleet {
@@ -225,14 +232,71 @@
         grace_end: Option<time::Instant>,
     ) -> Option<FleetChange> {
         let Some(value) = &row.value else {
+            self.forget_unreadable(&row.key);
             return self.remove(&row.key, grace_end);
         };
         match runner::decode_record(&row.key, value) {
-            Ok(record) => self.upsert(record, row.version),
-            Err(error) => {
-                self.remove(&row.key, None);
-                Some(FleetChange::Unreadable(row.key.clone(), error.to_string()))
+            Ok(record) if self.is_node(record.address) => {
+                self.reject(&row.key, NODE_ADDRESS.to_owned())
+            }
+            Ok(record) => {
+                self.forget_unreadable(&row.key);
+                self.upsert(record, row.version)
             }
+            Err(error) => self.reject(&row.key, error.to_string()),
+        }
+    }
+
+    /// Sets the sorted addresses of nodes and drops the runners there: a request that
+    /// was sent to one would come back to the fleet. Returns the changes, and the
+    /// entries to apply again since their addresses belong to no node any more.
+    pub fn set_nodes(
+        &mut self,
+        addresses: Vec<net::SocketAddr>,
+    ) -> (Vec<FleetChange>, Vec<id::UpstreamName>) {
+        if addresses == self.node_addresses {
+            return (Vec::new(), Vec::new());
+        }
+        self.node_addresses = addresses;
+        let runners = self.runners.iter().map(|state| &state.record);
+        let at_nodes = runners.filter(|record| self.is_node(record.address));
+        let ids: Vec<_> = at_nodes.map(|record| record.id.clone()).collect();
+        let rejected = ids
+            .iter()
+            .filter_map(|id| self.reject(id, NODE_ADDRESS.to_owned()));
+        let changes = rejected.collect();
+        let entries = self.unreadable.iter();
+        let held_back = entries.filter(|(_, reason)| reason == NODE_ADDRESS);
+        (changes, held_back.map(|(id, _)| id.clone()).collect())
+    }
+
+    fn is_node(&self, address: net::SocketAddr) -> bool {
+        self.node_addresses.binary_search(&address).is_ok()
+    }
+
+    /// Drops the runner of an entry that names none to use; returns a change unless
+    /// the entry was rejected for the same reason before.
+    fn reject(&mut self, id: &str, reason: String) -> Option<FleetChange> {
+        self.remove(id, None);
+        let found = self
+            .unreadable
+            .binary_search_by(|(other, _)| other.as_str().cmp(id));
+        match found {
+            Ok(index) if self.unreadable[index].1 == reason => return None,
+            Ok(index) => self.unreadable[index].1.clone_from(&reason),
+            Err(index) => self
+                .unreadable
+                .insert(index, (id.to_owned(), reason.clone())),
+        }
+        Some(FleetChange::Unreadable(id.to_owned(), reason))
+    }
+
+    fn forget_unreadable(&mut self, id: &str) {
+        let found = self
+            .unreadable
+            .binary_search_by(|(other, _)| other.as_str().cmp(id));
+        if let Ok(index) = found {
+            self.unreadable.remove(index);
         }
     }
 
--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -27,6 +27,7 @@
 
 fn send_update(core: &core::GatewayCore) {
     let members = core.members.alive();
+    core.set_nodes(&members);
     let leaders = leader::leaders(&members);
     let domain = &core.settings.domain;
     let own_leader = leaders.iter().find(|record| record.domain == *domain);
