Decode each row of a page apart where the page as a whole cannot be decoded

Cause: one row with a field of another type (version, key, content that is no base64) made each read of its page fail, for as long as the row was there.

Change: such a page is decoded row by row. A row that at least names itself counts as an entry that cannot be read, so a runner whose entry it replaced is dropped; others are left out. 805 names the number and the first fault, once for each page.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -193,6 +193,8 @@
     RowsFromPeer = 803, Info;
     /// Rows of the store that this node lacks were requested from a peer.
     RowsRequested = 804, Info;
+    /// Rows of the store could not be decoded; the others of their page are used.
+    RowsUnreadable = 805, Warning;
 }
 
 impl EventCode {
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -95,6 +95,14 @@
             Ok(page) => {
                 core.record_store_call(table, true, started, "answered");
                 retry_delay = RETRY_DELAY_MIN;
+                if let Some(fault) = page.faults.first() {
+                    let detail = format!(
+                        "table={} rows={} first={fault}",
+                        table.index(),
+                        page.faults.len()
+                    );
+                    core.note(event::EventCode::RowsUnreadable, "store", detail);
+                }
                 let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
                 let before = core.with_mirror(table, mirror::TableMirror::change_version);
                 let changed = match position {
--- /dev/null
+++ b/arbutusfold/tests/gateway_page.rs
@@ -0,0 +1,75 @@
+//! Pages of the store with rows that cannot be decoded.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net;
+use std::time;
+
+use arbutusfold_platform::store;
+use arbutusfold_platform_standin::server;
+
+/// Rows that cannot be decoded; those with a key and a version name a row.
+const ODD_ROWS: [&str; 9] = [
+    r#"{"table":"servers","key":"i-2","ver":7,"value":"no base64!"}"#,
+    r#"{"table":"servers","key":"i-3","ver":8,"value":7}"#,
+    r#"{"table":"servers","key":3,"ver":9,"value":"eA=="}"#,
+    r#"{"table":"servers","key":"i-4","ver":-1,"value":"eA=="}"#,
+    r#"{"table":"servers","key":"i-5","ver":99999999999999999999,"value":"eA=="}"#,
+    r#"{"table":"servers","ver":9,"value":"eA=="}"#,
+    r#"{"key":[],"ver":{}}"#,
+    "null",
+    "7",
+];
+
+const SOUND_ROWS: [&str; 2] = [
+    r#"{"table":"servers","key":"i-1","ver":5,"value":"eA=="}"#,
+    r#"{"table":"servers","key":"i-9","ver":11,"value":"eQ=="}"#,
+];
+
+/// Guards against one row that keeps a node from following a table: no other row of
+/// its page, and no later page, would be used.
+#[tokio::test]
+async fn odd_row_leaves_the_others_of_its_page() {
+    let rows = [&SOUND_ROWS[..1], &ODD_ROWS, &SOUND_ROWS[1..]].concat();
+    let body = format!(
+        r#"{{"rows":[{}],"hasMore":false,"ver":12}}"#,
+        rows.join(",")
+    );
+    let any_port = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = move |_| {
+        let body = body.clone();
+        async move { Some(server::complete_answer(200, body)) }
+    };
+    let server = server::StandinServer::start(any_port, answer)
+        .await
+        .unwrap();
+    let client = store::StoreClient::new(server.address(), time::Duration::from_secs(1));
+    let table = store::WatchedTable::Runners;
+    let wait = time::Duration::ZERO;
+    for page in [
+        client.snapshot(table).await,
+        client.changes(table, 4, wait).await,
+    ] {
+        let page = page.unwrap();
+        let rows: Vec<_> = page
+            .rows
+            .iter()
+            .map(|row| {
+                (
+                    row.key.as_str(),
+                    row.version,
+                    row.value.as_ref().map(|value| value.len()),
+                )
+            })
+            .collect();
+        let expected = [
+            ("i-1", 5, Some(1)),
+            ("i-2", 7, Some(0)),
+            ("i-3", 8, Some(0)),
+            ("i-9", 11, Some(1)),
+        ];
+        assert_eq!(rows, expected);
+        assert_eq!(page.version, 12);
+        assert_eq!(page.faults.len(), ODD_ROWS.len());
+    }
+}
