--- a/soak/tests/fleet_fixture/mod.rs
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -8,7 +8,8 @@
 
 use arbutusfold_soak::{deployment, plan, process};
 
-fn build_folder() -> path::PathBuf {
+/// Returns the folder of the built programs.
+pub fn build_folder() -> path::PathBuf {
     let test = std::env::current_exe().unwrap();
     test.ancestors().nth(2).unwrap().to_owned()
 }
