--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -278,10 +278,7 @@
     /// the entry was rejected for the same reason before.
     fn reject(&mut self, id: &str, reason: String) -> Option<FleetChange> {
         self.remove(id, None);
-        let found = self
-            .unreadable
-            .binary_search_by(|(other, _)| other.as_str().cmp(id));
-        match found {
+        match self.search_unreadable(id) {
             Ok(index) if self.unreadable[index].1 == reason => return None,
             Ok(index) => self.unreadable[index].1.clone_from(&reason),
             Err(index) => self
@@ -292,14 +289,16 @@
     }
 
     fn forget_unreadable(&mut self, id: &str) {
-        let found = self
-            .unreadable
-            .binary_search_by(|(other, _)| other.as_str().cmp(id));
-        if let Ok(index) = found {
+        if let Ok(index) = self.search_unreadable(id) {
             self.unreadable.remove(index);
         }
     }
 
+    fn search_unreadable(&self, id: &str) -> Result<usize, usize> {
+        self.unreadable
+            .binary_search_by(|(other, _)| other.as_str().cmp(id))
+    }
+
     /// Drops the runners whose entries were not restored within the grace period.
     pub fn expire(&mut self, now: time::Instant) -> Vec<FleetChange> {
         let is_expired = |state: &RunnerState| state.grace_end.is_some_and(|until| now >= until);
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -318,14 +318,14 @@
     after: store::RowVersion,
     rows: Vec<mirror::MirrorRow>,
 ) {
-    if rows.is_empty() || !core.is_leading() {
-        return;
-    }
     // Rows of a later page are newer than what the copy is complete up to. Peers
     // request them once it is.
     let complete = core.with_mirror(table, mirror::TableMirror::complete_version);
     let settled = rows.into_iter().filter(|row| row.version <= complete);
     let rows: Vec<_> = settled.collect();
+    if rows.is_empty() || !core.is_leading() {
+        return;
+    }
     let has_removals = after == 0 || rows.iter().any(|row| row.value.is_none());
     let failed_ms = outage_age_ms(core).filter(|_| has_removals);
     let message = match after {
--- a/arbutusfold/src/gateway/versions.rs
+++ b/arbutusfold/src/gateway/versions.rs
@@ -80,10 +80,7 @@
         known: &TableVersions,
         now: time::Instant,
     ) -> bool {
-        let found = self
-            .sources
-            .binary_search_by(|source| source.host.as_str().cmp(host));
-        let index = found.unwrap_or_else(|index| {
+        let index = self.search(host).unwrap_or_else(|index| {
             let source = RowSource {
                 host: host.to_owned(),
                 versions: TableVersions::new(),
@@ -105,10 +102,13 @@
 
     /// Returns whether a peer named its versions lately.
     pub fn is_known(&self, host: &str, now: time::Instant) -> bool {
-        let found = self
-            .sources
-            .binary_search_by(|source| source.host.as_str().cmp(host));
-        found.is_ok_and(|index| is_recent(&self.sources[index], now))
+        self.search(host)
+            .is_ok_and(|index| is_recent(&self.sources[index], now))
+    }
+
+    fn search(&self, host: &str) -> Result<usize, usize> {
+        self.sources
+            .binary_search_by(|source| source.host.as_str().cmp(host))
     }
 
     /// Returns the peer to request rows from, the one that was asked longest ago
