Compare newest changes, not the version up to which the store called a page complete

A node that got an empty page which named a later version than its rows would take itself for current up to there and ask no peer. Its newest change decides again what it lacks; the version of completeness serves only to find gaps.

page_that_names_a_later_version_does_not_hide_a_missing_document fails on the parent commit, passes now.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -255,15 +255,6 @@
             .collect()
     }
 
-    /// Returns the version up to which the copy of each table has every change.
-    pub fn complete_versions(&self) -> versions::TableVersions {
-        let mirrors = lock(&self.mirrors);
-        mirrors
-            .iter()
-            .map(mirror::TableMirror::complete_version)
-            .collect()
-    }
-
     /// Calls `read` with the copy of a table.
     pub fn with_mirror<T>(
         &self,
@@ -482,7 +473,7 @@
         let nodes = self.members.fleet_size();
         lock(&self.budget).note_nodes(nodes);
         lock(&self.limits).note_nodes(nodes, now);
-        let lag = lock(&self.row_lag).age(&self.complete_versions(), now);
+        let lag = lock(&self.row_lag).age(&self.table_versions(), now);
         self.metrics.rows_behind_ms.set(lag.as_millis() as i64);
     }
 
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -224,7 +224,7 @@
     named: versions::TableVersions,
     peer: &str,
 ) {
-    let known = core.complete_versions();
+    let known = core.table_versions();
     let now = time::Instant::now();
     if lock(&core.row_lag).note(peer, named, &known, now) {
         let core = sync::Arc::clone(core);
@@ -249,7 +249,7 @@
 async fn request_until_current(core: &core::GatewayCore) {
     loop {
         time::sleep(core.rows_request_due(REQUEST_PERIOD)).await;
-        let known = core.complete_versions();
+        let known = core.table_versions();
         let source = lock(&core.row_lag).next_source(&known, time::Instant::now());
         let Some(peer) = source else { return };
         request_rows(core, &peer);
@@ -272,7 +272,7 @@
 /// `REQUEST_PERIOD`.
 pub fn request_rows(core: &core::GatewayCore, peer: &str) {
     if core.may_request_rows(REQUEST_PERIOD) {
-        let known = core.complete_versions();
+        let known = core.table_versions();
         let detail = format!("from={peer} known={known:?}");
         core.note(event::EventCode::RowsRequested, "store", detail);
         send(core, peer, &MirrorMessage::Request(known));
--- a/arbutusfold/src/gateway/versions.rs
+++ b/arbutusfold/src/gateway/versions.rs
@@ -52,8 +52,8 @@
 }
 
 impl RowSource {
-    /// Returns whether the peer has changes that are missing in copies that are
-    /// complete up to the versions `known`.
+    /// Returns whether the peer has a newer change than copies of the versions
+    /// `known`.
     fn is_ahead(&self, known: &TableVersions) -> bool {
         let mut tables = self.versions.iter().zip(known);
         tables.any(|(version, known)| version > known)
@@ -70,9 +70,8 @@
 }
 
 impl RowLag {
-    /// Records the versions that a peer named; `known` are those up to which this
-    /// node's copies are complete. Returns whether the node was current until now
-    /// and lacks rows of the peer.
+    /// Records the versions that a peer named; `known` are this node's own. Returns
+    /// whether the node was current until now and lacks rows of the peer.
     pub fn note(
         &mut self,
         host: &str,
--- a/arbutusfold/tests/gateway_versions.rs
+++ b/arbutusfold/tests/gateway_versions.rs
@@ -202,3 +202,15 @@
     assert_eq!(ids, ["i-1"]);
     assert_eq!(leader.document_version(), 90);
 }
+
+/// Guards against a change that is missing for good: a page of the store was older than
+/// the version that it named, and the node took itself for complete up to there.
+#[tokio::test(start_paused = true)]
+async fn page_that_names_a_later_version_does_not_hide_a_missing_document() {
+    let [leader, follower] = start_pair().await;
+    let table = store::WatchedTable::Operator;
+    follower.merge_between(table, 3, 50, Vec::new());
+    leader.merge_between(table, 3, 20, vec![document_row(20)]);
+    time::sleep(APPLY_LIMIT).await;
+    assert_eq!(follower.document_version(), 20);
+}
