--- a/arbutusfold/tests/gateway_page.rs
+++ b/arbutusfold/tests/gateway_page.rs
@@ -73,3 +73,21 @@
         assert_eq!(page.faults.len(), ODD_ROWS.len());
     }
 }
+
+/// Guards against runners that are dropped although they live: a page of which no row
+/// can be decoded names no place at which the next one starts, and would end the table.
+#[tokio::test]
+async fn page_without_a_readable_row_does_not_end_the_table() {
+    let body = format!(r#"{{"rows":[{}],"hasMore":true,"ver":12}}"#, ODD_ROWS[8]);
+    let any_port = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let answer = move |_| {
+        let body = body.clone();
+        async move { Some(server::complete_answer(200, body)) }
+    };
+    let server = server::StandinServer::start(any_port, answer)
+        .await
+        .unwrap();
+    let client = store::StoreClient::new(server.address(), time::Duration::from_secs(1));
+    let table = store::WatchedTable::Runners;
+    assert!(client.snapshot(table).await.is_err());
+}
