--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -412,9 +412,12 @@
     ///
     /// It returns `true` at most once in each period, and records the request.
     pub fn may_request_rows(&self, period: std_time::Duration) -> bool {
-        let due = self.rows_request_due(period).is_zero();
+        let now = time::Instant::now();
+        let mut requested_at = lock(&self.rows_requested_at);
+        let due = requested_at
+            .is_none_or(|requested_at| now.saturating_duration_since(requested_at) >= period);
         if due {
-            *lock(&self.rows_requested_at) = Some(time::Instant::now());
+            *requested_at = Some(now);
         }
         due
     }
@@ -473,8 +476,14 @@
         let nodes = self.members.fleet_size();
         lock(&self.budget).note_nodes(nodes);
         lock(&self.limits).note_nodes(nodes, now);
-        let lag = lock(&self.row_lag).age(&self.table_versions(), now);
+    }
+
+    /// Returns the metrics in the OpenMetrics text format.
+    pub fn render_metrics(&self) -> String {
+        let known = self.table_versions();
+        let lag = lock(&self.row_lag).age(&known, time::Instant::now());
         self.metrics.rows_behind_ms.set(lag.as_millis() as i64);
+        self.metrics.render()
     }
 
     /// Tells the list of runners the addresses of the nodes.
--- a/arbutusfold/src/gateway/entry.rs
+++ b/arbutusfold/src/gateway/entry.rs
@@ -52,7 +52,7 @@
 ) -> Result<response::GatewayResponse, convert::Infallible> {
     Ok(response::plain(
         http::StatusCode::OK,
-        &core.metrics.render(),
+        &core.render_metrics(),
     ))
 }
 
