--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod claim;
 pub mod core;
 pub mod crash;
+pub mod demand;
 pub mod descriptors;
 pub mod dial;
 pub mod direct;
