--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -11,6 +11,7 @@
 use crate::event;
 use crate::gateway::budget;
 use crate::gateway::crash;
+use crate::gateway::demand;
 use crate::gateway::dial;
 use crate::gateway::direct;
 use crate::gateway::fleet;
@@ -70,6 +71,8 @@
     pub relay_server: relay_server::RelayServer,
     /// Load of all nodes on the runners, as far as reported.
     pub loads: sync::Mutex<leader::LoadView>,
+    /// Demand of all nodes for scarce room, as far as reported.
+    pub demand: sync::Mutex<demand::DemandView>,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Recent checks of runners that may have died during a run.
@@ -160,6 +163,7 @@
             store: store::StoreClient::new(settings.store, STORE_TIMEOUT),
             members,
             loads: sync::Mutex::default(),
+            demand: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
--- a/arbutusfold/src/gateway/demand.rs
+++ b/arbutusfold/src/gateway/demand.rs
@@ -4,7 +4,10 @@
 //! The own part is exact. The part of the other nodes is late by two report
 //! periods, and empty without a leader: every decision then rests on the own part.
 
+use std::time as std_time;
+
 use serde::{Deserialize, Serialize};
+use tokio::time;
 
 use crate::gateway::leader;
 use crate::id;
@@ -99,3 +102,81 @@
 pub fn name_key(name: &str) -> u32 {
     leader::runner_key(name)
 }
+
+/// A received value with its age at the time of reading.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AgedValue<T> {
+    /// The value.
+    pub value: T,
+    /// Time since the facts behind it were true.
+    pub age: std_time::Duration,
+}
+
+/// The demand of this node and, as far as its leader has told, of all others.
+#[derive(Clone, Debug, Default)]
+pub struct DemandView {
+    /// Facts of this node.
+    own: DemandSummary,
+}
+
+impl DemandView {
+    /// Returns the facts of this node.
+    pub fn own(&self) -> &DemandSummary {
+        &self.own
+    }
+
+    /// Replaces the demand of this node by rank; called by admission.
+    pub fn set_ranks(&mut self, ranks: Vec<RankDemand>) {
+        self.own.ranks = ranks;
+    }
+
+    /// Replaces the use of this node by organisation; called by admission.
+    pub fn set_organisations(&mut self, organisations: Vec<OrganisationUse>) {
+        self.own.organisations = organisations;
+    }
+
+    /// Replaces the prompts that this node's requests still have to be read.
+    pub fn set_prompts(&mut self, prompts: Vec<PromptBacklog>) {
+        self.own.prompts = prompts;
+    }
+
+    /// Replaces the traffic of this node's requests between failure domains.
+    pub fn set_links(&mut self, links: Vec<LinkUse>) {
+        self.own.links = links;
+    }
+
+    /// Records that this node saw a runner's process fail; returns whether that is
+    /// news to be told at once.
+    pub fn note_failed(
+        &mut self,
+        runner: leader::RunnerKey,
+        incarnation: id::IncarnationNumber,
+    ) -> bool {
+        let place = self
+            .own
+            .failed
+            .binary_search_by_key(&runner, |failed| failed.runner);
+        let failed = FailedRunner {
+            runner,
+            incarnation,
+            age_ms: 0,
+        };
+        match place {
+            Ok(index) => {
+                let is_new = self.own.failed[index].incarnation != incarnation;
+                self.own.failed[index] = failed;
+                is_new
+            }
+            Err(index) => {
+                self.own.failed.insert(index, failed);
+                true
+            }
+        }
+    }
+
+    /// Returns the demand of all other nodes, or `None` without a summary that is
+    /// recent enough.
+    pub fn others(&self, _now: time::Instant) -> Option<AgedValue<&DemandSummary>> {
+        None
+    }
+}
