--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -94,6 +94,16 @@
     UpstreamRelayed = 221, Warning;
     /// An upstream that was reached through another node is reached directly again.
     UpstreamDirect = 222, Info;
+    /// The leader of its domain found the process of an upstream to have failed; it
+    /// receives no requests.
+    UpstreamFailed = 223, Warning;
+    /// An upstream that had failed receives requests again.
+    UpstreamRegained = 224, Info;
+    /// This leader checked whether the process of an upstream failed.
+    FailureChecked = 225, Info;
+    /// This leader tells of no failed upstreams since too many fail for it at a time, or
+    /// tells of them again.
+    FailuresWithheld = 226, Warning;
     /// A request was refused because its organisation reached its rate limit.
     LimitReached = 300, Info;
     /// A request was refused because it could not be served in time.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -26,11 +26,13 @@
 pub mod core;
 pub mod crash;
 pub mod demand;
+pub mod demand_driver;
 pub mod descriptors;
 pub mod dial;
 pub mod direct;
 pub mod entry;
 pub mod event_stream;
+pub mod failure_watch;
 pub mod fleet;
 pub mod forward;
 pub mod held;
@@ -167,6 +169,7 @@
         )),
         panics::spawn(&core, layout_controller::run),
         panics::spawn(&core, leader_driver::run),
+        panics::spawn(&core, demand_driver::run),
         panics::spawn(&core, survey::run),
         panics::spawn(&core, suspects::run),
         panics::spawn(&core, suspects::learn),
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -14,6 +14,7 @@
 use crate::gateway::demand;
 use crate::gateway::dial;
 use crate::gateway::direct;
+use crate::gateway::failure_watch;
 use crate::gateway::fleet;
 use crate::gateway::leader;
 use crate::gateway::metrics;
@@ -73,6 +74,8 @@
     pub loads: sync::Mutex<leader::LoadView>,
     /// Demand of all nodes for scarce room, as far as reported.
     pub demand: sync::Mutex<demand::DemandView>,
+    /// Runners of this node's domain that may have failed, while this node leads it.
+    pub failures: sync::Mutex<failure_watch::FailureWatch>,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Recent checks of runners that may have died during a run.
@@ -164,6 +167,7 @@
             members,
             loads: sync::Mutex::default(),
             demand: sync::Mutex::default(),
+            failures: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
@@ -632,6 +636,28 @@
         );
     }
 
+    /// Applies the runners, sorted by key, that a leader found to have failed; none of
+    /// them gets requests until `hold` after it was last seen to fail.
+    pub fn apply_failed(&self, failed: &[demand::FailedRunner], hold: std_time::Duration) {
+        let now = time::Instant::now();
+        let mut fleet = lock(&self.fleet);
+        let changes = fleet.set_failed(failed, hold, now);
+        let count = fleet.failed_count(now);
+        drop(fleet);
+        self.metrics.failed_runners.set(count as i64);
+        changes
+            .into_iter()
+            .for_each(|change| self.record_change(change));
+    }
+
+    /// Records that this node saw a runner's process fail, to be told to its leader.
+    pub fn note_failed(&self, process: &suspect::CrashId) {
+        if self.settings.share_demand {
+            let key = leader::runner_key(&process.upstream);
+            lock(&self.demand).note_failed(key, process.incarnation);
+        }
+    }
+
     fn record_change(&self, change: fleet::FleetChange) {
         match change {
             fleet::FleetChange::Found(id, detail) => {
@@ -656,6 +682,13 @@
             fleet::FleetChange::Changed(id, detail) => {
                 self.note(event::EventCode::UpstreamChanged, &id, detail);
             }
+            fleet::FleetChange::Failed(id, age) => {
+                let detail = format!("age_ms={}", age.as_millis());
+                self.note(event::EventCode::UpstreamFailed, &id, detail);
+            }
+            fleet::FleetChange::Regained(id) => {
+                self.note(event::EventCode::UpstreamRegained, &id, "");
+            }
             fleet::FleetChange::Unreadable(id, reason) => {
                 self.note(event::EventCode::UpstreamUnreadable, &id, reason);
             }
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -7,6 +7,7 @@
 use arbutusfold_platform::{runner, store};
 use tokio::time;
 
+use crate::gateway::demand;
 use crate::gateway::leader;
 use crate::gateway::mirror;
 use crate::id;
@@ -117,6 +118,8 @@
     avoided_until: Option<time::Instant>,
     /// Until when no process is assumed to listen at its address.
     unreachable_until: Option<time::Instant>,
+    /// Until when its process is assumed to have failed, as a leader found.
+    failed_until: Option<time::Instant>,
     /// When this node last checked whether a process listens there.
     checked_at: Option<time::Instant>,
     /// Set when it answered that it does not hold the layers of its entry;
@@ -157,9 +160,10 @@
     }
 
     /// Returns whether it refused a connection a short time ago, which shows that its
-    /// process does not exist.
+    /// process does not exist, or a leader found its process to have failed.
     pub fn is_unreachable(&self, now: time::Instant) -> bool {
-        self.unreachable_until.is_some_and(|until| now < until)
+        let until = self.unreachable_until.max(self.failed_until);
+        until.is_some_and(|until| now < until)
     }
 
     /// Returns whether its entry or one of its answers says that it leaves.
@@ -208,6 +212,11 @@
     Changed(id::UpstreamName, String),
     /// An entry could not be decoded or names a node; its runner is dropped.
     Unreadable(id::UpstreamName, String),
+    /// A leader found a runner's process to have failed; with the time since it was
+    /// last seen to fail.
+    Failed(id::UpstreamName, std_time::Duration),
+    /// A leader does not count a runner as failed any more.
+    Regained(id::UpstreamName),
 }
 
 /// The runners of all services.
@@ -416,6 +425,41 @@
         Some(UNREACHABLE_TIME)
     }
 
+    /// Applies the runners, sorted by key, whose processes a leader found to have
+    /// failed. Each of them gets no requests until `hold` after it was last seen to
+    /// fail, unless its entry tells of a new process before; the others get requests
+    /// again. Returns the changes.
+    pub fn set_failed(
+        &mut self,
+        failed: &[demand::FailedRunner],
+        hold: std_time::Duration,
+        now: time::Instant,
+    ) -> Vec<FleetChange> {
+        let states = self.runners.iter_mut();
+        let changes = states.filter_map(|state| {
+            let found = failed.binary_search_by_key(&state.key, |failed| failed.runner);
+            let incarnation = state.record.started_ms.unwrap_or(0);
+            let found = found.ok().map(|index| failed[index]);
+            let found = found.filter(|failed| failed.incarnation == incarnation);
+            let age = found.map(|failed| std_time::Duration::from_millis(failed.age_ms.into()));
+            let age = age.filter(|age| *age < hold);
+            let until = age.map(|age| now + (hold - age));
+            let was_failed = std::mem::replace(&mut state.failed_until, until).is_some();
+            match age {
+                Some(age) if !was_failed => Some(FleetChange::Failed(state.record.id.clone(), age)),
+                None if was_failed => Some(FleetChange::Regained(state.record.id.clone())),
+                _ => None,
+            }
+        });
+        changes.collect()
+    }
+
+    /// Returns the number of runners that a leader found to have failed.
+    pub fn failed_count(&self, now: time::Instant) -> usize {
+        let is_failed = |state: &&RunnerState| state.failed_until.is_some_and(|until| now < until);
+        self.runners.iter().filter(is_failed).count()
+    }
+
     /// Returns whether this node should check now whether a process listens at the
     /// address of a runner; it returns `true` at most once in a while.
     pub fn begin_check(&mut self, id: &str, now: time::Instant) -> bool {
@@ -526,6 +570,7 @@
                     state.failure_rate = 0.0;
                     state.end_failures();
                     state.unreachable_until = None;
+                    state.failed_until = None;
                     state.checked_at = None;
                     state.last_progress = None;
                     state.limit = None;
@@ -558,6 +603,7 @@
                     failing_until: None,
                     avoided_until: None,
                     unreachable_until: None,
+                    failed_until: None,
                     checked_at: None,
                     layers_missing: false,
                     answered_leaving: false,
--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
+use crate::gateway::demand;
 use crate::id;
 use crate::member;
 
@@ -24,7 +25,7 @@
 const PERIOD_PER_NODE: std_time::Duration = std_time::Duration::from_millis(7);
 
 /// Periods after which a received summary expires.
-const EXPIRY_PERIODS: u32 = 5;
+pub const EXPIRY_PERIODS: u32 = 5;
 
 /// Standard deviations of its own load that a node attributes to noise; only
 /// what exceeds them counts as growth.
@@ -76,7 +77,10 @@
 }
 
 /// A message between the nodes and the leaders of failure domains.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Variants are encoded by their position, so new ones go behind the last; a release
+/// that does not know one drops the message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LeaderMessage {
     /// Sent by a node to its leader: the node's own requests in flight.
     NodeLoads(Vec<RunnerLoad>),
@@ -84,6 +88,23 @@
     DomainSummary(LoadSummary),
     /// Sent by a leader to the nodes of its domain: the summary of all domains.
     FleetSummary(LoadSummary),
+    /// Sent by a node to its leader: the node's own demand. A leader sends what its
+    /// nodes saw fail of another domain to that domain's leader in the same way.
+    NodeDemand(demand::DemandSummary),
+    /// Sent by a leader to the other leaders: the demand of its domain.
+    DomainDemand(demand::DemandSummary),
+    /// Sent by a leader to the nodes of its domain: the demand of all domains.
+    FleetDemand(demand::DemandSummary),
+}
+
+impl LeaderMessage {
+    /// Returns whether the message is about demand rather than load.
+    pub fn is_demand(&self) -> bool {
+        matches!(
+            self,
+            Self::NodeDemand(_) | Self::DomainDemand(_) | Self::FleetDemand(_)
+        )
+    }
 }
 
 /// Load and store state, summed over a domain or over the fleet.
@@ -131,7 +152,7 @@
 }
 
 impl LoadView {
-    /// Stores a message from a node or a leader.
+    /// Stores a message from a node or a leader. Messages about demand are ignored.
     pub fn receive(&mut self, host: &str, message: LeaderMessage, now: time::Instant) {
         let received = |summary| ReceivedSummary {
             host: host.to_owned(),
@@ -151,6 +172,9 @@
                 self.fleet = Some(received(summary));
                 self.counted = total(&self.sent);
             }
+            LeaderMessage::NodeDemand(_)
+            | LeaderMessage::DomainDemand(_)
+            | LeaderMessage::FleetDemand(_) => {}
         }
     }
 
--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::core;
 use crate::gateway::core::lock;
+use crate::gateway::demand_driver;
 use crate::gateway::leader;
 use crate::gateway::replication;
 use crate::gateway::versions;
@@ -22,6 +23,7 @@
         time::sleep(period).await;
         lock(&core.loads).expire(period, time::Instant::now());
         send_update(&core);
+        demand_driver::tick(&core, period);
     }
 }
 
@@ -97,11 +99,14 @@
         let Ok((message, named)) = versions::decode::<leader::LeaderMessage>(body) else {
             return;
         };
+        if message.is_demand() {
+            return demand_driver::receive(&self.core, sender, message);
+        }
         let is_fleet_summary = matches!(message, leader::LeaderMessage::FleetSummary(_));
         let version = match &message {
             leader::LeaderMessage::FleetSummary(summary)
             | leader::LeaderMessage::DomainSummary(summary) => summary.store_version,
-            leader::LeaderMessage::NodeLoads(_) => 0,
+            _ => 0,
         };
         let now = time::Instant::now();
         lock(&self.core.loads).receive(sender, message, now);
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -112,6 +112,13 @@
     pub store_calls: counter::Counter,
     /// Panics, each of which ended a task or the handling of a request.
     pub panics: counter::Counter,
+    /// Runners to which this node sends nothing because a leader found them to have
+    /// failed.
+    pub failed_runners: gauge::Gauge,
+    /// Failures of runners that were withdrawn again.
+    pub failures_withdrawn: counter::Counter,
+    /// Bytes of demand sent to other nodes.
+    pub demand_bytes: counter::Counter,
     /// Messages between nodes.
     pub transport: peer::TransportMetrics,
     /// Tunnels between nodes.
@@ -146,6 +153,9 @@
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
             panics: counter::Counter::default(),
+            failed_runners: gauge::Gauge::default(),
+            failures_withdrawn: counter::Counter::default(),
+            demand_bytes: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
             tunnels: TunnelMetrics::default(),
             document_version: gauge::Gauge::default(),
@@ -187,6 +197,21 @@
         registry.register("orders", "Orders sent to runners", set.orders.clone());
         registry.register("store_calls", "Calls to the store", set.store_calls.clone());
         registry.register("panics", "Panics of tasks", set.panics.clone());
+        registry.register(
+            "failed_runners",
+            "Runners that a leader found to have failed",
+            set.failed_runners.clone(),
+        );
+        registry.register(
+            "failures_withdrawn",
+            "Failures of runners that were withdrawn",
+            set.failures_withdrawn.clone(),
+        );
+        registry.register(
+            "demand_bytes",
+            "Bytes of demand sent to other nodes",
+            set.demand_bytes.clone(),
+        );
         set.transport.register(registry);
         set.tunnels.register(registry);
         let version = set.document_version.clone();
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -406,6 +406,7 @@
     let (id, started_ms) = (&process.upstream, process.incarnation);
     let pause = lock(&core.fleet).note_unreachable(id, started_ms, time::Instant::now());
     if let Some(pause) = pause {
+        core.note_failed(process);
         let detail = format!("request={request} pause_ms={}", pause.as_millis());
         core.note(event::EventCode::UpstreamUnreachable, id, detail);
     }
