Check the runners of a silent stream by connections, and replace those that are lost

A stream that is silent for half of its objective opens a connection to each stage without recent progress. A stage that does not answer, while another runner does, is replaced at once, and the other streams of the host on that runner are woken. Streams that are expected to outlive a leaving runner are moved before it ends. A reroute that is refused for want of room tries another substitute.

Off unless `probe_stages` and `drain_ms` are set.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -66,6 +66,8 @@
     RunHeld = 207, Info;
     /// A silent run went on.
     RunRegained = 208, Info;
+    /// The runners of a silent stream were checked.
+    StreamChecked = 209, Info;
     /// An upstream appeared or became reachable.
     UpstreamFound = 210, Info;
     /// An upstream became unreachable or disappeared.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -56,6 +56,8 @@
 pub mod runner_limit;
 pub mod selector;
 pub mod settings;
+pub mod stage_check;
+pub mod stage_probe;
 pub mod stall;
 pub mod store_watch;
 pub mod stream;
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -25,6 +25,7 @@
 use crate::gateway::routing;
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
+use crate::gateway::stage_probe;
 use crate::gateway::store_watch;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
@@ -67,6 +68,8 @@
     pub fleet: sync::Arc<sync::Mutex<fleet::RunnerFleet>>,
     /// Opens connections to runners.
     pub dialer: sync::Arc<dyn dial::RunnerDialer>,
+    /// Checks the runners of silent streams.
+    pub prober: stage_probe::StageProber,
     /// Opens connections to runners for other nodes.
     pub relay_server: relay_server::RelayServer,
     /// Load of all nodes on the runners, as far as reported.
@@ -155,6 +158,7 @@
                 sync::Arc::clone(&direct),
                 Some(relay),
             )),
+            prober: stage_probe::StageProber::new(sync::Arc::clone(&direct)),
             relay_server: relay_server::RelayServer::new(
                 context,
                 direct,
--- a/arbutusfold/src/gateway/direct.rs
+++ b/arbutusfold/src/gateway/direct.rs
@@ -14,6 +14,7 @@
 use crate::event;
 use crate::gateway::dial;
 use crate::gateway::reach;
+use crate::gateway::stage_check;
 use crate::id;
 
 /// Timeout of an attempt that only finds out whether a runner is reached directly.
@@ -100,13 +101,7 @@
         let now = time::Instant::now();
         match connected {
             Ok(bytes) => {
-                let regained = self.book().note_reached(address, now - started, now);
-                if let Some(loss) = regained {
-                    let detail = format!("relayed_ms={}", loss.age.as_millis());
-                    let code = event::EventCode::UpstreamDirect;
-                    let subject = self.context.runner_name(address);
-                    self.context.recorder.record(code, &subject, detail);
-                }
+                self.note_reached(address, now - started, now);
                 Ok(dial::RunnerConnection { bytes, via: None })
             }
             Err(error) => {
@@ -122,6 +117,43 @@
         }
     }
 
+    /// Opens a connection to a runner within `limit` and closes it at once. A missing
+    /// answer does not count as a lost way, since the limit is short.
+    pub async fn check(
+        &self,
+        address: net::SocketAddr,
+        limit: std_time::Duration,
+    ) -> stage_check::StageAnswer {
+        let started = time::Instant::now();
+        let connected = time::timeout(limit, self.opener.connect(address)).await;
+        let now = time::Instant::now();
+        match connected {
+            Ok(Ok(_)) => {
+                self.note_reached(address, now - started, now);
+                stage_check::StageAnswer::Accepted
+            }
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                stage_check::StageAnswer::Refused
+            }
+            _ => stage_check::StageAnswer::Silent,
+        }
+    }
+
+    /// Returns when a runner last accepted a direct connection.
+    pub fn reached_at(&self, address: net::SocketAddr) -> Option<time::Instant> {
+        self.book().reached_at(address)
+    }
+
+    fn note_reached(&self, address: net::SocketAddr, took: std_time::Duration, now: time::Instant) {
+        let regained = self.book().note_reached(address, took, now);
+        if let Some(loss) = regained {
+            let detail = format!("relayed_ms={}", loss.age.as_millis());
+            let code = event::EventCode::UpstreamDirect;
+            let subject = self.context.runner_name(address);
+            self.context.recorder.record(code, &subject, detail);
+        }
+    }
+
     /// Connects to a runner again after another one was reached, so that a failure
     /// is not due to this node's own way.
     ///
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -125,6 +125,8 @@
     /// Whether an answer of its process said that it leaves. Its entry may not
     /// show that yet.
     answered_leaving: bool,
+    /// When this node first knew that it leaves.
+    leaving_since: Option<time::Instant>,
     /// End of the grace period if its entry was removed around an outage.
     grace_end: Option<time::Instant>,
     /// Its limit, if an answer ever named one.
@@ -356,6 +358,37 @@
         }
     }
 
+    /// Returns when the latest event of any stream through a runner arrived.
+    pub fn progressed_at(&self, id: &str) -> Option<time::Instant> {
+        self.get(id)?.last_progress
+    }
+
+    /// Returns since when this node knows that the process of a runner leaves, if it
+    /// does.
+    pub fn leaving_since(
+        &self,
+        id: &str,
+        started_ms: id::IncarnationNumber,
+    ) -> Option<time::Instant> {
+        let state = self.get(id)?;
+        let is_same = state.record.started_ms.unwrap_or(0) == started_ms;
+        state.leaving_since.filter(|_| is_same)
+    }
+
+    /// Returns whether the process of a runner that started at `started_ms` is known
+    /// not to exist any more: nothing listens at its address, or the entry names a
+    /// later process.
+    pub fn is_gone(&self, id: &str, started_ms: id::IncarnationNumber, now: time::Instant) -> bool {
+        let Some(state) = self.get(id) else {
+            return false;
+        };
+        let known = state.record.started_ms.unwrap_or(0);
+        match known == started_ms {
+            true => state.is_unreachable(now),
+            false => started_ms != 0 && known > started_ms,
+        }
+    }
+
     /// Returns the time since the latest event of any stream through a runner,
     /// or `None` if there was none.
     pub fn silence(&self, id: &str, now: time::Instant) -> Option<std_time::Duration> {
@@ -486,6 +519,7 @@
         state.is_some_and(|state| {
             let was_leaving = state.is_leaving();
             state.answered_leaving = true;
+            state.leaving_since.get_or_insert_with(time::Instant::now);
             !was_leaving
         })
     }
@@ -532,6 +566,10 @@
                     state.paused_until = None;
                     state.refused_until = None;
                     state.answered_leaving = false;
+                    state.leaving_since = None;
+                }
+                if record.leaving {
+                    state.leaving_since.get_or_insert_with(time::Instant::now);
                 }
                 let detail = describe(&record);
                 state.layers_missing &= !changed;
@@ -546,6 +584,7 @@
             }
             Err(index) => {
                 let change = FleetChange::Found(record.id.clone(), describe(&record));
+                let leaving_since = record.leaving.then(time::Instant::now);
                 let state = RunnerState {
                     key: leader::runner_key(&record.id),
                     record,
@@ -561,6 +600,7 @@
                     checked_at: None,
                     layers_missing: false,
                     answered_leaving: false,
+                    leaving_since,
                     grace_end: None,
                     limit: None,
                     paused_until: None,
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -35,6 +35,13 @@
     pub cause: &'static str,
 }
 
+/// Labels of the counter of streams that were moved to other runners.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RerouteLabels {
+    /// Why the runners were replaced.
+    pub cause: String,
+}
+
 /// Labels of the counter of refused tunnels.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TunnelRefusalLabels {
@@ -104,6 +111,12 @@
     pub limit_denials: counter::Counter,
     /// Streams resumed on another path.
     pub resumed: counter::Counter,
+    /// Running streams moved to other runners, by cause.
+    pub rerouted: family::Family<RerouteLabels, counter::Counter>,
+    /// Checks of the runners of a silent stream.
+    pub stage_checks: counter::Counter,
+    /// Connections that these checks opened to the runners of the stream.
+    pub stage_connections: counter::Counter,
     /// Callers that disconnected before the end of their response.
     pub abandoned: counter::Counter,
     /// Orders sent to runners.
@@ -142,6 +155,9 @@
             limit_permits: counter::Counter::default(),
             limit_denials: counter::Counter::default(),
             resumed: counter::Counter::default(),
+            rerouted: family::Family::default(),
+            stage_checks: counter::Counter::default(),
+            stage_connections: counter::Counter::default(),
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
@@ -179,6 +195,21 @@
             set.limit_denials.clone(),
         );
         registry.register("resumed", "Streams resumed elsewhere", set.resumed.clone());
+        registry.register(
+            "rerouted",
+            "Running streams moved to other runners, by cause",
+            set.rerouted.clone(),
+        );
+        registry.register(
+            "stage_checks",
+            "Checks of the runners of a silent stream",
+            set.stage_checks.clone(),
+        );
+        registry.register(
+            "stage_connections",
+            "Connections that such checks opened",
+            set.stage_connections.clone(),
+        );
         registry.register(
             "abandoned",
             "Callers that left early",
--- a/arbutusfold/src/gateway/reach.rs
+++ b/arbutusfold/src/gateway/reach.rs
@@ -79,6 +79,11 @@
         self.is_lost(address, now) && !is_confirmed
     }
 
+    /// Returns when the latest direct attempt that succeeded did so.
+    pub fn reached_at(&self, address: net::SocketAddr) -> Option<time::Instant> {
+        self.get(address)?.reached_at
+    }
+
     /// Records that the latest failure is not due to this node.
     pub fn note_confirmed(&mut self, address: net::SocketAddr, now: time::Instant) {
         self.get_mut(address, now).confirmed_at = Some(now);
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -26,6 +26,7 @@
 use crate::gateway::runner_call;
 use crate::gateway::runner_limit;
 use crate::gateway::selector;
+use crate::gateway::stage_check;
 use crate::gateway::trial;
 use crate::id;
 use crate::suspect;
@@ -402,7 +403,11 @@
 }
 
 /// Records that nothing listens at the address of a runner's process.
-fn note_unreachable(core: &core::GatewayCore, process: &suspect::CrashId, request: &str) {
+pub(crate) fn note_unreachable(
+    core: &core::GatewayCore,
+    process: &suspect::CrashId,
+    request: &str,
+) {
     let (id, started_ms) = (&process.upstream, process.incarnation);
     let pause = lock(&core.fleet).note_unreachable(id, started_ms, time::Instant::now());
     if let Some(pause) = pause {
@@ -650,11 +655,13 @@
 
     /// Chooses other runners for the silent stages of an attempt.
     ///
-    /// The first stage cannot be replaced, since it holds the connection.
+    /// The first stage cannot be replaced, since it holds the connection. Runners that
+    /// have `refused` are not chosen.
     pub fn choose_reroute(
         &self,
         target: &AttemptTarget,
         silent: &[usize],
+        refused: &[id::UpstreamName],
     ) -> Option<AttemptTarget> {
         let engine = self.table.service(&self.service)?.engine.as_ref()?;
         if silent.contains(&0) || target.path.is_empty() {
@@ -677,7 +684,10 @@
                 to: target.path[index - 1].layers.to,
             };
             let domain = stages.last().map(|stage| stage.domain.clone())?;
-            let other = self.plan_stages(engine, layers, &domain, &target.runners);
+            let chosen = stages.iter().map(|stage| &stage.runner);
+            let excluded = target.runners.iter().chain(refused).chain(chosen);
+            let excluded: Vec<_> = excluded.cloned().collect();
+            let other = self.plan_stages(engine, layers, &domain, &excluded);
             stages.extend(other.ok()?);
         }
         AttemptTarget::new(stages, engine, self.context_tokens(engine))
@@ -763,6 +773,23 @@
         self.prompt_tokens(engine) + self.answer_tokens(engine)
     }
 
+    /// Returns how far the answer has come after `events` events in `elapsed`, or `None`
+    /// if the service is no model.
+    pub fn progress(
+        &self,
+        events: u64,
+        elapsed: std_time::Duration,
+    ) -> Option<stage_check::StreamProgress> {
+        let engine = self.table.service(&self.service)?.engine.as_ref()?;
+        Some(stage_check::StreamProgress {
+            expected_tokens: self.answer_tokens(engine),
+            token_limit: self.head.answer_limit.map_or(f64::MAX, f64::from),
+            tokens: events * u64::from(engine.event_tokens.max(1)),
+            events,
+            elapsed,
+        })
+    }
+
     /// Returns the expected length of the answer in tokens.
     fn answer_tokens(&self, engine: &document::EngineSpec) -> f64 {
         let limit = self.head.answer_limit.map_or(f64::MAX, f64::from);
--- a/arbutusfold/src/gateway/settings.rs
+++ b/arbutusfold/src/gateway/settings.rs
@@ -72,6 +72,15 @@
     #[serde(default = "default_retry_window")]
     #[serde_as(as = "serde_with::DurationSecondsWithFrac<f64>")]
     pub retry_window_s: time::Duration,
+    /// Whether the runners of a stream that falls silent are checked by connections,
+    /// and those that do not answer replaced, before the stream is late.
+    #[serde(default)]
+    pub probe_stages: bool,
+    /// Time for which a runner that leaves still serves. Streams that are expected to
+    /// last longer are moved to other runners before; absent, they are not.
+    #[serde(default)]
+    #[serde_as(as = "Option<serde_with::DurationMilliSecondsWithFrac<f64>>")]
+    pub drain_ms: Option<time::Duration>,
 }
 
 /// A gateway needs a few dozen descriptors for listeners, peers and the store.
@@ -106,6 +115,8 @@
     check::FieldSpec::optional("retry_share", check::FieldKind::Decimal(0.0, 10.0)),
     check::FieldSpec::optional("retry_extra", check::FieldKind::Decimal(0.0, RETRY_LIMIT)),
     check::FieldSpec::optional("retry_window_s", SECONDS),
+    check::FieldSpec::optional("probe_stages", check::FieldKind::Flag),
+    check::FieldSpec::optional("drain_ms", MILLISECONDS),
 ];
 
 fn default_answer_keep() -> time::Duration {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -5,11 +5,13 @@
 
 use arbutusfold_platform::{head, link, order};
 use bytes::Bytes;
+use derive_more::Display;
 use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
+use futures_util::future::{self, BoxFuture};
 use http_body_util::BodyExt;
 use hyper::body;
-use tokio::sync::mpsc;
+use rand::RngExt;
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 
 use crate::event;
@@ -18,9 +20,12 @@
 use crate::gateway::event_stream;
 use crate::gateway::forward;
 use crate::gateway::held;
+use crate::gateway::metrics;
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::runner_call;
+use crate::gateway::stage_check;
+use crate::gateway::stage_probe;
 use crate::gateway::stall;
 use crate::id;
 
@@ -36,6 +41,12 @@
 /// Most reroutes of one attempt.
 const REROUTE_LIMIT: u32 = 3;
 
+/// Most reroutes of one attempt away from runners that leave.
+const LEAVE_REROUTE_LIMIT: u32 = 3;
+
+/// Most orders of one reroute: substitutes may have no room.
+const SUBSTITUTE_LIMIT: u32 = 3;
+
 /// Most events buffered for a slow caller.
 const EVENT_BUFFER: usize = 32;
 
@@ -73,6 +84,44 @@
     report_requested: Option<time::Instant>,
     /// Number of reroutes so far.
     reroutes: u32,
+    /// Number of attempts so far to move the stream away from runners that leave.
+    leave_reroutes: u32,
+    /// When the stages were last checked.
+    checked_at: Option<time::Instant>,
+    /// Earliest time of the next such check.
+    check_at: time::Instant,
+    /// Changes when other streams find that runners have failed.
+    failures: watch::Receiver<u64>,
+    /// When to decide whether the stream stays on a stage that leaves.
+    leave_at: Option<time::Instant>,
+    /// When this attempt had its first event, and the events since the start.
+    first_event_at: Option<time::Instant>,
+    events: u64,
+}
+
+/// Why runners of a running stream are replaced.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum RerouteCause {
+    /// They do not answer.
+    #[display("failed")]
+    Failed,
+    /// No stream makes progress through them, or the first runner waits for them.
+    #[display("silent")]
+    Silent,
+    /// They leave before the stream is expected to end.
+    #[display("leaving")]
+    Leaving,
+}
+
+/// What ended a wait for the next event.
+enum StreamWake {
+    Read(StreamRead),
+    /// A check found the stages at these indices to have failed.
+    Checked(Vec<usize>),
+    /// Another stream found that a runner has failed.
+    Failure,
+    /// A decision is due.
+    Due,
 }
 
 /// Result of reading the next event of an attempt.
@@ -445,7 +494,8 @@
     let guard = request::LoadGuard::new(&request.core, &target);
     match request.send(&target, cursor.last()).await {
         request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
-            let attempt = StreamAttempt::new(response, link, guard, target);
+            let failures = request.core.prober.failures();
+            let attempt = StreamAttempt::new(response, link, guard, target, failures);
             attempt.first_event(request, cursor).await
         }
         request::AttemptOutcome::Head { response, link } => {
@@ -466,7 +516,8 @@
         request::AttemptOutcome::Silent { answer, cause } => {
             request.note_held(&target, &cause);
             let id = request.head.request.clone();
-            let run = wait_head(id, answer, guard, target, cursor, is_resumption);
+            let failures = request.core.prober.failures();
+            let run = wait_head(id, answer, guard, target, cursor, is_resumption, failures);
             AttemptEnd::Silent(run.boxed(), cause)
         }
         request::AttemptOutcome::Unanswered { reach, cause } => AttemptEnd::Failed(reach, cause),
@@ -483,6 +534,7 @@
     target: request::AttemptTarget,
     cursor: event_stream::EventCursor,
     is_resumption: bool,
+    failures: watch::Receiver<u64>,
 ) -> HeldEnd {
     let (response, link) = match answer.wait_valid(&id).await {
         Ok(answered) => answered,
@@ -500,18 +552,59 @@
         };
         return Err(fault.at(target, false));
     }
-    let attempt = StreamAttempt::new(response, link, guard, target);
+    let attempt = StreamAttempt::new(response, link, guard, target, failures);
     attempt.wait_silent(cursor).await
 }
 
+/// Reads the next event of a body. May be cancelled.
+async fn read_event(
+    body: &mut body::Incoming,
+    splitter: &mut event_stream::EventSplitter,
+) -> StreamRead {
+    let broken = |cause: &str, sign| StreamRead::Broken(held::RunFault::ran(cause, sign));
+    loop {
+        if let Some(event) = splitter.next_event() {
+            return StreamRead::Event(event);
+        }
+        if splitter.is_over_limit() {
+            return broken("an event is too long", None);
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    splitter.push(bytes);
+                }
+            }
+            Some(Err(error)) if link::is_way_lost(&error) => {
+                let cause = format!("the way to the runner broke: {error}");
+                return StreamRead::Broken(held::RunFault {
+                    is_blamed: false,
+                    ..held::RunFault::ran(cause, None)
+                });
+            }
+            Some(Err(error)) => {
+                let cause = format!("the runner broke off: {error}");
+                return broken(&cause, Some(crash::CrashSign::Body));
+            }
+            None if splitter.is_partial() => {
+                let cause = "the runner ended in the middle of an event";
+                return broken(cause, Some(crash::CrashSign::Body));
+            }
+            None => return StreamRead::Ended,
+        }
+    }
+}
+
 impl StreamAttempt {
     fn new(
         response: http::Response<body::Incoming>,
         link: link::HttpLink,
         guard: request::LoadGuard,
         target: request::AttemptTarget,
+        failures: watch::Receiver<u64>,
     ) -> Self {
         let (parts, body) = response.into_parts();
+        let now = time::Instant::now();
         Self {
             parts,
             body,
@@ -519,10 +612,17 @@
             guard,
             target,
             splitter: event_stream::EventSplitter::default(),
-            last_event: time::Instant::now(),
+            last_event: now,
             has_events: false,
             report_requested: None,
             reroutes: 0,
+            leave_reroutes: 0,
+            checked_at: None,
+            check_at: now,
+            failures,
+            leave_at: None,
+            first_event_at: None,
+            events: 0,
         }
     }
 
@@ -593,76 +693,197 @@
 
     /// Reads the next event. May be cancelled.
     async fn read(&mut self) -> StreamRead {
-        let broken = |cause: &str, sign| StreamRead::Broken(held::RunFault::ran(cause, sign));
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return StreamRead::Event(event);
-            }
-            if self.splitter.is_over_limit() {
-                return broken("an event is too long", None);
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Some(bytes) = frame.data_ref() {
-                        self.splitter.push(bytes);
-                    }
-                }
-                Some(Err(error)) if link::is_way_lost(&error) => {
-                    let cause = format!("the way to the runner broke: {error}");
-                    return StreamRead::Broken(held::RunFault {
-                        is_blamed: false,
-                        ..held::RunFault::ran(cause, None)
-                    });
-                }
-                Some(Err(error)) => {
-                    let cause = format!("the runner broke off: {error}");
-                    return broken(&cause, Some(crash::CrashSign::Body));
-                }
-                None if self.splitter.is_partial() => {
-                    let cause = "the runner ended in the middle of an event";
-                    return broken(cause, Some(crash::CrashSign::Body));
-                }
-                None => return StreamRead::Ended,
-            }
-        }
+        read_event(&mut self.body, &mut self.splitter).await
     }
 
-    /// Waits for the next event; reroutes the stream if it stalls.
+    /// Waits for the next event; reroutes the stream if it stalls or if a runner of its
+    /// path has failed or leaves.
     async fn step(&mut self, request: &mut request::CallerRequest) -> StreamStep {
+        let mut check = None;
         loop {
-            match time::timeout(SILENCE_CHECK_PERIOD, self.read()).await {
-                Ok(StreamRead::Event(event)) => {
+            let failed = match self.wake(request, &mut check).await {
+                StreamWake::Read(StreamRead::Event(event)) => {
                     request.note_begun();
                     self.note_event(request);
                     return StreamStep::Event(event);
                 }
-                Ok(StreamRead::Broken(fault)) => {
+                StreamWake::Read(StreamRead::Broken(fault)) => {
                     request.note_fault(&self.target, &fault, self.has_events);
                     return StreamStep::Broken(fault.cause);
                 }
-                Ok(StreamRead::Ended) => {
+                StreamWake::Read(StreamRead::Ended) => {
                     self.note_end(request);
                     return StreamStep::Ended;
                 }
-                Err(_) => {
+                StreamWake::Checked(failed) => failed,
+                StreamWake::Failure => stage_probe::known_failures(&request.core, &self.stages()),
+                StreamWake::Due => {
                     if request.time_left().is_zero() {
                         return StreamStep::TimedOut;
                     }
+                    self.leave_early(request).await;
+                    if check.is_none() {
+                        check = self.begin_check(request);
+                    }
+                    if check.is_some() {
+                        continue;
+                    }
                     let Some(silent) = self.find_silent(request).await else {
                         continue;
                     };
-                    for stage in &silent {
-                        let sign = crash::CrashSign::Silence;
-                        request.check_crash(&self.target, *stage, sign, self.has_events);
-                    }
-                    if !self.reroute(request, &silent).await {
-                        return StreamStep::Stalled(silent);
+                    if let Some(step) = self.replace(request, silent, RerouteCause::Silent).await {
+                        return step;
                     }
+                    continue;
                 }
+            };
+            if !failed.is_empty()
+                && let Some(step) = self.replace(request, failed, RerouteCause::Failed).await
+            {
+                return step;
             }
         }
     }
 
+    /// Waits for the next event, the end of `check` or the next decision.
+    async fn wake(
+        &mut self,
+        request: &request::CallerRequest,
+        check: &mut Option<BoxFuture<'static, Vec<usize>>>,
+    ) -> StreamWake {
+        let is_probed = request.core.settings.probe_stages;
+        let mut wake_at = time::Instant::now() + SILENCE_CHECK_PERIOD;
+        if is_probed && check.is_none() {
+            wake_at = wake_at.min(self.check_at);
+        }
+        if let Some(leave_at) = self.leave_at {
+            wake_at = wake_at.min(leave_at);
+        }
+        let checked = async {
+            match check {
+                Some(check) => check.await,
+                None => future::pending().await,
+            }
+        };
+        let failure = async {
+            if !is_probed || self.failures.changed().await.is_err() {
+                future::pending::<()>().await;
+            }
+        };
+        let woken = tokio::select! {
+            biased;
+            read = read_event(&mut self.body, &mut self.splitter) => StreamWake::Read(read),
+            failed = checked => StreamWake::Checked(failed),
+            () = failure => StreamWake::Failure,
+            () = time::sleep_until(wake_at) => StreamWake::Due,
+        };
+        if matches!(woken, StreamWake::Checked(_)) {
+            *check = None;
+        }
+        woken
+    }
+
+    /// Replaces stages at fault; returns how the wait for an event ends if that fails.
+    async fn replace(
+        &mut self,
+        request: &mut request::CallerRequest,
+        silent: Vec<usize>,
+        cause: RerouteCause,
+    ) -> Option<StreamStep> {
+        for stage in &silent {
+            let sign = crash::CrashSign::Silence;
+            request.check_crash(&self.target, *stage, sign, self.has_events);
+        }
+        match self.reroute(request, &silent, cause).await {
+            true => None,
+            false => Some(StreamStep::Stalled(silent)),
+        }
+    }
+
+    /// Returns the processes of the runners on the path.
+    fn stages(&self) -> Vec<crash::RunnerInstance> {
+        let stages = 0..self.target.runners.len();
+        stages
+            .filter_map(|stage| self.target.instance(stage))
+            .collect()
+    }
+
+    /// Begins a check of the stages if one is due.
+    fn begin_check(
+        &mut self,
+        request: &request::CallerRequest,
+    ) -> Option<BoxFuture<'static, Vec<usize>>> {
+        let now = time::Instant::now();
+        if !request.core.settings.probe_stages || now < self.check_at {
+            return None;
+        }
+        let stream = stage_probe::CheckedStream {
+            request: request.head.request.clone(),
+            stages: self.stages(),
+            objective: self.policy(request).expected,
+            last_event: self.last_event,
+        };
+        self.check_at = stage_probe::due_at(&request.core, &stream, self.checked_at);
+        if now < self.check_at {
+            return None;
+        }
+        self.checked_at = Some(now);
+        self.check_at = now + stage_check::CHECK_PERIOD;
+        let core = std::sync::Arc::clone(&request.core);
+        Some(stage_probe::check(core, stream).boxed())
+    }
+
+    /// Moves the stream away from stages that leave, if it is expected to outlive one
+    /// of them.
+    async fn leave_early(&mut self, request: &mut request::CallerRequest) {
+        let now = time::Instant::now();
+        let Some(drain) = request.core.settings.drain_ms else {
+            return;
+        };
+        if self.leave_at.is_none_or(|leave_at| now < leave_at) {
+            return;
+        }
+        self.leave_at = Some(now + stage_check::leave_check_period(drain));
+        let elapsed = self.first_event_at.map(|first| self.last_event - first);
+        let progress = request.progress(self.events, elapsed.unwrap_or_default());
+        let leaving = self.leaving_stages(request);
+        let since = leaving.iter().map(|(_, since)| *since).min();
+        let (Some(progress), Some(since)) = (progress, since) else {
+            return;
+        };
+        let is_outlived = stage_check::outlives(&progress, now - since, drain);
+        if is_outlived && self.leave_reroutes < LEAVE_REROUTE_LIMIT {
+            self.leave_reroutes += 1;
+            let stages: Vec<_> = leaving.iter().map(|(stage, _)| *stage).collect();
+            self.reroute(request, &stages, RerouteCause::Leaving).await;
+        }
+    }
+
+    /// Returns the stages after the first one that leave, and since when each does.
+    fn leaving_stages(&self, request: &request::CallerRequest) -> Vec<(usize, time::Instant)> {
+        let fleet = lock(&request.core.fleet);
+        let runners = self.target.runners.iter().zip(&self.target.incarnations);
+        let stages = runners.enumerate().skip(1);
+        let leaving = stages.filter_map(|(stage, (id, started_ms))| {
+            Some((stage, fleet.leaving_since(id, *started_ms)?))
+        });
+        leaving.collect()
+    }
+
+    /// Sets when to decide whether the stream stays, once a stage leaves.
+    fn note_leaving(&mut self, request: &request::CallerRequest) {
+        let Some(drain) = request.core.settings.drain_ms else {
+            return;
+        };
+        let leaving = self.leaving_stages(request);
+        let since = leaving.iter().map(|(_, since)| *since).min();
+        self.leave_at = since.map(|since| {
+            let spread = rand::rng().random::<f64>();
+            let leave_at = stage_check::leave_check_at(since, drain, spread);
+            self.leave_at.unwrap_or(leave_at)
+        });
+    }
+
     fn note_end(&self, request: &mut request::CallerRequest) {
         request.note_answered();
         let mut fleet = lock(&request.core.fleet);
@@ -676,6 +897,10 @@
         let now = time::Instant::now();
         self.last_event = now;
         self.has_events = true;
+        self.events += 1;
+        self.first_event_at.get_or_insert(now);
+        self.check_at = now + stage_check::patience(self.policy(request).expected);
+        self.note_leaving(request);
         let mut fleet = lock(&request.core.fleet);
         self.target
             .runners
@@ -728,20 +953,57 @@
         }
     }
 
-    /// Replaces the silent runners of a running stream by others; returns whether
-    /// the first runner accepted the new path.
-    async fn reroute(&mut self, request: &mut request::CallerRequest, silent: &[usize]) -> bool {
-        if silent.is_empty() || silent.contains(&0) || self.reroutes >= REROUTE_LIMIT {
+    /// Replaces runners of a running stream by others; returns whether the first runner
+    /// accepted the new path.
+    async fn reroute(
+        &mut self,
+        request: &mut request::CallerRequest,
+        replaced: &[usize],
+        cause: RerouteCause,
+    ) -> bool {
+        let is_planned = cause == RerouteCause::Leaving;
+        let is_spent = self.reroutes >= REROUTE_LIMIT && !is_planned;
+        if replaced.is_empty() || replaced.contains(&0) || is_spent {
             return false;
         }
         if request.is_held_back().await {
             return false;
         }
-        self.reroutes += 1;
-        self.exclude_silent(request, silent);
-        let Some(target) = request.choose_reroute(&self.target, silent) else {
-            return false;
+        if !is_planned {
+            self.reroutes += 1;
+            self.exclude_failed(request, replaced, cause);
+        }
+        let orders = match request.core.settings.probe_stages {
+            true => SUBSTITUTE_LIMIT,
+            false => 1,
         };
+        let mut refused = Vec::new();
+        for _ in 0..orders {
+            let Some(target) = request.choose_reroute(&self.target, replaced, &refused) else {
+                return false;
+            };
+            let answer = self.order_path(request, &target, cause).await;
+            match answer {
+                Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds) => {
+                    self.take_path(request, target, cause);
+                    return true;
+                }
+                Ok(order::OrderAnswer::Conflict) => {
+                    refused.extend(self.added(&target));
+                }
+                _ => return false,
+            }
+        }
+        false
+    }
+
+    /// Orders the first runner to continue on another path.
+    async fn order_path(
+        &self,
+        request: &request::CallerRequest,
+        target: &request::AttemptTarget,
+        cause: RerouteCause,
+    ) -> Result<order::OrderAnswer, String> {
         let reroute_order = order::RunnerOrder::Reroute {
             request: request.head.request.clone(),
             path: target.path.clone(),
@@ -757,32 +1019,58 @@
         )
         .await;
         let detail = format!(
-            "silence_ms={} from={} to={} answer={answer:?}",
+            "silence_ms={} cause={cause} from={} to={} answer={answer:?}",
             self.last_event.elapsed().as_millis(),
             self.target.runners.join(">"),
             target.runners.join(">")
         );
         request.note(event::EventCode::StreamRerouted, detail);
-        let taken = matches!(
-            answer,
-            Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds)
-        );
-        if taken {
-            self.guard = request::LoadGuard::new(&request.core, &target);
-            request.latest_runners = target.runners.join(">");
-            let before = &self.target.runners;
-            let added: Vec<_> = target
-                .runners
+        answer
+    }
+
+    /// Records that the stream goes on through `target`.
+    fn take_path(
+        &mut self,
+        request: &mut request::CallerRequest,
+        target: request::AttemptTarget,
+        cause: RerouteCause,
+    ) {
+        let labels = metrics::RerouteLabels {
+            cause: cause.to_string(),
+        };
+        request.core.metrics.rerouted.get_or_create(&labels).inc();
+        self.guard = request::LoadGuard::new(&request.core, &target);
+        request.latest_runners = target.runners.join(">");
+        request.begin_run(&self.added(&target));
+        self.target = target;
+        // The new stages process all tokens so far before the next event.
+        let now = time::Instant::now();
+        self.last_event = now;
+        self.check_at = now + stage_check::patience(self.policy(request).expected);
+        self.leave_at = None;
+    }
+
+    /// Returns the runners of `target` that are not on the present path.
+    fn added(&self, target: &request::AttemptTarget) -> Vec<id::UpstreamName> {
+        let before = &self.target.runners;
+        let added = target.runners.iter().filter(|id| !before.contains(id));
+        added.cloned().collect()
+    }
+
+    /// Excludes runners at fault and records which ones failed.
+    fn exclude_failed(
+        &self,
+        request: &mut request::CallerRequest,
+        failed: &[usize],
+        cause: RerouteCause,
+    ) {
+        if cause == RerouteCause::Failed {
+            let ids = failed
                 .iter()
-                .filter(|id| !before.contains(id))
-                .cloned()
-                .collect();
-            request.begin_run(&added);
-            self.target = target;
-            // The new stages process all tokens so far before the next event.
-            self.last_event = time::Instant::now();
-        }
-        taken
+                .filter_map(|stage| self.target.runners.get(*stage));
+            ids.for_each(|id| request.note_failed_runner(id, "no connection"));
+        }
+        self.exclude_silent(request, failed);
     }
 
     /// Excludes silent runners; a single one is also recorded as failed.
