--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -38,11 +38,14 @@
 pub mod layout_controller;
 pub mod leader;
 pub mod leader_driver;
+pub mod length;
+pub mod link_budget;
 pub mod metrics;
 pub mod mirror;
 pub mod neighbour;
 pub mod panics;
 pub mod path;
+pub mod path_load;
 pub mod quarantine;
 pub mod race;
 pub mod reach;
@@ -63,6 +66,7 @@
 pub mod suspect_store;
 pub mod suspects;
 pub mod trial;
+pub mod unread;
 pub mod versions;
 
 /// Time allowed for sending the last messages to peers before the sockets close.
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -16,6 +16,8 @@
 use crate::gateway::direct;
 use crate::gateway::fleet;
 use crate::gateway::leader;
+use crate::gateway::length;
+use crate::gateway::link_budget;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::panics;
@@ -28,6 +30,7 @@
 use crate::gateway::store_watch;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
+use crate::gateway::unread;
 use crate::gateway::versions;
 use crate::id;
 use crate::member;
@@ -73,6 +76,12 @@
     pub loads: sync::Mutex<leader::LoadView>,
     /// Demand of all nodes for scarce room, as far as reported.
     pub demand: sync::Mutex<demand::DemandView>,
+    /// Lengths of answers by route.
+    pub lengths: sync::Mutex<length::LengthBook>,
+    /// Prompts that this node sent to runners and that they have not read yet.
+    pub unread: sync::Mutex<unread::UnreadPrompts>,
+    /// Traffic of this node's paths over the links between failure domains.
+    pub links: sync::Mutex<link_budget::LinkMeter>,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Recent checks of runners that may have died during a run.
@@ -164,6 +173,9 @@
             members,
             loads: sync::Mutex::default(),
             demand: sync::Mutex::default(),
+            lengths: sync::Mutex::default(),
+            unread: sync::Mutex::default(),
+            links: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -341,6 +341,13 @@
         }
     }
 
+    /// Adds to the memory of a request on a runner.
+    pub fn grow(&mut self, id: &str, token_layers: u64) {
+        if let Some(state) = self.find_mut(id) {
+            state.token_layers = state.token_layers.saturating_add(token_layers);
+        }
+    }
+
     /// Removes a request from the load on a runner.
     pub fn end(&mut self, id: &str, token_layers: u64) {
         if let Some(state) = self.find_mut(id) {
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -171,6 +171,7 @@
     let body = read_body(body, table.limits().body_bytes, deadline).await?;
     let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
     lock(&core.budget).note_request(&service, started);
+    let last_event = head.resume_after.unwrap_or(0);
     Ok(request::CallerRequest {
         core: sync::Arc::clone(core),
         table,
@@ -196,6 +197,8 @@
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
         has_begun: false,
+        last_event,
+        expected_first_ms: None,
     })
 }
 
--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -7,6 +7,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::leader;
+use crate::gateway::path_load;
 use crate::gateway::replication;
 use crate::gateway::versions;
 use crate::peer;
@@ -20,7 +21,11 @@
         let nodes = members.iter().filter(|record| record.domain == *domain);
         let period = leader::report_period(nodes.count());
         time::sleep(period).await;
-        lock(&core.loads).expire(period, time::Instant::now());
+        let now = time::Instant::now();
+        lock(&core.loads).expire(period, now);
+        if core.settings.share_demand {
+            path_load::publish(&core, now);
+        }
         send_update(&core);
     }
 }
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -110,6 +110,12 @@
     pub orders: counter::Counter,
     /// Calls to the platform's store.
     pub store_calls: counter::Counter,
+    /// Hops between failure domains on chosen paths.
+    pub path_crossings: counter::Counter,
+    /// Reservations of memory that an answer outgrew.
+    pub corrected_reservations: counter::Counter,
+    /// Expected time to the first event on a chosen path, in seconds.
+    pub expected_first_seconds: histogram::Histogram,
     /// Panics, each of which ended a task or the handling of a request.
     pub panics: counter::Counter,
     /// Messages between nodes.
@@ -145,6 +151,9 @@
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
+            path_crossings: counter::Counter::default(),
+            corrected_reservations: counter::Counter::default(),
+            expected_first_seconds: latency(),
             panics: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
             tunnels: TunnelMetrics::default(),
@@ -186,6 +195,21 @@
         );
         registry.register("orders", "Orders sent to runners", set.orders.clone());
         registry.register("store_calls", "Calls to the store", set.store_calls.clone());
+        registry.register(
+            "path_crossings",
+            "Hops between failure domains on chosen paths",
+            set.path_crossings.clone(),
+        );
+        registry.register(
+            "corrected_reservations",
+            "Reservations of memory that an answer outgrew",
+            set.corrected_reservations.clone(),
+        );
+        registry.register(
+            "expected_first_seconds",
+            "Expected time to the first event on a chosen path",
+            set.expected_first_seconds.clone(),
+        );
         registry.register("panics", "Panics of tasks", set.panics.clone());
         set.transport.register(registry);
         set.tunnels.register(registry);
--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -2,9 +2,14 @@
 //!
 //! This is a shortest-path search over the boundaries between layers. The cost of
 //! a stage is the expected time of the request there under the load known now.
+//! Where the unread prompts and the links are known, a path is also judged by the
+//! times that callers see: to the first event and between events.
 
 use arbutusfold_platform::{document, runner};
 
+use crate::gateway::link_budget;
+use crate::gateway::unread;
+
 /// Cost of a path that starts in another failure domain than the node's, in
 /// milliseconds. It keeps traffic local while the load is even.
 const REMOTE_ENTRY_MS: f64 = 40.0;
@@ -32,6 +37,18 @@
 /// Time per event for the hop to each stage, in milliseconds.
 const HOP_MS: f64 = 0.4;
 
+/// Cost of a crossing over a saturated link, in milliseconds. It outweighs ordinary
+/// differences in speed, but not a runner that failed recently.
+const SATURATED_PENALTY_MS: f64 = 8_000.0;
+
+/// Factor on [`FULL_PENALTY_MS`] where crossings are priced by their links. Paths
+/// with several crossings then stay cheaper than a full stage.
+const FULL_FACTOR: f64 = 100.0;
+
+/// Cost of a millisecond by which a path exceeds a limit of [`PathTiming`]. A late
+/// stream loses most of its value, whereas its whole time hardly matters.
+const EXCESS_WEIGHT: f64 = 20.0;
+
 /// A runner as a candidate for a stage of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageCandidate {
@@ -49,10 +66,25 @@
     pub in_flight: f64,
     /// Free memory, in tokens of context times layers.
     pub free_token_layers: f64,
+    /// Prompts sent there and not read yet, over all nodes, in tokens times layers.
+    pub unread_token_layers: f64,
     /// Cost added for past failures, in milliseconds.
     pub penalty_ms: f64,
 }
 
+/// What a path is judged by besides its cost.
+#[derive(Clone, Debug)]
+pub struct PathTiming {
+    /// Longest time to the first event that needs no other path, in milliseconds.
+    pub first_limit_ms: f64,
+    /// Longest pause between events that needs no other path, in milliseconds.
+    pub gap_limit_ms: f64,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// State of the link between each two domains, at index `from * domains + to`.
+    pub links: Vec<link_budget::LinkState>,
+}
+
 /// Request that a path is chosen for.
 #[derive(Clone, Copy, Debug)]
 pub struct PathQuery<'a> {
@@ -67,6 +99,10 @@
     pub prompt: f64,
     /// Expected length of the answer in tokens.
     pub answer: f64,
+    /// Length of the context that needs memory, in tokens.
+    pub context: f64,
+    /// Limits and links, if the path is judged by its times.
+    pub timing: Option<&'a PathTiming>,
 }
 
 /// One stage of a path.
@@ -85,6 +121,42 @@
     pub stages: Vec<PathStage>,
     /// Expected time of the request in milliseconds, with penalties.
     pub cost_ms: f64,
+    /// Part of the cost for full and failing runners, in milliseconds.
+    pub penalty_ms: f64,
+    /// Expected time to the first event in milliseconds.
+    pub first_ms: f64,
+    /// Expected pause between events in milliseconds.
+    pub gap_ms: f64,
+    /// Number of hops between failure domains.
+    pub crossings: u32,
+}
+
+impl ChosenPath {
+    /// Returns by how much the path exceeds the limits, in milliseconds.
+    fn excess_ms(&self, timing: &PathTiming) -> f64 {
+        let over = |time: f64, limit: f64| (time - limit).max(0.0);
+        over(self.first_ms, timing.first_limit_ms) + over(self.gap_ms, timing.gap_limit_ms)
+    }
+}
+
+/// Expected times of a part of a path, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, derive_more::Add, derive_more::AddAssign)]
+struct PartTimes {
+    /// Expected time of the request, with penalties.
+    cost: f64,
+    /// Part of the cost for full and failing runners.
+    penalty: f64,
+    /// Time to the first event.
+    first: f64,
+    /// Pause between events.
+    gap: f64,
+}
+
+impl PartTimes {
+    /// Returns the cost with a price on the time to the first event and on pauses.
+    fn weighed(&self, excess_weight: f64) -> f64 {
+        self.cost + excess_weight * (self.first + self.gap)
+    }
 }
 
 /// The cheapest partial path up to one boundary whose last stage is in one
@@ -101,7 +173,7 @@
 }
 
 /// Chooses the cheapest path over the layers, or `None` if some layer has no
-/// runner.
+/// runner. With a [`PathTiming`], time above its limits costs [`EXCESS_WEIGHT`].
 ///
 /// `jitter` returns factors near 1 that keep nodes from making the same choices.
 pub fn choose(
@@ -109,61 +181,241 @@
     query: &PathQuery<'_>,
     mut jitter: impl FnMut() -> f64,
 ) -> Option<ChosenPath> {
-    let boundaries = layer_boundaries(candidates, query.layers);
-    let last = boundaries.len() - 1;
-    let domains = candidates
-        .iter()
-        .map(|candidate| candidate.domain + 1)
-        .max()?;
-    let factors: Vec<_> = candidates.iter().map(|_| jitter()).collect();
-    let crossing = crossing_ms(query);
-    let mut reached: Vec<Option<ReachedBoundary>> = vec![None; boundaries.len() * domains];
-    for boundary in 0..last {
-        for (index, candidate) in candidates.iter().enumerate() {
-            if boundaries[boundary] < candidate.layers.from
-                || boundaries[boundary] >= candidate.layers.to
-            {
-                continue;
-            }
-            let Some((before, domain_before)) = cheapest_entry(
-                &reached,
-                boundary,
-                domains,
-                candidate.domain,
-                query,
-                crossing,
-            ) else {
-                continue;
-            };
-            for next in boundary + 1..=last {
-                if boundaries[next] > candidate.layers.to {
-                    break;
+    let search = PathSearch {
+        candidates,
+        query,
+        boundaries: layer_boundaries(candidates, query.layers),
+        domains: candidates
+            .iter()
+            .map(|candidate| candidate.domain + 1)
+            .max()?,
+        factors: candidates.iter().map(|_| jitter()).collect(),
+    };
+    let cheapest = search.cheapest(0.0)?;
+    let Some(timing) = query.timing else {
+        return Some(cheapest);
+    };
+    if cheapest.excess_ms(timing) <= 0.0 {
+        return Some(cheapest);
+    }
+    // The excess of a path is no sum over its stages. A price on the whole time is,
+    // and finds the path with the least excess or one close to it.
+    let others = [EXCESS_WEIGHT / 8.0, EXCESS_WEIGHT].map(|weight| search.cheapest(weight));
+    let rank = |chosen: &ChosenPath| chosen.cost_ms + EXCESS_WEIGHT * chosen.excess_ms(timing);
+    others
+        .into_iter()
+        .flatten()
+        .chain([cheapest])
+        .min_by(|one, other| rank(one).total_cmp(&rank(other)))
+}
+
+/// Search for a path over one set of candidates.
+struct PathSearch<'a> {
+    candidates: &'a [StageCandidate],
+    query: &'a PathQuery<'a>,
+    boundaries: Vec<u32>,
+    domains: usize,
+    /// Random factor on the cost of each candidate.
+    factors: Vec<f64>,
+}
+
+impl PathSearch<'_> {
+    /// Returns the path with the least cost, to which the time to the first event and
+    /// the pauses are added with this weight.
+    fn cheapest(&self, excess_weight: f64) -> Option<ChosenPath> {
+        let (boundaries, domains) = (&self.boundaries, self.domains);
+        let last = boundaries.len() - 1;
+        let crossings = self.crossing_costs(excess_weight);
+        let mut reached: Vec<Option<ReachedBoundary>> = vec![None; boundaries.len() * domains];
+        for boundary in 0..last {
+            for (index, candidate) in self.candidates.iter().enumerate() {
+                if boundaries[boundary] < candidate.layers.from
+                    || boundaries[boundary] >= candidate.layers.to
+                {
+                    continue;
                 }
-                let layers = boundaries[next] - boundaries[boundary];
-                let cost = before + factors[index] * stage_ms(candidate, layers, query);
-                let best = &mut reached[next * domains + candidate.domain];
-                if best.is_none_or(|best| cost < best.cost) {
-                    *best = Some(ReachedBoundary {
-                        cost,
-                        candidate: index,
-                        from: boundary,
-                        domain_before,
-                    });
+                let entry = self.cheapest_entry(&reached, boundary, candidate.domain, &crossings);
+                let Some((before, domain_before)) = entry else {
+                    continue;
+                };
+                for next in boundary + 1..=last {
+                    if boundaries[next] > candidate.layers.to {
+                        break;
+                    }
+                    let layers = boundaries[next] - boundaries[boundary];
+                    let cost = before + self.stage(index, layers).weighed(excess_weight);
+                    let best = &mut reached[next * domains + candidate.domain];
+                    if best.is_none_or(|best| cost < best.cost) {
+                        *best = Some(ReachedBoundary {
+                            cost,
+                            candidate: index,
+                            from: boundary,
+                            domain_before,
+                        });
+                    }
                 }
             }
         }
+        let ends = (0..domains).filter_map(|domain| {
+            let end = reached[last * domains + domain]?;
+            Some((end.cost, domain))
+        });
+        let (cost, domain) = ends.min_by(|one, other| one.0.total_cmp(&other.0))?;
+        let steps = backtrack(self.candidates, boundaries, &reached, domains, domain);
+        let chosen = self.measure(steps);
+        Some(match excess_weight > 0.0 {
+            true => chosen,
+            false => ChosenPath {
+                cost_ms: cost,
+                ..chosen
+            },
+        })
+    }
+
+    /// Returns the expected times of the stage at a candidate.
+    fn stage(&self, index: usize, layers: u32) -> PartTimes {
+        let (candidate, query) = (&self.candidates[index], self.query);
+        let factor = self.factors[index];
+        let cost = factor * stage_ms(candidate, layers, query);
+        if query.timing.is_none() {
+            return PartTimes {
+                cost,
+                ..PartTimes::default()
+            };
+        }
+        let pass = pass_ms(candidate, layers, query);
+        let unread = candidate.unread_token_layers + query.prompt * f64::from(layers);
+        let read = unread::read_ms(query.engine, candidate.read_factor, unread);
+        PartTimes {
+            cost,
+            penalty: penalty_ms(candidate, layers, query),
+            first: factor * (read + 1.5 * pass) + HOP_MS,
+            gap: pass + HOP_MS,
+        }
+    }
+
+    /// Returns the expected times of a hop between two domains.
+    fn crossing(&self, from: usize, to: usize) -> PartTimes {
+        if from == to {
+            return PartTimes::default();
+        }
+        let query = self.query;
+        let floor = crossing_ms(query);
+        let Some(timing) = query.timing else {
+            return PartTimes {
+                cost: floor,
+                ..PartTimes::default()
+            };
+        };
+        let link = timing.links.get(from * timing.domains + to).copied();
+        let link = link.unwrap_or_default();
+        let stride = f64::from(query.engine.event_tokens);
+        PartTimes {
+            cost: floor / link.free + SATURATED_PENALTY_MS * f64::from(link.is_saturated),
+            penalty: 0.0,
+            first: transfer_ms(query, query.prompt) / link.free,
+            gap: transfer_ms(query, stride) / link.free,
+        }
+    }
+
+    /// Returns the cost of a hop between each two domains, at index
+    /// `from * domains + to`.
+    fn crossing_costs(&self, excess_weight: f64) -> Vec<f64> {
+        let pairs = 0..self.domains * self.domains;
+        let cost = |pair: usize| {
+            let times = self.crossing(pair / self.domains, pair % self.domains);
+            times.weighed(excess_weight)
+        };
+        pairs.map(cost).collect()
+    }
+
+    /// Returns the cost of the cheapest partial path up to a boundary for a next
+    /// stage in `domain`, and the failure domain of its last stage.
+    fn cheapest_entry(
+        &self,
+        reached: &[Option<ReachedBoundary>],
+        boundary: usize,
+        domain: usize,
+        crossings: &[f64],
+    ) -> Option<(f64, usize)> {
+        if boundary == 0 {
+            return Some((self.entry_ms(domain), domain));
+        }
+        let entries = (0..self.domains).filter_map(|before| {
+            let best = reached[boundary * self.domains + before]?;
+            Some((
+                best.cost + crossings[before * self.domains + domain],
+                before,
+            ))
+        });
+        entries.min_by(|one, other| one.0.total_cmp(&other.0))
+    }
+
+    /// Returns the cost of a path that begins in a domain.
+    fn entry_ms(&self, domain: usize) -> f64 {
+        match self.query.domain == Some(domain) {
+            true => 0.0,
+            false => REMOTE_ENTRY_MS,
+        }
+    }
+
+    /// Returns a path with its times.
+    fn measure(&self, steps: Vec<CandidateStage>) -> ChosenPath {
+        let domain = |step: &CandidateStage| self.candidates[step.candidate].domain;
+        let first = steps
+            .first()
+            .map_or(0.0, |step| self.entry_ms(domain(step)));
+        let mut times = PartTimes {
+            cost: first,
+            ..PartTimes::default()
+        };
+        for step in &steps {
+            times += self.stage(step.candidate, step.stage.layers.len());
+        }
+        let pairs = steps.windows(2);
+        let hops = pairs.map(|pair| (domain(&pair[0]), domain(&pair[1])));
+        let hops: Vec<_> = hops.filter(|(from, to)| from != to).collect();
+        for (from, to) in &hops {
+            times += self.crossing(*from, *to);
+        }
+        ChosenPath {
+            stages: steps.into_iter().map(|step| step.stage).collect(),
+            cost_ms: times.cost,
+            penalty_ms: times.penalty,
+            first_ms: times.first,
+            gap_ms: times.gap,
+            crossings: hops.len() as u32,
+        }
     }
-    let ends = (0..domains).filter_map(|domain| {
-        let end = reached[last * domains + domain]?;
-        Some((end.cost, domain))
-    });
-    let (cost_ms, domain) = ends.min_by(|one, other| one.0.total_cmp(&other.0))?;
-    let stages = backtrack(candidates, &boundaries, &reached, domains, domain);
-    Some(ChosenPath { stages, cost_ms })
+}
+
+/// A stage of a path and its candidate.
+#[derive(Clone, Copy, Debug)]
+struct CandidateStage {
+    /// Index of the candidate.
+    candidate: usize,
+    stage: PathStage,
 }
 
 /// Returns the expected time of a request at a stage, in milliseconds.
 pub fn stage_ms(candidate: &StageCandidate, layers: u32, query: &PathQuery<'_>) -> f64 {
+    let engine = query.engine;
+    let share = f64::from(layers) / f64::from(engine.layers);
+    let events = query.answer / f64::from(engine.event_tokens);
+    let read = unread::read_ms(
+        engine,
+        candidate.read_factor,
+        query.prompt * f64::from(layers),
+    );
+    let batch = candidate.in_flight * share;
+    // A stream usually arrives during a pass and waits for half of it on average.
+    events * (1.5 * pass_ms(candidate, layers, query) + HOP_MS)
+        + read * (1.0 + batch / 2.0)
+        + penalty_ms(candidate, layers, query)
+}
+
+/// Returns the expected time of one pass at a stage, in milliseconds.
+fn pass_ms(candidate: &StageCandidate, layers: u32, query: &PathQuery<'_>) -> f64 {
     let engine = query.engine;
     let share = f64::from(layers) / f64::from(engine.layers);
     let stride = f64::from(engine.event_tokens);
@@ -172,21 +424,23 @@
     // at a stage is the fraction of layers there.
     let batch = candidate.in_flight * share;
     let each = engine.sequence_ms + engine.context_ms * context;
-    let pass = stride * candidate.step_factor * share * (engine.step_ms + each * (batch + 1.0));
-    let events = query.answer / stride;
-    let read = match engine.read_per_second > 0.0 {
-        true => candidate.read_factor * share * query.prompt * 1_000.0 / engine.read_per_second,
-        false => 0.0,
+    stride * candidate.step_factor * share * (engine.step_ms + each * (batch + 1.0))
+}
+
+/// Returns the cost of a stage that is full or fails, in milliseconds.
+fn penalty_ms(candidate: &StageCandidate, layers: u32, query: &PathQuery<'_>) -> f64 {
+    let factor = match query.timing {
+        Some(_) => FULL_FACTOR,
+        None => 1.0,
     };
-    let full = FULL_PENALTY_MS * f64::from(is_full(candidate, layers, query));
-    // A stream usually arrives during a pass and waits for half of it on average.
-    events * (1.5 * pass + HOP_MS) + read * (1.0 + batch / 2.0) + full + candidate.penalty_ms
+    let full = factor * FULL_PENALTY_MS * f64::from(is_full(candidate, layers, query));
+    full + candidate.penalty_ms
 }
 
 /// Returns whether the request does not fit into the memory of a stage with this
 /// many layers.
 pub fn is_full(candidate: &StageCandidate, layers: u32, query: &PathQuery<'_>) -> bool {
-    (query.prompt + query.answer) * f64::from(layers) > candidate.free_token_layers
+    query.context * f64::from(layers) > candidate.free_token_layers
 }
 
 fn layer_boundaries(candidates: &[StageCandidate], layers: runner::LayerSpan) -> Vec<u32> {
@@ -202,35 +456,18 @@
     boundaries
 }
 
-/// Returns the cost of a hop between failure domains, in milliseconds.
+/// Returns the cost of a hop between failure domains over an idle link, in
+/// milliseconds.
 fn crossing_ms(query: &PathQuery<'_>) -> f64 {
-    let Some(link_mbps) = query.engine.link_mbps.filter(|pipe| *pipe > 0.0) else {
-        return 0.0;
-    };
-    let bytes = query.engine.activation_bytes * (query.prompt + query.answer);
-    PIPE_CONTENTION_FACTOR * bytes * 8.0 / (link_mbps * 1_000.0)
+    PIPE_CONTENTION_FACTOR * transfer_ms(query, query.prompt + query.answer)
 }
 
-/// Returns the cost of the cheapest partial path up to a boundary for a next
-/// stage in `domain`, and the failure domain of its last stage.
-fn cheapest_entry(
-    reached: &[Option<ReachedBoundary>],
-    boundary: usize,
-    domains: usize,
-    domain: usize,
-    query: &PathQuery<'_>,
-    crossing: f64,
-) -> Option<(f64, usize)> {
-    if boundary == 0 {
-        let near = query.domain == Some(domain);
-        return Some((if near { 0.0 } else { REMOTE_ENTRY_MS }, domain));
-    }
-    let entries = (0..domains).filter_map(|before| {
-        let best = reached[boundary * domains + before]?;
-        let crossed = if before == domain { 0.0 } else { crossing };
-        Some((best.cost + crossed, before))
-    });
-    entries.min_by(|one, other| one.0.total_cmp(&other.0))
+/// Returns the time for the activations of tokens on an idle link between failure
+/// domains, in milliseconds.
+fn transfer_ms(query: &PathQuery<'_>, tokens: f64) -> f64 {
+    let link_mbps = query.engine.link_mbps.filter(|link| *link > 0.0);
+    let bytes = query.engine.activation_bytes * tokens;
+    link_mbps.map_or(0.0, |link| bytes * 8.0 / (link * 1_000.0))
 }
 
 fn backtrack(
@@ -239,24 +476,28 @@
     reached: &[Option<ReachedBoundary>],
     domains: usize,
     mut domain: usize,
-) -> Vec<PathStage> {
-    let mut stages: Vec<PathStage> = Vec::new();
+) -> Vec<CandidateStage> {
+    let mut stages: Vec<CandidateStage> = Vec::new();
     let mut boundary = boundaries.len() - 1;
     while let Some(step) = reached[boundary * domains + domain] {
         let runner = candidates[step.candidate].runner;
         let from = boundaries[step.from];
         // A runner may occur only once in a path. It then also runs the layers
         // between its two stages, since it holds all of them.
-        if let Some(again) = stages.iter().position(|stage| stage.runner == runner) {
-            let to = stages[again].layers.to;
+        if let Some(again) = stages.iter().position(|held| held.stage.runner == runner) {
+            let to = stages[again].stage.layers.to;
             stages.drain(..again);
-            stages[0].layers = runner::LayerSpan { from, to };
+            stages[0].stage.layers = runner::LayerSpan { from, to };
         } else {
             let layers = runner::LayerSpan {
                 from,
                 to: boundaries[boundary],
             };
-            stages.insert(0, PathStage { runner, layers });
+            let held = CandidateStage {
+                candidate: step.candidate,
+                stage: PathStage { runner, layers },
+            };
+            stages.insert(0, held);
         }
         boundary = step.from;
         domain = step.domain_before;
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -15,11 +15,15 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
+use crate::gateway::demand;
 use crate::gateway::dial;
 use crate::gateway::fleet;
 use crate::gateway::held;
+use crate::gateway::leader;
+use crate::gateway::link_budget;
 use crate::gateway::metrics;
 use crate::gateway::path;
+use crate::gateway::path_load;
 use crate::gateway::quarantine;
 use crate::gateway::response;
 use crate::gateway::routing;
@@ -119,6 +123,11 @@
     /// Whether a runner has begun an answer, which shows that no part of the prompt
     /// crashes runners.
     pub has_begun: bool,
+    /// Number of the latest event that a run delivered, or that the caller had before.
+    pub last_event: u64,
+    /// Expected time to the first event on the latest path, in milliseconds, where it
+    /// is estimated.
+    pub expected_first_ms: Option<f64>,
 }
 
 /// One stage of a path: a runner and the layers that it runs.
@@ -130,6 +139,13 @@
     part: head::PathPart,
 }
 
+/// Stages that a path was planned with.
+struct PlannedStages {
+    stages: Vec<TargetStage>,
+    /// Expected time to the first event in milliseconds.
+    first_ms: f64,
+}
+
 /// Runners that an attempt is sent to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptTarget {
@@ -146,6 +162,8 @@
     pub address: std::net::SocketAddr,
     /// Load by runner: tokens of context times layers.
     pub load: Vec<u64>,
+    /// What a run reads and transfers, where this is counted.
+    pub work: Option<path_load::PathWork>,
 }
 
 impl AttemptTarget {
@@ -164,6 +182,7 @@
             incarnations: stages.iter().map(|stage| stage.incarnation).collect(),
             domains: stages.iter().map(|stage| stage.domain.clone()).collect(),
             load: stages.iter().map(load).collect(),
+            work: None,
             path: match single {
                 true => Vec::new(),
                 false => stages.iter().map(|stage| stage.part).collect(),
@@ -367,6 +386,7 @@
 pub struct LoadGuard {
     core: sync::Arc<core::GatewayCore>,
     load: Vec<(id::UpstreamName, u64)>,
+    work: Option<path_load::WorkGuard>,
 }
 
 impl LoadGuard {
@@ -381,9 +401,28 @@
         let mut fleet = lock(&core.fleet);
         load.iter().for_each(|(id, load)| fleet.begin(id, *load));
         drop(fleet);
+        let work = target.work.clone();
         Self {
             core: sync::Arc::clone(core),
             load,
+            work: work.map(|work| path_load::WorkGuard::new(core, work)),
+        }
+    }
+
+    /// Raises the memory that is reserved for the answer to `answer` tokens.
+    fn raise(&mut self, answer: f64) {
+        let Some(work) = self.work.as_mut().map(|guard| &mut guard.work) else {
+            return;
+        };
+        let context = work.context + answer - work.answer;
+        // All of the load is reserved for the same context.
+        let factor = context / work.context.max(1.0);
+        (work.answer, work.context) = (answer, context);
+        let mut fleet = lock(&self.core.fleet);
+        for (id, load) in &mut self.load {
+            let added = (*load as f64 * (factor - 1.0)) as u64;
+            fleet.grow(id, added);
+            *load += added;
         }
     }
 }
@@ -513,6 +552,9 @@
 
     /// Describes the request for the log.
     pub fn describe(&self) -> String {
+        let expected = self.expected_first_ms.map_or(String::new(), |expected| {
+            format!(" expected_first_ms={}", expected as u64)
+        });
         format!(
             "route={} service={} organisation={} document={} priority={} runs={} sends={} runners={} ms={}",
             self.rule.name,
@@ -524,7 +566,7 @@
             self.attempts,
             self.latest_runners,
             self.started.elapsed().as_millis(),
-        )
+        ) + &expected
     }
 
     /// Chooses the runners for the next attempt, and gets a permit if the first
@@ -634,6 +676,7 @@
             path: Vec::new(),
             address: best.record.address,
             load: vec![0],
+            work: None,
         })
     }
 
@@ -642,10 +685,62 @@
         &self,
         engine: &document::EngineSpec,
     ) -> Result<AttemptTarget, selector::PathError> {
-        let stages =
+        let planned =
             self.plan_stages(engine, engine.all_layers(), &self.core.settings.domain, &[])?;
-        AttemptTarget::new(stages, engine, self.context_tokens(engine))
-            .ok_or(selector::PathError::NoRunner)
+        let target = AttemptTarget::new(planned.stages, engine, self.context_tokens(engine))
+            .ok_or(selector::PathError::NoRunner)?;
+        let work = self.work(engine, &target, &[]).map(|work| {
+            let first_ms = planned.first_ms;
+            path_load::PathWork { first_ms, ..work }
+        });
+        Ok(AttemptTarget { work, ..target })
+    }
+
+    /// Returns whether paths of an engine are judged by their times.
+    fn is_timed(&self, engine: &document::EngineSpec) -> bool {
+        let has_link = engine.link_mbps.is_some_and(|link| link > 0.0);
+        self.core.settings.share_demand && (!engine.cards.is_empty() || has_link)
+    }
+
+    /// Returns what a run reads and transfers, except on the runners in `kept`, which
+    /// have read all tokens, if this is counted.
+    fn work(
+        &self,
+        engine: &document::EngineSpec,
+        target: &AttemptTarget,
+        kept: &[id::UpstreamName],
+    ) -> Option<path_load::PathWork> {
+        if !self.is_timed(engine) {
+            return None;
+        }
+        let tokens = self.prompt_tokens(engine) + self.answered_tokens(engine);
+        let layers = |index: usize| {
+            let part = target.path.get(index);
+            part.map_or(engine.layers, |part| part.layers.len())
+        };
+        let is_new = |index: &usize| !kept.contains(&target.runners[*index]);
+        let unread = (0..target.runners.len()).filter(is_new).map(|index| {
+            let token_layers = tokens * f64::from(layers(index));
+            let key = leader::runner_key(&target.runners[index]);
+            (key, token_layers as u64)
+        });
+        let domains = &target.domains;
+        let hops = (1..domains.len()).filter(|index| domains[*index] != domains[index - 1]);
+        let crossings = hops.map(|index| path_load::PathCrossing {
+            link: link_budget::LinkKey {
+                from: demand::name_key(&domains[index - 1]),
+                to: demand::name_key(&domains[index]),
+            },
+            prompt_bytes: engine.activation_bytes * tokens * f64::from(is_new(&index)),
+        });
+        Some(path_load::PathWork {
+            unread: unread.collect(),
+            crossings: crossings.collect(),
+            event_bytes: engine.activation_bytes * f64::from(engine.event_tokens),
+            answer: self.reserved_answer(engine),
+            context: self.context_tokens(engine),
+            first_ms: 0.0,
+        })
     }
 
     /// Chooses other runners for the silent stages of an attempt.
@@ -678,9 +773,11 @@
             };
             let domain = stages.last().map(|stage| stage.domain.clone())?;
             let other = self.plan_stages(engine, layers, &domain, &target.runners);
-            stages.extend(other.ok()?);
+            stages.extend(other.ok()?.stages);
         }
-        AttemptTarget::new(stages, engine, self.context_tokens(engine))
+        let rerouted = AttemptTarget::new(stages, engine, self.context_tokens(engine))?;
+        let work = self.work(engine, &rerouted, &target.runners);
+        Some(AttemptTarget { work, ..rerouted })
     }
 
     /// Plans the stages for `layers` without the `excluded` runners; `domain` is
@@ -691,8 +788,13 @@
         layers: runner::LayerSpan,
         domain: &str,
         excluded: &[id::UpstreamName],
-    ) -> Result<Vec<TargetStage>, selector::PathError> {
+    ) -> Result<PlannedStages, selector::PathError> {
         let now = time::Instant::now();
+        let is_timed = self.is_timed(engine);
+        let view = match is_timed {
+            true => path_load::WorkView::read(&self.core, now),
+            false => path_load::WorkView::default(),
+        };
         let leads = lock(&self.core.loads);
         let fleet = lock(&self.core.fleet);
         let usable = self.usable_runners(&fleet, now);
@@ -705,23 +807,33 @@
             .collect();
         domains.sort_unstable();
         domains.dedup();
+        let nodes = self.core.members.fleet_size();
+        let timing = is_timed.then(|| view.timing(engine, &self.rule, &domains, nodes));
+        let answered = match is_timed {
+            true => self.answered_tokens(engine),
+            false => 0.0,
+        };
+        let answer = self.answer_tokens(engine) - answered;
         let query = path::PathQuery {
             engine,
             layers,
             domain: domains.binary_search(&domain).ok(),
-            prompt: self.prompt_tokens(engine),
-            answer: self.answer_tokens(engine),
+            prompt: self.prompt_tokens(engine) + answered,
+            answer: answer.max(0.0),
+            context: self.context_tokens(engine),
+            timing: timing.as_ref(),
         };
         let choose = |unreported: f64| {
             let selector = selector::PathSelector {
                 engine,
                 leads: &leads,
                 unreported,
+                unread: [&view.own_prompts, &view.other_prompts],
                 now,
             };
             selector.choose(&states, &domains, &query)
         };
-        let unreported = leads.unreported_load(fleet.in_flight(), self.core.members.fleet_size());
+        let unreported = leads.unreported_load(fleet.in_flight(), nodes);
         let chosen = match choose(unreported) {
             // Load that is only estimated must not cause a refusal.
             Err(_) if unreported > 0.0 => choose(0.0)?,
@@ -736,7 +848,10 @@
                 layers: stage.layers,
             },
         };
-        Ok(chosen.stages.iter().map(stage).collect())
+        Ok(PlannedStages {
+            stages: chosen.stages.iter().map(stage).collect(),
+            first_ms: chosen.first_ms,
+        })
     }
 
     fn usable_runners<'a>(
@@ -758,14 +873,77 @@
         prompt.map_or(engine.prompt_tokens, f64::from)
     }
 
-    /// Returns the expected length of the context in tokens.
+    /// Returns the length of the context that memory is reserved for, in tokens.
     fn context_tokens(&self, engine: &document::EngineSpec) -> f64 {
-        self.prompt_tokens(engine) + self.answer_tokens(engine)
+        self.prompt_tokens(engine) + self.reserved_answer(engine)
+    }
+
+    /// Returns the length of the answer that memory is reserved for, in tokens.
+    fn reserved_answer(&self, engine: &document::EngineSpec) -> f64 {
+        let expected = self.answer_tokens(engine);
+        if !self.is_timed(engine) {
+            return expected;
+        }
+        let reached = self.answered_tokens(engine);
+        let lengths = lock(&self.core.lengths);
+        let reserved = lengths.reserved(&self.rule.name, expected, reached);
+        reserved.min(self.answer_limit())
+    }
+
+    /// Returns the number of tokens in the answer so far.
+    fn answered_tokens(&self, engine: &document::EngineSpec) -> f64 {
+        // Callers name the latest event that they have, so it may be any number.
+        let events = u32::try_from(self.last_event).unwrap_or(u32::MAX);
+        let tokens = f64::from(events) * f64::from(engine.event_tokens);
+        tokens.min(self.answer_limit())
+    }
+
+    /// Returns the longest answer that the caller accepts, in tokens.
+    fn answer_limit(&self) -> f64 {
+        self.head.answer_limit.map_or(f64::MAX, f64::from)
+    }
+
+    /// Records an event of a run and reserves more memory if its answer outgrew what
+    /// was reserved.
+    pub fn note_event(&mut self, number: Option<u64>, guard: &mut LoadGuard) {
+        // An event that does not continue the stream tells nothing about its length.
+        if number == self.last_event.checked_add(1) {
+            self.last_event += 1;
+        }
+        let Some(work) = &mut guard.work else {
+            return;
+        };
+        work.note_event();
+        let reserved = work.work.answer;
+        let spec = self.table.service(&self.service);
+        let Some(engine) = spec.and_then(|spec| spec.engine.as_ref()) else {
+            return;
+        };
+        let reached = self.answered_tokens(engine);
+        if reached <= reserved || reserved >= self.answer_limit() {
+            return;
+        }
+        let expected = self.answer_tokens(engine);
+        let corrected = lock(&self.core.lengths).corrected(&self.rule.name, expected, reached);
+        guard.raise(corrected.min(self.answer_limit()));
+        self.core.metrics.corrected_reservations.inc();
+    }
+
+    /// Records the length of a complete answer.
+    pub fn note_length(&self) {
+        let spec = self.table.service(&self.service);
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        let Some(engine) = engine.filter(|engine| self.is_timed(engine)) else {
+            return;
+        };
+        let expected = self.answer_tokens(engine);
+        let tokens = self.answered_tokens(engine);
+        lock(&self.core.lengths).observe(&self.rule.name, expected, tokens);
     }
 
     /// Returns the expected length of the answer in tokens.
     fn answer_tokens(&self, engine: &document::EngineSpec) -> f64 {
-        let limit = self.head.answer_limit.map_or(f64::MAX, f64::from);
+        let limit = self.answer_limit();
         let usual = match engine.answer_tokens > 0.0 {
             true => engine.answer_tokens,
             false => limit,
@@ -783,6 +961,13 @@
     ) -> AttemptOutcome {
         self.attempts += 1;
         self.is_refusal_noted = false;
+        if let Some(work) = &target.work {
+            self.expected_first_ms = Some(work.first_ms);
+            let metrics = &self.core.metrics;
+            metrics.path_crossings.inc_by(work.crossings.len() as u64);
+            let seconds = work.first_ms / 1_000.0;
+            metrics.expected_first_seconds.observe(seconds);
+        }
         self.latest_runners = target.runners.join(">");
         let connect = CONNECT_TIMEOUT.min(self.time_left());
         let opened = dial::open_link(&*self.core.dialer, target.address, connect).await;
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -5,10 +5,12 @@
 use rand::RngExt;
 use tokio::time;
 
+use crate::gateway::demand;
 use crate::gateway::fleet;
 use crate::gateway::layout;
 use crate::gateway::leader;
 use crate::gateway::path;
+use crate::gateway::unread;
 
 /// Fraction of a runner's context memory that paths may fill. The rest is a
 /// reserve, because reported loads are delayed and lengths are estimates.
@@ -47,6 +49,9 @@
     /// Estimated load of other nodes that is in no report yet, per request of this
     /// node.
     pub unreported: f64,
+    /// Prompts that this node and the others sent and that are not read yet, each
+    /// list sorted by runner; empty where they are not counted.
+    pub unread: [&'a [demand::PromptBacklog]; 2],
     /// Current time.
     pub now: time::Instant,
 }
@@ -74,7 +79,12 @@
         let mut rng = rand::rng();
         let jitter = || 1.0 + JITTER * rng.random::<f64>();
         let chosen = path::choose(&candidates, query, jitter).ok_or(PathError::NoRunner)?;
-        if chosen.cost_ms < path::MAX_COST_MS {
+        // The price of a crossing must not refuse a long prompt where it is known apart.
+        let refusal_ms = match query.timing {
+            Some(_) => chosen.penalty_ms,
+            None => chosen.cost_ms,
+        };
+        if refusal_ms < path::MAX_COST_MS {
             return Ok(chosen);
         }
         let is_full = |stage: &path::PathStage| {
@@ -117,6 +127,8 @@
         let fleet_factor = 1.0 + self.unreported;
         let in_flight = f64::from(others.in_flight) + fleet_factor * f64::from(state.in_flight);
         let used = others.token_layers as f64 + fleet_factor * state.token_layers as f64;
+        let backlogs = self.unread.into_iter();
+        let unread = backlogs.map(|list| unread::backlog(list, state.key));
         let avoided = state.is_avoided(self.now);
         Some(path::StageCandidate {
             runner,
@@ -126,6 +138,7 @@
             read_factor: slowdown * card.map_or(1.0, |card| card.read_factor),
             in_flight,
             free_token_layers: USABLE_MEMORY * capacity - used,
+            unread_token_layers: unread.sum(),
             penalty_ms: path::AVOIDED_PENALTY_MS * f64::from(avoided)
                 + path::FAILING_PENALTY_MS * state.failure_rate,
         })
--- a/arbutusfold/src/gateway/settings.rs
+++ b/arbutusfold/src/gateway/settings.rs
@@ -72,6 +72,9 @@
     #[serde(default = "default_retry_window")]
     #[serde_as(as = "serde_with::DurationSecondsWithFrac<f64>")]
     pub retry_window_s: time::Duration,
+    /// Whether nodes exchange their demand for scarce room and decide by the sums.
+    #[serde(default)]
+    pub share_demand: bool,
 }
 
 /// A gateway needs a few dozen descriptors for listeners, peers and the store.
@@ -106,6 +109,7 @@
     check::FieldSpec::optional("retry_share", check::FieldKind::Decimal(0.0, 10.0)),
     check::FieldSpec::optional("retry_extra", check::FieldKind::Decimal(0.0, RETRY_LIMIT)),
     check::FieldSpec::optional("retry_window_s", SECONDS),
+    check::FieldSpec::optional("share_demand", check::FieldKind::Flag),
 ];
 
 fn default_answer_keep() -> time::Duration {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -422,10 +422,10 @@
     *cursor = started.cursor;
     request.silent.clear();
     request.note_regained(&started.attempt.target);
-    match started.first {
-        Some(_) => {
+    match &started.first {
+        Some(event) => {
             request.note_begun();
-            started.attempt.note_event(request);
+            started.attempt.note_event(request, event.number);
         }
         None => started.attempt.note_end(request),
     }
@@ -633,7 +633,7 @@
             match time::timeout(SILENCE_CHECK_PERIOD, self.read()).await {
                 Ok(StreamRead::Event(event)) => {
                     request.note_begun();
-                    self.note_event(request);
+                    self.note_event(request, event.number);
                     return StreamStep::Event(event);
                 }
                 Ok(StreamRead::Broken(fault)) => {
@@ -665,6 +665,7 @@
 
     fn note_end(&self, request: &mut request::CallerRequest) {
         request.note_answered();
+        request.note_length();
         let mut fleet = lock(&request.core.fleet);
         self.target
             .runners
@@ -672,7 +673,8 @@
             .for_each(|id| fleet.note_success(id));
     }
 
-    fn note_event(&mut self, request: &request::CallerRequest) {
+    fn note_event(&mut self, request: &mut request::CallerRequest, number: Option<u64>) {
+        request.note_event(number, &mut self.guard);
         let now = time::Instant::now();
         self.last_event = now;
         self.has_events = true;
--- a/arbutusfold/src/id.rs
+++ b/arbutusfold/src/id.rs
@@ -24,6 +24,9 @@
 /// Name of a plain service.
 pub type ServiceName = String;
 
+/// Name of a route in the operator's document.
+pub type RouteName = String;
+
 /// Identifier of a caller's request, unique in the fleet.
 pub type RequestId = String;
 
--- a/arbutusfold/tests/gateway_fixture/mod.rs
+++ b/arbutusfold/tests/gateway_fixture/mod.rs
@@ -90,6 +90,8 @@
         domain: Some(domain),
         prompt: 800.0,
         answer: 200.0,
+        context: 1_000.0,
+        timing: None,
     }
 }
 
--- a/arbutusfold/tests/gateway_offer.rs
+++ b/arbutusfold/tests/gateway_offer.rs
@@ -37,6 +37,7 @@
         engine: &engine,
         leads: &leader::LoadView::default(),
         unreported,
+        unread: [&[], &[]],
         now,
     };
     let states: Vec<_> = fleet.runners().iter().collect();
--- a/arbutusfold/tests/gateway_path.rs
+++ b/arbutusfold/tests/gateway_path.rs
@@ -33,6 +33,7 @@
             read_factor: card.read_factor,
             in_flight: 0.0,
             free_token_layers: free_mb * 1e6 * f64::from(engine.layers) / engine.token_bytes,
+            unread_token_layers: 0.0,
             penalty_ms: 0.0,
         }
     };
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -80,6 +80,8 @@
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
         has_begun: false,
+        last_event: 0,
+        expected_first_ms: None,
         table: sync::Arc::clone(&table),
     }
 }
