--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -17,6 +17,8 @@
 use crate::gateway::failure_watch;
 use crate::gateway::fleet;
 use crate::gateway::leader;
+use crate::gateway::length;
+use crate::gateway::link_budget;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::panics;
@@ -30,6 +32,7 @@
 use crate::gateway::store_watch;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
+use crate::gateway::unread;
 use crate::gateway::versions;
 use crate::id;
 use crate::member;
@@ -79,6 +82,12 @@
     pub demand: sync::Mutex<demand::DemandView>,
     /// Runners of this node's domain that may have failed, while this node leads it.
     pub failures: sync::Mutex<failure_watch::FailureWatch>,
+    /// Lengths of answers by route.
+    pub lengths: sync::Mutex<length::LengthBook>,
+    /// Prompts that this node sent to runners and that they have not read yet.
+    pub unread: sync::Mutex<unread::UnreadPrompts>,
+    /// Traffic of this node's paths over the links between failure domains.
+    pub links: sync::Mutex<link_budget::LinkMeter>,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Recent checks of runners that may have died during a run.
@@ -172,6 +181,9 @@
             loads: sync::Mutex::default(),
             demand: sync::Mutex::default(),
             failures: sync::Mutex::default(),
+            lengths: sync::Mutex::default(),
+            unread: sync::Mutex::default(),
+            links: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
