--- a/arbutusfold/src/gateway/link_budget.rs
+++ b/arbutusfold/src/gateway/link_budget.rs
@@ -85,34 +85,25 @@
     }
 }
 
-/// Use of one link.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LinkState {
-    /// Fraction of the bandwidth that is free.
-    pub free: f64,
-    /// Whether paths over it are the last resort.
-    pub is_saturated: bool,
+/// Returns the use of a link of `link_mbps` Mbit/s that carries `bytes_per_second`, as
+/// a fraction of its bandwidth.
+pub fn link_use(bytes_per_second: f64, link_mbps: f64) -> f64 {
+    bytes_per_second / (link_mbps * BYTES_PER_MEGABIT)
 }
 
-impl Default for LinkState {
-    fn default() -> Self {
-        Self {
-            free: 1.0,
-            is_saturated: false,
-        }
-    }
+/// Returns by how much a transfer of this length raises the use of a link.
+pub fn added_use(transfer_ms: f64) -> f64 {
+    transfer_ms / (AVERAGE_TIME.as_secs_f64() * 1_000.0)
 }
 
-impl LinkState {
-    /// Returns the state of a link of `link_mbps` Mbit/s that carries
-    /// `bytes_per_second`.
-    pub fn of(bytes_per_second: f64, link_mbps: f64) -> Self {
-        let used = bytes_per_second / (link_mbps * BYTES_PER_MEGABIT);
-        Self {
-            free: 1.0 - used.min(USE_LIMIT),
-            is_saturated: used >= USE_LIMIT,
-        }
-    }
+/// Returns the fraction of a link that is free at this use, which is never 0.
+pub fn free_share(used: f64) -> f64 {
+    1.0 - used.clamp(0.0, USE_LIMIT)
+}
+
+/// Returns whether paths over a link are the last resort at this use.
+pub fn is_saturated(used: f64) -> bool {
+    used >= USE_LIMIT
 }
 
 /// Traffic of all nodes.
@@ -137,15 +128,16 @@
         }
     }
 
-    /// Returns the states of the links between the domains with these keys, at index
+    /// Returns the use of the link between each two of these domains, at index
     /// `from * domains.len() + to`.
-    pub fn states(&self, domains: &[demand::DomainKey], link_mbps: f64) -> Vec<LinkState> {
-        let state = |from: demand::DomainKey, to: demand::DomainKey| match from == to {
-            true => LinkState::default(),
-            false => LinkState::of(self.on(LinkKey { from, to }), link_mbps),
+    pub fn uses(&self, domains: &[demand::DomainKey], link_mbps: f64) -> Vec<f64> {
+        let pairs = 0..domains.len() * domains.len();
+        let link = |pair: usize| LinkKey {
+            from: domains[pair / domains.len()],
+            to: domains[pair % domains.len()],
         };
-        let rows = domains.iter();
-        rows.flat_map(|from| domains.iter().map(move |to| state(*from, *to)))
+        pairs
+            .map(|pair| link_use(self.on(link(pair)), link_mbps))
             .collect()
     }
 }
--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -37,9 +37,9 @@
 /// Time per event for the hop to each stage, in milliseconds.
 const HOP_MS: f64 = 0.4;
 
-/// Cost of a crossing over a saturated link, in milliseconds. It outweighs ordinary
-/// differences in speed, but not a runner that failed recently.
-const SATURATED_PENALTY_MS: f64 = 8_000.0;
+/// Cost of a crossing over a saturated link, in milliseconds. It outweighs the time
+/// that any useful path takes, but not a runner that failed recently.
+const SATURATED_PENALTY_MS: f64 = 15_000.0;
 
 /// Factor on [`FULL_PENALTY_MS`] where crossings are priced by their links. Paths
 /// with several crossings then stay cheaper than a full stage.
@@ -81,8 +81,12 @@
     pub gap_limit_ms: f64,
     /// Number of failure domains.
     pub domains: usize,
-    /// State of the link between each two domains, at index `from * domains + to`.
-    pub links: Vec<link_budget::LinkState>,
+    /// Use of the link between each two domains as a fraction of its bandwidth, at
+    /// index `from * domains + to`; empty without links.
+    pub links: Vec<f64>,
+    /// Requests like this one that nodes are assumed to send before they see each
+    /// other's, this one included.
+    pub alike: f64,
 }
 
 /// Request that a path is chosen for.
@@ -284,12 +288,13 @@
             };
         }
         let pass = pass_ms(candidate, layers, query);
-        let unread = candidate.unread_token_layers + query.prompt * f64::from(layers);
-        let read = unread::read_ms(query.engine, candidate.read_factor, unread);
+        let read = |tokens| unread::read_ms(query.engine, candidate.read_factor, tokens);
+        let waiting = read(candidate.unread_token_layers);
+        let reading = read(query.prompt * f64::from(layers));
         PartTimes {
-            cost,
+            cost: cost + factor * waiting,
             penalty: penalty_ms(candidate, layers, query),
-            first: factor * (read + 1.5 * pass) + HOP_MS,
+            first: factor * (waiting + reading + 1.5 * pass) + HOP_MS,
             gap: pass + HOP_MS,
         }
     }
@@ -307,14 +312,22 @@
                 ..PartTimes::default()
             };
         };
-        let link = timing.links.get(from * timing.domains + to).copied();
-        let link = link.unwrap_or_default();
+        let used = timing.links.get(from * timing.domains + to).copied();
+        let used = used.unwrap_or(0.0);
+        let transfer = transfer_ms(query, query.prompt);
+        let expected = used + timing.alike * link_budget::added_use(transfer);
+        let saturated = floor + SATURATED_PENALTY_MS;
+        let cost = match link_budget::is_saturated(expected) {
+            true => saturated,
+            false => (floor / link_budget::free_share(expected)).min(saturated),
+        };
         let stride = f64::from(query.engine.event_tokens);
+        let free = link_budget::free_share(used);
         PartTimes {
-            cost: floor / link.free + SATURATED_PENALTY_MS * f64::from(link.is_saturated),
+            cost,
             penalty: 0.0,
-            first: transfer_ms(query, query.prompt) / link.free,
-            gap: transfer_ms(query, stride) / link.free,
+            first: transfer / free,
+            gap: transfer_ms(query, stride) / free,
         }
     }
 
--- a/arbutusfold/src/gateway/path_load.rs
+++ b/arbutusfold/src/gateway/path_load.rs
@@ -145,7 +145,10 @@
             first_limit_ms: FIRST_SHARE * milliseconds(rule.objective).unwrap_or(f64::INFINITY),
             gap_limit_ms: milliseconds(rule.gap_objective).unwrap_or(f64::INFINITY),
             domains: domains.len(),
-            links: link_mbps.map_or_else(Vec::new, |link| traffic.states(&keys, link)),
+            links: link_mbps.map_or_else(Vec::new, |link| traffic.uses(&keys, link)),
+            // Any number of the nodes in a domain may be about to cross the same link. A
+            // random one lets as many of them cross as there is room for.
+            alike: 1.0 + rand::random::<f64>() * (nodes / domains.len().max(1)) as f64,
         }
     }
 }
