Begin paths at runners with a free slot

Cause: an engine's slots limit what a runner receives as the first of a path; further requests queue there. The choice did not look at them.

Change: a runner at whose slots nine tenths are taken counts as full for paths that begin there, where paths are timed.

--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -53,6 +53,10 @@
 /// pause recurs with every event.
 const PAUSE_FACTOR: f64 = 5.0;
 
+/// Part of a runner's slots that paths fill which begin there. The rest is a reserve,
+/// because reported loads are delayed.
+const USABLE_SLOTS: f64 = 0.9;
+
 /// A runner as a candidate for a stage of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageCandidate {
@@ -253,7 +257,8 @@
                         break;
                     }
                     let layers = boundaries[next] - boundaries[boundary];
-                    let cost = before + self.stage(index, layers).weighed(excess_weight);
+                    let times = self.stage(index, layers, boundary == 0);
+                    let cost = before + times.weighed(excess_weight);
                     let best = &mut reached[next * domains + candidate.domain];
                     if best.is_none_or(|best| cost < best.cost) {
                         *best = Some(ReachedBoundary {
@@ -282,11 +287,16 @@
         })
     }
 
-    /// Returns the expected times of the stage at a candidate.
-    fn stage(&self, index: usize, layers: u32) -> PartTimes {
+    /// Returns the expected times of the stage at a candidate, which is the first of
+    /// the searched ones or a later one.
+    fn stage(&self, index: usize, layers: u32, is_first: bool) -> PartTimes {
         let (candidate, query) = (&self.candidates[index], self.query);
         let factor = self.factors[index];
-        let cost = factor * stage_ms(candidate, layers, query);
+        let busy = match is_first && lacks_slot(candidate, query) {
+            true => FULL_FACTOR * FULL_PENALTY_MS,
+            false => 0.0,
+        };
+        let cost = factor * stage_ms(candidate, layers, query) + busy;
         if query.timing.is_none() {
             return PartTimes {
                 cost,
@@ -299,7 +309,7 @@
         let reading = read(query.prompt * f64::from(layers));
         PartTimes {
             cost: cost + factor * waiting,
-            penalty: penalty_ms(candidate, layers, query),
+            penalty: penalty_ms(candidate, layers, query) + busy,
             first: factor * (waiting + reading + 1.5 * pass) + HOP_MS,
             gap: pass + HOP_MS,
         }
@@ -388,8 +398,8 @@
             cost: first,
             ..PartTimes::default()
         };
-        for step in &steps {
-            times += self.stage(step.candidate, step.stage.layers.len());
+        for (index, step) in steps.iter().enumerate() {
+            times += self.stage(step.candidate, step.stage.layers.len(), index == 0);
         }
         let pairs = steps.windows(2);
         let hops = pairs.map(|pair| (domain(&pair[0]), domain(&pair[1])));
@@ -462,6 +472,13 @@
     query.context * f64::from(layers) > candidate.free_token_layers
 }
 
+/// Returns whether a request that begins at a runner would wait there for a slot. The
+/// slots limit what a runner receives, not what passes through it.
+pub fn lacks_slot(candidate: &StageCandidate, query: &PathQuery<'_>) -> bool {
+    let begins_here = query.timing.is_some() && query.layers.from == 0;
+    begins_here && candidate.in_flight + 1.0 > USABLE_SLOTS * f64::from(query.engine.slots)
+}
+
 fn layer_boundaries(candidates: &[StageCandidate], layers: runner::LayerSpan) -> Vec<u32> {
     let ends = candidates
         .iter()
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -91,7 +91,11 @@
             let candidate = candidates
                 .iter()
                 .find(|candidate| candidate.runner == stage.runner);
-            candidate.is_some_and(|candidate| path::is_full(candidate, stage.layers.len(), query))
+            candidate.is_some_and(|candidate| {
+                let is_first = stage.layers.from == query.layers.from;
+                path::is_full(candidate, stage.layers.len(), query)
+                    || is_first && path::lacks_slot(candidate, query)
+            })
         };
         match chosen.stages.iter().any(is_full) {
             true => Err(PathError::NoCapacity),
--- a/arbutusfold/tests/gateway_path.rs
+++ b/arbutusfold/tests/gateway_path.rs
@@ -245,6 +245,53 @@
     assert!(timed.stages.iter().all(|stage| stage.runner != first));
 }
 
+/// A fast runner whose slots are taken by what it receives queues further requests,
+/// but still serves later layers of paths that begin elsewhere.
+#[test]
+fn burst_begins_at_other_runners_once_the_slots_of_the_fastest_are_taken() {
+    let mut engine = engine();
+    engine.link_mbps = None;
+    let span = |from, to| runner::LayerSpan { from, to };
+    let candidate = |runner, layers, step_factor| path::StageCandidate {
+        runner,
+        domain: 0,
+        layers,
+        step_factor,
+        read_factor: 1.0,
+        in_flight: 0.0,
+        free_token_layers: f64::MAX,
+        unread_token_layers: 0.0,
+        penalty_ms: 0.0,
+    };
+    let mut candidates = vec![
+        candidate(0, span(0, 80), 1.0),
+        candidate(1, span(0, 8), 16.0),
+    ];
+    let timing = path::PathTiming {
+        first_limit_ms: f64::INFINITY,
+        gap_limit_ms: f64::INFINITY,
+        domains: 1,
+        links: Vec::new(),
+        alike: 1.0,
+    };
+    let plain = query(&engine, 0);
+    let timed = path::PathQuery {
+        timing: Some(&timing),
+        ..plain
+    };
+    let runners = |candidates: &[path::StageCandidate], query: &path::PathQuery<'_>| {
+        let chosen = path::choose(candidates, query, || 1.0).unwrap();
+        let stages = chosen.stages.iter().map(|stage| stage.runner);
+        (stages.collect::<Vec<_>>(), chosen.penalty_ms)
+    };
+    assert_eq!(runners(&candidates, &timed), (vec![0], 0.0));
+    candidates[0].in_flight = f64::from(engine.slots);
+    assert_eq!(runners(&candidates, &timed), (vec![1, 0], 0.0));
+    assert_eq!(runners(&candidates, &plain).0, vec![0]);
+    candidates[1].in_flight = f64::from(engine.slots);
+    assert!(runners(&candidates, &timed).1 >= path::MAX_COST_MS);
+}
+
 /// A path whose pauses are late is taken only if there is no other.
 #[test]
 fn path_that_keeps_the_objective_for_pauses_is_preferred() {
