--- a/arbutusfold/tests/gateway_network/mod.rs
+++ b/arbutusfold/tests/gateway_network/mod.rs
@@ -73,11 +73,17 @@
 
 /// Returns the state of the node with this record.
 pub fn core_of(record: &member::MemberRecord) -> sync::Arc<core::GatewayCore> {
+    core_with(record, "")
+}
+
+/// Returns the state of the node with this record and these further settings.
+pub fn core_with(record: &member::MemberRecord, extra: &str) -> sync::Arc<core::GatewayCore> {
     let text = format!(
         r#"{{"name": "{}", "region": "r", "domain": "{}", "callers": "10.0.0.1:60001",
         "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
         "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
-        "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"]}}"#,
+        "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"],
+        {extra}}}"#,
         record.name, record.domain, record.peers
     );
     let settings = settings::parse_file("node.jsonc", &text).unwrap();
--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -147,17 +147,23 @@
     };
     let rows = runners.addresses.iter().enumerate().map(entry).collect();
     core.merge(store::WatchedTable::Runners, rows);
+    let address = serve_node(&core).await;
+    (core, address)
+}
+
+/// Serves callers of a node; returns the address.
+pub async fn serve_node(core: &sync::Arc<core::GatewayCore>) -> net::SocketAddr {
     core.suspects_known.send_replace(true);
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let handler = sync::Arc::clone(&core);
+    let handler = sync::Arc::clone(core);
     tokio::spawn(async move {
         let (_closing, closed) = watch::channel(false);
         let limits = serve::ServeLimits::default();
         let answer = move |request| forward::handle(sync::Arc::clone(&handler), request);
         serve::serve(listener, limits, closed, answer).await;
     });
-    (core, address)
+    address
 }
 
 /// Lets the budget of the node hold some retries.
