Replace stages that fail before the first event of a stream

The wait for the response head runs the same checks as the wait for an event, so the path of a stream moves into `stream_path`. A stream whose runner dies before its first event is rerouted and takes no retry.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -61,6 +61,7 @@
 pub mod stall;
 pub mod store_watch;
 pub mod stream;
+pub mod stream_path;
 pub mod survey;
 pub mod suspect_store;
 pub mod suspects;
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -276,6 +276,33 @@
     }
 }
 
+/// Response head and its connection, or the error that came instead; `None` if there
+/// was no answer in time.
+pub type SentAnswer =
+    Option<Result<(http::Response<body::Incoming>, link::HttpLink), link::LinkError>>;
+
+/// A request that was sent, and how long its response head is waited for.
+#[derive(Debug)]
+pub struct SentRequest {
+    answer: PendingAnswer,
+    sent_at: time::Instant,
+    timeout: std_time::Duration,
+}
+
+impl SentRequest {
+    /// Waits for the response head. May be cancelled and called again until it has
+    /// returned.
+    pub async fn wait(&mut self) -> SentAnswer {
+        let deadline = self.sent_at + self.timeout;
+        time::timeout_at(deadline, self.answer.wait()).await.ok()
+    }
+
+    /// Returns the response head that is still to come.
+    pub fn into_answer(self) -> PendingAnswer {
+        self.answer
+    }
+}
+
 /// What a response head says about the run of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadVerdict {
@@ -808,6 +835,27 @@
         target: &AttemptTarget,
         resume_after: Option<u64>,
     ) -> AttemptOutcome {
+        match self.dispatch(target, resume_after).await {
+            Ok(mut sent) => {
+                let answered = sent.wait().await;
+                self.conclude(target, sent, answered).await
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Sends the request once.
+    ///
+    /// A resumed stream continues after the event `resume_after`.
+    ///
+    /// # Errors
+    ///
+    /// The outcome of the attempt if nothing was sent.
+    pub async fn dispatch(
+        &mut self,
+        target: &AttemptTarget,
+        resume_after: Option<u64>,
+    ) -> Result<SentRequest, AttemptOutcome> {
         self.attempts += 1;
         self.is_refusal_noted = false;
         self.latest_runners = target.runners.join(">");
@@ -832,18 +880,18 @@
                 {
                     note_unreachable(&self.core, &instance.crash, &self.head.request);
                 }
-                return AttemptOutcome::Unanswered {
+                return Err(AttemptOutcome::Unanswered {
                     reach: AttemptReach::NotSent,
                     cause,
-                };
+                });
             }
         };
         let Some(request) = self.encode(target, resume_after) else {
             let cause = "the request cannot be passed on".to_owned();
-            return AttemptOutcome::Unanswered {
+            return Err(AttemptOutcome::Unanswered {
                 reach: AttemptReach::NotSent,
                 cause,
-            };
+            });
         };
         let sent_at = time::Instant::now();
         if self.unsent_retry.take().is_some() {
@@ -856,18 +904,36 @@
         let timeout = self.head_timeout();
         // Counted before the wait, in which this attempt may be dropped.
         self.executed += 1;
-        let mut answer = PendingAnswer::new(link, request);
-        let (response, link) = match time::timeout(timeout, answer.wait()).await {
-            Err(_) if !self.time_left().is_zero() => {
+        Ok(SentRequest {
+            answer: PendingAnswer::new(link, request),
+            sent_at,
+            timeout,
+        })
+    }
+
+    /// Judges what a wait for the head of a response returned.
+    pub async fn conclude(
+        &mut self,
+        target: &AttemptTarget,
+        sent: SentRequest,
+        answered: SentAnswer,
+    ) -> AttemptOutcome {
+        let SentRequest {
+            answer,
+            sent_at,
+            timeout,
+        } = sent;
+        let (response, link) = match answered {
+            None if !self.time_left().is_zero() => {
                 let cause = format!("no answer in {} ms", timeout.as_millis());
                 self.exclude_unresponsive(target, &cause).await;
                 return AttemptOutcome::Silent { answer, cause };
             }
-            Err(_) => {
+            None => {
                 self.check_crash(target, 0, crash::CrashSign::Timeout, false);
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Err(error)) => {
+            Some(Err(error)) => {
                 let fault = held::RunFault::lost(&error, crash::CrashSign::Connection);
                 self.note_fault(target, &fault, false);
                 return AttemptOutcome::Unanswered {
@@ -875,7 +941,7 @@
                     cause: fault.cause,
                 };
             }
-            Ok(Ok(answered)) => answered,
+            Some(Ok(answered)) => answered,
         };
         self.check_response(target, response, link, sent_at)
     }
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -3,15 +3,13 @@
 
 use std::time as std_time;
 
-use arbutusfold_platform::{head, link, order};
+use arbutusfold_platform::{head, link};
 use bytes::Bytes;
-use derive_more::Display;
 use futures_util::FutureExt;
-use futures_util::future::{self, BoxFuture};
+use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::body;
-use rand::RngExt;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time;
 
 use crate::event;
@@ -20,108 +18,32 @@
 use crate::gateway::event_stream;
 use crate::gateway::forward;
 use crate::gateway::held;
-use crate::gateway::metrics;
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::runner_call;
-use crate::gateway::stage_check;
-use crate::gateway::stage_probe;
 use crate::gateway::stall;
+use crate::gateway::stream_path;
 use crate::id;
 
-/// Time between two checks of a silent stream.
-const SILENCE_CHECK_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
-
 /// Time between two requests for a report to the first runner of a silent stream.
 const REPORT_PERIOD: std_time::Duration = std_time::Duration::from_millis(250);
 
 /// Timeout for such a report; a live runner sends it within a few milliseconds.
 const REPORT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(250);
 
-/// Most reroutes of one attempt.
-const REROUTE_LIMIT: u32 = 3;
-
-/// Most reroutes of one attempt away from runners that leave.
-const LEAVE_REROUTE_LIMIT: u32 = 3;
-
-/// Most orders of one reroute: substitutes may have no room.
-const SUBSTITUTE_LIMIT: u32 = 3;
-
 /// Most events buffered for a slow caller.
 const EVENT_BUFFER: usize = 32;
 
-/// Shortest time that callers are assumed to wait for the next event.
-const MIN_PATIENCE: std_time::Duration = std_time::Duration::from_secs(2);
-
-/// Callers are assumed to wait for an event at least this multiple of the
-/// route's latency objective.
-const PATIENCE_OBJECTIVES: u32 = 4;
-
-/// Callers are assumed to wait for an event at least this multiple of the
-/// route's objective for pauses.
-const PATIENCE_GAPS: u32 = 8;
-
-/// Latency objective of a route that sets none.
-const DEFAULT_OBJECTIVE: std_time::Duration = std_time::Duration::from_millis(500);
-
-/// Objective for pauses of a route that sets none.
-const DEFAULT_GAP: std_time::Duration = std_time::Duration::from_millis(200);
-
 /// One attempt of a stream on a path of runners.
 struct StreamAttempt {
     /// Head of the response.
     parts: http::response::Parts,
     body: body::Incoming,
     _link: link::HttpLink,
-    guard: request::LoadGuard,
-    target: request::AttemptTarget,
+    path: stream_path::StreamPath,
     splitter: event_stream::EventSplitter,
-    /// Time of the latest event, of the latest reroute or of the start.
-    last_event: time::Instant,
-    /// Whether this attempt has had an event.
-    has_events: bool,
     /// When the first runner was last asked for a report.
     report_requested: Option<time::Instant>,
-    /// Number of reroutes so far.
-    reroutes: u32,
-    /// Number of attempts so far to move the stream away from runners that leave.
-    leave_reroutes: u32,
-    /// When the stages were last checked.
-    checked_at: Option<time::Instant>,
-    /// Earliest time of the next such check.
-    check_at: time::Instant,
-    /// Changes when other streams find that runners have failed.
-    failures: watch::Receiver<u64>,
-    /// When to decide whether the stream stays on a stage that leaves.
-    leave_at: Option<time::Instant>,
-    /// When this attempt had its first event, and the events since the start.
-    first_event_at: Option<time::Instant>,
-    events: u64,
-}
-
-/// Why runners of a running stream are replaced.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-enum RerouteCause {
-    /// They do not answer.
-    #[display("failed")]
-    Failed,
-    /// No stream makes progress through them, or the first runner waits for them.
-    #[display("silent")]
-    Silent,
-    /// They leave before the stream is expected to end.
-    #[display("leaving")]
-    Leaving,
-}
-
-/// What ended a wait for the next event.
-enum StreamWake {
-    Read(StreamRead),
-    /// A check found the stages at these indices to have failed.
-    Checked(Vec<usize>),
-    /// Another stream found that a runner has failed.
-    Failure,
-    /// A decision is due.
-    Due,
 }
 
 /// Result of reading the next event of an attempt.
@@ -334,12 +256,12 @@
                 StreamStep::TimedOut => return Err("deadline passed".to_owned()),
                 StreamStep::Broken(cause) => Some(cause),
                 StreamStep::Stalled(silent) => {
-                    let cause = attempt.abandon(&mut self.request, &silent);
-                    self.request.note_held(&attempt.target, &cause);
+                    let cause = attempt.path.abandon(&mut self.request, &silent);
+                    self.request.note_held(&attempt.path.target, &cause);
                     None
                 }
             };
-            let from = attempt.target.runners.clone();
+            let from = attempt.path.target.runners.clone();
             let after = self.cursor.last().unwrap_or(0);
             let mut held = HeldStreams::default();
             match broken {
@@ -354,7 +276,7 @@
             let started = start(&mut self.request, &mut self.cursor, held, failed);
             return match started.await {
                 Ok(StartOutcome::Started(started)) => {
-                    let to = &started.attempt.target.runners;
+                    let to = &started.attempt.path.target.runners;
                     if *to != from {
                         self.request.core.metrics.resumed.inc();
                         let (from, to) = (from.join(">"), to.join(">"));
@@ -470,11 +392,11 @@
     };
     *cursor = started.cursor;
     request.silent.clear();
-    request.note_regained(&started.attempt.target);
+    request.note_regained(&started.attempt.path.target);
     match started.first {
         Some(_) => {
             request.note_begun();
-            started.attempt.note_event(request);
+            started.attempt.path.note_event(request);
         }
         None => started.attempt.note_end(request),
     }
@@ -491,11 +413,14 @@
         Ok(target) => target,
         Err(error) => return AttemptEnd::Unavailable(error.to_string()),
     };
-    let guard = request::LoadGuard::new(&request.core, &target);
-    match request.send(&target, cursor.last()).await {
+    let mut path = stream_path::StreamPath::new(request, target);
+    let outcome = match request.dispatch(&path.target, cursor.last()).await {
+        Ok(sent) => wait_answer(request, &mut path, sent).await,
+        Err(outcome) => outcome,
+    };
+    match outcome {
         request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
-            let failures = request.core.prober.failures();
-            let attempt = StreamAttempt::new(response, link, guard, target, failures);
+            let attempt = StreamAttempt::new(response, link, path);
             attempt.first_event(request, cursor).await
         }
         request::AttemptOutcome::Head { response, link } => {
@@ -503,8 +428,8 @@
             let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES);
             let read = time::timeout(request.time_left(), read).await;
             drop(link);
-            lock(&request.core.fleet).note_error(&target.runners[0]);
-            request.exclude(&target.runners[0]);
+            lock(&request.core.fleet).note_error(&path.target.runners[0]);
+            request.exclude(&path.target.runners[0]);
             match read {
                 Ok(Ok(bytes)) => AttemptEnd::Response(parts, bytes),
                 _ => {
@@ -514,10 +439,9 @@
             }
         }
         request::AttemptOutcome::Silent { answer, cause } => {
-            request.note_held(&target, &cause);
+            request.note_held(&path.target, &cause);
             let id = request.head.request.clone();
-            let failures = request.core.prober.failures();
-            let run = wait_head(id, answer, guard, target, cursor, is_resumption, failures);
+            let run = wait_head(id, answer, path, cursor, is_resumption);
             AttemptEnd::Silent(run.boxed(), cause)
         }
         request::AttemptOutcome::Unanswered { reach, cause } => AttemptEnd::Failed(reach, cause),
@@ -525,20 +449,47 @@
     }
 }
 
+/// Waits for the response head of a request that was sent, and replaces stages that
+/// fail before it arrives.
+async fn wait_answer(
+    request: &mut request::CallerRequest,
+    path: &mut stream_path::StreamPath,
+    mut sent: request::SentRequest,
+) -> request::AttemptOutcome {
+    loop {
+        let wake = tokio::select! {
+            biased;
+            answered = sent.wait() => return request.conclude(&path.target, sent, answered).await,
+            wake = path.wake(request) => wake,
+        };
+        let failed = match wake {
+            stream_path::PathWake::Failed(failed) => failed,
+            stream_path::PathWake::Due => {
+                path.tend(request).await;
+                continue;
+            }
+        };
+        let cause = stream_path::RerouteCause::Failed;
+        if !failed.is_empty() && !path.replace(request, &failed, cause).await {
+            let cause = path.abandon(request, &failed);
+            let answer = sent.into_answer();
+            return request::AttemptOutcome::Silent { answer, cause };
+        }
+    }
+}
+
 /// Waits for the response head of a silent run, then for its first event after
 /// `cursor`.
 async fn wait_head(
     id: id::RequestId,
     answer: request::PendingAnswer,
-    guard: request::LoadGuard,
-    target: request::AttemptTarget,
+    path: stream_path::StreamPath,
     cursor: event_stream::EventCursor,
     is_resumption: bool,
-    failures: watch::Receiver<u64>,
 ) -> HeldEnd {
     let (response, link) = match answer.wait_valid(&id).await {
         Ok(answered) => answered,
-        Err(fault) => return Err(fault.at(target, false)),
+        Err(fault) => return Err(fault.at(path.target, false)),
     };
     if !response.status().is_success() {
         let (parts, body) = response.into_parts();
@@ -550,9 +501,9 @@
             Ok(bytes) => held::RunFault::reported(held::FailureResponse { parts, bytes }),
             Err(error) => held::RunFault::lost(&error, crash::CrashSign::Body),
         };
-        return Err(fault.at(target, false));
+        return Err(fault.at(path.target, false));
     }
-    let attempt = StreamAttempt::new(response, link, guard, target, failures);
+    let attempt = StreamAttempt::new(response, link, path);
     attempt.wait_silent(cursor).await
 }
 
@@ -599,30 +550,17 @@
     fn new(
         response: http::Response<body::Incoming>,
         link: link::HttpLink,
-        guard: request::LoadGuard,
-        target: request::AttemptTarget,
-        failures: watch::Receiver<u64>,
+        mut path: stream_path::StreamPath,
     ) -> Self {
+        path.note_head();
         let (parts, body) = response.into_parts();
-        let now = time::Instant::now();
         Self {
             parts,
             body,
             _link: link,
-            guard,
-            target,
+            path,
             splitter: event_stream::EventSplitter::default(),
-            last_event: now,
-            has_events: false,
             report_requested: None,
-            reroutes: 0,
-            leave_reroutes: 0,
-            checked_at: None,
-            check_at: now,
-            failures,
-            leave_at: None,
-            first_event_at: None,
-            events: 0,
         }
     }
 
@@ -648,8 +586,8 @@
                 StreamStep::Ended => None,
                 StreamStep::Broken(cause) => return AttemptEnd::Failed(ran, cause),
                 StreamStep::Stalled(silent) => {
-                    let cause = self.abandon(request, &silent);
-                    request.note_held(&self.target, &cause);
+                    let cause = self.path.abandon(request, &silent);
+                    request.note_held(&self.path.target, &cause);
                     return AttemptEnd::Silent(self.wait_silent(cursor).boxed(), cause);
                 }
                 StreamStep::TimedOut => return AttemptEnd::TimedOut,
@@ -667,7 +605,7 @@
         let fault = loop {
             let first = match self.read().await {
                 StreamRead::Event(event) => {
-                    let verdict = match self.has_events {
+                    let verdict = match self.path.has_events {
                         true => cursor.accept(&event),
                         false => cursor.accept_first(&event),
                     };
@@ -688,7 +626,7 @@
                 cursor,
             })));
         };
-        Err(fault.at(self.target, self.has_events))
+        Err(fault.at(self.path.target, self.path.has_events))
     }
 
     /// Reads the next event. May be cancelled.
@@ -699,220 +637,62 @@
     /// Waits for the next event; reroutes the stream if it stalls or if a runner of its
     /// path has failed or leaves.
     async fn step(&mut self, request: &mut request::CallerRequest) -> StreamStep {
-        let mut check = None;
         loop {
-            let failed = match self.wake(request, &mut check).await {
-                StreamWake::Read(StreamRead::Event(event)) => {
+            let woken = tokio::select! {
+                biased;
+                read = read_event(&mut self.body, &mut self.splitter) => Err(read),
+                wake = self.path.wake(request) => Ok(wake),
+            };
+            let (silent, cause) = match woken {
+                Err(StreamRead::Event(event)) => {
                     request.note_begun();
-                    self.note_event(request);
+                    self.path.note_event(request);
                     return StreamStep::Event(event);
                 }
-                StreamWake::Read(StreamRead::Broken(fault)) => {
-                    request.note_fault(&self.target, &fault, self.has_events);
+                Err(StreamRead::Broken(fault)) => {
+                    request.note_fault(&self.path.target, &fault, self.path.has_events);
                     return StreamStep::Broken(fault.cause);
                 }
-                StreamWake::Read(StreamRead::Ended) => {
+                Err(StreamRead::Ended) => {
                     self.note_end(request);
                     return StreamStep::Ended;
                 }
-                StreamWake::Checked(failed) => failed,
-                StreamWake::Failure => stage_probe::known_failures(&request.core, &self.stages()),
-                StreamWake::Due => {
+                Ok(stream_path::PathWake::Failed(failed)) => {
+                    (failed, stream_path::RerouteCause::Failed)
+                }
+                Ok(stream_path::PathWake::Due) => {
                     if request.time_left().is_zero() {
                         return StreamStep::TimedOut;
                     }
-                    self.leave_early(request).await;
-                    if check.is_none() {
-                        check = self.begin_check(request);
-                    }
-                    if check.is_some() {
+                    if self.path.tend(request).await {
                         continue;
                     }
-                    let Some(silent) = self.find_silent(request).await else {
-                        continue;
-                    };
-                    if let Some(step) = self.replace(request, silent, RerouteCause::Silent).await {
-                        return step;
-                    }
-                    continue;
+                    let silent = self.find_silent(request).await;
+                    let cause = stream_path::RerouteCause::Silent;
+                    (silent.unwrap_or_default(), cause)
                 }
             };
-            if !failed.is_empty()
-                && let Some(step) = self.replace(request, failed, RerouteCause::Failed).await
-            {
-                return step;
-            }
-        }
-    }
-
-    /// Waits for the next event, the end of `check` or the next decision.
-    async fn wake(
-        &mut self,
-        request: &request::CallerRequest,
-        check: &mut Option<BoxFuture<'static, Vec<usize>>>,
-    ) -> StreamWake {
-        let is_probed = request.core.settings.probe_stages;
-        let mut wake_at = time::Instant::now() + SILENCE_CHECK_PERIOD;
-        if is_probed && check.is_none() {
-            wake_at = wake_at.min(self.check_at);
-        }
-        if let Some(leave_at) = self.leave_at {
-            wake_at = wake_at.min(leave_at);
-        }
-        let checked = async {
-            match check {
-                Some(check) => check.await,
-                None => future::pending().await,
-            }
-        };
-        let failure = async {
-            if !is_probed || self.failures.changed().await.is_err() {
-                future::pending::<()>().await;
+            if !silent.is_empty() && !self.path.replace(request, &silent, cause).await {
+                return StreamStep::Stalled(silent);
             }
-        };
-        let woken = tokio::select! {
-            biased;
-            read = read_event(&mut self.body, &mut self.splitter) => StreamWake::Read(read),
-            failed = checked => StreamWake::Checked(failed),
-            () = failure => StreamWake::Failure,
-            () = time::sleep_until(wake_at) => StreamWake::Due,
-        };
-        if matches!(woken, StreamWake::Checked(_)) {
-            *check = None;
         }
-        woken
-    }
-
-    /// Replaces stages at fault; returns how the wait for an event ends if that fails.
-    async fn replace(
-        &mut self,
-        request: &mut request::CallerRequest,
-        silent: Vec<usize>,
-        cause: RerouteCause,
-    ) -> Option<StreamStep> {
-        for stage in &silent {
-            let sign = crash::CrashSign::Silence;
-            request.check_crash(&self.target, *stage, sign, self.has_events);
-        }
-        match self.reroute(request, &silent, cause).await {
-            true => None,
-            false => Some(StreamStep::Stalled(silent)),
-        }
-    }
-
-    /// Returns the processes of the runners on the path.
-    fn stages(&self) -> Vec<crash::RunnerInstance> {
-        let stages = 0..self.target.runners.len();
-        stages
-            .filter_map(|stage| self.target.instance(stage))
-            .collect()
-    }
-
-    /// Begins a check of the stages if one is due.
-    fn begin_check(
-        &mut self,
-        request: &request::CallerRequest,
-    ) -> Option<BoxFuture<'static, Vec<usize>>> {
-        let now = time::Instant::now();
-        if !request.core.settings.probe_stages || now < self.check_at {
-            return None;
-        }
-        let stream = stage_probe::CheckedStream {
-            request: request.head.request.clone(),
-            stages: self.stages(),
-            objective: self.policy(request).expected,
-            last_event: self.last_event,
-        };
-        self.check_at = stage_probe::due_at(&request.core, &stream, self.checked_at);
-        if now < self.check_at {
-            return None;
-        }
-        self.checked_at = Some(now);
-        self.check_at = now + stage_check::CHECK_PERIOD;
-        let core = std::sync::Arc::clone(&request.core);
-        Some(stage_probe::check(core, stream).boxed())
-    }
-
-    /// Moves the stream away from stages that leave, if it is expected to outlive one
-    /// of them.
-    async fn leave_early(&mut self, request: &mut request::CallerRequest) {
-        let now = time::Instant::now();
-        let Some(drain) = request.core.settings.drain_ms else {
-            return;
-        };
-        if self.leave_at.is_none_or(|leave_at| now < leave_at) {
-            return;
-        }
-        self.leave_at = Some(now + stage_check::leave_check_period(drain));
-        let elapsed = self.first_event_at.map(|first| self.last_event - first);
-        let progress = request.progress(self.events, elapsed.unwrap_or_default());
-        let leaving = self.leaving_stages(request);
-        let since = leaving.iter().map(|(_, since)| *since).min();
-        let (Some(progress), Some(since)) = (progress, since) else {
-            return;
-        };
-        let is_outlived = stage_check::outlives(&progress, now - since, drain);
-        if is_outlived && self.leave_reroutes < LEAVE_REROUTE_LIMIT {
-            self.leave_reroutes += 1;
-            let stages: Vec<_> = leaving.iter().map(|(stage, _)| *stage).collect();
-            self.reroute(request, &stages, RerouteCause::Leaving).await;
-        }
-    }
-
-    /// Returns the stages after the first one that leave, and since when each does.
-    fn leaving_stages(&self, request: &request::CallerRequest) -> Vec<(usize, time::Instant)> {
-        let fleet = lock(&request.core.fleet);
-        let runners = self.target.runners.iter().zip(&self.target.incarnations);
-        let stages = runners.enumerate().skip(1);
-        let leaving = stages.filter_map(|(stage, (id, started_ms))| {
-            Some((stage, fleet.leaving_since(id, *started_ms)?))
-        });
-        leaving.collect()
-    }
-
-    /// Sets when to decide whether the stream stays, once a stage leaves.
-    fn note_leaving(&mut self, request: &request::CallerRequest) {
-        let Some(drain) = request.core.settings.drain_ms else {
-            return;
-        };
-        let leaving = self.leaving_stages(request);
-        let since = leaving.iter().map(|(_, since)| *since).min();
-        self.leave_at = since.map(|since| {
-            let spread = rand::rng().random::<f64>();
-            let leave_at = stage_check::leave_check_at(since, drain, spread);
-            self.leave_at.unwrap_or(leave_at)
-        });
     }
 
     fn note_end(&self, request: &mut request::CallerRequest) {
         request.note_answered();
         let mut fleet = lock(&request.core.fleet);
-        self.target
+        self.path
+            .target
             .runners
             .iter()
             .for_each(|id| fleet.note_success(id));
     }
 
-    fn note_event(&mut self, request: &request::CallerRequest) {
-        let now = time::Instant::now();
-        self.last_event = now;
-        self.has_events = true;
-        self.events += 1;
-        self.first_event_at.get_or_insert(now);
-        self.check_at = now + stage_check::patience(self.policy(request).expected);
-        self.note_leaving(request);
-        let mut fleet = lock(&request.core.fleet);
-        self.target
-            .runners
-            .iter()
-            .for_each(|id| fleet.note_progress(id, now));
-    }
-
     /// Returns the indices of the runners at fault if the stream has stalled and
     /// should switch to other runners.
     async fn find_silent(&mut self, request: &request::CallerRequest) -> Option<Vec<usize>> {
-        let policy = self.policy(request);
-        let silence = self.last_event.elapsed();
+        let policy = self.path.policy(request);
+        let silence = self.path.last_event.elapsed();
         if !stall::is_overdue(silence, policy) {
             return None;
         }
@@ -921,11 +701,17 @@
             .is_none_or(|requested| requested.elapsed() >= REPORT_PERIOD)
         {
             self.report_requested = Some(time::Instant::now());
-            let report =
-                runner_call::report(&*request.core.dialer, self.target.address, REPORT_TIMEOUT)
-                    .await;
+            let report = runner_call::report(
+                &*request.core.dialer,
+                self.path.target.address,
+                REPORT_TIMEOUT,
+            )
+            .await;
             let index = match report {
-                Ok(report) => self.target.stalled_stage(&request.head.request, &report),
+                Ok(report) => self
+                    .path
+                    .target
+                    .stalled_stage(&request.head.request, &report),
                 Err(_) => Some(0),
             };
             if let Some(index) = index {
@@ -934,173 +720,11 @@
         }
         let now = time::Instant::now();
         let fleet = lock(&request.core.fleet);
-        let runners = self.target.runners.iter();
+        let runners = self.path.target.runners.iter();
         let stages: Vec<_> = runners.map(|id| fleet.silence(id, now)).collect();
-        match stall::check(self.last_event.elapsed(), &stages, policy) {
+        match stall::check(self.path.last_event.elapsed(), &stages, policy) {
             stall::StallVerdict::Wait => None,
             stall::StallVerdict::Switch(indices) => Some(indices),
         }
     }
-
-    fn policy(&self, request: &request::CallerRequest) -> stall::SilencePolicy {
-        let objective = request.rule.objective.unwrap_or(DEFAULT_OBJECTIVE);
-        let gap = request.rule.gap_objective.unwrap_or(DEFAULT_GAP);
-        stall::SilencePolicy {
-            expected: if self.has_events { gap } else { objective },
-            patience: MIN_PATIENCE
-                .max(objective * PATIENCE_OBJECTIVES)
-                .max(gap * PATIENCE_GAPS),
-        }
-    }
-
-    /// Replaces runners of a running stream by others; returns whether the first runner
-    /// accepted the new path.
-    async fn reroute(
-        &mut self,
-        request: &mut request::CallerRequest,
-        replaced: &[usize],
-        cause: RerouteCause,
-    ) -> bool {
-        let is_planned = cause == RerouteCause::Leaving;
-        let is_spent = self.reroutes >= REROUTE_LIMIT && !is_planned;
-        if replaced.is_empty() || replaced.contains(&0) || is_spent {
-            return false;
-        }
-        if request.is_held_back().await {
-            return false;
-        }
-        if !is_planned {
-            self.reroutes += 1;
-            self.exclude_failed(request, replaced, cause);
-        }
-        let orders = match request.core.settings.probe_stages {
-            true => SUBSTITUTE_LIMIT,
-            false => 1,
-        };
-        let mut refused = Vec::new();
-        for _ in 0..orders {
-            let Some(target) = request.choose_reroute(&self.target, replaced, &refused) else {
-                return false;
-            };
-            let answer = self.order_path(request, &target, cause).await;
-            match answer {
-                Ok(order::OrderAnswer::Begun | order::OrderAnswer::Holds) => {
-                    self.take_path(request, target, cause);
-                    return true;
-                }
-                Ok(order::OrderAnswer::Conflict) => {
-                    refused.extend(self.added(&target));
-                }
-                _ => return false,
-            }
-        }
-        false
-    }
-
-    /// Orders the first runner to continue on another path.
-    async fn order_path(
-        &self,
-        request: &request::CallerRequest,
-        target: &request::AttemptTarget,
-        cause: RerouteCause,
-    ) -> Result<order::OrderAnswer, String> {
-        let reroute_order = order::RunnerOrder::Reroute {
-            request: request.head.request.clone(),
-            path: target.path.clone(),
-        };
-        request.core.metrics.orders.inc();
-        let (first, guard) = (&target.runners[0], order::OrderGuard::default());
-        let answer = runner_call::order(
-            &*request.core.dialer,
-            target.address,
-            first,
-            &reroute_order,
-            guard,
-        )
-        .await;
-        let detail = format!(
-            "silence_ms={} cause={cause} from={} to={} answer={answer:?}",
-            self.last_event.elapsed().as_millis(),
-            self.target.runners.join(">"),
-            target.runners.join(">")
-        );
-        request.note(event::EventCode::StreamRerouted, detail);
-        answer
-    }
-
-    /// Records that the stream goes on through `target`.
-    fn take_path(
-        &mut self,
-        request: &mut request::CallerRequest,
-        target: request::AttemptTarget,
-        cause: RerouteCause,
-    ) {
-        let labels = metrics::RerouteLabels {
-            cause: cause.to_string(),
-        };
-        request.core.metrics.rerouted.get_or_create(&labels).inc();
-        self.guard = request::LoadGuard::new(&request.core, &target);
-        request.latest_runners = target.runners.join(">");
-        request.begin_run(&self.added(&target));
-        self.target = target;
-        // The new stages process all tokens so far before the next event.
-        let now = time::Instant::now();
-        self.last_event = now;
-        self.check_at = now + stage_check::patience(self.policy(request).expected);
-        self.leave_at = None;
-    }
-
-    /// Returns the runners of `target` that are not on the present path.
-    fn added(&self, target: &request::AttemptTarget) -> Vec<id::UpstreamName> {
-        let before = &self.target.runners;
-        let added = target.runners.iter().filter(|id| !before.contains(id));
-        added.cloned().collect()
-    }
-
-    /// Excludes runners at fault and records which ones failed.
-    fn exclude_failed(
-        &self,
-        request: &mut request::CallerRequest,
-        failed: &[usize],
-        cause: RerouteCause,
-    ) {
-        if cause == RerouteCause::Failed {
-            let ids = failed
-                .iter()
-                .filter_map(|stage| self.target.runners.get(*stage));
-            ids.for_each(|id| request.note_failed_runner(id, "no connection"));
-        }
-        self.exclude_silent(request, failed);
-    }
-
-    /// Excludes silent runners; a single one is also recorded as failed.
-    fn exclude_silent(&self, request: &mut request::CallerRequest, silent: &[usize]) {
-        let runners = &self.target.runners;
-        match silent {
-            [index] if *index < runners.len() => {
-                request.note_failed_runner(&runners[*index], "silent");
-            }
-            // If several are silent, most of them only wait for another one.
-            _ => {}
-        }
-        silent
-            .iter()
-            .filter_map(|index| runners.get(*index))
-            .for_each(|id| request.exclude_silent(id));
-    }
-
-    /// Excludes the silent runners and returns the cause, for the caller and the log.
-    fn abandon(&self, request: &mut request::CallerRequest, silent: &[usize]) -> String {
-        let ids: Vec<_> = silent
-            .iter()
-            .filter_map(|index| self.target.runners.get(*index))
-            .collect();
-        self.exclude_silent(request, silent);
-        let names: Vec<_> = ids.iter().map(|id| id.as_str()).collect();
-        format!(
-            "silent for {} ms at {}",
-            self.last_event.elapsed().as_millis(),
-            names.join(",")
-        )
-    }
 }
--- a/arbutusfold/tests/gateway_stage_probe.rs
+++ b/arbutusfold/tests/gateway_stage_probe.rs
@@ -29,6 +29,7 @@
     "usual":{"prompt":100,"answer":100},"layers":2,"layerMb":100.0,"activationBytes":100,
     "kinds":[{"name":"c","sizeMb":10000.0,"pace":1.0,"readX":1.0}]}}]}"#;
 
+const FIRST_OBJECTIVE: std_time::Duration = ms(500);
 const GAP_OBJECTIVE: std_time::Duration = ms(250);
 const PROBING: &str = r#""probe_stages": true"#;
 /// Time between two events of a stream.
@@ -44,8 +45,9 @@
 struct FirstScript {
     /// Events of each stream.
     events: u64,
-    /// Whether streams wait for an order after [`EVENTS_BEFORE`].
-    is_stalled: bool,
+    /// Number of events after which streams wait for an order, if they do. A stream
+    /// that waits before its first event sends no head.
+    stalled_after: Option<u64>,
     /// Statuses of the answers to orders; later ones are accepted.
     refusals: Vec<u16>,
 }
@@ -114,17 +116,20 @@
         let id = header(&head, "request-id")?;
         let waiting = serde_json::json!({"id": id, "address": second_of(&path)});
         self.paths.lock().unwrap().push(path);
-        socket.write_all(STREAM_HEAD.as_bytes()).await.ok()?;
         let mut taken = self.taken.subscribe();
-        for number in 1..=self.script.events {
-            time::sleep(EVENT_PERIOD).await;
-            let event = events(number..=number);
-            socket.write_all(event.as_bytes()).await.ok()?;
-            if self.script.is_stalled && number == EVENTS_BEFORE {
+        for number in 0..=self.script.events {
+            let part = match number {
+                0 => String::new(),
+                1 => format!("{STREAM_HEAD}{}", events(1..=1)),
+                _ => events(number..=number),
+            };
+            socket.write_all(part.as_bytes()).await.ok()?;
+            if self.script.stalled_after == Some(number) {
                 self.stalled.lock().unwrap().push(waiting.clone());
                 self.waiting.send_modify(|count| *count += 1);
                 let _ = taken.changed().await;
             }
+            time::sleep(EVENT_PERIOD).await;
         }
         Some(())
     }
@@ -269,6 +274,8 @@
 /// A stream as its caller got it.
 struct CalledStream {
     answer: String,
+    /// Time to the first event.
+    first: std_time::Duration,
     /// Longest pause between two events.
     pause: std_time::Duration,
 }
@@ -281,6 +288,8 @@
     );
     socket.write_all(head.as_bytes()).await.unwrap();
     let mut answer = String::new();
+    let started = time::Instant::now();
+    let mut first = std_time::Duration::ZERO;
     let mut pause = std_time::Duration::ZERO;
     let mut latest: Option<time::Instant> = None;
     let mut buffer = vec![0; 4_096];
@@ -288,13 +297,19 @@
         let read = time::timeout(ms(5_000), socket.read(&mut buffer));
         let size = read.await.unwrap().unwrap_or(0);
         if size == 0 {
-            return CalledStream { answer, pause };
+            return CalledStream {
+                answer,
+                first,
+                pause,
+            };
         }
         let text = String::from_utf8_lossy(&buffer[..size]);
         if text.contains("id: ") {
             let now = time::Instant::now();
             pause = latest.map_or(pause, |latest| pause.max(now - latest));
-            latest = Some(now);
+            if latest.replace(now).is_none() {
+                first = now - started;
+            }
         }
         answer.push_str(&text);
     }
@@ -303,7 +318,7 @@
 fn stalled(events: u64, refusals: Vec<u16>) -> FirstScript {
     FirstScript {
         events,
-        is_stalled: true,
+        stalled_after: Some(EVENTS_BEFORE),
         refusals,
     }
 }
@@ -340,6 +355,27 @@
     assert_eq!(failed.len(), 1, "{failed:?}");
 }
 
+/// Load: a runner dies under streams that have no event yet. They go on with the
+/// substitute within the objective for the first event, and take no retry.
+#[tokio::test]
+async fn stream_whose_runner_dies_before_its_first_event_begins_in_time() {
+    let script = FirstScript {
+        stalled_after: Some(0),
+        ..stalled(10, Vec::new())
+    };
+    let mut path = TestPath::start(PROBING, 2, script).await;
+    let node = path.node;
+    let call = tokio::spawn(async move { call(node, "request-1").await });
+    path.wait_stalled(1).await;
+    let second = path.first.second();
+    path.end(second).await;
+    let stream = call.await.unwrap();
+    assert_whole(&stream.answer, 10);
+    assert!(stream.first < FIRST_OBJECTIVE, "{:?}", stream.first);
+    assert_eq!(path.core.metrics.retries.get(), 0);
+    assert_eq!(path.first.orders.load(atomic::Ordering::SeqCst), 1);
+}
+
 /// The check is off by default: the stream waits for twice its objective, and no
 /// connection is opened.
 #[tokio::test]
@@ -401,7 +437,7 @@
         let settings = r#""probe_stages": true, "drain_ms": 1000"#;
         let script = FirstScript {
             events: count,
-            is_stalled: false,
+            stalled_after: None,
             refusals: Vec::new(),
         };
         let path = TestPath::start(settings, 2, script).await;
