--- a/arbutusfold/src/gateway/length.rs
+++ b/arbutusfold/src/gateway/length.rs
@@ -26,7 +26,7 @@
 /// Quantile of the lengths that memory is reserved for. A stream fills its
 /// reservation only at its end, so the streams of a runner together need less than
 /// a higher quantile would hold for them.
-const RESERVED_QUANTILE: f64 = 0.75;
+const RESERVED_QUANTILE: f64 = 0.5;
 
 /// Smallest factor between two estimates for the same answer, which bounds their
 /// number.
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -295,6 +295,33 @@
     }
 }
 
+/// Response head and its connection, or the error that came instead; `None` if there
+/// was no answer in time.
+pub type SentAnswer =
+    Option<Result<(http::Response<body::Incoming>, link::HttpLink), link::LinkError>>;
+
+/// A request that was sent, and how long its response head is waited for.
+#[derive(Debug)]
+pub struct SentRequest {
+    answer: PendingAnswer,
+    sent_at: time::Instant,
+    timeout: std_time::Duration,
+}
+
+impl SentRequest {
+    /// Waits for the response head. May be cancelled and called again until it has
+    /// returned.
+    pub async fn wait(&mut self) -> SentAnswer {
+        let deadline = self.sent_at + self.timeout;
+        time::timeout_at(deadline, self.answer.wait()).await.ok()
+    }
+
+    /// Returns the response head that is still to come.
+    pub fn into_answer(self) -> PendingAnswer {
+        self.answer
+    }
+}
+
 /// What a response head says about the run of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadVerdict {
@@ -783,14 +810,39 @@
             let chosen = stages.iter().map(|stage| &stage.runner);
             let excluded = target.runners.iter().chain(refused).chain(chosen);
             let excluded: Vec<_> = excluded.cloned().collect();
-            let other = self.plan_stages(engine, layers, &domain, &excluded);
-            stages.extend(other.ok()?.stages);
+            let plan = |excluded: &[_]| self.plan_stages(engine, layers, &domain, excluded);
+            let spread = self.core.settings.probe_stages;
+            let some = spread.then(|| plan(&self.leave_out_half(&excluded)));
+            // A detour over another failure domain costs all users of the link.
+            let is_near = |planned: &PlannedStages| {
+                let mut stages = planned.stages.iter();
+                stages.all(|stage| stage.domain == domain)
+            };
+            let other = match some {
+                Some(Ok(other)) if is_near(&other) => other,
+                _ => plan(&excluded).ok()?,
+            };
+            stages.extend(other.stages);
         }
         let rerouted = AttemptTarget::new(stages, engine, self.context_tokens(engine))?;
         let work = self.work(engine, &rerouted, &target.runners);
         Some(AttemptTarget { work, ..rerouted })
     }
 
+    /// Adds a random half of the runners of the service to `excluded`.
+    ///
+    /// All hosts replace a lost runner at the same moment and know nothing of each
+    /// other's choice yet, so without it they would choose the same substitute.
+    fn leave_out_half(&self, excluded: &[id::UpstreamName]) -> Vec<id::UpstreamName> {
+        let fleet = lock(&self.core.fleet);
+        let runners = fleet.runners().iter();
+        let ids = runners.filter(|state| state.record.service == self.service);
+        let mut rng = rand::rng();
+        let left_out = ids.filter(|_| rng.random::<bool>());
+        let left_out = left_out.map(|state| &state.record.id);
+        left_out.chain(excluded).cloned().collect()
+    }
+
     /// Plans the stages for `layers` without the `excluded` runners; `domain` is
     /// the failure domain that the path starts from.
     fn plan_stages(
@@ -987,6 +1039,27 @@
         target: &AttemptTarget,
         resume_after: Option<u64>,
     ) -> AttemptOutcome {
+        match self.dispatch(target, resume_after).await {
+            Ok(mut sent) => {
+                let answered = sent.wait().await;
+                self.conclude(target, sent, answered).await
+            }
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Sends the request once.
+    ///
+    /// A resumed stream continues after the event `resume_after`.
+    ///
+    /// # Errors
+    ///
+    /// The outcome of the attempt if nothing was sent.
+    pub async fn dispatch(
+        &mut self,
+        target: &AttemptTarget,
+        resume_after: Option<u64>,
+    ) -> Result<SentRequest, AttemptOutcome> {
         self.attempts += 1;
         self.is_refusal_noted = false;
         if let Some(work) = &target.work {
@@ -1018,18 +1091,18 @@
                 {
                     note_unreachable(&self.core, &instance.crash, &self.head.request);
                 }
-                return AttemptOutcome::Unanswered {
+                return Err(AttemptOutcome::Unanswered {
                     reach: AttemptReach::NotSent,
                     cause,
-                };
+                });
             }
         };
         let Some(request) = self.encode(target, resume_after) else {
             let cause = "the request cannot be passed on".to_owned();
-            return AttemptOutcome::Unanswered {
+            return Err(AttemptOutcome::Unanswered {
                 reach: AttemptReach::NotSent,
                 cause,
-            };
+            });
         };
         let sent_at = time::Instant::now();
         if self.unsent_retry.take().is_some() {
@@ -1042,18 +1115,36 @@
         let timeout = self.head_timeout();
         // Counted before the wait, in which this attempt may be dropped.
         self.executed += 1;
-        let mut answer = PendingAnswer::new(link, request);
-        let (response, link) = match time::timeout(timeout, answer.wait()).await {
-            Err(_) if !self.time_left().is_zero() => {
+        Ok(SentRequest {
+            answer: PendingAnswer::new(link, request),
+            sent_at,
+            timeout,
+        })
+    }
+
+    /// Judges what a wait for the head of a response returned.
+    pub async fn conclude(
+        &mut self,
+        target: &AttemptTarget,
+        sent: SentRequest,
+        answered: SentAnswer,
+    ) -> AttemptOutcome {
+        let SentRequest {
+            answer,
+            sent_at,
+            timeout,
+        } = sent;
+        let (response, link) = match answered {
+            None if !self.time_left().is_zero() => {
                 let cause = format!("no answer in {} ms", timeout.as_millis());
                 self.exclude_unresponsive(target, &cause).await;
                 return AttemptOutcome::Silent { answer, cause };
             }
-            Err(_) => {
+            None => {
                 self.check_crash(target, 0, crash::CrashSign::Timeout, false);
                 return AttemptOutcome::TimedOut;
             }
-            Ok(Err(error)) => {
+            Some(Err(error)) => {
                 let fault = held::RunFault::lost(&error, crash::CrashSign::Connection);
                 self.note_fault(target, &fault, false);
                 return AttemptOutcome::Unanswered {
@@ -1061,7 +1152,7 @@
                     cause: fault.cause,
                 };
             }
-            Ok(Ok(answered)) => answered,
+            Some(Ok(answered)) => answered,
         };
         self.check_response(target, response, link, sent_at)
     }
