--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -110,6 +110,8 @@
     AdmissionRefused = 301, Info;
     /// A retry was refused.
     RetryRefused = 302, Warning;
+    /// A node was asked to lend retries.
+    RetriesBorrowed = 303, Info;
     /// An upstream crashed while it ran a request.
     SuspectNoted = 310, Warning;
     /// A request was refused because upstreams crashed while they ran it.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -53,6 +53,7 @@
 pub mod replication;
 pub mod request;
 pub mod response;
+pub mod retry_loan;
 pub mod routing;
 pub mod runner_call;
 pub mod runner_limit;
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -23,6 +23,7 @@
 use crate::gateway::race;
 use crate::gateway::relay;
 use crate::gateway::relay_server;
+use crate::gateway::retry_loan;
 use crate::gateway::routing;
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
@@ -78,6 +79,8 @@
     pub failures: sync::Mutex<failure_watch::FailureWatch>,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
+    /// Claims of this node for retries of others.
+    pub loans: sync::Mutex<retry_loan::PendingLoans>,
     /// Recent checks of runners that may have died during a run.
     pub crash_checks: sync::Mutex<crash::CrashChecks>,
     /// Requests under which runners died.
@@ -129,6 +132,7 @@
             share: settings.retry_share,
             extra: settings.retry_extra,
             window: settings.retry_window_s,
+            has_loans: settings.share_demand,
             has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
         let recorder = event::EventRecorder::with_capacity(logger, EVENT_CAPACITY);
@@ -169,6 +173,7 @@
             demand: sync::Mutex::default(),
             failures: sync::Mutex::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
+            loans: sync::Mutex::default(),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
             suspects_known: watch::Sender::new(false),
@@ -637,12 +642,12 @@
     }
 
     /// Applies the runners, sorted by key, that a leader found to have failed; none of
-    /// them gets requests until `hold` after it was last seen to fail.
+    /// them gets requests for `hold`.
     pub fn apply_failed(&self, failed: &[demand::FailedRunner], hold: std_time::Duration) {
         let now = time::Instant::now();
         let mut fleet = lock(&self.fleet);
         let changes = fleet.set_failed(failed, hold, now);
-        let count = fleet.failed_count(now);
+        let count = fleet.failed(now).len();
         drop(fleet);
         self.metrics.failed_runners.set(count as i64);
         changes
--- a/arbutusfold/src/gateway/demand.rs
+++ b/arbutusfold/src/gateway/demand.rs
@@ -23,6 +23,11 @@
 /// Most failed runners in a summary.
 const FAILED_LIMIT: usize = 64;
 
+/// Time for which a runner that a leader found to have failed gets no requests unless
+/// another summary comes. It outlasts a few lost summaries and the change to another
+/// leader.
+pub const FAILED_HOLD: std_time::Duration = std_time::Duration::from_secs(1);
+
 /// Time for which a node repeats that it saw a runner fail, in case that messages are
 /// lost. A runner that is still gone then fails again.
 const SUSPICION_TIME: std_time::Duration = std_time::Duration::from_secs(1);
@@ -140,6 +145,11 @@
     fn subtract(&mut self, other: &Self);
 
     fn is_zero(&self) -> bool;
+
+    /// Returns the entry with numbers that can be added.
+    fn normalize(self) -> Self {
+        self
+    }
 }
 
 impl DemandEntry for RankDemand {
@@ -162,6 +172,13 @@
     fn is_zero(&self) -> bool {
         self.waiting == 0 && self.arrivals_per_second <= 0.0
     }
+
+    fn normalize(self) -> Self {
+        Self {
+            arrivals_per_second: add_rates(self.arrivals_per_second, 0.0),
+            ..self
+        }
+    }
 }
 
 impl DemandEntry for OrganisationUse {
@@ -224,6 +241,13 @@
     fn is_zero(&self) -> bool {
         self.bytes_per_second <= 0.0
     }
+
+    fn normalize(self) -> Self {
+        Self {
+            bytes_per_second: add_rates(self.bytes_per_second, 0.0),
+            ..self
+        }
+    }
 }
 
 /// Adds rates of messages, which may hold any number.
@@ -234,7 +258,7 @@
 
 /// Sums entries by key; the result is sorted and holds no zeros.
 fn sum_entries<T: DemandEntry>(entries: impl Iterator<Item = T>) -> Vec<T> {
-    let mut sums: Vec<_> = entries.collect();
+    let mut sums: Vec<_> = entries.map(DemandEntry::normalize).collect();
     sums.sort_by_key(DemandEntry::key);
     sums.dedup_by(|entry, sum| {
         let is_same = entry.key() == sum.key();
@@ -350,6 +374,18 @@
     fn age_ms(&self, now: time::Instant) -> u32 {
         milliseconds(self.age(now))
     }
+
+    /// Removes all but the failed runners, which the next leader has to check first.
+    fn drop_sums(&mut self) {
+        self.summary = DemandSummary {
+            failed: std::mem::take(&mut self.summary.failed),
+            ..DemandSummary::default()
+        };
+    }
+
+    fn is_kept(&self, now: time::Instant) -> bool {
+        !self.summary.is_empty() && self.age(now) < FAILED_HOLD
+    }
 }
 
 /// Why a leader sends its summaries.
@@ -413,6 +449,10 @@
     told_domain: ToldSummary,
     /// The latest summary of the fleet.
     told_fleet: ToldSummary,
+    /// When this node last told its sums.
+    told_at: Option<time::Instant>,
+    /// Whether this node led its domain then.
+    was_leading: bool,
     /// Signals that something is to be told before the next period.
     news: sync::Arc<tokio::sync::Notify>,
 }
@@ -517,9 +557,7 @@
                 let after = self.others.as_ref().map(|others| &others.summary.failed);
                 after.is_some_and(|after| is_changed(&before, after))
             }
-            leader::LeaderMessage::NodeLoads(_)
-            | leader::LeaderMessage::DomainSummary(_)
-            | leader::LeaderMessage::FleetSummary(_) => false,
+            _ => false,
         }
     }
 
@@ -528,7 +566,12 @@
     pub fn expire(&mut self, expiry: std_time::Duration, now: time::Instant) {
         let is_fresh = |received: &ReceivedDemand| received.age(now) < expiry;
         self.nodes.retain(is_fresh);
-        self.domains.retain(is_fresh);
+        self.domains
+            .iter_mut()
+            .filter(|received| !is_fresh(received))
+            .for_each(ReceivedDemand::drop_sums);
+        self.domains
+            .retain(|received| is_fresh(received) || received.is_kept(now));
         self.others = self.others.take().filter(is_fresh);
         let mut failed_at = self.failed_at.iter();
         self.own.failed.retain_mut(|failed| {
@@ -542,6 +585,27 @@
             .retain(|failed_at| now - *failed_at < SUSPICION_TIME);
     }
 
+    /// Returns whether the sums are due, which are told each `period`, offered each
+    /// `step`, and told at once where the node begins or ceases to lead its domain;
+    /// counts them as told.
+    pub fn begin_period(
+        &mut self,
+        period: std_time::Duration,
+        step: std_time::Duration,
+        is_leading: bool,
+        now: time::Instant,
+    ) -> bool {
+        let was_leading = std::mem::replace(&mut self.was_leading, is_leading);
+        let is_over = self
+            .told_at
+            .is_none_or(|told_at| now.saturating_duration_since(told_at) + step / 2 >= period);
+        let is_due = is_over || was_leading != is_leading;
+        if is_due {
+            self.told_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns the facts of this node to send to its leader, or `None` if there is
     /// nothing to tell.
     pub fn node_summary(&mut self, now: time::Instant) -> Option<DemandSummary> {
@@ -565,11 +629,13 @@
         summary
     }
 
-    /// Removes the summaries of nodes that no longer lead a domain; `leaders` are
-    /// those of the other domains.
+    /// Removes the sums of nodes that no longer lead a domain, so that they do not
+    /// count beside those of the next leader; `leaders` are those of the other domains.
     pub fn retain_domains(&mut self, leaders: &[&str]) {
         self.domains
-            .retain(|received| leaders.contains(&received.host.as_str()));
+            .iter_mut()
+            .filter(|received| !leaders.contains(&received.host.as_str()))
+            .for_each(ReceivedDemand::drop_sums);
     }
 
     /// Returns the summaries of a leader, with the runners of its domain that it found
--- a/arbutusfold/src/gateway/demand_driver.rs
+++ b/arbutusfold/src/gateway/demand_driver.rs
@@ -1,7 +1,7 @@
 //! Sends and receives the demand of nodes and leaders, and lets the leader of a
 //! failure domain check the runners that nodes saw fail.
 //!
-//! Summaries go out with each period of the load summaries. News of failed runners
+//! Summaries go out periodically. News of failed runners
 //! goes out at once.
 
 use std::sync;
@@ -16,6 +16,7 @@
 use crate::gateway::failure_watch;
 use crate::gateway::fleet;
 use crate::gateway::leader;
+use crate::gateway::retry_loan;
 use crate::id;
 use crate::member;
 use crate::peer;
@@ -24,15 +25,14 @@
 /// many requests see at the same moment.
 const NEWS_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
 
+/// Shortest time between two summaries. A summary lists runners and organisations, so
+/// it is longer than that of the loads, and its readers need it less often.
+const PERIOD_MIN: std_time::Duration = std_time::Duration::from_millis(250);
+
 /// Timeout for a probe of a runner. A refusal takes a few milliseconds; silence counts
 /// only once another way has been silent, too.
 const PROBE_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(200);
 
-/// Time for which a runner that a leader found to have failed gets no requests unless
-/// another summary comes. It outlasts a few lost summaries, and ends soon after the
-/// leader is lost.
-const FAILED_HOLD: std_time::Duration = std_time::Duration::from_secs(1);
-
 /// Periods of the summaries that this time lasts at least.
 const HOLD_PERIODS: u32 = 2;
 
@@ -63,11 +63,19 @@
     }
 }
 
-/// Removes what is out of date and sends the summaries of a period.
-pub fn tick(core: &core::GatewayCore, period: std_time::Duration) {
-    if core.settings.share_demand {
-        let now = time::Instant::now();
-        lock(&core.demand).expire(period * leader::EXPIRY_PERIODS, now);
+/// Removes what is out of date and sends the summaries of a period if they are due;
+/// called after each period of the load summaries.
+pub fn tick(core: &core::GatewayCore, load_period: std_time::Duration) {
+    if !core.settings.share_demand {
+        return;
+    }
+    let now = time::Instant::now();
+    let period = load_period.max(PERIOD_MIN);
+    let mut view = lock(&core.demand);
+    view.expire(period * leader::EXPIRY_PERIODS, now);
+    let is_due = view.begin_period(period, load_period, core.is_leading(), now);
+    drop(view);
+    if is_due {
         send_update(core, demand::SendCause::Period);
     }
 }
@@ -77,6 +85,19 @@
     if !core.settings.share_demand {
         return;
     }
+    let message = match message {
+        leader::LeaderMessage::RetryClaim {
+            claim,
+            service,
+            wanted,
+        } => return retry_loan::lend(core, sender, claim, &service, wanted),
+        leader::LeaderMessage::RetryLoan { claim, count } => {
+            // The request may have stopped waiting; the loan is lost.
+            lock(&core.loans).resolve(claim, count);
+            return;
+        }
+        message => message,
+    };
     let now = time::Instant::now();
     let is_fleet_demand = matches!(message, leader::LeaderMessage::FleetDemand(_));
     let is_news = lock(&core.demand).receive(sender, message, now);
@@ -157,31 +178,39 @@
 ) -> Vec<(id::DomainName, Vec<demand::FailedRunner>)> {
     let view = lock(&core.demand);
     let suspicions = view.suspicions(now);
-    let told = view.others(now);
-    let told = told.map_or(Vec::new(), |told| told.value.failed.clone());
     drop(view);
     let mut foreign: Vec<(id::DomainName, Vec<demand::FailedRunner>)> = Vec::new();
     let fleet = lock(&core.fleet);
+    let told = fleet.failed(now);
     let mut failures = lock(&core.failures);
-    // A new leader checks again what the one before it told.
-    for failed in told.iter().chain(&suspicions) {
+    let is_own = |state: &fleet::RunnerState| state.record.domain == core.settings.domain;
+    let mut is_probe_due = false;
+    for failed in &told {
+        let state = find_process(&fleet, (failed.runner, failed.incarnation));
+        if state.is_some_and(is_own) {
+            is_probe_due |= failures.inherit(failed, now);
+        }
+    }
+    for failed in &suspicions {
         let process = (failed.runner, failed.incarnation);
         let Some(state) = find_process(&fleet, process) else {
             continue;
         };
-        let domain = &state.record.domain;
-        if *domain == core.settings.domain {
-            failures.suspect(failed, now);
-        } else if !told
-            .iter()
-            .any(|told| (told.runner, told.incarnation) == process)
-        {
+        if is_own(state) {
+            is_probe_due |= failures.suspect(failed, now);
+        } else if state.failed_age(now).is_none() {
+            let domain = &state.record.domain;
             match foreign.iter_mut().find(|(other, _)| other == domain) {
                 Some((_, list)) => list.push(*failed),
                 None => foreign.push((domain.clone(), vec![*failed])),
             }
         }
     }
+    drop(failures);
+    drop(fleet);
+    if is_probe_due {
+        lock(&core.demand).news().notify_one();
+    }
     foreign
 }
 
@@ -219,8 +248,8 @@
     let others = view.others(now);
     let failed = others.map_or(Vec::new(), |others| others.value.failed.clone());
     drop(view);
-    let period = lock(&core.loads).period();
-    core.apply_failed(&failed, FAILED_HOLD.max(period * HOLD_PERIODS));
+    let period = lock(&core.loads).period().max(PERIOD_MIN);
+    core.apply_failed(&failed, demand::FAILED_HOLD.max(period * HOLD_PERIODS));
 }
 
 fn begin_probes(core: &sync::Arc<core::GatewayCore>) {
--- a/arbutusfold/src/gateway/failure_watch.rs
+++ b/arbutusfold/src/gateway/failure_watch.rs
@@ -84,6 +84,19 @@
 }
 
 impl FailureCase {
+    fn new(failed: &demand::FailedRunner, stage: FailureStage, now: time::Instant) -> Self {
+        let age = std_time::Duration::from_millis(failed.age_ms.into());
+        Self {
+            process: (failed.runner, failed.incarnation),
+            stage,
+            // A clock that started lately cannot go back so far.
+            seen_at: now.checked_sub(age).unwrap_or(now),
+            answered_at: None,
+            silent: 0,
+            probe_at: now,
+        }
+    }
+
     fn change(&self, to: Option<FailureStage>, now: time::Instant) -> StageChange {
         StageChange {
             runner: self.process.0,
@@ -116,17 +129,8 @@
     /// Records that a node saw a process fail `failed.age_ms` ago; returns whether it
     /// is to be probed now.
     pub fn suspect(&mut self, failed: &demand::FailedRunner, now: time::Instant) -> bool {
-        let age = std_time::Duration::from_millis(failed.age_ms.into());
-        let seen_at = now.checked_sub(age).unwrap_or(now);
-        let process = (failed.runner, failed.incarnation);
-        let fresh = FailureCase {
-            process,
-            stage: FailureStage::Suspected,
-            seen_at,
-            answered_at: None,
-            silent: 0,
-            probe_at: now,
-        };
+        let fresh = FailureCase::new(failed, FailureStage::Suspected, now);
+        let (process, seen_at) = (fresh.process, fresh.seen_at);
         let index = match self.search(failed.runner) {
             Ok(index) => index,
             Err(index) => {
@@ -149,6 +153,17 @@
         false
     }
 
+    /// Takes over a failure that the leader before told, until a probe shows more;
+    /// returns whether it is new.
+    pub fn inherit(&mut self, failed: &demand::FailedRunner, now: time::Instant) -> bool {
+        let place = self.search(failed.runner);
+        if let Err(index) = place {
+            let case = FailureCase::new(failed, FailureStage::Failed, now);
+            self.cases.insert(index, case);
+        }
+        place.is_err()
+    }
+
     /// Drops the processes that no entry of the domain names; `processes` is sorted.
     /// Returns the failures that end with that.
     pub fn retain(&mut self, processes: &[RunnerProcess], now: time::Instant) -> Vec<StageChange> {
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -34,6 +34,10 @@
 /// its entry tells of a new process before.
 const UNREACHABLE_TIME: std_time::Duration = std_time::Duration::from_millis(500);
 
+/// Times that a failure is held after its leader last saw it. A leader that is lost or
+/// cut off from the runners no longer sees them fail, but is still passed on.
+const AGE_HOLDS: u32 = 2;
+
 /// Why the entry of a runner at the address of a node is not used.
 const NODE_ADDRESS: &str = "address: belongs to a node";
 
@@ -93,6 +97,15 @@
     pub seen_at: time::Instant,
 }
 
+/// What a leader found of a runner's process that failed.
+#[derive(Clone, Copy, Debug)]
+struct FailureVerdict {
+    /// When the process was last seen to fail.
+    seen_at: time::Instant,
+    /// End of the verdict unless a leader repeats it.
+    until: time::Instant,
+}
+
 /// A runner and this node's load on it.
 #[derive(Clone, Debug)]
 pub struct RunnerState {
@@ -118,8 +131,8 @@
     avoided_until: Option<time::Instant>,
     /// Until when no process is assumed to listen at its address.
     unreachable_until: Option<time::Instant>,
-    /// Until when its process is assumed to have failed, as a leader found.
-    failed_until: Option<time::Instant>,
+    /// Set while its process is assumed to have failed, as a leader found.
+    verdict: Option<FailureVerdict>,
     /// When this node last checked whether a process listens there.
     checked_at: Option<time::Instant>,
     /// Set when it answered that it does not hold the layers of its entry;
@@ -162,8 +175,15 @@
     /// Returns whether it refused a connection a short time ago, which shows that its
     /// process does not exist, or a leader found its process to have failed.
     pub fn is_unreachable(&self, now: time::Instant) -> bool {
-        let until = self.unreachable_until.max(self.failed_until);
-        until.is_some_and(|until| now < until)
+        let is_failed = self.failed_age(now).is_some();
+        is_failed || self.unreachable_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the time since its process was last seen to fail, if a leader found
+    /// that.
+    pub fn failed_age(&self, now: time::Instant) -> Option<std_time::Duration> {
+        let verdict = self.verdict.filter(|verdict| now < verdict.until)?;
+        Some(now.saturating_duration_since(verdict.seen_at))
     }
 
     /// Returns whether its entry or one of its answers says that it leaves.
@@ -426,9 +446,9 @@
     }
 
     /// Applies the runners, sorted by key, whose processes a leader found to have
-    /// failed. Each of them gets no requests until `hold` after it was last seen to
-    /// fail, unless its entry tells of a new process before; the others get requests
-    /// again. Returns the changes.
+    /// failed. Each of them gets no requests for `hold`, unless its entry tells of a new
+    /// process before; the others get requests again. Failures that were last seen over
+    /// `AGE_HOLDS` times as long ago are ignored. Returns the changes.
     pub fn set_failed(
         &mut self,
         failed: &[demand::FailedRunner],
@@ -442,9 +462,13 @@
             let found = found.ok().map(|index| failed[index]);
             let found = found.filter(|failed| failed.incarnation == incarnation);
             let age = found.map(|failed| std_time::Duration::from_millis(failed.age_ms.into()));
-            let age = age.filter(|age| *age < hold);
-            let until = age.map(|age| now + (hold - age));
-            let was_failed = std::mem::replace(&mut state.failed_until, until).is_some();
+            let age = age.filter(|age| *age < hold * AGE_HOLDS);
+            let verdict = age.map(|age| FailureVerdict {
+                // A clock that started lately cannot go back so far.
+                seen_at: now.checked_sub(age).unwrap_or(now),
+                until: now + hold,
+            });
+            let was_failed = std::mem::replace(&mut state.verdict, verdict).is_some();
             match age {
                 Some(age) if !was_failed => Some(FleetChange::Failed(state.record.id.clone(), age)),
                 None if was_failed => Some(FleetChange::Regained(state.record.id.clone())),
@@ -454,10 +478,17 @@
         changes.collect()
     }
 
-    /// Returns the number of runners that a leader found to have failed.
-    pub fn failed_count(&self, now: time::Instant) -> usize {
-        let is_failed = |state: &&RunnerState| state.failed_until.is_some_and(|until| now < until);
-        self.runners.iter().filter(is_failed).count()
+    /// Returns the runners that a leader found to have failed.
+    pub fn failed(&self, now: time::Instant) -> Vec<demand::FailedRunner> {
+        let failed = self.runners.iter().filter_map(|state| {
+            let age = state.failed_age(now)?;
+            Some(demand::FailedRunner {
+                runner: state.key,
+                incarnation: state.record.started_ms.unwrap_or(0),
+                age_ms: demand::milliseconds(age),
+            })
+        });
+        failed.collect()
     }
 
     /// Returns whether this node should check now whether a process listens at the
@@ -570,7 +601,7 @@
                     state.failure_rate = 0.0;
                     state.end_failures();
                     state.unreachable_until = None;
-                    state.failed_until = None;
+                    state.verdict = None;
                     state.checked_at = None;
                     state.last_progress = None;
                     state.limit = None;
@@ -603,7 +634,7 @@
                     failing_until: None,
                     avoided_until: None,
                     unreachable_until: None,
-                    failed_until: None,
+                    verdict: None,
                     checked_at: None,
                     layers_missing: false,
                     answered_leaving: false,
--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
+use crate::gateway::claim;
 use crate::gateway::demand;
 use crate::id;
 use crate::member;
@@ -95,14 +96,31 @@
     DomainDemand(demand::DemandSummary),
     /// Sent by a leader to the nodes of its domain: the demand of all domains.
     FleetDemand(demand::DemandSummary),
+    /// Asks a node to lend some of its unused retries.
+    RetryClaim {
+        /// Number of the claim at its sender.
+        claim: claim::ClaimNumber,
+        /// Service that the retries are for.
+        service: id::ServiceName,
+        /// Number of retries.
+        wanted: u32,
+    },
+    /// Answer to such a claim.
+    RetryLoan {
+        /// Number of the claim at its sender.
+        claim: claim::ClaimNumber,
+        /// Number of retries that the sender of the claim may send.
+        count: u32,
+    },
 }
 
 impl LeaderMessage {
-    /// Returns whether the message is about demand rather than load.
+    /// Returns whether the message belongs to the exchange of demand, which nodes take
+    /// part in by their settings.
     pub fn is_demand(&self) -> bool {
-        matches!(
+        !matches!(
             self,
-            Self::NodeDemand(_) | Self::DomainDemand(_) | Self::FleetDemand(_)
+            Self::NodeLoads(_) | Self::DomainSummary(_) | Self::FleetSummary(_)
         )
     }
 }
@@ -174,7 +192,9 @@
             }
             LeaderMessage::NodeDemand(_)
             | LeaderMessage::DomainDemand(_)
-            | LeaderMessage::FleetDemand(_) => {}
+            | LeaderMessage::FleetDemand(_)
+            | LeaderMessage::RetryClaim { .. }
+            | LeaderMessage::RetryLoan { .. } => {}
         }
     }
 
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -117,6 +117,10 @@
     pub failed_runners: gauge::Gauge,
     /// Failures of runners that were withdrawn again.
     pub failures_withdrawn: counter::Counter,
+    /// Retries of other nodes that this one sent.
+    pub borrowed_retries: counter::Counter,
+    /// Retries of this node that others may send.
+    pub lent_retries: counter::Counter,
     /// Bytes of demand sent to other nodes.
     pub demand_bytes: counter::Counter,
     /// Messages between nodes.
@@ -155,6 +159,8 @@
             panics: counter::Counter::default(),
             failed_runners: gauge::Gauge::default(),
             failures_withdrawn: counter::Counter::default(),
+            borrowed_retries: counter::Counter::default(),
+            lent_retries: counter::Counter::default(),
             demand_bytes: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
             tunnels: TunnelMetrics::default(),
@@ -207,6 +213,16 @@
             "Failures of runners that were withdrawn",
             set.failures_withdrawn.clone(),
         );
+        registry.register(
+            "borrowed_retries",
+            "Retries that other nodes lent to this one",
+            set.borrowed_retries.clone(),
+        );
+        registry.register(
+            "lent_retries",
+            "Retries that this node lent to others",
+            set.lent_retries.clone(),
+        );
         registry.register(
             "demand_bytes",
             "Bytes of demand sent to other nodes",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -22,6 +22,7 @@
 use crate::gateway::path;
 use crate::gateway::quarantine;
 use crate::gateway::response;
+use crate::gateway::retry_loan;
 use crate::gateway::routing;
 use crate::gateway::runner_call;
 use crate::gateway::runner_limit;
@@ -447,8 +448,11 @@
         }
         let now = time::Instant::now();
         let granted = lock(&self.core.budget).take(&self.service, now);
-        match granted {
-            true => self.unsent_retry = Some(now),
+        // A borrowed retry is not given back, since its lender counts it as sent.
+        let granted_or_lent = granted || retry_loan::take(&self.core, &self.service).await;
+        match granted_or_lent {
+            true if granted => self.unsent_retry = Some(now),
+            true => {}
             false if self.begin_refusal() => {
                 self.count_refused_run("budget");
                 let detail = format!("service={} retry budget exhausted", self.service);
@@ -456,7 +460,7 @@
             }
             false => {}
         }
-        granted
+        granted_or_lent
     }
 
     /// Records that no runner was found for an attempt after one that came as far as
--- /dev/null
+++ b/arbutusfold/src/gateway/retry_loan.rs
@@ -0,0 +1,108 @@
+//! Loans of retries between nodes.
+//!
+//! The fleet's retry budget is divided by its nodes. With many small nodes the share
+//! of one is a few retries, and a crash may cost one node more than that while others
+//! need none. Such a node asks others for some of theirs.
+
+use std::time as std_time;
+
+use rand::seq::IndexedRandom;
+use tokio::time;
+
+use crate::event;
+use crate::gateway::claim;
+use crate::gateway::core;
+use crate::gateway::core::lock;
+use crate::gateway::leader;
+use crate::member;
+use crate::peer;
+
+/// Nodes that are asked for one retry.
+const LENDERS: usize = 3;
+
+/// Retries to ask for at a time: a failure often ends several requests.
+const WANTED_RETRIES: u32 = 3;
+
+/// Time to wait for the answer of a node.
+const ANSWER_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(60);
+
+/// Shortest time between two claims of a node for one service.
+const CLAIM_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
+
+/// Claims of this node that wait for an answer.
+pub type PendingLoans = claim::PendingClaims<u32>;
+
+/// Takes one retry that other nodes lend; returns whether there was one.
+pub async fn take(core: &core::GatewayCore, service: &str) -> bool {
+    if !core.settings.share_demand {
+        return false;
+    }
+    let now = time::Instant::now();
+    let mut is_taken = lock(&core.budget).take_borrowed(service, now);
+    let is_due = !is_taken && lock(&core.budget).begin_claim(service, CLAIM_PERIOD, now);
+    if is_due {
+        claim(core, service).await;
+        is_taken = lock(&core.budget).take_borrowed(service, time::Instant::now());
+    }
+    if is_taken {
+        core.metrics.borrowed_retries.inc();
+    }
+    is_taken
+}
+
+/// Asks one node after the other until one lends something.
+async fn claim(core: &core::GatewayCore, service: &str) {
+    let members = core.members.alive();
+    for lender in lenders(&members, &core.settings.name) {
+        let asked_at = time::Instant::now();
+        let (claim, answer) = lock(&core.loans).add();
+        let message = leader::LeaderMessage::RetryClaim {
+            claim,
+            service: service.to_owned(),
+            wanted: WANTED_RETRIES,
+        };
+        core.send_message(&lender.name, peer::MessageKind::Lead, &message);
+        let answer = time::timeout(ANSWER_TIMEOUT, answer).await;
+        let count = answer.ok().and_then(Result::ok);
+        let detail = format!(
+            "service={service} count={} answered={} after_ms={}",
+            count.unwrap_or(0),
+            count.is_some(),
+            asked_at.elapsed().as_millis()
+        );
+        core.note(event::EventCode::RetriesBorrowed, &lender.name, detail);
+        if let Some(count) = count.filter(|count| *count > 0) {
+            // The number is what this node asked for at most, whatever the answer says.
+            let count = count.min(WANTED_RETRIES);
+            lock(&core.budget).borrow(service, count, asked_at);
+            return;
+        }
+    }
+}
+
+/// Returns the nodes to ask, chosen at random so that no node is asked by all.
+fn lenders<'a>(members: &'a [member::MemberRecord], own: &str) -> Vec<&'a member::MemberRecord> {
+    let others = members.iter().filter(|record| record.name != own);
+    let others: Vec<_> = others.collect();
+    others.sample(&mut rand::rng(), LENDERS).copied().collect()
+}
+
+/// Lends retries to a node that asks for them.
+pub fn lend(
+    core: &core::GatewayCore,
+    borrower: &str,
+    claim: claim::ClaimNumber,
+    service: &str,
+    wanted: u32,
+) {
+    let is_known = core
+        .routing()
+        .is_some_and(|table| table.service(service).is_some());
+    let count = match is_known {
+        true => lock(&core.budget).lend(service, wanted, time::Instant::now()),
+        false => 0,
+    };
+    core.metrics.lent_retries.inc_by(count.into());
+    let answer = leader::LeaderMessage::RetryLoan { claim, count };
+    core.send_message(borrower, peer::MessageKind::Lead, &answer);
+}
