--- a/arbutusfold/tests/gateway_demand.rs
+++ b/arbutusfold/tests/gateway_demand.rs
@@ -4,9 +4,12 @@
 
 mod demand_network;
 
+use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{demand, leader};
+use arbutusfold::gateway::{demand, leader, leader_driver, panics};
+use arbutusfold::peer::MessageHandler;
+use rand::{RngExt, SeedableRng};
 use tokio::time;
 
 const MS: std_time::Duration = std_time::Duration::from_millis(1);
@@ -250,3 +253,34 @@
         assert!(costs[1] <= 1.5 * costs[0], "{costs:?}");
     }
 }
+
+/// Guards against one message between nodes that ends a task of its receiver.
+#[tokio::test(start_paused = true)]
+async fn malformed_messages_make_no_node_panic() {
+    let network = demand_network::start(3, 3, true).await;
+    let core = network.node(0);
+    panics::install(&core.panics);
+    let handler = leader_driver::LeaderHandler::new(sync::Arc::clone(core));
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(36);
+    let known = leader::runner_key("i-1").to_le_bytes();
+    for number in 0..20_000 {
+        // The variants about demand begin at 3.
+        let mut message = vec![random.random_range(3..8)];
+        while message.len() < 120 {
+            match random.random_range(0..6) {
+                0 | 1 => message.push(random.random_range(0..4)),
+                2 => message.extend([0xff, 0xff, 0xff, 0xff, 0x0f]),
+                3 => message.extend(known),
+                4 => message.extend(random.random::<[u8; 4]>()),
+                _ => message.push(random.random()),
+            }
+        }
+        message.truncate(random.random_range(1..=120));
+        handler.handle("front-zone-0001", &message);
+        if number % 200 == 0 {
+            time::sleep(300 * MS).await;
+        }
+        let panics = core.panics.take();
+        assert!(panics.is_empty(), "{number} {message:?}: {panics:?}");
+    }
+}
--- a/arbutusfold/tests/gateway_release.rs
+++ b/arbutusfold/tests/gateway_release.rs
@@ -7,7 +7,7 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{core, leader, leader_driver, mirror, replication, versions};
+use arbutusfold::gateway::{core, demand, leader, leader_driver, mirror, replication, versions};
 use arbutusfold::member::{self, message};
 use arbutusfold::peer::MessageHandler;
 use arbutusfold_platform::store;
@@ -93,6 +93,48 @@
     assert_eq!((member, rest.len()), (probe(), 0));
 }
 
+/// Messages of nodes and leaders that the release before knows.
+#[derive(Debug, serde::Deserialize)]
+#[allow(dead_code)]
+enum FormerMessage {
+    NodeLoads(Vec<leader::RunnerLoad>),
+    DomainSummary(leader::LoadSummary),
+    FleetSummary(leader::LoadSummary),
+}
+
+/// Guards against a message that the release before takes for another one.
+#[test]
+fn messages_about_demand_are_dropped_by_the_release_before() {
+    let summary = demand::DemandSummary {
+        failed: vec![demand::FailedRunner {
+            runner: 7,
+            incarnation: 2,
+            age_ms: 300,
+        }],
+        ..demand::DemandSummary::default()
+    };
+    let messages = [
+        leader::LeaderMessage::NodeDemand(summary.clone()),
+        leader::LeaderMessage::DomainDemand(summary.clone()),
+        leader::LeaderMessage::FleetDemand(summary),
+        leader::LeaderMessage::RetryClaim {
+            claim: 1,
+            service: "s".to_owned(),
+            wanted: 3,
+        },
+        leader::LeaderMessage::RetryLoan { claim: 1, count: 3 },
+    ];
+    for message in messages {
+        let body = postcard::to_stdvec(&message).unwrap();
+        assert!(postcard::take_from_bytes::<FormerMessage>(&body).is_err());
+        let decoded = versions::decode::<leader::LeaderMessage>(&body).unwrap();
+        assert_eq!(decoded, (message, None));
+    }
+    for hex in [DOMAIN_SUMMARY, FLEET_SUMMARY, NODE_LOADS] {
+        assert!(postcard::from_bytes::<FormerMessage>(&bytes(hex)).is_ok());
+    }
+}
+
 /// Guards against messages that the release before drops: it decodes a message and
 /// ignores what follows.
 #[test]
