--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -48,6 +48,12 @@
     RequestAnswered = 110, Info;
     /// A request was refused or failed.
     RequestRefused = 111, Info;
+    /// A request began to wait for room.
+    WaitBegan = 112, Info;
+    /// A request's wait for room ended.
+    WaitEnded = 113, Info;
+    /// A refused caller was told when to come back.
+    ReturnPlanned = 114, Info;
     /// A route was chosen for an attempt.
     RouteChosen = 200, Debug;
     /// An attempt failed before its answer was complete.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::probe;
 use crate::serve;
 
+pub mod admission;
 pub mod budget;
 pub mod claim;
 pub mod core;
@@ -34,6 +35,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod held;
+pub mod intake;
 pub mod layout;
 pub mod layout_controller;
 pub mod leader;
@@ -51,11 +53,14 @@
 pub mod replication;
 pub mod request;
 pub mod response;
+pub mod returns;
+pub mod room;
 pub mod routing;
 pub mod runner_call;
 pub mod runner_limit;
 pub mod selector;
 pub mod settings;
+pub mod shares;
 pub mod stall;
 pub mod store_watch;
 pub mod stream;
@@ -64,6 +69,7 @@
 pub mod suspects;
 pub mod trial;
 pub mod versions;
+pub mod waiting;
 
 /// Time allowed for sending the last messages to peers before the sockets close.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(50);
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::admission;
 use crate::gateway::budget;
 use crate::gateway::crash;
 use crate::gateway::demand;
@@ -73,6 +74,8 @@
     pub loads: sync::Mutex<leader::LoadView>,
     /// Demand of all nodes for scarce room, as far as reported.
     pub demand: sync::Mutex<demand::DemandView>,
+    /// Requests that wait for room, and what decides when they are sent.
+    pub admission: admission::AdmissionState,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Recent checks of runners that may have died during a run.
@@ -164,6 +167,7 @@
             members,
             loads: sync::Mutex::default(),
             demand: sync::Mutex::default(),
+            admission: admission::AdmissionState::new(settings.wait_limit),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
@@ -354,6 +358,7 @@
     /// Records that a leader sent a summary. If it reaches the store, an outage
     /// has ended also for a node that no longer calls the store itself.
     pub fn record_summary(&self, leader: &str, now: time::Instant) {
+        self.admission.wake();
         let limit = self.store_age_limit();
         let is_reached = lock(&self.loads).leader_reaches_store(limit, now);
         if is_reached {
@@ -480,6 +485,7 @@
         let nodes = self.members.fleet_size();
         lock(&self.budget).note_nodes(nodes);
         lock(&self.limits).note_nodes(nodes, now);
+        admission::publish(self, now);
     }
 
     /// Returns the metrics in the OpenMetrics text format.
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -27,7 +27,7 @@
 const AVOID_LIMIT: std_time::Duration = std_time::Duration::from_secs(8);
 
 /// Time for which a runner is avoided after it refused a request.
-const AVOID_REFUSAL: std_time::Duration = std_time::Duration::from_millis(400);
+pub const AVOID_REFUSAL: std_time::Duration = std_time::Duration::from_millis(400);
 
 /// Time for which a runner gets no requests after it refused a connection, unless
 /// its entry tells of a new process before.
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -21,6 +21,7 @@
 use crate::gateway::metrics;
 use crate::gateway::request;
 use crate::gateway::response;
+use crate::gateway::returns;
 use crate::gateway::routing;
 use crate::gateway::stream;
 use crate::id;
@@ -28,8 +29,8 @@
 /// Time subtracted from a deadline for sending the response to the caller.
 const RESPONSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
 
-/// `Retry-After` time of a node that has no document yet. The node waits for the
-/// store, and most callers retry only once.
+/// `Retry-After` time of a node that has no document yet, unless it forecasts returns.
+/// The node waits for the store, and most callers retry only once.
 const UNREADY_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(2_000);
 
 /// Time that a request waits for a node that has just started to learn which
@@ -126,10 +127,8 @@
     request: http::Request<body::Incoming>,
     started: time::Instant,
 ) -> Result<request::CallerRequest, response::GatewayRefusal> {
-    let unready = || {
-        let cause = "no document is known yet";
-        response::GatewayRefusal::not_run(cause, UNREADY_RETRY_AFTER)
-    };
+    let deadline = head.deadline;
+    let unready = || unready_refusal(core, deadline);
     core.routing().ok_or_else(unready)?;
     let mut known = core.suspects_known.subscribe();
     let learned = time::timeout(LEARN_TIMEOUT, known.wait_for(|known| *known));
@@ -199,6 +198,23 @@
     })
 }
 
+/// Returns the refusal of a node that has no document yet.
+fn unready_refusal(
+    core: &core::GatewayCore,
+    deadline: Option<std_time::Duration>,
+) -> response::GatewayRefusal {
+    let retry_after = match core.settings.wait_limit {
+        0 => UNREADY_RETRY_AFTER,
+        _ => returns::unready_return(
+            core.started_at.elapsed(),
+            core.is_store_lost(),
+            deadline.unwrap_or(std_time::Duration::MAX),
+            rand::rng().random(),
+        ),
+    };
+    response::GatewayRefusal::not_run("no document is known yet", retry_after)
+}
+
 async fn read_body(
     body: body::Incoming,
     limit_bytes: usize,
--- a/arbutusfold/src/gateway/leader.rs
+++ b/arbutusfold/src/gateway/leader.rs
@@ -17,7 +17,7 @@
 use crate::member;
 
 /// Shortest time between two summaries of a leader.
-const PERIOD_MIN: std_time::Duration = std_time::Duration::from_millis(100);
+pub const PERIOD_MIN: std_time::Duration = std_time::Duration::from_millis(100);
 
 /// Part of the period for each node of the domain, so that the message rate of
 /// a leader does not grow with their number.
@@ -171,6 +171,12 @@
         self.period
     }
 
+    /// Returns the time since the latest summary arrived, or `None` without one.
+    pub fn summary_age(&self, now: time::Instant) -> Option<std_time::Duration> {
+        let fleet = self.fleet.as_ref();
+        fleet.map(|received| now.saturating_duration_since(received.received_at))
+    }
+
     /// Stores the own load as it is sent to the leader.
     pub fn set_sent(&mut self, loads: Vec<RunnerLoad>) {
         self.sent = loads;
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -96,6 +96,12 @@
     pub retries: counter::Counter,
     /// Runs that were not started, by cause.
     pub refused_runs: family::Family<RunRefusalLabels, counter::Counter>,
+    /// Requests that wait for room.
+    pub waiting: gauge::Gauge,
+    /// Requests that waited for room and were sent.
+    pub waited: counter::Counter,
+    /// Requests that got no room, by cause.
+    pub room_refusals: family::Family<RunRefusalLabels, counter::Counter>,
     /// Runners that died during a run of a request, once for each request.
     pub crashes: family::Family<CrashLabels, counter::Counter>,
     /// Permits to send a request to a runner that named a limit.
@@ -138,6 +144,9 @@
             in_flight: gauge::Gauge::default(),
             retries: counter::Counter::default(),
             refused_runs: family::Family::default(),
+            waiting: gauge::Gauge::default(),
+            waited: counter::Counter::default(),
+            room_refusals: family::Family::default(),
             crashes: family::Family::default(),
             limit_permits: counter::Counter::default(),
             limit_denials: counter::Counter::default(),
@@ -163,6 +172,13 @@
             "Runs that were not started, by cause",
             set.refused_runs.clone(),
         );
+        registry.register("waiting", "Requests that wait", set.waiting.clone());
+        registry.register("waited", "Waits that ended in a send", set.waited.clone());
+        registry.register(
+            "room_refusals",
+            "Requests that got no room, by cause",
+            set.room_refusals.clone(),
+        );
         registry.register(
             "crashes",
             "Runners that died during a run of a request",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::admission;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
@@ -392,6 +393,8 @@
     fn drop(&mut self) {
         let mut fleet = lock(&self.core.fleet);
         self.load.iter().for_each(|(id, load)| fleet.end(id, *load));
+        drop(fleet);
+        self.core.admission.wake();
     }
 }
 
@@ -759,7 +762,7 @@
     }
 
     /// Returns the expected length of the context in tokens.
-    fn context_tokens(&self, engine: &document::EngineSpec) -> f64 {
+    pub fn context_tokens(&self, engine: &document::EngineSpec) -> f64 {
         self.prompt_tokens(engine) + self.answer_tokens(engine)
     }
 
@@ -1154,7 +1157,9 @@
     /// named limits, the first of them that may be tried again decides.
     fn retry_after(&self) -> std_time::Duration {
         let spec = self.table.service(&self.service);
+        let planned = admission::plan_return(self);
         let usual = match spec.is_some_and(|spec| spec.engine.is_some()) {
+            true if let Some(planned) = planned => planned,
             true => MODEL_RETRY_AFTER.mul_f64(1.0 + rand::rng().random::<f64>()),
             false => PLAIN_RETRY_AFTER,
         };
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -92,7 +92,7 @@
     /// Returns a runner as a candidate, if it holds layers.
     ///
     /// `runner` and `domain` are indices in the caller's lists.
-    fn candidate(
+    pub fn candidate(
         &self,
         state: &fleet::RunnerState,
         runner: usize,
@@ -116,7 +116,7 @@
         let slowdown = self.leads.slowness(state.key);
         let fleet_factor = 1.0 + self.unreported;
         let in_flight = f64::from(others.in_flight) + fleet_factor * f64::from(state.in_flight);
-        let used = others.token_layers as f64 + fleet_factor * state.token_layers as f64;
+        let used = self.used_token_layers(state);
         let avoided = state.is_avoided(self.now);
         Some(path::StageCandidate {
             runner,
@@ -130,4 +130,11 @@
                 + path::FAILING_PENALTY_MS * state.failure_rate,
         })
     }
+
+    /// Returns the memory in use at a runner by the requests of all nodes, in tokens of
+    /// context times layers.
+    pub fn used_token_layers(&self, state: &fleet::RunnerState) -> f64 {
+        let others = self.leads.peer_load(state.key);
+        others.token_layers as f64 + (1.0 + self.unreported) * state.token_layers as f64
+    }
 }
--- a/arbutusfold/src/gateway/settings.rs
+++ b/arbutusfold/src/gateway/settings.rs
@@ -72,8 +72,14 @@
     #[serde(default = "default_retry_window")]
     #[serde_as(as = "serde_with::DurationSecondsWithFrac<f64>")]
     pub retry_window_s: time::Duration,
+    /// Most requests that wait at this node for room; 0 if none does.
+    #[serde(default)]
+    pub wait_limit: usize,
 }
 
+/// Largest value of `wait_limit`. A waiting request holds its body in memory.
+const WAIT_LIMIT_MAX: u64 = 65_536;
+
 /// A gateway needs a few dozen descriptors for listeners, peers and the store.
 const DESCRIPTORS: check::FieldKind = check::FieldKind::Number(128, 1 << 20);
 
@@ -106,6 +112,7 @@
     check::FieldSpec::optional("retry_share", check::FieldKind::Decimal(0.0, 10.0)),
     check::FieldSpec::optional("retry_extra", check::FieldKind::Decimal(0.0, RETRY_LIMIT)),
     check::FieldSpec::optional("retry_window_s", SECONDS),
+    check::FieldSpec::optional("wait_limit", check::FieldKind::Number(0, WAIT_LIMIT_MAX)),
 ];
 
 fn default_answer_keep() -> time::Duration {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 
 use std::time as std_time;
 
-use arbutusfold_platform::{head, link, order};
+use arbutusfold_platform::{document, head, link, order};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::admission;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::event_stream;
@@ -21,6 +22,7 @@
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::runner_call;
+use crate::gateway::selector;
 use crate::gateway::stall;
 use crate::id;
 
@@ -125,6 +127,8 @@
     Silent(BoxFuture<'static, HeldEnd>, String),
     /// Nothing was sent.
     Unavailable(String),
+    /// Nothing was sent; room or a retry may become free.
+    Withheld(String),
     /// The deadline of the request has passed.
     TimedOut,
 }
@@ -132,12 +136,22 @@
 type HeldStreams = held::HeldRuns<StartOutcome>;
 type HeldEnd = held::HeldEnd<StartOutcome>;
 
+/// Returns how long callers of a route are assumed to wait for an event.
+pub fn caller_patience(rule: &document::RouteRule) -> std_time::Duration {
+    let objective = rule.objective.unwrap_or(DEFAULT_OBJECTIVE);
+    let gap = rule.gap_objective.unwrap_or(DEFAULT_GAP);
+    MIN_PATIENCE
+        .max(objective * PATIENCE_OBJECTIVES)
+        .max(gap * PATIENCE_GAPS)
+}
+
 /// Serves a request of a streaming route.
 pub async fn serve(mut request: request::CallerRequest) -> response::GatewayResponse {
     let core = std::sync::Arc::clone(&request.core);
     let mut cursor = event_stream::EventCursor::after(request.head.resume_after);
     let held = HeldStreams::default();
-    let started = match start(&mut request, &mut cursor, held, None).await {
+    let mut ticket = admission::AdmissionTicket::new(&request);
+    let started = match start(&mut request, &mut ticket, &mut cursor, held, None).await {
         Ok(StartOutcome::Started(started)) => started,
         Ok(StartOutcome::Response(response)) => {
             return forward::finish(&core, &request, Ok(response));
@@ -159,6 +173,7 @@
         let caller = sender.clone();
         let pump = StreamPump {
             request,
+            ticket,
             cursor,
             sender,
             events: 0,
@@ -174,6 +189,7 @@
 /// Task that sends the events of a stream to its caller.
 struct StreamPump {
     request: request::CallerRequest,
+    ticket: admission::AdmissionTicket,
     cursor: event_stream::EventCursor,
     sender: mpsc::Sender<Bytes>,
     events: u64,
@@ -210,6 +226,7 @@
         let service = &self.request.service;
         match end {
             PumpEnd::Complete => {
+                self.ticket.note_answered();
                 forward::count_request(&self.request.core, service, http::StatusCode::OK);
                 let detail = format!("status=200 {summary}");
                 self.request.note(event::EventCode::RequestAnswered, detail);
@@ -302,7 +319,8 @@
                 None => held.push(attempt.wait_silent(self.cursor)),
             }
             let failed = Some(request::AttemptReach::Ran);
-            let started = start(&mut self.request, &mut self.cursor, held, failed);
+            let (request, ticket) = (&mut self.request, &mut self.ticket);
+            let started = start(request, ticket, &mut self.cursor, held, failed);
             return match started.await {
                 Ok(StartOutcome::Started(started)) => {
                     let to = &started.attempt.target.runners;
@@ -330,6 +348,7 @@
 /// nothing yet.
 async fn start(
     request: &mut request::CallerRequest,
+    ticket: &mut admission::AdmissionTicket,
     cursor: &mut event_stream::EventCursor,
     mut held: HeldStreams,
     mut failed: Option<request::AttemptReach>,
@@ -337,6 +356,7 @@
     let is_resumption = failed.is_some();
     let mut response = None;
     let mut cause = "the stream broke off".to_owned();
+    ticket.begin(request, is_resumption);
     loop {
         if request.time_left().is_zero() {
             return Err(request.timeout_refusal());
@@ -346,9 +366,9 @@
             if let Some(reach) = failed
                 && !request.claim_retry(reach).await
             {
-                return AttemptEnd::Unavailable(cause.clone());
+                return AttemptEnd::Withheld(cause.clone());
             }
-            try_start(request, position, is_resumption).await
+            try_start(request, ticket, position, is_resumption).await
         };
         let end = match held.race(attempt).await {
             held::RaceEnd::Held(outcome) => {
@@ -381,12 +401,15 @@
                 (request::AttemptReach::Ran, cause)
             }
             AttemptEnd::TimedOut => return Err(request.timeout_refusal()),
-            AttemptEnd::Unavailable(cause) if held.is_empty() => {
+            AttemptEnd::Withheld(_) if held.is_empty() && ticket.wait(request, failed).await => {
+                continue;
+            }
+            AttemptEnd::Unavailable(cause) | AttemptEnd::Withheld(cause) if held.is_empty() => {
                 return response
                     .map(StartOutcome::Response)
                     .ok_or_else(|| request.refusal(&cause));
             }
-            AttemptEnd::Unavailable(_) => {
+            AttemptEnd::Unavailable(_) | AttemptEnd::Withheld(_) => {
                 let reach = failed.unwrap_or(request::AttemptReach::Ran);
                 request.note_unsent(reach);
                 if let Some(outcome) = held.wait(request.restart_wait(reach)).await {
@@ -435,13 +458,25 @@
 /// Starts the stream on a path and waits for its first event after `cursor`.
 async fn try_start(
     request: &mut request::CallerRequest,
+    ticket: &mut admission::AdmissionTicket,
     cursor: event_stream::EventCursor,
     is_resumption: bool,
 ) -> AttemptEnd {
+    if !ticket.check(request, is_resumption) {
+        return AttemptEnd::Withheld(selector::PathError::NoCapacity.to_string());
+    }
     let target = match request.acquire_target().await {
         Ok(target) => target,
-        Err(error) => return AttemptEnd::Unavailable(error.to_string()),
+        Err(error) => {
+            let is_passing = ticket.note_missing(request, error);
+            let cause = error.to_string();
+            return match is_passing {
+                true => AttemptEnd::Withheld(cause),
+                false => AttemptEnd::Unavailable(cause),
+            };
+        }
     };
+    ticket.note_sent(request);
     let guard = request::LoadGuard::new(&request.core, &target);
     match request.send(&target, cursor.last()).await {
         request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
@@ -722,9 +757,7 @@
         let gap = request.rule.gap_objective.unwrap_or(DEFAULT_GAP);
         stall::SilencePolicy {
             expected: if self.has_events { gap } else { objective },
-            patience: MIN_PATIENCE
-                .max(objective * PATIENCE_OBJECTIVES)
-                .max(gap * PATIENCE_GAPS),
+            patience: caller_patience(&request.rule),
         }
     }
 
