--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -128,6 +128,16 @@
 /// Starts a node that knows these runners.
 pub async fn start_node(runners: &TestRunners) -> (sync::Arc<core::GatewayCore>, net::SocketAddr) {
     let core = gateway_network::core_of(&gateway_network::record(1));
+    let address = start_core(&core, DOCUMENT, runners).await;
+    (core, address)
+}
+
+/// Starts a node with this state that knows a document and these runners.
+pub async fn start_core(
+    core: &sync::Arc<core::GatewayCore>,
+    document: &str,
+    runners: &TestRunners,
+) -> net::SocketAddr {
     let row = |key: &str, value: String| mirror::MirrorRow {
         key: key.to_owned(),
         version: 1,
@@ -136,7 +146,7 @@
     let key = store::WatchedTable::DOCUMENT_KEY;
     core.merge(
         store::WatchedTable::Operator,
-        vec![row(key, DOCUMENT.to_owned())],
+        vec![row(key, document.to_owned())],
     );
     let entry = |(index, address): (usize, &net::SocketAddr)| {
         let value = format!(
@@ -150,14 +160,14 @@
     core.suspects_known.send_replace(true);
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let handler = sync::Arc::clone(&core);
+    let handler = sync::Arc::clone(core);
     tokio::spawn(async move {
         let (_closing, closed) = watch::channel(false);
         let limits = serve::ServeLimits::default();
         let answer = move |request| forward::handle(sync::Arc::clone(&handler), request);
         serve::serve(listener, limits, closed, answer).await;
     });
-    (core, address)
+    address
 }
 
 /// Lets the budget of the node hold some retries.
--- a/arbutusfold/tests/gateway_settings.rs
+++ b/arbutusfold/tests/gateway_settings.rs
@@ -91,3 +91,15 @@
     assert_eq!(descriptors::parse_limits(""), None);
     assert!(descriptors::system_limit().is_some());
 }
+
+#[test]
+fn nobody_waits_unless_settings_say_so() {
+    let given = settings::parse_file("test", &text("")).unwrap();
+    assert_eq!(given.wait_limit, 0);
+    let given = settings::parse_file("test", &text(r#""wait_limit": 64,"#)).unwrap();
+    assert_eq!(given.wait_limit, 64);
+    for bad in ["-1", "1.5", "65537", "\"many\""] {
+        let error = settings::parse_file("test", &text(&format!(r#""wait_limit": {bad},"#)));
+        assert!(error.unwrap_err().to_string().contains("wait_limit"));
+    }
+}
