--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -302,6 +302,8 @@
 struct RoomView {
     intake: intake::IntakeView,
     shares: shares::OrganisationShares,
+    /// Whether each layer has a runner.
+    is_covered: bool,
     /// Age of the loads of the other nodes.
     load_age: Option<std_time::Duration>,
     /// Age of the demand of the other nodes.
@@ -452,11 +454,16 @@
     RoomView {
         intake: intake::IntakeView {
             free: report.free,
-            ends: report.ends_per_second(run_times.estimate(report.expected_run, now)),
+            ends: match report.is_covered {
+                true => report.ends_per_second(run_times.estimate(report.expected_run, now)),
+                // No request that ends makes room.
+                false => 0.0,
+            },
             horizon,
             ranks,
         },
         shares: shares::OrganisationShares::new(capacity, &uses),
+        is_covered: report.is_covered,
         load_age,
         demand_age,
     }
@@ -464,7 +471,9 @@
 
 /// Returns the engine of a request's service if admission is on for it.
 fn engine(request: &request::CallerRequest) -> Option<&document::EngineSpec> {
-    if request.core.admission.limit == 0 || request.rule.objective.is_none() {
+    let is_streaming = request.rule.kind == document::RouteKind::Streaming;
+    let has_objective = request.rule.objective.is_some();
+    if request.core.admission.limit == 0 || !is_streaming || !has_objective {
         return None;
     }
     request.table.service(&request.service)?.engine.as_ref()
@@ -474,15 +483,18 @@
     demand::name_key(request.organisation.as_deref().unwrap_or_default())
 }
 
-/// Returns when the caller of a refused request should come back, or `None` if
-/// admission is off for it or nothing is known about the room. The request is
-/// remembered, so that its return comes before others.
+/// Returns when the caller of a refused request that has not run should come back, or
+/// `None` if admission is off for it or room does not depend on other requests. The
+/// request is remembered, so that its return comes before others.
 pub fn plan_return(request: &request::CallerRequest) -> Option<std_time::Duration> {
-    let engine = engine(request)?;
+    let engine = engine(request).filter(|_| request.executed == 0)?;
     let now = time::Instant::now();
     let core = &request.core;
     let rank = request.priority;
     let view = view(core, &request.service, engine, Some(rank), now);
+    if !view.is_covered {
+        return None;
+    }
     let before = view.before(rank, organisation_key(request), false);
     let forecast = view.intake.forecast(rank, before);
     let deadline = request.head.deadline.unwrap_or(request.rule.timeout);
@@ -582,17 +594,24 @@
             return true;
         }
         let now = time::Instant::now();
+        // A request that was sent before has its part of the room.
+        if self.sent_at.is_none() && !self.decide(request, engine, now) {
+            return false;
+        }
         let tokens = request.context_tokens(engine);
         let full = lock(&self.core.admission.activity)
             .service_mut(self.service)
             .full;
-        if full.is_some_and(|(until, fitted)| now < until && tokens >= fitted) {
-            return false;
-        }
-        // A request that was sent before has its part of the room.
-        if self.sent_at.is_some() {
-            return true;
-        }
+        !full.is_some_and(|(until, fitted)| now < until && tokens >= fitted)
+    }
+
+    /// Decides whether the request is sent now, and keeps why not.
+    fn decide(
+        &mut self,
+        request: &request::CallerRequest,
+        engine: &document::EngineSpec,
+        now: time::Instant,
+    ) -> bool {
         let position = match &self.place {
             Some(place) => lock(&self.core.admission.activity)
                 .queue
@@ -722,7 +741,8 @@
             service: self.service,
             organisation: self.organisation,
             rank: self.rank,
-            is_return: self.is_return,
+            // A stream that is to go on comes before those that are to start.
+            is_return: self.is_return || self.sent_at.is_some(),
             is_above: self
                 .denial
                 .as_ref()
--- a/arbutusfold/src/gateway/room.rs
+++ b/arbutusfold/src/gateway/room.rs
@@ -18,6 +18,8 @@
 pub struct RoomReport {
     /// Requests that still fit, at the layer with the least free memory.
     pub free: f64,
+    /// Whether each layer has a usable runner.
+    pub is_covered: bool,
     /// Requests that run on all nodes, by the memory that they hold.
     pub running: f64,
     /// Time of a request at its runners, as the engine's figures suggest.
@@ -52,7 +54,7 @@
     let tokens = (engine.prompt_tokens + engine.answer_tokens).max(1.0);
     let layers = engine.layers as usize;
     // Differences between neighbouring layers, summed up below.
-    let mut steps = vec![0.0; layers + 1];
+    let mut steps = vec![(0.0, 0); layers + 1];
     let mut run_ms = 0.0;
     let mut held_layers = 0.0;
     for state in states {
@@ -65,25 +67,29 @@
         }
         let held = f64::from(candidate.layers.len());
         let fits = candidate.free_token_layers.max(0.0) / (tokens * held);
-        steps[from] += fits;
-        steps[to] -= fits;
+        steps[from] = (steps[from].0 + fits, steps[from].1 + 1);
+        steps[to] = (steps[to].0 - fits, steps[to].1 - 1);
         run_ms += run_time_ms(engine, &candidate);
         held_layers += held;
     }
-    let mut room = 0.0;
-    let by_layer = steps.iter().take(layers).map(|step| {
-        room += step;
-        room
+    let (mut room, mut holders) = (0.0, 0);
+    let by_layer = steps.iter().take(layers).map(|(fits, holder)| {
+        room += fits;
+        holders += holder;
+        (room, holders)
     });
-    let free = by_layer.fold(f64::INFINITY, f64::min);
+    let least = by_layer.reduce(|one, other| (one.0.min(other.0), one.1.min(other.1)));
+    let (free, holders) = least.unwrap_or_default();
+    let is_covered = holders > 0;
     let used = states.iter().map(|state| selector.used_token_layers(state));
     let mean_ms = match held_layers > 0.0 {
         true => run_ms * f64::from(engine.layers) / held_layers,
         false => 0.0,
     };
     RoomReport {
-        // The running sum leaves a rounding error where no runner holds a layer.
-        free: if free.is_finite() { free.max(0.0) } else { 0.0 },
+        // The sums of the layers are not exact.
+        free: if is_covered { free.max(0.0) } else { 0.0 },
+        is_covered,
         running: used.sum::<f64>() / (tokens * f64::from(engine.layers)),
         expected_run: std_time::Duration::from_secs_f64(mean_ms / 1_000.0),
     }
--- a/arbutusfold/tests/gateway_room.rs
+++ b/arbutusfold/tests/gateway_room.rs
@@ -63,8 +63,10 @@
     let twice: Vec<_> = whole.iter().chain(&whole).copied().collect();
     assert!((measure(&runners(&twice), &leads).free - 2.0 * ROOM_OF_EIGHT).abs() < 0.01);
     // Without the last layers nothing fits.
-    assert_eq!(measure(&runners(&whole[..9]), &leads).free, 0.0);
-    assert_eq!(measure(&runners(&[]), &leads).free, 0.0);
+    for layers in [&whole[..9], &whole[1..], &[]] {
+        let report = measure(&runners(layers), &leads);
+        assert!(report.free == 0.0 && !report.is_covered, "{report:?}");
+    }
 }
 
 #[test]
