--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::probe;
 use crate::serve;
 
+pub mod admission;
 pub mod budget;
 pub mod claim;
 pub mod core;
@@ -36,6 +37,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod held;
+pub mod intake;
 pub mod layout;
 pub mod layout_controller;
 pub mod leader;
@@ -57,11 +59,14 @@
 pub mod request;
 pub mod response;
 pub mod retry_loan;
+pub mod returns;
+pub mod room;
 pub mod routing;
 pub mod runner_call;
 pub mod runner_limit;
 pub mod selector;
 pub mod settings;
+pub mod shares;
 pub mod stage_check;
 pub mod stage_probe;
 pub mod stall;
@@ -74,6 +79,7 @@
 pub mod trial;
 pub mod unread;
 pub mod versions;
+pub mod waiting;
 
 /// Time allowed for sending the last messages to peers before the sockets close.
 const FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(50);
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::admission;
 use crate::gateway::budget;
 use crate::gateway::crash;
 use crate::gateway::demand;
@@ -89,6 +90,8 @@
     pub unread: sync::Mutex<unread::UnreadPrompts>,
     /// Traffic of this node's paths over the links between failure domains.
     pub links: sync::Mutex<link_budget::LinkMeter>,
+    /// Requests that wait for room, and what decides when they are sent.
+    pub admission: admission::AdmissionState,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Claims of this node for retries of others.
@@ -188,6 +191,7 @@
             lengths: sync::Mutex::default(),
             unread: sync::Mutex::default(),
             links: sync::Mutex::default(),
+            admission: admission::AdmissionState::new(settings.wait_limit),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             loans: sync::Mutex::default(),
             crash_checks: sync::Mutex::default(),
@@ -379,6 +383,7 @@
     /// Records that a leader sent a summary. If it reaches the store, an outage
     /// has ended also for a node that no longer calls the store itself.
     pub fn record_summary(&self, leader: &str, now: time::Instant) {
+        self.admission.wake();
         let limit = self.store_age_limit();
         let is_reached = lock(&self.loads).leader_reaches_store(limit, now);
         if is_reached {
@@ -505,6 +510,7 @@
         let nodes = self.members.fleet_size();
         lock(&self.budget).note_nodes(nodes);
         lock(&self.limits).note_nodes(nodes, now);
+        admission::publish(self, now);
     }
 
     /// Returns the metrics in the OpenMetrics text format.
--- a/arbutusfold/src/gateway/settings.rs
+++ b/arbutusfold/src/gateway/settings.rs
@@ -84,8 +84,14 @@
     #[serde(default)]
     #[serde_as(as = "Option<serde_with::DurationMilliSecondsWithFrac<f64>>")]
     pub drain_ms: Option<time::Duration>,
+    /// Most requests that wait at this node for room; 0 if none does.
+    #[serde(default)]
+    pub wait_limit: usize,
 }
 
+/// Largest value of `wait_limit`. A waiting request holds its body in memory.
+const WAIT_LIMIT_MAX: u64 = 65_536;
+
 /// A gateway needs a few dozen descriptors for listeners, peers and the store.
 const DESCRIPTORS: check::FieldKind = check::FieldKind::Number(128, 1 << 20);
 
@@ -121,6 +127,7 @@
     check::FieldSpec::optional("share_demand", check::FieldKind::Flag),
     check::FieldSpec::optional("probe_stages", check::FieldKind::Flag),
     check::FieldSpec::optional("drain_ms", MILLISECONDS),
+    check::FieldSpec::optional("wait_limit", check::FieldKind::Number(0, WAIT_LIMIT_MAX)),
 ];
 
 fn default_answer_keep() -> time::Duration {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::admission;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::event_stream;
@@ -21,6 +22,7 @@
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::runner_call;
+use crate::gateway::selector;
 use crate::gateway::stall;
 use crate::gateway::stream_path;
 use crate::id;
@@ -96,6 +98,8 @@
     Silent(BoxFuture<'static, HeldEnd>, String),
     /// Nothing was sent.
     Unavailable(String),
+    /// Nothing was sent; room or a retry may become free.
+    Withheld(String),
     /// The deadline of the request has passed.
     TimedOut,
 }
@@ -108,7 +112,8 @@
     let core = std::sync::Arc::clone(&request.core);
     let mut cursor = event_stream::EventCursor::after(request.head.resume_after);
     let held = HeldStreams::default();
-    let started = match start(&mut request, &mut cursor, held, None).await {
+    let mut ticket = admission::AdmissionTicket::new(&request);
+    let started = match start(&mut request, &mut ticket, &mut cursor, held, None).await {
         Ok(StartOutcome::Started(started)) => started,
         Ok(StartOutcome::Response(response)) => {
             return forward::finish(&core, &request, Ok(response));
@@ -130,6 +135,7 @@
         let caller = sender.clone();
         let pump = StreamPump {
             request,
+            ticket,
             cursor,
             sender,
             events: 0,
@@ -145,6 +151,7 @@
 /// Task that sends the events of a stream to its caller.
 struct StreamPump {
     request: request::CallerRequest,
+    ticket: admission::AdmissionTicket,
     cursor: event_stream::EventCursor,
     sender: mpsc::Sender<Bytes>,
     events: u64,
@@ -181,6 +188,7 @@
         let service = &self.request.service;
         match end {
             PumpEnd::Complete => {
+                self.ticket.note_answered();
                 forward::count_request(&self.request.core, service, http::StatusCode::OK);
                 let detail = format!("status=200 {summary}");
                 self.request.note(event::EventCode::RequestAnswered, detail);
@@ -273,7 +281,8 @@
                 None => held.push(attempt.wait_silent(self.cursor)),
             }
             let failed = Some(request::AttemptReach::Ran);
-            let started = start(&mut self.request, &mut self.cursor, held, failed);
+            let (request, ticket) = (&mut self.request, &mut self.ticket);
+            let started = start(request, ticket, &mut self.cursor, held, failed);
             return match started.await {
                 Ok(StartOutcome::Started(started)) => {
                     let to = &started.attempt.path.target.runners;
@@ -301,6 +310,7 @@
 /// nothing yet.
 async fn start(
     request: &mut request::CallerRequest,
+    ticket: &mut admission::AdmissionTicket,
     cursor: &mut event_stream::EventCursor,
     mut held: HeldStreams,
     mut failed: Option<request::AttemptReach>,
@@ -308,6 +318,7 @@
     let is_resumption = failed.is_some();
     let mut response = None;
     let mut cause = "the stream broke off".to_owned();
+    ticket.begin(request, is_resumption);
     loop {
         if request.time_left().is_zero() {
             return Err(request.timeout_refusal());
@@ -317,9 +328,9 @@
             if let Some(reach) = failed
                 && !request.claim_retry(reach).await
             {
-                return AttemptEnd::Unavailable(cause.clone());
+                return AttemptEnd::Withheld(cause.clone());
             }
-            try_start(request, position, is_resumption).await
+            try_start(request, ticket, position, is_resumption).await
         };
         let end = match held.race(attempt).await {
             held::RaceEnd::Held(outcome) => {
@@ -352,12 +363,15 @@
                 (request::AttemptReach::Ran, cause)
             }
             AttemptEnd::TimedOut => return Err(request.timeout_refusal()),
-            AttemptEnd::Unavailable(cause) if held.is_empty() => {
+            AttemptEnd::Withheld(_) if held.is_empty() && ticket.wait(request, failed).await => {
+                continue;
+            }
+            AttemptEnd::Unavailable(cause) | AttemptEnd::Withheld(cause) if held.is_empty() => {
                 return response
                     .map(StartOutcome::Response)
                     .ok_or_else(|| request.refusal(&cause));
             }
-            AttemptEnd::Unavailable(_) => {
+            AttemptEnd::Unavailable(_) | AttemptEnd::Withheld(_) => {
                 let reach = failed.unwrap_or(request::AttemptReach::Ran);
                 request.note_unsent(reach);
                 if let Some(outcome) = held.wait(request.restart_wait(reach)).await {
@@ -406,13 +420,25 @@
 /// Starts the stream on a path and waits for its first event after `cursor`.
 async fn try_start(
     request: &mut request::CallerRequest,
+    ticket: &mut admission::AdmissionTicket,
     cursor: event_stream::EventCursor,
     is_resumption: bool,
 ) -> AttemptEnd {
+    if !ticket.check(request, is_resumption) {
+        return AttemptEnd::Withheld(selector::PathError::NoCapacity.to_string());
+    }
     let target = match request.acquire_target().await {
         Ok(target) => target,
-        Err(error) => return AttemptEnd::Unavailable(error.to_string()),
+        Err(error) => {
+            let is_passing = ticket.note_missing(request, error);
+            let cause = error.to_string();
+            return match is_passing {
+                true => AttemptEnd::Withheld(cause),
+                false => AttemptEnd::Unavailable(cause),
+            };
+        }
     };
+    ticket.note_sent(request);
     let mut path = stream_path::StreamPath::new(request, target);
     let outcome = match request.dispatch(&path.target, cursor.last()).await {
         Ok(sent) => wait_answer(request, &mut path, sent).await,
--- a/arbutusfold/src/gateway/stream_path.rs
+++ b/arbutusfold/src/gateway/stream_path.rs
@@ -2,7 +2,7 @@
 
 use std::time as std_time;
 
-use arbutusfold_platform::order;
+use arbutusfold_platform::{document, order};
 use derive_more::Display;
 use futures_util::FutureExt;
 use futures_util::future::{self, BoxFuture};
@@ -50,6 +50,15 @@
 /// Objective for pauses of a route that sets none.
 const DEFAULT_GAP: std_time::Duration = std_time::Duration::from_millis(200);
 
+/// Returns how long callers of a route are assumed to wait for an event.
+pub fn caller_patience(rule: &document::RouteRule) -> std_time::Duration {
+    let objective = rule.objective.unwrap_or(DEFAULT_OBJECTIVE);
+    let gap = rule.gap_objective.unwrap_or(DEFAULT_GAP);
+    MIN_PATIENCE
+        .max(objective * PATIENCE_OBJECTIVES)
+        .max(gap * PATIENCE_GAPS)
+}
+
 /// Why runners of a running stream are replaced.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RerouteCause {
@@ -298,9 +307,7 @@
         let gap = request.rule.gap_objective.unwrap_or(DEFAULT_GAP);
         stall::SilencePolicy {
             expected: if self.has_events { gap } else { objective },
-            patience: MIN_PATIENCE
-                .max(objective * PATIENCE_OBJECTIVES)
-                .max(gap * PATIENCE_GAPS),
+            patience: caller_patience(&request.rule),
         }
     }
 
