--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -157,8 +157,7 @@
     };
     let rows = runners.addresses.iter().enumerate().map(entry).collect();
     core.merge(store::WatchedTable::Runners, rows);
-    let address = serve_node(&core).await;
-    (core, address)
+    serve_node(core).await
 }
 
 /// Serves callers of a node; returns the address.
