--- a/arbutusfold/tests/gateway_room.rs
+++ b/arbutusfold/tests/gateway_room.rs
@@ -42,6 +42,7 @@
         engine: &engine,
         leads,
         unreported: 0.0,
+        unread: [&[], &[]],
         now: time::Instant::now(),
     };
     room::measure(&selector, &states)
