--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -41,6 +41,14 @@
     failed: Option<id::IncarnationNumber>,
 }
 
+impl RunnerProbe {
+    fn is_accepted_before(&self, since: time::Instant) -> bool {
+        self.cell.get().is_some_and(|probe| {
+            probe.answer == stage_check::StageAnswer::Accepted && probe.ended_at <= since
+        })
+    }
+}
+
 /// Opens the connections of checks and shares their results.
 pub struct StageProber {
     direct: sync::Arc<direct::DirectDialer>,
@@ -79,13 +87,15 @@
     }
 
     /// Opens a connection to a runner and closes it at once, or joins a check that is
-    /// under way or recent; `opened` is called if a connection is opened.
+    /// under way or recent; `opened` is called if a connection is opened. A connection
+    /// that was accepted before `since` is not recent.
     pub async fn probe(
         &self,
         address: net::SocketAddr,
+        since: time::Instant,
         opened: impl FnOnce(),
     ) -> stage_check::StageProbe {
-        let cell = self.cell(address, time::Instant::now());
+        let cell = self.cell(address, since, time::Instant::now());
         let check = async || {
             opened();
             let began_at = time::Instant::now();
@@ -99,11 +109,17 @@
         *cell.get_or_init(check).await
     }
 
-    fn cell(&self, address: net::SocketAddr, now: time::Instant) -> ProbeCell {
+    fn cell(
+        &self,
+        address: net::SocketAddr,
+        since: time::Instant,
+        now: time::Instant,
+    ) -> ProbeCell {
         let mut probes = lock(&self.probes);
-        let is_recent =
-            |probe: &RunnerProbe| now.saturating_duration_since(probe.started_at) < PROBE_TTL;
-        probes.retain(is_recent);
+        probes.retain(|probe| {
+            let is_recent = now.saturating_duration_since(probe.started_at) < PROBE_TTL;
+            is_recent && (probe.address != address || !probe.is_accepted_before(since))
+        });
         match probes.binary_search_by_key(&address, |probe| probe.address) {
             Ok(index) => sync::Arc::clone(&probes[index].cell),
             Err(index) => {
@@ -197,7 +213,7 @@
     let probes = unproven.iter().map(|index| {
         let address = stages[*index].address;
         let metric = &core.metrics.stage_connections;
-        core.prober.probe(address, || {
+        core.prober.probe(address, stream.last_event, || {
             metric.inc();
         })
     });
