Trust a direct way to a runner only after an answer came over it

Cause: a direct way counted as working once a connection opened. Where connections are reset, they open first as well, so no tunnel is raced, both runs are used up, and the check that clears the runner only opens connections to others.

Bytes of direct connections now tell the book of ways when an answer came, or when the connection ended before one.

The test only_attempts_after_a_failure_show_that_others_are_reached asked for opened connections. It now asks for answers, and also that an opened connection shows nothing.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod descriptors;
 pub mod dial;
 pub mod direct;
+pub mod direct_bytes;
 pub mod entry;
 pub mod event_stream;
 pub mod fleet;
--- a/arbutusfold/src/gateway/dial.rs
+++ b/arbutusfold/src/gateway/dial.rs
@@ -97,12 +97,8 @@
         limit: std_time::Duration,
     ) -> Result<RunnerConnection, DialError>;
 
-    /// Records that a direct connection to the runner was lost without an answer, so
-    /// that other ways are tried before the next direct one.
-    fn note_lost(&self, address: net::SocketAddr);
-
-    /// Returns whether this node can connect directly to some other runner now, or
-    /// there is none to compare with.
+    /// Returns whether some other runner answers this node directly now, or there is
+    /// none to compare with.
     async fn reaches_other(&self, address: net::SocketAddr, limit: std_time::Duration) -> bool;
 }
 
--- a/arbutusfold/src/gateway/direct.rs
+++ b/arbutusfold/src/gateway/direct.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold_platform::link;
+use arbutusfold_platform::{link, order};
 use futures_util::future;
 use rand::seq::IndexedRandom;
 use tokio::sync as tokio_sync;
@@ -13,6 +13,7 @@
 
 use crate::event;
 use crate::gateway::dial;
+use crate::gateway::direct_bytes;
 use crate::gateway::reach;
 use crate::id;
 
@@ -67,7 +68,7 @@
 pub struct DirectDialer {
     context: dial::DialContext,
     opener: sync::Arc<dyn SocketOpener>,
-    book: sync::Mutex<reach::ReachBook>,
+    book: sync::Arc<sync::Mutex<reach::ReachBook>>,
     /// Held while other runners are connected to only to find out whether any is
     /// reached.
     other_check: tokio_sync::Mutex<()>,
@@ -79,7 +80,7 @@
         Self {
             context,
             opener,
-            book: sync::Mutex::default(),
+            book: sync::Arc::default(),
             other_check: tokio_sync::Mutex::default(),
         }
     }
@@ -101,12 +102,14 @@
         match connected {
             Ok(bytes) => {
                 let regained = self.book().note_reached(address, now - started, now);
-                if let Some(loss) = regained {
-                    let detail = format!("relayed_ms={}", loss.age.as_millis());
-                    let code = event::EventCode::UpstreamDirect;
-                    let subject = self.context.runner_name(address);
-                    self.context.recorder.record(code, &subject, detail);
-                }
+                note_regained(&self.context, address, regained);
+                let watch = direct_bytes::DirectWatch::new(
+                    self.context.clone(),
+                    sync::Arc::clone(&self.book),
+                    address,
+                    started,
+                );
+                let bytes = Box::new(direct_bytes::DirectBytes::new(bytes, watch));
                 Ok(dial::RunnerConnection { bytes, via: None })
             }
             Err(error) => {
@@ -122,13 +125,54 @@
         }
     }
 
-    /// Connects to a runner again after another one was reached, so that a failure
-    /// is not due to this node's own way.
+    /// Connects to a runner within `limit` after it has answered over another
+    /// connection.
     ///
     /// # Errors
     ///
-    /// [`dial::DialError`]; it is confirmed if another runner was reached, or if there
-    /// is none and `unless_alone` is not set.
+    /// [`dial::DialError`], which is not confirmed.
+    pub async fn connect_proven(
+        &self,
+        address: net::SocketAddr,
+        limit: std_time::Duration,
+    ) -> Result<dial::RunnerConnection, dial::DialError> {
+        let deadline = time::Instant::now() + limit;
+        if !self.is_answered(address, limit).await {
+            return Err(dial::DialError {
+                address,
+                is_refused: false,
+                is_confirmed: false,
+                reason: "no answer over the direct way".to_owned(),
+            });
+        }
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        self.connect(address, left).await
+    }
+
+    /// Returns whether a call over a new connection to a runner is answered within
+    /// `limit`.
+    async fn is_answered(&self, address: net::SocketAddr, limit: std_time::Duration) -> bool {
+        let began_at = time::Instant::now();
+        let call = async {
+            let connection = self.connect(address, limit).await.ok()?;
+            let mut link = link::HttpLink::over(connection.bytes).await.ok()?;
+            // Whatever the runner sends shows that the way works; the book holds it.
+            link.send(order::encode_report_call(address).ok()?)
+                .await
+                .ok()
+        };
+        // So does an answer that comes too late.
+        let _ = time::timeout(limit, call).await;
+        self.book().has_answered(address, began_at)
+    }
+
+    /// Connects to a runner again after another one answered, so that a failure is not
+    /// due to this node's own way.
+    ///
+    /// # Errors
+    ///
+    /// [`dial::DialError`]; it is confirmed if another runner answered, or if there is
+    /// none and `unless_alone` is not set, and no connection was opened.
     pub async fn confirm(
         &self,
         address: net::SocketAddr,
@@ -137,16 +181,19 @@
     ) -> Result<dial::RunnerConnection, dial::DialError> {
         let began_at = time::Instant::now();
         let deadline = began_at + limit;
-        let is_sound = self.connects_other(address, began_at, limit).await;
+        let is_sound = self.reaches_other(address, began_at, limit).await;
         if !is_sound.unwrap_or(!unless_alone) {
             return Err(dial::DialError {
                 address,
                 is_refused: false,
                 is_confirmed: false,
-                reason: "no other runner was reached either".to_owned(),
+                reason: "no other runner answered either".to_owned(),
             });
         }
         let started = time::Instant::now();
+        if self.is_doubted(address) {
+            return self.connect_proven(address, deadline - started).await;
+        }
         let connected = self.connect(address, deadline - started).await;
         connected.map_err(|error| {
             let is_silent = started.elapsed() >= SILENCE_TIME;
@@ -161,10 +208,11 @@
         })
     }
 
-    /// Returns whether this node can connect to some other runner within `limit`, or
-    /// `None` if there is none. Attempts of requests that began at `since` or later
-    /// count, too, since each further connection costs a runner something.
-    pub async fn connects_other(
+    /// Returns whether some other runner answers this node directly within `limit`, or
+    /// `None` if there is none. Answers to requests over connections that began at
+    /// `since` or later count, too, since each further connection costs a runner
+    /// something.
+    pub async fn reaches_other(
         &self,
         address: net::SocketAddr,
         since: time::Instant,
@@ -178,14 +226,14 @@
             time::sleep(OTHER_DELAY).await;
             // Checks of one moment share their attempts.
             let _turn = self.other_check.lock().await;
-            if self.book().reached_other(address, since) {
+            if self.book().answered_other(address, since) {
                 return true;
             }
-            let attempts = others.into_iter().map(|other| {
-                let attempt = self.connect(other, limit);
-                Box::pin(attempt)
+            let calls = others.into_iter().map(|other| {
+                let call = self.is_answered(other, limit);
+                Box::pin(async move { call.await.then_some(()).ok_or(()) })
             });
-            future::select_ok(attempts).await.is_ok()
+            future::select_ok(calls).await.is_ok()
         };
         let checked = time::timeout(limit, check).await;
         Some(checked.unwrap_or(false))
@@ -213,15 +261,27 @@
     }
 
     /// Returns whether direct attempts failed a short time ago and none succeeded
-    /// since.
+    /// since, or the way is in doubt.
     pub fn is_lost(&self, address: net::SocketAddr) -> bool {
-        self.book().is_lost(address, time::Instant::now())
+        let now = time::Instant::now();
+        let mut book = self.book();
+        book.check_silence(now);
+        book.is_lost(address, now)
     }
 
-    /// Returns whether [`Self::is_lost`] holds, and for all that is known it is due to
-    /// this node and not to the runner.
+    /// Returns whether direct attempts failed a short time ago, or all ways are in doubt,
+    /// and for all that is known it is due to this node and not to the runner.
     pub fn is_lost_here(&self, address: net::SocketAddr) -> bool {
-        self.book().is_lost_here(address, time::Instant::now())
+        let now = time::Instant::now();
+        let mut book = self.book();
+        book.check_silence(now);
+        book.is_lost_here(address, now)
+    }
+
+    /// Returns whether an answer has to come over the direct way before a request is
+    /// sent on it.
+    pub fn is_doubted(&self, address: net::SocketAddr) -> bool {
+        self.book().is_doubted(address)
     }
 
     /// Returns how long a direct attempt may take until another way is tried, too.
@@ -236,13 +296,6 @@
         self.book().note_failed(address, &reason, started, now);
     }
 
-    /// Records that a direct connection was lost without an answer.
-    pub fn note_lost(&self, address: net::SocketAddr) {
-        let now = time::Instant::now();
-        self.book()
-            .note_failed(address, "connection lost", now, now);
-    }
-
     /// Records that a runner was reached through another node.
     pub fn note_relayed(&self, address: net::SocketAddr, via: &id::HostName) {
         let loss = self.book().note_other_way(address, time::Instant::now());
@@ -266,7 +319,7 @@
         let direct = sync::Arc::clone(self);
         tokio::spawn(async move {
             // The book holds the result.
-            let _ = direct.connect(address, PROBE_TIMEOUT).await;
+            let _ = direct.is_answered(address, PROBE_TIMEOUT).await;
             direct.book().end_probe(address, time::Instant::now());
         });
     }
@@ -277,3 +330,16 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
+
+/// Logs that the direct way to a runner works again, if the log told of its loss.
+pub(crate) fn note_regained(
+    context: &dial::DialContext,
+    address: net::SocketAddr,
+    loss: Option<reach::WayLoss>,
+) {
+    let Some(loss) = loss else { return };
+    let detail = format!("relayed_ms={}", loss.age.as_millis());
+    let code = event::EventCode::UpstreamDirect;
+    let subject = context.runner_name(address);
+    context.recorder.record(code, &subject, detail);
+}
--- a/arbutusfold/src/gateway/race.rs
+++ b/arbutusfold/src/gateway/race.rs
@@ -4,7 +4,8 @@
 //! The direct way is tried first. If it is not open after a moment, another node is
 //! asked as well, and the connection that is open first is used; nothing is sent
 //! before. Where the direct way failed a short time ago, the other node is asked
-//! first, and the direct way is tried again in the background.
+//! first, and the direct way is tried again in the background. Where connections open
+//! but gave no answer, the direct way is used only after it gave one.
 
 use std::net;
 use std::sync;
@@ -66,6 +67,8 @@
     race_delay: std_time::Duration,
     /// Whether the direct way failed a short time ago.
     is_lost: bool,
+    /// Whether it has to give an answer before it is used.
+    is_doubted: bool,
     direct: RaceLane,
     relay: RaceLane,
     confirm: RaceLane,
@@ -97,6 +100,7 @@
             deadline: now + limit,
             race_delay: self.direct.race_delay(address),
             is_lost,
+            is_doubted: is_lost && self.direct.is_doubted(address),
             direct: RaceLane::default(),
             relay: RaceLane::default(),
             confirm: RaceLane::default(),
@@ -105,14 +109,10 @@
         race.run().await
     }
 
-    fn note_lost(&self, address: net::SocketAddr) {
-        self.direct.note_lost(address);
-    }
-
     async fn reaches_other(&self, address: net::SocketAddr, limit: std_time::Duration) -> bool {
         let now = time::Instant::now();
-        let connects = self.direct.connects_other(address, now, limit).await;
-        connects.unwrap_or(true)
+        let reaches = self.direct.reaches_other(address, now, limit).await;
+        reaches.unwrap_or(true)
     }
 }
 
@@ -189,7 +189,7 @@
 
     fn begin(&mut self, way: RaceWay, now: time::Instant) {
         let limit = self.deadline.saturating_duration_since(now);
-        let (dialer, address) = (self.dialer, self.address);
+        let (dialer, address, is_doubted) = (self.dialer, self.address, self.is_doubted);
         self.lane(way).started = Some(now);
         self.running.push(Box::pin(async move {
             let result = match (way, &dialer.relay) {
@@ -200,6 +200,7 @@
                     let direct = &dialer.direct;
                     direct.confirm(address, limit, unless_alone).await
                 }
+                _ if is_doubted => dialer.direct.connect_proven(address, limit).await,
                 _ => dialer.direct.connect(address, limit).await,
             };
             (way, result)
--- a/arbutusfold/src/gateway/relay.rs
+++ b/arbutusfold/src/gateway/relay.rs
@@ -188,8 +188,6 @@
         }
     }
 
-    fn note_lost(&self, _: net::SocketAddr) {}
-
     async fn reaches_other(&self, _: net::SocketAddr, _: std_time::Duration) -> bool {
         false
     }
--- a/arbutusfold/src/gateway/runner_call.rs
+++ b/arbutusfold/src/gateway/runner_call.rs
@@ -84,10 +84,7 @@
             }
             // A runner with too many connections closes new ones, too.
             Ok(Err(error)) => {
-                match dialed.via {
-                    Some(_) => is_confirmed |= !error.is_way_lost(),
-                    None => dialer.note_lost(address),
-                }
+                is_confirmed |= dialed.via.is_some() && !error.is_way_lost();
                 time::sleep(CHECK_PAUSE).await;
             }
         }
--- a/arbutusfold/tests/gateway_reach.rs
+++ b/arbutusfold/tests/gateway_reach.rs
@@ -87,21 +87,102 @@
     }
 }
 
-/// What was reached before an attempt failed does not show that the node was not cut
-/// off since.
+/// What was answered before an attempt failed does not show that the node was not cut
+/// off since, and neither does a connection that only opened.
 #[tokio::test(start_paused = true)]
-async fn only_attempts_after_a_failure_show_that_others_are_reached() {
+async fn only_answers_over_later_connections_show_that_others_are_reached() {
     let mut book = reach::ReachBook::default();
     let failed_at = time::Instant::now() + ms(100);
-    book.note_reached(address(2), ms(30), failed_at + ms(29));
-    assert!(!book.reached_other(address(1), failed_at));
-    book.note_reached(address(1), ms(1), failed_at + ms(40));
+    let just_before = failed_at - ms(1);
+    book.note_answered(address(2), just_before, ms(5), failed_at + ms(29));
+    assert!(!book.answered_other(address(1), failed_at));
+    book.note_answered(address(1), failed_at, ms(5), failed_at + ms(40));
     assert!(
-        !book.reached_other(address(1), failed_at),
+        !book.answered_other(address(1), failed_at),
         "the same runner"
     );
     book.note_reached(address(2), ms(30), failed_at + ms(30));
-    assert!(book.reached_other(address(1), failed_at));
+    assert!(!book.answered_other(address(1), failed_at), "only opened");
+    book.note_answered(address(2), failed_at, ms(5), failed_at + ms(40));
+    assert!(book.answered_other(address(1), failed_at));
+}
+
+#[tokio::test(start_paused = true)]
+async fn way_that_opens_and_ends_before_an_answer_is_in_doubt_until_one_comes() {
+    let mut book = reach::ReachBook::default();
+    let began_at = time::Instant::now();
+    book.note_reached(address(1), ms(1), began_at + ms(1));
+    book.note_unanswered(address(1), "reset", began_at, began_at + ms(2));
+    let later = began_at + ms(5_000);
+    book.note_reached(address(1), ms(1), later);
+    assert!(book.is_doubted(address(1)) && book.is_lost(address(1), later));
+    assert!(!book.is_doubted(address(2)), "one runner may have died");
+    // An answer over a connection from before shows nothing about new ones.
+    book.note_answered(address(1), began_at, ms(5), later);
+    assert!(book.is_doubted(address(1)));
+    book.note_answered(address(1), later, ms(5), later + ms(5));
+    assert!(!book.is_lost(address(1), later + ms(5)));
+    // An end that is told late.
+    book.note_unanswered(address(1), "reset", began_at, later + ms(6));
+    assert!(!book.is_lost(address(1), later + ms(6)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn ends_before_an_answer_at_two_runners_put_all_ways_in_doubt() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    book.note_unanswered(address(1), "reset", now, now);
+    // Another runner answers meanwhile, so the first end was its runner's own.
+    book.note_answered(address(3), now + ms(1), ms(1), now + ms(2));
+    assert!(!book.is_lost_here(address(1), now + ms(2)));
+    book.note_unanswered(address(2), "reset", now + ms(3), now + ms(3));
+    assert!(!book.is_doubted(address(4)));
+    book.note_unanswered(address(1), "reset", now + ms(4), now + ms(4));
+    for port in [1, 2, 3, 4] {
+        assert!(book.is_lost_here(address(port), now + ms(9_000)), "{port}");
+    }
+    let loss = book.note_other_way(address(4), now + ms(10)).unwrap();
+    assert_eq!(loss.age, ms(6));
+    // One answer ends the doubt about ways of which nothing else is known.
+    book.note_answered(address(3), now + ms(11), ms(1), now + ms(12));
+    assert!(book.is_doubted(address(1)) && book.is_doubted(address(2)));
+    assert!(!book.is_doubted(address(3)) && !book.is_doubted(address(4)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_of_all_runners_puts_all_ways_in_doubt() {
+    let mut book = reach::ReachBook::default();
+    let now = time::Instant::now();
+    book.check_silence(now + ms(60_000));
+    assert!(!book.is_doubted(address(1)), "no request waits");
+    let wait = book.begin_wait(now);
+    // A byte on any connection ends the silence.
+    book.note_heard(now + ms(200));
+    book.check_silence(now + ms(499));
+    assert!(!book.is_doubted(address(1)));
+    book.check_silence(now + ms(500));
+    assert!(book.is_doubted(address(1)) && book.is_doubted(address(2)));
+    // Late answers of before the doubt do not end it.
+    book.end_wait(wait);
+    book.note_answered(address(1), now, ms(700), now + ms(700));
+    assert!(book.is_doubted(address(1)));
+    book.note_answered(address(1), now + ms(600), ms(100), now + ms(700));
+    assert!(!book.is_doubted(address(1)) && !book.is_doubted(address(2)));
+}
+
+/// Runners that prefill long prompts are silent for as long in calm.
+#[tokio::test(start_paused = true)]
+async fn silence_is_measured_by_the_time_of_slow_answers() {
+    for (took, limit) in [(10, 300), (400, 800), (5_000, 2_000)] {
+        let mut book = reach::ReachBook::default();
+        let now = time::Instant::now();
+        book.note_answered(address(1), now, ms(took), now);
+        book.begin_wait(now);
+        book.check_silence(now + ms(limit - 1));
+        assert!(!book.is_doubted(address(1)), "{took}");
+        book.check_silence(now + ms(limit));
+        assert!(book.is_doubted(address(1)), "{took}");
+    }
 }
 
 #[tokio::test(start_paused = true)]
--- a/arbutusfold/tests/gateway_relay.rs
+++ b/arbutusfold/tests/gateway_relay.rs
@@ -34,6 +34,10 @@
     Hang,
     /// Connections are opened late.
     Delay(u64),
+    /// Connections are opened and stay silent.
+    Silent,
+    /// Connections are opened and end at once.
+    Reset,
 }
 
 /// The direct way of one node, which a test can cut.
@@ -64,6 +68,16 @@
             CutKind::Delay(delay_ms) => {
                 time::sleep(std_time::Duration::from_millis(delay_ms)).await;
             }
+            CutKind::Silent | CutKind::Reset => {
+                let (bytes, other) = tokio::io::duplex(1 << 16);
+                if kind == CutKind::Silent {
+                    tokio::spawn(async move {
+                        let _other = other;
+                        time::sleep(LIMIT).await;
+                    });
+                }
+                return Ok(Box::new(bytes));
+            }
         }
         direct::TcpOpener::default().connect(address).await
     }
@@ -601,6 +615,50 @@
     address
 }
 
+/// A direct way that opens but gives no answer is no better than one that fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn ways_that_open_without_an_answer_are_left_until_one_comes() {
+    let limit = std_time::Duration::from_millis(500);
+    for kind in [CutKind::Silent, CutKind::Reset] {
+        let runners = [start_reporting(1).await, start_reporting(1).await];
+        let nodes = start(&["a", "b"], &runners);
+        nodes[0].opener.set(kind);
+        let dialer = &*nodes[0].dialer;
+        let (one, other) = tokio::join!(
+            runner_call::report(dialer, runners[0], limit),
+            runner_call::report(dialer, runners[1], limit),
+        );
+        assert!(one.is_err() && other.is_err(), "{kind:?}");
+        // Silence shows while a request waits, ends of connections at once.
+        let mut waiting = None;
+        if kind == CutKind::Silent {
+            let opened = waiting.insert(nodes[0].open(runners[0]).await.unwrap());
+            opened.bytes.write_all(b"request").await.unwrap();
+            time::sleep(limit).await;
+        }
+        for _ in 0..20 {
+            for runner in runners {
+                let opened = nodes[0].open(runner).await.unwrap();
+                assert_eq!(opened.via.as_deref(), Some("b"), "{kind:?}");
+            }
+            time::sleep(std_time::Duration::from_millis(100)).await;
+        }
+        assert!(!is_gone(&nodes[0], runners[0]).await, "{kind:?}");
+        drop(waiting);
+        nodes[0].opener.set(CutKind::None);
+        let healed_at = time::Instant::now();
+        while nodes[0].open(runners[0]).await.unwrap().via.is_some() {
+            assert!(healed_at.elapsed() < std_time::Duration::from_millis(1_500));
+            time::sleep(std_time::Duration::from_millis(5)).await;
+        }
+        assert_eq!(
+            nodes[0].events("i-0"),
+            ["UpstreamRelayed", "UpstreamDirect"],
+            "{kind:?}"
+        );
+    }
+}
+
 async fn is_gone(node: &TestNode, runner: net::SocketAddr) -> bool {
     let limit = std_time::Duration::from_millis(500);
     runner_call::is_gone(&*node.dialer, runner, 1, limit).await
