Close the tunnel if the serving host's own way to the runner ended

A runner that ends before a byte of an answer is at fault only if another one answers the serving host.

--- a/arbutusfold/src/gateway/relay_server.rs
+++ b/arbutusfold/src/gateway/relay_server.rs
@@ -28,6 +28,10 @@
 /// Longest time for connecting to a runner.
 const CONNECT_LIMIT: std_time::Duration = std_time::Duration::from_secs(1);
 
+/// Longest time for finding out whether another runner answers; one does within a few
+/// milliseconds.
+const JUDGE_LIMIT: std_time::Duration = std_time::Duration::from_millis(200);
+
 /// Least time between two records of a refusal in the log.
 const REFUSAL_PERIOD: std_time::Duration = std_time::Duration::from_secs(1);
 
@@ -147,12 +151,33 @@
         };
         let replied = tunnel::reply(&mut frames, state.reply(result)).await;
         if let (Ok(()), Some(connection)) = (replied, connection) {
-            tunnel_flow::serve(frames, connection.bytes).await;
+            let judge = WayJudge {
+                direct: sync::Arc::clone(&state.direct),
+                target: request.target,
+                began_at: time::Instant::now(),
+            };
+            tunnel_flow::serve(frames, connection.bytes, &judge).await;
         }
         drop(place);
     }
 }
 
+/// Tells breaks of a runner from those of this node's direct ways.
+struct WayJudge {
+    direct: sync::Arc<direct::DirectDialer>,
+    target: net::SocketAddr,
+    began_at: time::Instant,
+}
+
+#[async_trait::async_trait]
+impl tunnel_flow::TargetJudge for WayJudge {
+    async fn has_way(&self) -> bool {
+        let (target, since) = (self.target, self.began_at);
+        let reaches = self.direct.reaches_other(target, since, JUDGE_LIMIT).await;
+        reaches.unwrap_or(true)
+    }
+}
+
 impl ServerState {
     /// Checks whether a request may be served now and, if so, takes a place for it.
     fn admit(
--- a/arbutusfold/src/peer/tunnel_flow.rs
+++ b/arbutusfold/src/peer/tunnel_flow.rs
@@ -189,15 +189,25 @@
     local.flush().await
 }
 
-/// Sends what `local` yields and the credit of the other direction. Returns when
-/// `local` broke.
+/// How `local` broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LocalBreak {
+    /// It ended before any byte.
+    Unanswered,
+    Later,
+}
+
+/// Sends what `local`, the target or the asking node's own end, yields and the credit
+/// of the other direction. Returns when `local` broke.
 async fn send(
     state: &FlowState,
     local: &mut (impl AsyncRead + Unpin),
     frames: &mut FrameSink,
-) -> io::Result<io::Error> {
+    is_target: bool,
+) -> io::Result<LocalBreak> {
     let mut buffer = BytesMut::new();
     let mut is_open = true;
+    let mut local_break = LocalBreak::Unanswered;
     loop {
         let passed = state.passed.load(atomic::Ordering::Relaxed);
         if passed >= CREDIT_STEP_BYTES {
@@ -213,38 +223,54 @@
         tokio::select! {
             () = state.changed.notified() => {}
             read = local.read_buf(&mut limited), if is_open && part > 0 => match read {
+                // An end without an answer may be due to the way as well.
+                Ok(0) if is_target && local_break == LocalBreak::Unanswered => {
+                    return Ok(local_break);
+                }
                 Ok(0) => {
                     is_open = false;
                     frames.send(tunnel::TunnelFrame::End).await?;
                 }
                 Ok(length) => {
+                    local_break = LocalBreak::Later;
                     state.credit.fetch_sub(length, atomic::Ordering::Relaxed);
                     let data = buffer.split().freeze();
                     frames.send(tunnel::TunnelFrame::Data(data)).await?;
                 }
-                Err(error) => {
-                    frames.send(tunnel::TunnelFrame::Broken).await?;
-                    return Ok(error);
-                }
+                Err(_) => return Ok(local_break),
             },
         }
     }
 }
 
+/// Tells breaks of a target from those of the way to it.
+#[async_trait::async_trait]
+pub trait TargetJudge: Send + Sync {
+    /// Returns whether this node has a way to targets, so that the end of a connection
+    /// before any byte of its target is due to the target.
+    async fn has_way(&self) -> bool;
+}
+
 /// Passes bytes between a tunnel and `target` until one of them ends.
 ///
-/// The target is closed as soon as the tunnel is.
-pub async fn serve(frames: tunnel::TunnelFrames, target: impl AsyncRead + AsyncWrite + Unpin) {
+/// The target is closed as soon as the tunnel is. If the way to the target was lost,
+/// the tunnel ends like one whose node is lost.
+pub async fn serve(
+    frames: tunnel::TunnelFrames,
+    target: impl AsyncRead + AsyncWrite + Unpin,
+    judge: &dyn TargetJudge,
+) {
     let (mut sink, mut stream) = frames.split();
     let state = FlowState::new();
     let (mut reader, mut writer) = tokio_io::split(target);
     let is_target_lost = {
         let sending = async {
-            match send(&state, &mut reader, &mut sink).await {
-                Ok(error) => error,
+            let Ok(local_break) = send(&state, &mut reader, &mut sink, true).await else {
                 // The receiving direction ends as well and shows why.
-                Err(_) => std::future::pending().await,
-            }
+                return std::future::pending().await;
+            };
+            let is_own = local_break == LocalBreak::Later || judge.has_way().await;
+            is_own && sink.send(tunnel::TunnelFrame::Broken).await.is_ok()
         };
         let delivering = async {
             // A target that takes no more bytes may still have an answer to send.
@@ -253,7 +279,7 @@
         };
         tokio::select! {
             _ = receive(&state, &mut stream) => false,
-            _ = sending => true,
+            is_broken = sending => is_broken,
             () = delivering => true,
         }
     };
@@ -328,7 +354,7 @@
     };
     let sending = async {
         // What was received before is delivered, then the loss that ended it.
-        let _ = send(&state, &mut reader, &mut sink).await;
+        let _ = send(&state, &mut reader, &mut sink, false).await;
         std::future::pending::<FlowEnd>().await
     };
     let delivering = async {
--- a/arbutusfold/tests/gateway_relay.rs
+++ b/arbutusfold/tests/gateway_relay.rs
@@ -659,6 +659,22 @@
     }
 }
 
+/// Connections that a cut ends do not show that a runner died, with or without another
+/// node to ask.
+#[tokio::test(flavor = "multi_thread")]
+async fn runners_whose_connections_a_cut_ends_are_not_dead() {
+    for kind in [CutKind::Silent, CutKind::Reset] {
+        let (runner, other) = (start_reporting(1).await, start_reporting(1).await);
+        for names in [&["a"][..], &["a", "b"]] {
+            let nodes = start(names, &[runner, other]);
+            for node in &nodes {
+                node.opener.set(kind);
+            }
+            assert!(!is_gone(&nodes[0], runner).await, "{kind:?} {names:?}");
+        }
+    }
+}
+
 async fn is_gone(node: &TestNode, runner: net::SocketAddr) -> bool {
     let limit = std_time::Duration::from_millis(500);
     runner_call::is_gone(&*node.dialer, runner, 1, limit).await
