--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod descriptors;
 pub mod dial;
 pub mod direct;
+pub mod direct_bytes;
 pub mod entry;
 pub mod event_stream;
 pub mod failure_watch;
--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -230,7 +230,7 @@
         if let Some(index) = unanswered {
             let direct = &core.prober.direct;
             let address = stages[*index].address;
-            let reached = direct.connects_other(address, began_at, CONTRAST_LIMIT);
+            let reached = direct.reaches_other(address, began_at, CONTRAST_LIMIT);
             reaches_other = reached.await.unwrap_or(false);
         }
     }
