--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -4,7 +4,7 @@
 
 use std::time as std_time;
 
-use arbutusfold::gateway::{fleet, mirror};
+use arbutusfold::gateway::{demand, fleet, leader, mirror};
 use bytes::Bytes;
 use tokio::time;
 
@@ -295,3 +295,37 @@
     assert!(fleet.begin_check("i-1", now + 500 * MS));
     assert!(!fleet.begin_check("i-2", now));
 }
+
+/// Guards against a verdict of a leader that outlives its summaries or the process that
+/// it names.
+#[tokio::test(start_paused = true)]
+async fn runner_that_a_leader_found_failed_gets_no_requests_for_a_while() {
+    let now = time::Instant::now();
+    let hold = 1_000 * MS;
+    let mut fleet = one_runner();
+    let failed = |incarnation, age_ms| demand::FailedRunner {
+        runner: leader::runner_key("i-1"),
+        incarnation,
+        age_ms,
+    };
+    let id = "i-1".to_owned();
+    assert!(fleet.set_failed(&[failed(8, 0)], hold, now).is_empty());
+    assert!(fleet.set_failed(&[failed(1, 2_000)], hold, now).is_empty());
+    assert!(fleet.get("i-1").unwrap().is_usable(now));
+    let changes = fleet.set_failed(&[failed(1, 40)], hold, now);
+    assert_eq!(changes, [fleet::FleetChange::Failed(id.clone(), 40 * MS)]);
+    assert!(fleet.set_failed(&[failed(1, 60)], hold, now).is_empty());
+    assert!(!fleet.get("i-1").unwrap().is_usable(now + 999 * MS));
+    assert!(fleet.get("i-1").unwrap().is_usable(now + hold));
+    assert_eq!(fleet.failed(now + 10 * MS), [failed(1, 70)]);
+    // The own refusal of a connection counts apart from it.
+    assert_eq!(fleet.note_unreachable("i-1", 1, now), None);
+    let changes = fleet.set_failed(&[], hold, now);
+    assert_eq!(changes, [fleet::FleetChange::Regained(id)]);
+    assert!(fleet.note_unreachable("i-1", 1, now).is_some());
+    assert!(fleet.set_failed(&[], hold, now).is_empty());
+    assert!(!fleet.get("i-1").unwrap().is_usable(now));
+    fleet.set_failed(&[failed(1, 0)], hold, now);
+    fleet.update(&row(2, Some(entry("ready", 2, LAYERS))), None);
+    assert!(fleet.get("i-1").unwrap().is_usable(now));
+}
