--- a/arbutusfold/src/gateway/demand_driver.rs
+++ b/arbutusfold/src/gateway/demand_driver.rs
@@ -92,7 +92,7 @@
             wanted,
         } => return retry_loan::lend(core, sender, claim, &service, wanted),
         leader::LeaderMessage::RetryLoan { claim, count } => {
-            // The request may have stopped waiting; the loan is lost.
+            // After the time of the loan nobody waits for it.
             lock(&core.loans).resolve(claim, count);
             return;
         }
--- a/arbutusfold/src/gateway/retry_loan.rs
+++ b/arbutusfold/src/gateway/retry_loan.rs
@@ -4,16 +4,19 @@
 //! of one is a few retries, and a crash may cost one node more than that while others
 //! need none. Such a node asks others for some of theirs.
 
+use std::sync;
 use std::time as std_time;
 
 use rand::seq::IndexedRandom;
 use tokio::time;
 
 use crate::event;
+use crate::gateway::budget;
 use crate::gateway::claim;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::leader;
+use crate::id;
 use crate::member;
 use crate::peer;
 
@@ -23,7 +26,7 @@
 /// Retries to ask for at a time: a failure often ends several requests.
 const WANTED_RETRIES: u32 = 3;
 
-/// Time to wait for the answer of a node.
+/// Time that a request waits for the answer of a node.
 const ANSWER_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(60);
 
 /// Shortest time between two claims of a node for one service.
@@ -33,7 +36,7 @@
 pub type PendingLoans = claim::PendingClaims<u32>;
 
 /// Takes one retry that other nodes lend; returns whether there was one.
-pub async fn take(core: &core::GatewayCore, service: &str) -> bool {
+pub async fn take(core: &sync::Arc<core::GatewayCore>, service: &str) -> bool {
     if !core.settings.share_demand {
         return false;
     }
@@ -41,7 +44,7 @@
     let mut is_taken = lock(&core.budget).take_borrowed(service, now);
     let is_due = !is_taken && lock(&core.budget).begin_claim(service, CLAIM_PERIOD, now);
     if is_due {
-        claim(core, service).await;
+        ask_lenders(core, service).await;
         is_taken = lock(&core.budget).take_borrowed(service, time::Instant::now());
     }
     if is_taken {
@@ -51,35 +54,49 @@
 }
 
 /// Asks one node after the other until one lends something.
-async fn claim(core: &core::GatewayCore, service: &str) {
+async fn ask_lenders(core: &sync::Arc<core::GatewayCore>, service: &str) {
     let members = core.members.alive();
     for lender in lenders(&members, &core.settings.name) {
-        let asked_at = time::Instant::now();
-        let (claim, answer) = lock(&core.loans).add();
-        let message = leader::LeaderMessage::RetryClaim {
-            claim,
-            service: service.to_owned(),
-            wanted: WANTED_RETRIES,
-        };
-        core.send_message(&lender.name, peer::MessageKind::Lead, &message);
-        let answer = time::timeout(ANSWER_TIMEOUT, answer).await;
-        let count = answer.ok().and_then(Result::ok);
-        let detail = format!(
-            "service={service} count={} answered={} after_ms={}",
-            count.unwrap_or(0),
-            count.is_some(),
-            asked_at.elapsed().as_millis()
-        );
-        core.note(event::EventCode::RetriesBorrowed, &lender.name, detail);
-        if let Some(count) = count.filter(|count| *count > 0) {
-            // The number is what this node asked for at most, whatever the answer says.
-            let count = count.min(WANTED_RETRIES);
-            lock(&core.budget).borrow(service, count, asked_at);
+        let (core, service) = (sync::Arc::clone(core), service.to_owned());
+        // A loan that comes too late for this request may serve the next one.
+        let claim = tokio::spawn(claim(core, service, lender.name.clone()));
+        if let Ok(Ok(1..)) = time::timeout(ANSWER_TIMEOUT, claim).await {
             return;
         }
     }
 }
 
+/// Asks a node for retries and adds those that it lends to the budget; returns their
+/// number.
+async fn claim(
+    core: sync::Arc<core::GatewayCore>,
+    service: id::ServiceName,
+    lender: id::HostName,
+) -> u32 {
+    let asked_at = time::Instant::now();
+    let (claim, answer) = lock(&core.loans).add();
+    let message = leader::LeaderMessage::RetryClaim {
+        claim,
+        service: service.clone(),
+        wanted: WANTED_RETRIES,
+    };
+    core.send_message(&lender, peer::MessageKind::Lead, &message);
+    let answer = time::timeout(budget::LOAN_TIME, answer).await;
+    let answer = answer.ok().and_then(Result::ok);
+    // An answer cannot exceed the question.
+    let count = answer.unwrap_or(0).min(WANTED_RETRIES);
+    if count > 0 {
+        lock(&core.budget).borrow(&service, count, asked_at);
+    }
+    let detail = format!(
+        "service={service} count={count} answered={} after_ms={}",
+        answer.is_some(),
+        asked_at.elapsed().as_millis()
+    );
+    core.note(event::EventCode::RetriesBorrowed, &lender, detail);
+    count
+}
+
 /// Returns the nodes to ask, chosen at random so that no node is asked by all.
 fn lenders<'a>(members: &'a [member::MemberRecord], own: &str) -> Vec<&'a member::MemberRecord> {
     let others = members.iter().filter(|record| record.name != own);
--- a/arbutusfold/tests/gateway_loan.rs
+++ b/arbutusfold/tests/gateway_loan.rs
@@ -71,6 +71,21 @@
     assert!(lent >= metrics.borrowed_retries.get());
 }
 
+/// Guards against loans that are lost because their lender is busy for a moment.
+#[tokio::test(start_paused = true)]
+async fn late_loan_serves_the_next_request() {
+    let network = start(3, true).await;
+    network.set_fate(MessageFate {
+        late: std_time::Duration::from_millis(400),
+        ..MessageFate::default()
+    });
+    let count = take_all(&network, 1, 30).await;
+    let lent = [0, 2].map(|node| network.node(node).metrics.lent_retries.get());
+    let sent = network.node(1).metrics.borrowed_retries.get();
+    assert_eq!(sent as usize, count - 2);
+    assert!(sent >= 1 && sent <= lent.iter().sum(), "{sent} of {lent:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn node_that_is_cut_off_or_has_no_such_setting_sends_its_own_only() {
     let network = start(20, true).await;
