--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -37,10 +37,15 @@
 /// Time per event for the hop to each stage, in milliseconds.
 const HOP_MS: f64 = 0.4;
 
-/// Cost of a crossing over a saturated link, in milliseconds. It outweighs the time
-/// that any useful path takes, but not a runner that failed recently.
+/// Cost of a crossing over a saturated link, or of a first stage whose runner has no
+/// slot left, in milliseconds. It outweighs the time that any useful path takes, but
+/// not a runner that failed recently.
 const SATURATED_PENALTY_MS: f64 = 15_000.0;
 
+/// Fraction of a runner's slots that paths may fill. Loads are known late, and a
+/// request beyond the last slot waits until another one has ended.
+const USABLE_SLOTS: f64 = 0.85;
+
 /// Factor on [`FULL_PENALTY_MS`] where crossings are priced by their links. Paths
 /// with several crossings then stay cheaper than a full stage.
 const FULL_FACTOR: f64 = 100.0;
@@ -68,6 +73,8 @@
     pub read_factor: f64,
     /// Estimated requests in flight there, over all nodes.
     pub in_flight: f64,
+    /// Requests that it processes at a time as the first runner of their paths.
+    pub slots: f64,
     /// Free memory, in tokens of context times layers.
     pub free_token_layers: f64,
     /// Prompts sent there and not read yet, over all nodes, in tokens times layers.
@@ -253,7 +260,8 @@
                         break;
                     }
                     let layers = boundaries[next] - boundaries[boundary];
-                    let cost = before + self.stage(index, layers).weighed(excess_weight);
+                    let times = self.stage(index, layers, boundary == 0);
+                    let cost = before + times.weighed(excess_weight);
                     let best = &mut reached[next * domains + candidate.domain];
                     if best.is_none_or(|best| cost < best.cost) {
                         *best = Some(ReachedBoundary {
@@ -282,8 +290,9 @@
         })
     }
 
-    /// Returns the expected times of the stage at a candidate.
-    fn stage(&self, index: usize, layers: u32) -> PartTimes {
+    /// Returns the expected times of the stage at a candidate; `is_first` tells whether
+    /// the part that is searched begins with it.
+    fn stage(&self, index: usize, layers: u32, is_first: bool) -> PartTimes {
         let (candidate, query) = (&self.candidates[index], self.query);
         let factor = self.factors[index];
         let cost = factor * stage_ms(candidate, layers, query);
@@ -297,8 +306,14 @@
         let read = |tokens| unread::read_ms(query.engine, candidate.read_factor, tokens);
         let waiting = read(candidate.unread_token_layers);
         let reading = read(query.prompt * f64::from(layers));
+        // Requests in flight at the runner of the first layers count as if all of them
+        // began there, which is so for nearly all.
+        let needs_slot = is_first && query.layers.from == 0;
+        let is_taken = candidate.in_flight >= USABLE_SLOTS * candidate.slots;
         PartTimes {
-            cost: cost + factor * waiting,
+            cost: cost
+                + factor * waiting
+                + SATURATED_PENALTY_MS * f64::from(needs_slot && is_taken),
             penalty: penalty_ms(candidate, layers, query),
             first: factor * (waiting + reading + 1.5 * pass) + HOP_MS,
             gap: pass + HOP_MS,
@@ -388,8 +403,8 @@
             cost: first,
             ..PartTimes::default()
         };
-        for step in &steps {
-            times += self.stage(step.candidate, step.stage.layers.len());
+        for (index, step) in steps.iter().enumerate() {
+            times += self.stage(step.candidate, step.stage.layers.len(), index == 0);
         }
         let pairs = steps.windows(2);
         let hops = pairs.map(|pair| (domain(&pair[0]), domain(&pair[1])));
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -139,6 +139,7 @@
             step_factor: slowdown * card.map_or(1.0, |card| card.step_factor),
             read_factor: slowdown * card.map_or(1.0, |card| card.read_factor),
             in_flight,
+            slots: f64::from(state.record.slots),
             free_token_layers: self.usable_memory * capacity - used,
             unread_token_layers: unread.sum(),
             penalty_ms: path::AVOIDED_PENALTY_MS * f64::from(avoided)
--- a/arbutusfold/tests/gateway_link.rs
+++ b/arbutusfold/tests/gateway_link.rs
@@ -37,6 +37,7 @@
         step_factor: 3.0,
         read_factor: 3.0,
         in_flight: 0.0,
+        slots: 192.0,
         free_token_layers: f64::MAX,
         unread_token_layers: 0.0,
         penalty_ms: 0.0,
--- a/arbutusfold/tests/gateway_unread.rs
+++ b/arbutusfold/tests/gateway_unread.rs
@@ -123,6 +123,7 @@
                 step_factor: READ_FACTOR,
                 read_factor: READ_FACTOR,
                 in_flight: in_flight.count() as f64,
+                slots: 192.0,
                 free_token_layers: f64::MAX,
                 unread_token_layers: unread.iter().sum(),
                 penalty_ms: 0.0,
