--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -916,8 +916,10 @@
     /// was reserved.
     pub fn note_event(&mut self, number: Option<u64>, guard: &mut LoadGuard) {
         // An event that does not continue the stream tells nothing about its length.
-        if number == self.last_event.checked_add(1) {
-            self.last_event += 1;
+        if let Some(number) = number
+            && self.last_event.checked_add(1) == Some(number)
+        {
+            self.last_event = number;
         }
         let Some(work) = &mut guard.work else {
             return;
--- a/arbutusfold/tests/gateway_work.rs
+++ b/arbutusfold/tests/gateway_work.rs
@@ -208,6 +208,8 @@
     let mut guard = request::LoadGuard::new(&core, &target);
     assert!(held(&core, "i-1") <= 1_300 * 40);
     request.note_event(Some(u64::MAX), &mut guard);
+    request.note_event(None, &mut guard);
+    assert_eq!(request.last_event, u64::MAX);
     request.last_event = 3;
     request.note_event(Some(1_000_000), &mut guard);
     assert_eq!(request.last_event, 3);
