--- a/arbutusfold/tests/gateway_work.rs
+++ b/arbutusfold/tests/gateway_work.rs
@@ -7,7 +7,9 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{core, demand, leader, mirror, path_load, request, routing, settings};
+use arbutusfold::gateway::{
+    core, demand, leader, mirror, path_load, request, routing, selector, settings,
+};
 use arbutusfold_platform::{head, store};
 use bytes::Bytes;
 use tokio::time;
@@ -231,6 +233,27 @@
     assert!((185..=205).contains(&answer), "{answer}");
 }
 
+/// The reserve for late reports and long answers is no reason for a refusal.
+#[tokio::test(start_paused = true)]
+async fn reserved_memory_refuses_nothing() {
+    for (share_demand, is_served) in [(false, false), (true, true)] {
+        let core = node(share_demand);
+        let capacity = 32_000.0 * 1e6 * 80.0 / 400_000.0;
+        core.fleet
+            .lock()
+            .unwrap()
+            .begin("i-1", (0.9 * capacity) as u64);
+        let target = request(&core).acquire_target().await;
+        assert_eq!(target.is_ok(), is_served, "{target:?}");
+        core.fleet
+            .lock()
+            .unwrap()
+            .begin("i-1", (0.1 * capacity) as u64);
+        let target = request(&core).acquire_target().await;
+        assert_eq!(target, Err(selector::PathError::NoCapacity));
+    }
+}
+
 /// Nodes that do not share their demand decide as they did.
 #[tokio::test(start_paused = true)]
 async fn nothing_is_counted_unless_the_setting_is_on() {
