--- a/arbutusfold/src/gateway/path.rs
+++ b/arbutusfold/src/gateway/path.rs
@@ -37,10 +37,15 @@
 /// Time per event for the hop to each stage, in milliseconds.
 const HOP_MS: f64 = 0.4;
 
-/// Cost of a crossing over a saturated link, in milliseconds. It outweighs the time
-/// that any useful path takes, but not a runner that failed recently.
+/// Cost of a crossing over a saturated link, or of a first stage whose runner has no
+/// slot left, in milliseconds. It outweighs the time that any useful path takes, but
+/// not a runner that failed recently.
 const SATURATED_PENALTY_MS: f64 = 15_000.0;
 
+/// Fraction of a runner's slots that paths may fill. Loads are known late, and a
+/// request beyond the last slot waits until another one has ended.
+const USABLE_SLOTS: f64 = 0.85;
+
 /// Factor on [`FULL_PENALTY_MS`] where crossings are priced by their links. Paths
 /// with several crossings then stay cheaper than a full stage.
 const FULL_FACTOR: f64 = 100.0;
@@ -53,10 +58,6 @@
 /// pause recurs with every event.
 const PAUSE_FACTOR: f64 = 5.0;
 
-/// Part of a runner's slots that paths fill which begin there. The rest is a reserve,
-/// because reported loads are delayed.
-const USABLE_SLOTS: f64 = 0.9;
-
 /// A runner as a candidate for a stage of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StageCandidate {
@@ -72,6 +73,8 @@
     pub read_factor: f64,
     /// Estimated requests in flight there, over all nodes.
     pub in_flight: f64,
+    /// Requests that it processes at a time as the first runner of their paths.
+    pub slots: f64,
     /// Free memory, in tokens of context times layers.
     pub free_token_layers: f64,
     /// Prompts sent there and not read yet, over all nodes, in tokens times layers.
@@ -287,16 +290,12 @@
         })
     }
 
-    /// Returns the expected times of the stage at a candidate, which is the first of
-    /// the searched ones or a later one.
+    /// Returns the expected times of the stage at a candidate; `is_first` tells whether
+    /// the part that is searched begins with it.
     fn stage(&self, index: usize, layers: u32, is_first: bool) -> PartTimes {
         let (candidate, query) = (&self.candidates[index], self.query);
         let factor = self.factors[index];
-        let busy = match is_first && lacks_slot(candidate, query) {
-            true => FULL_FACTOR * FULL_PENALTY_MS,
-            false => 0.0,
-        };
-        let cost = factor * stage_ms(candidate, layers, query) + busy;
+        let cost = factor * stage_ms(candidate, layers, query);
         if query.timing.is_none() {
             return PartTimes {
                 cost,
@@ -307,9 +306,15 @@
         let read = |tokens| unread::read_ms(query.engine, candidate.read_factor, tokens);
         let waiting = read(candidate.unread_token_layers);
         let reading = read(query.prompt * f64::from(layers));
+        // Requests in flight at the runner of the first layers count as if all of them
+        // began there, which is so for nearly all.
+        let needs_slot = is_first && query.layers.from == 0;
+        let is_taken = candidate.in_flight >= USABLE_SLOTS * candidate.slots;
         PartTimes {
-            cost: cost + factor * waiting,
-            penalty: penalty_ms(candidate, layers, query) + busy,
+            cost: cost
+                + factor * waiting
+                + SATURATED_PENALTY_MS * f64::from(needs_slot && is_taken),
+            penalty: penalty_ms(candidate, layers, query),
             first: factor * (waiting + reading + 1.5 * pass) + HOP_MS,
             gap: pass + HOP_MS,
         }
@@ -472,13 +477,6 @@
     query.context * f64::from(layers) > candidate.free_token_layers
 }
 
-/// Returns whether a request that begins at a runner would wait there for a slot. The
-/// slots limit what a runner receives, not what passes through it.
-pub fn lacks_slot(candidate: &StageCandidate, query: &PathQuery<'_>) -> bool {
-    let begins_here = query.timing.is_some() && query.layers.from == 0;
-    begins_here && candidate.in_flight + 1.0 > USABLE_SLOTS * f64::from(query.engine.slots)
-}
-
 fn layer_boundaries(candidates: &[StageCandidate], layers: runner::LayerSpan) -> Vec<u32> {
     let ends = candidates
         .iter()
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -14,7 +14,7 @@
 
 /// Fraction of a runner's context memory that paths may fill. The rest is a
 /// reserve, because reported loads are delayed and lengths are estimates.
-const USABLE_MEMORY: f64 = 0.85;
+pub const USABLE_MEMORY: f64 = 0.85;
 
 /// Largest relative increase of a stage's cost by a random factor.
 const JITTER: f64 = 0.1;
@@ -49,6 +49,8 @@
     /// Estimated load of other nodes that is in no report yet, per request of this
     /// node.
     pub unreported: f64,
+    /// Fraction of a runner's context memory that the path may fill.
+    pub usable_memory: f64,
     /// Prompts that this node and the others sent and that are not read yet, each
     /// list sorted by runner; empty where they are not counted.
     pub unread: [&'a [demand::PromptBacklog]; 2],
@@ -91,11 +93,7 @@
             let candidate = candidates
                 .iter()
                 .find(|candidate| candidate.runner == stage.runner);
-            candidate.is_some_and(|candidate| {
-                let is_first = stage.layers.from == query.layers.from;
-                path::is_full(candidate, stage.layers.len(), query)
-                    || is_first && path::lacks_slot(candidate, query)
-            })
+            candidate.is_some_and(|candidate| path::is_full(candidate, stage.layers.len(), query))
         };
         match chosen.stages.iter().any(is_full) {
             true => Err(PathError::NoCapacity),
@@ -130,9 +128,9 @@
         let slowdown = self.leads.slowness(state.key);
         let fleet_factor = 1.0 + self.unreported;
         let in_flight = f64::from(others.in_flight) + fleet_factor * f64::from(state.in_flight);
+        let used = self.used_token_layers(state);
         let backlogs = self.unread.into_iter();
         let unread = backlogs.map(|list| unread::backlog(list, state.key));
-        let used = self.used_token_layers(state);
         let avoided = state.is_avoided(self.now);
         Some(path::StageCandidate {
             runner,
@@ -141,7 +139,8 @@
             step_factor: slowdown * card.map_or(1.0, |card| card.step_factor),
             read_factor: slowdown * card.map_or(1.0, |card| card.read_factor),
             in_flight,
-            free_token_layers: USABLE_MEMORY * capacity - used,
+            slots: f64::from(state.record.slots),
+            free_token_layers: self.usable_memory * capacity - used,
             unread_token_layers: unread.sum(),
             penalty_ms: path::AVOIDED_PENALTY_MS * f64::from(avoided)
                 + path::FAILING_PENALTY_MS * state.failure_rate,
--- a/arbutusfold/tests/gateway_work.rs
+++ b/arbutusfold/tests/gateway_work.rs
@@ -7,7 +7,9 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold::gateway::{core, demand, leader, mirror, path_load, request, routing, settings};
+use arbutusfold::gateway::{
+    core, demand, leader, mirror, path_load, request, routing, selector, settings,
+};
 use arbutusfold_platform::{head, store};
 use bytes::Bytes;
 use tokio::time;
@@ -208,6 +210,8 @@
     let mut guard = request::LoadGuard::new(&core, &target);
     assert!(held(&core, "i-1") <= 1_300 * 40);
     request.note_event(Some(u64::MAX), &mut guard);
+    request.note_event(None, &mut guard);
+    assert_eq!(request.last_event, u64::MAX);
     request.last_event = 3;
     request.note_event(Some(1_000_000), &mut guard);
     assert_eq!(request.last_event, 3);
@@ -217,15 +221,37 @@
 #[tokio::test(start_paused = true)]
 async fn lengths_are_learned_from_complete_answers() {
     let core = node(true);
-    for _ in 0..40 {
+    // The upper quartile is 65 events of three tokens.
+    for events in (50..=70).chain(50..=70) {
         let mut request = request(&core);
-        request.last_event = 60;
+        request.last_event = events;
         request.note_length();
     }
     let target = request(&core).acquire_target().await.unwrap();
     let _guard = request::LoadGuard::new(&core, &target);
     let answer = held(&core, "i-1") / 40 - 1_000;
-    assert!((180..=220).contains(&answer), "{answer}");
+    assert!((185..=205).contains(&answer), "{answer}");
+}
+
+/// The reserve for late reports and long answers is no reason for a refusal.
+#[tokio::test(start_paused = true)]
+async fn reserved_memory_refuses_nothing() {
+    for (share_demand, is_served) in [(false, false), (true, true)] {
+        let core = node(share_demand);
+        let capacity = 32_000.0 * 1e6 * 80.0 / 400_000.0;
+        core.fleet
+            .lock()
+            .unwrap()
+            .begin("i-1", (0.9 * capacity) as u64);
+        let target = request(&core).acquire_target().await;
+        assert_eq!(target.is_ok(), is_served, "{target:?}");
+        core.fleet
+            .lock()
+            .unwrap()
+            .begin("i-1", (0.1 * capacity) as u64);
+        let target = request(&core).acquire_target().await;
+        assert_eq!(target, Err(selector::PathError::NoCapacity));
+    }
 }
 
 /// Nodes that do not share their demand decide as they did.
