--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -516,6 +516,7 @@
 /// A place in the queue of this node.
 #[derive(Debug)]
 struct HeldPlace {
+    request: id::RequestId,
     ticket: id::TicketNumber,
     signal: sync::Arc<tokio_sync::Notify>,
     since: time::Instant,
@@ -689,7 +690,7 @@
         }
         let now = time::Instant::now();
         if now >= self.until {
-            self.leave(request, "limit");
+            self.leave("limit");
             return false;
         }
         if self.place.is_none() && !self.enter(request, now) {
@@ -700,7 +701,7 @@
         };
         let position = |ticket| lock(&self.core.admission.activity).queue.position(ticket);
         let Some(held) = position(place.ticket) else {
-            self.leave(request, "passed");
+            self.leave("passed");
             return false;
         };
         let next = match held.is_seeking {
@@ -714,7 +715,7 @@
         let _ = time::timeout_at(next, place.signal.notified()).await;
         let waited = place.since.elapsed();
         if position(place.ticket).is_none() {
-            self.leave(request, "passed");
+            self.leave("passed");
             return false;
         }
         if request.executed == 0 && waited >= fleet::AVOID_REFUSAL {
@@ -755,6 +756,7 @@
             return false;
         };
         self.place = Some(HeldPlace {
+            request: request.head.request.clone(),
             ticket,
             signal,
             since: now,
@@ -776,13 +778,13 @@
     }
 
     /// Records that the request is sent to runners.
-    pub fn note_sent(&mut self, request: &request::CallerRequest) {
+    pub fn note_sent(&mut self) {
         if !self.is_on {
             return;
         }
         if self.place.is_some() {
             self.core.metrics.waited.inc();
-            self.end_wait(request, "sent");
+            self.end_wait("sent");
         }
         if self.sent_at.is_some() {
             return;
@@ -805,14 +807,14 @@
         }
     }
 
-    fn leave(&mut self, request: &request::CallerRequest, cause: &'static str) {
+    fn leave(&mut self, cause: &'static str) {
         if self.place.is_some() {
             self.count_refusal(cause);
-            self.end_wait(request, cause);
+            self.end_wait(cause);
         }
     }
 
-    fn end_wait(&mut self, request: &request::CallerRequest, outcome: &str) {
+    fn end_wait(&mut self, outcome: &str) {
         let Some(place) = self.place.take() else {
             return;
         };
@@ -831,7 +833,8 @@
             waited.as_millis(),
             view.unwrap_or_else(|| format!("rank={}", self.rank))
         );
-        request.note(event::EventCode::WaitEnded, detail);
+        self.core
+            .note(event::EventCode::WaitEnded, &place.request, detail);
     }
 
     fn count_refusal(&self, cause: &'static str) {
@@ -847,22 +850,12 @@
 
 impl Drop for AdmissionTicket {
     fn drop(&mut self) {
-        if !self.is_on {
-            return;
-        }
-        let place = self.place.take();
-        let mut activity = lock(&self.core.admission.activity);
-        if let Some(place) = &place {
-            activity.queue.leave(place.ticket);
-            activity.queue.wake();
-        }
+        // The caller left, or no runner is left for the request.
+        self.end_wait("left");
         if self.sent_at.is_some() {
+            let mut activity = lock(&self.core.admission.activity);
             let known = activity.service_mut(self.service);
             known.change_in_flight(self.organisation, |held| held.saturating_sub(1));
         }
-        drop(activity);
-        if place.is_some() {
-            self.note_waiting();
-        }
     }
 }
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -476,7 +476,7 @@
             };
         }
     };
-    ticket.note_sent(request);
+    ticket.note_sent();
     let guard = request::LoadGuard::new(&request.core, &target);
     match request.send(&target, cursor.last()).await {
         request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
--- a/arbutusfold/tests/gateway_wait.rs
+++ b/arbutusfold/tests/gateway_wait.rs
@@ -125,6 +125,9 @@
     drop(socket);
     time::sleep(milliseconds(200)).await;
     assert_eq!(core.admission.waiting(), 0);
+    let mut records = core.recorder.about("request-2").into_iter();
+    let ended = records.find(|record| record.number == 113).unwrap();
+    assert!(ended.detail.starts_with("outcome=left"), "{}", ended.detail);
     assert_eq!(runs.load(atomic::Ordering::SeqCst), 2);
 }
 
