--- a/arbutusfold/tests/gateway_wait.rs
+++ b/arbutusfold/tests/gateway_wait.rs
@@ -196,3 +196,26 @@
         assert!(answer.starts_with(expected), "{wait_limit}: {answer}");
     }
 }
+
+/// What waits, arrives and runs at a node is what it tells the others.
+#[tokio::test]
+async fn node_tells_its_waits_arrivals_and_use() {
+    let (core, address, _) = start_full(8, 1_000, Vec::new()).await;
+    let waits = tokio::spawn(call(address, "/last/x"));
+    time::sleep(milliseconds(200)).await;
+    core.tick(time::Instant::now());
+    let own = core.demand.lock().unwrap().own().clone();
+    let ranks: Vec<_> = own
+        .ranks
+        .iter()
+        .map(|rank| (rank.rank, rank.waiting))
+        .collect();
+    assert_eq!(ranks, [(0, 0), (2, 1)]);
+    // Two arrivals within the 2 s over which the rate is averaged.
+    let rate = own.ranks[0].arrivals_per_second;
+    assert!((0.7..=1.0).contains(&rate), "{rate}");
+    let uses = own.organisations.iter();
+    let uses: Vec<_> = uses.map(|held| (held.in_flight, held.waiting)).collect();
+    assert_eq!(uses, [(2, 1)]);
+    waits.abort();
+}
