--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -86,9 +86,21 @@
         self.changed_at = Some(now);
     }
 
-    fn recent(&mut self, horizon: std_time::Duration, now: time::Instant) -> f64 {
+    /// Returns the requests of the rank at this node.
+    fn count(
+        &mut self,
+        waiting: f64,
+        horizon: std_time::Duration,
+        now: time::Instant,
+    ) -> intake::RankCount {
         self.sends.retain(|sent_at| now < *sent_at + horizon);
-        self.sends.len() as f64
+        intake::RankCount {
+            rank: self.rank,
+            own_waiting: waiting,
+            waiting,
+            arrivals: self.arrivals(now),
+            recent: self.sends.len() as f64,
+        }
     }
 }
 
@@ -377,6 +389,37 @@
     report
 }
 
+/// Demand of the other nodes for one service.
+struct OtherDemand {
+    /// By rank, sorted by rank.
+    ranks: Vec<demand::RankDemand>,
+    uses: Vec<demand::OrganisationUse>,
+    age: std_time::Duration,
+}
+
+/// Returns the demand of the other nodes for a service, or `None` without recent sums.
+fn other_demand(
+    core: &core::GatewayCore,
+    service: demand::ServiceKey,
+    now: time::Instant,
+) -> Option<OtherDemand> {
+    let demand = lock(&core.demand);
+    let others = demand.others(now)?;
+    let ranks = others.value.ranks.iter();
+    let uses = others.value.organisations.iter();
+    Some(OtherDemand {
+        ranks: ranks
+            .filter(|rank| rank.service == service)
+            .copied()
+            .collect(),
+        uses: uses
+            .filter(|held| held.service == service)
+            .copied()
+            .collect(),
+        age: others.age,
+    })
+}
+
 /// Returns what a decision for a request of a service rests on; `arriving` is the rank
 /// of the request if it is not in the queue.
 fn view(
@@ -389,68 +432,48 @@
     let report = measure_room(core, name, engine, now);
     let service = demand::name_key(name);
     let nodes = core.members.fleet_size().max(1) as f64;
-    let (period, load_age) = {
-        let loads = lock(&core.loads);
-        (loads.period(), loads.summary_age(now))
-    };
+    let loads = lock(&core.loads);
+    let (period, load_age) = (loads.period(), loads.summary_age(now));
+    drop(loads);
     let horizon = period.max(leader::PERIOD_MIN) * HORIZON_PERIODS;
-    let demand = lock(&core.demand);
-    let others = demand.others(now);
-    let demand_age = others.as_ref().map(|others| others.age);
-    let of_others = others.as_ref().map(|others| {
-        let ranks = others.value.ranks.iter();
-        let ranks: Vec<_> = ranks.filter(|rank| rank.service == service).collect();
-        let uses = others.value.organisations.iter();
-        let uses = uses.filter(|held| held.service == service).copied();
-        (ranks, uses.collect::<Vec<_>>())
-    });
+    let others = other_demand(core, service, now);
     let mut activity = lock(&core.admission.activity);
-    let mut uses = activity.organisations();
-    uses.retain(|held| held.service == service);
-    // Without sums of all nodes each one divides its own part of the room.
-    let mut capacity = report.capacity();
-    match &of_others {
-        Some((_, others)) => uses.extend(others),
-        None => capacity /= nodes,
-    }
-    let mut numbers: Vec<_> = activity
-        .service_mut(service)
-        .ranks
-        .iter()
-        .map(|known| known.rank)
+    let of_others = others.iter().flat_map(|others| &others.ranks);
+    let mut numbers: Vec<_> = of_others
+        .map(|demand| demand.rank)
+        .chain(arriving)
         .collect();
-    let of_ranks = of_others.iter().flat_map(|(ranks, _)| ranks);
-    numbers.extend(of_ranks.map(|demand| demand.rank));
-    numbers.extend(arriving);
+    let known = activity.service_mut(service);
+    numbers.extend(known.ranks.iter().map(|known| known.rank));
     numbers.sort_unstable();
     numbers.dedup();
-    let mut ranks = Vec::with_capacity(numbers.len());
-    for rank in numbers {
-        let waiting = f64::from(activity.count_waiting(service, rank));
+    let count = |rank| {
+        let own_waiting = f64::from(activity.count_waiting(service, rank));
         let known = activity.service_mut(service).rank_mut(rank);
-        let arrivals = known.arrivals(now);
-        let (all_waiting, all_arrivals) = match &of_others {
-            Some((ranks, _)) => {
-                let found = ranks.iter().find(|demand| demand.rank == rank);
-                found.map_or((waiting, arrivals), |demand| {
-                    (
-                        waiting + f64::from(demand.waiting),
-                        arrivals + f64::from(demand.arrivals_per_second),
-                    )
-                })
+        let own = known.count(own_waiting, horizon, now);
+        let all = match &others {
+            Some(others) => {
+                let found = others.ranks.iter().find(|demand| demand.rank == rank);
+                found.map_or(own, |demand| own.with_others(demand))
             }
-            None => (waiting * nodes, arrivals * nodes),
+            None => own.at_all(nodes),
         };
-        let own = f64::from(u8::from(arriving == Some(rank)));
-        ranks.push(intake::RankCount {
-            rank,
-            own_waiting: waiting + own,
-            waiting: all_waiting + own,
-            arrivals: all_arrivals,
-            recent: known.recent(horizon, now),
-        });
-    }
+        match arriving == Some(rank) {
+            true => all.with_arriving(),
+            false => all,
+        }
+    };
+    let ranks = numbers.into_iter().map(count).collect();
     let run_times = activity.service_mut(service).run_times;
+    let mut uses = activity.organisations();
+    uses.retain(|held| held.service == service);
+    drop(activity);
+    let mut capacity = report.capacity();
+    match &others {
+        Some(others) => uses.extend(&others.uses),
+        // Without sums of all nodes each one divides its own part of the room.
+        None => capacity /= nodes,
+    }
     RoomView {
         intake: intake::IntakeView {
             free: report.free,
@@ -465,7 +488,7 @@
         shares: shares::OrganisationShares::new(capacity, &uses),
         is_covered: report.is_covered,
         load_age,
-        demand_age,
+        demand_age: others.map(|others| others.age),
     }
 }
 
--- a/arbutusfold/src/gateway/intake.rs
+++ b/arbutusfold/src/gateway/intake.rs
@@ -31,6 +31,35 @@
     pub recent: f64,
 }
 
+impl RankCount {
+    /// Adds what the other nodes tell to the count of this node.
+    pub fn with_others(self, others: &demand::RankDemand) -> Self {
+        Self {
+            waiting: self.waiting + f64::from(others.waiting),
+            arrivals: self.arrivals + f64::from(others.arrivals_per_second),
+            ..self
+        }
+    }
+
+    /// Estimates the count of all nodes from this one's, as if all were alike.
+    pub fn at_all(self, nodes: f64) -> Self {
+        Self {
+            waiting: self.waiting * nodes,
+            arrivals: self.arrivals * nodes,
+            ..self
+        }
+    }
+
+    /// Adds a request that has just arrived at this node.
+    pub fn with_arriving(self) -> Self {
+        Self {
+            own_waiting: self.own_waiting + 1.0,
+            waiting: self.waiting + 1.0,
+            ..self
+        }
+    }
+}
+
 /// Demand and room of one service as one node sees them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct IntakeView {
