--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -86,9 +86,21 @@
         self.changed_at = Some(now);
     }
 
-    fn recent(&mut self, horizon: std_time::Duration, now: time::Instant) -> f64 {
+    /// Returns the requests of the rank at this node.
+    fn count(
+        &mut self,
+        waiting: f64,
+        horizon: std_time::Duration,
+        now: time::Instant,
+    ) -> intake::RankCount {
         self.sends.retain(|sent_at| now < *sent_at + horizon);
-        self.sends.len() as f64
+        intake::RankCount {
+            rank: self.rank,
+            own_waiting: waiting,
+            waiting,
+            arrivals: self.arrivals(now),
+            recent: self.sends.len() as f64,
+        }
     }
 }
 
@@ -378,6 +390,37 @@
     report
 }
 
+/// Demand of the other nodes for one service.
+struct OtherDemand {
+    /// By rank, sorted by rank.
+    ranks: Vec<demand::RankDemand>,
+    uses: Vec<demand::OrganisationUse>,
+    age: std_time::Duration,
+}
+
+/// Returns the demand of the other nodes for a service, or `None` without recent sums.
+fn other_demand(
+    core: &core::GatewayCore,
+    service: demand::ServiceKey,
+    now: time::Instant,
+) -> Option<OtherDemand> {
+    let demand = lock(&core.demand);
+    let others = demand.others(now)?;
+    let ranks = others.value.ranks.iter();
+    let uses = others.value.organisations.iter();
+    Some(OtherDemand {
+        ranks: ranks
+            .filter(|rank| rank.service == service)
+            .copied()
+            .collect(),
+        uses: uses
+            .filter(|held| held.service == service)
+            .copied()
+            .collect(),
+        age: others.age,
+    })
+}
+
 /// Returns what a decision for a request of a service rests on; `arriving` is the rank
 /// of the request if it is not in the queue.
 fn view(
@@ -390,68 +433,48 @@
     let report = measure_room(core, name, engine, now);
     let service = demand::name_key(name);
     let nodes = core.members.fleet_size().max(1) as f64;
-    let (period, load_age) = {
-        let loads = lock(&core.loads);
-        (loads.period(), loads.summary_age(now))
-    };
+    let loads = lock(&core.loads);
+    let (period, load_age) = (loads.period(), loads.summary_age(now));
+    drop(loads);
     let horizon = period.max(leader::PERIOD_MIN) * HORIZON_PERIODS;
-    let demand = lock(&core.demand);
-    let others = demand.others(now);
-    let demand_age = others.as_ref().map(|others| others.age);
-    let of_others = others.as_ref().map(|others| {
-        let ranks = others.value.ranks.iter();
-        let ranks: Vec<_> = ranks.filter(|rank| rank.service == service).collect();
-        let uses = others.value.organisations.iter();
-        let uses = uses.filter(|held| held.service == service).copied();
-        (ranks, uses.collect::<Vec<_>>())
-    });
+    let others = other_demand(core, service, now);
     let mut activity = lock(&core.admission.activity);
-    let mut uses = activity.organisations();
-    uses.retain(|held| held.service == service);
-    // Without sums of all nodes each one divides its own part of the room.
-    let mut capacity = report.capacity();
-    match &of_others {
-        Some((_, others)) => uses.extend(others),
-        None => capacity /= nodes,
-    }
-    let mut numbers: Vec<_> = activity
-        .service_mut(service)
-        .ranks
-        .iter()
-        .map(|known| known.rank)
+    let of_others = others.iter().flat_map(|others| &others.ranks);
+    let mut numbers: Vec<_> = of_others
+        .map(|demand| demand.rank)
+        .chain(arriving)
         .collect();
-    let of_ranks = of_others.iter().flat_map(|(ranks, _)| ranks);
-    numbers.extend(of_ranks.map(|demand| demand.rank));
-    numbers.extend(arriving);
+    let known = activity.service_mut(service);
+    numbers.extend(known.ranks.iter().map(|known| known.rank));
     numbers.sort_unstable();
     numbers.dedup();
-    let mut ranks = Vec::with_capacity(numbers.len());
-    for rank in numbers {
-        let waiting = f64::from(activity.count_waiting(service, rank));
+    let count = |rank| {
+        let own_waiting = f64::from(activity.count_waiting(service, rank));
         let known = activity.service_mut(service).rank_mut(rank);
-        let arrivals = known.arrivals(now);
-        let (all_waiting, all_arrivals) = match &of_others {
-            Some((ranks, _)) => {
-                let found = ranks.iter().find(|demand| demand.rank == rank);
-                found.map_or((waiting, arrivals), |demand| {
-                    (
-                        waiting + f64::from(demand.waiting),
-                        arrivals + f64::from(demand.arrivals_per_second),
-                    )
-                })
+        let own = known.count(own_waiting, horizon, now);
+        let all = match &others {
+            Some(others) => {
+                let found = others.ranks.iter().find(|demand| demand.rank == rank);
+                found.map_or(own, |demand| own.with_others(demand))
             }
-            None => (waiting * nodes, arrivals * nodes),
+            None => own.at_all(nodes),
         };
-        let own = f64::from(u8::from(arriving == Some(rank)));
-        ranks.push(intake::RankCount {
-            rank,
-            own_waiting: waiting + own,
-            waiting: all_waiting + own,
-            arrivals: all_arrivals,
-            recent: known.recent(horizon, now),
-        });
-    }
+        match arriving == Some(rank) {
+            true => all.with_arriving(),
+            false => all,
+        }
+    };
+    let ranks = numbers.into_iter().map(count).collect();
     let run_times = activity.service_mut(service).run_times;
+    let mut uses = activity.organisations();
+    uses.retain(|held| held.service == service);
+    drop(activity);
+    let mut capacity = report.capacity();
+    match &others {
+        Some(others) => uses.extend(&others.uses),
+        // Without sums of all nodes each one divides its own part of the room.
+        None => capacity /= nodes,
+    }
     RoomView {
         intake: intake::IntakeView {
             free: report.free,
@@ -466,7 +489,7 @@
         shares: shares::OrganisationShares::new(capacity, &uses),
         is_covered: report.is_covered,
         load_age,
-        demand_age,
+        demand_age: others.map(|others| others.age),
     }
 }
 
@@ -517,6 +540,7 @@
 /// A place in the queue of this node.
 #[derive(Debug)]
 struct HeldPlace {
+    request: id::RequestId,
     ticket: id::TicketNumber,
     signal: sync::Arc<tokio_sync::Notify>,
     since: time::Instant,
@@ -690,7 +714,7 @@
         }
         let now = time::Instant::now();
         if now >= self.until {
-            self.leave(request, "limit");
+            self.leave("limit");
             return false;
         }
         if self.place.is_none() && !self.enter(request, now) {
@@ -701,7 +725,7 @@
         };
         let position = |ticket| lock(&self.core.admission.activity).queue.position(ticket);
         let Some(held) = position(place.ticket) else {
-            self.leave(request, "passed");
+            self.leave("passed");
             return false;
         };
         let next = match held.is_seeking {
@@ -715,7 +739,7 @@
         let _ = time::timeout_at(next, place.signal.notified()).await;
         let waited = place.since.elapsed();
         if position(place.ticket).is_none() {
-            self.leave(request, "passed");
+            self.leave("passed");
             return false;
         }
         if request.executed == 0 && waited >= fleet::AVOID_REFUSAL {
@@ -756,6 +780,7 @@
             return false;
         };
         self.place = Some(HeldPlace {
+            request: request.head.request.clone(),
             ticket,
             signal,
             since: now,
@@ -777,13 +802,13 @@
     }
 
     /// Records that the request is sent to runners.
-    pub fn note_sent(&mut self, request: &request::CallerRequest) {
+    pub fn note_sent(&mut self) {
         if !self.is_on {
             return;
         }
         if self.place.is_some() {
             self.core.metrics.waited.inc();
-            self.end_wait(request, "sent");
+            self.end_wait("sent");
         }
         if self.sent_at.is_some() {
             return;
@@ -806,14 +831,14 @@
         }
     }
 
-    fn leave(&mut self, request: &request::CallerRequest, cause: &'static str) {
+    fn leave(&mut self, cause: &'static str) {
         if self.place.is_some() {
             self.count_refusal(cause);
-            self.end_wait(request, cause);
+            self.end_wait(cause);
         }
     }
 
-    fn end_wait(&mut self, request: &request::CallerRequest, outcome: &str) {
+    fn end_wait(&mut self, outcome: &str) {
         let Some(place) = self.place.take() else {
             return;
         };
@@ -832,7 +857,8 @@
             waited.as_millis(),
             view.unwrap_or_else(|| format!("rank={}", self.rank))
         );
-        request.note(event::EventCode::WaitEnded, detail);
+        self.core
+            .note(event::EventCode::WaitEnded, &place.request, detail);
     }
 
     fn count_refusal(&self, cause: &'static str) {
@@ -848,22 +874,12 @@
 
 impl Drop for AdmissionTicket {
     fn drop(&mut self) {
-        if !self.is_on {
-            return;
-        }
-        let place = self.place.take();
-        let mut activity = lock(&self.core.admission.activity);
-        if let Some(place) = &place {
-            activity.queue.leave(place.ticket);
-            activity.queue.wake();
-        }
+        // The caller left, or no runner is left for the request.
+        self.end_wait("left");
         if self.sent_at.is_some() {
+            let mut activity = lock(&self.core.admission.activity);
             let known = activity.service_mut(self.service);
             known.change_in_flight(self.organisation, |held| held.saturating_sub(1));
         }
-        drop(activity);
-        if place.is_some() {
-            self.note_waiting();
-        }
     }
 }
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -438,7 +438,7 @@
             };
         }
     };
-    ticket.note_sent(request);
+    ticket.note_sent();
     let mut path = stream_path::StreamPath::new(request, target);
     let outcome = match request.dispatch(&path.target, cursor.last()).await {
         Ok(sent) => wait_answer(request, &mut path, sent).await,
