Account of the memory that callers make a gateway hold, with bounds on connections and heads

With memory_mb in the settings, bodies and heads take from one account as they arrive, and incomplete ones give way when it is used up; stalled and idle connections give way to new ones; heads have the time and size of the document; requests whose body was not read are answered and their connection closed. Without the setting nothing changes.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -118,6 +118,9 @@
     UpstreamRestored = 321, Info;
     /// An upstream was not ejected because too many of its pool already are.
     EjectionCapped = 322, Warning;
+    /// Requests or connections of callers were refused or closed because of a bound; at
+    /// most one event a second for each cause.
+    CallersBounded = 330, Warning;
     /// A non-idempotent request was recorded as started.
     RecordStarted = 400, Info;
     /// A non-idempotent request was recorded as finished.
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::sync;
 
 use derive_more::{Display, Error};
+use http_body_util::BodyExt;
 use hyper::body;
 use tokio::sync::{mpsc, watch};
 use tokio::{task, time};
@@ -21,6 +22,7 @@
 use crate::probe;
 use crate::serve;
 
+pub mod bounds;
 pub mod budget;
 pub mod claim;
 pub mod core;
@@ -38,6 +40,7 @@
 pub mod layout_controller;
 pub mod leader;
 pub mod leader_driver;
+pub mod memory;
 pub mod metrics;
 pub mod mirror;
 pub mod neighbour;
@@ -46,6 +49,7 @@
 pub mod quarantine;
 pub mod race;
 pub mod reach;
+pub mod receive;
 pub mod relay;
 pub mod relay_server;
 pub mod replication;
@@ -176,15 +180,8 @@
         serve_metrics(&core, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
-    let mut caller_limits = limits();
-    let allowed = core.settings.descriptor_limit;
-    let allowed = allowed.or_else(descriptors::system_limit);
-    if let Some(allowed) = allowed {
-        let connections = descriptors::caller_connections(allowed);
-        caller_limits.connections = caller_limits.connections.min(connections);
-    }
     let answer = move |request| answer_caller(sync::Arc::clone(&caller_core), request);
-    let serving = serve::serve(callers, caller_limits, closed, answer);
+    let serving = serve::serve(callers, caller_policy(&core), closed, answer);
     let relay_server = core.relay_server.clone();
     let serving = tokio::spawn(async move {
         serving.await;
@@ -201,6 +198,38 @@
     Ok(())
 }
 
+/// Returns how many descriptors the process may open, if that is known.
+fn descriptor_limit(core: &core::GatewayCore) -> Option<usize> {
+    let limit = core.settings.descriptor_limit;
+    limit.or_else(descriptors::system_limit)
+}
+
+fn caller_policy(core: &sync::Arc<core::GatewayCore>) -> bounds::ListenerPolicy {
+    let mut limits = limits();
+    let allowed = descriptor_limit(core).map(descriptors::caller_connections);
+    let fitting = core.settings.memory_mb.map(memory::caller_connections);
+    let bounds = [allowed, fitting].into_iter().flatten();
+    limits.connections = bounds.fold(limits.connections, usize::min);
+    bounds::ListenerPolicy {
+        core: sync::Arc::clone(core),
+        limits,
+        is_main: true,
+    }
+}
+
+fn entry_policy(core: &sync::Arc<core::GatewayCore>) -> bounds::ListenerPolicy {
+    let mut limits = limits();
+    let allowed = descriptor_limit(core).filter(|_| core.memory.is_some());
+    if let Some(connections) = allowed.map(descriptors::entry_connections) {
+        limits.connections = limits.connections.min(connections);
+    }
+    bounds::ListenerPolicy {
+        core: sync::Arc::clone(core),
+        limits,
+        is_main: false,
+    }
+}
+
 fn limits() -> serve::ServeLimits {
     serve::ServeLimits {
         header_timeout: IDLE_TIMEOUT,
@@ -213,10 +242,23 @@
     core: sync::Arc<core::GatewayCore>,
     request: http::Request<body::Incoming>,
 ) -> Result<response::GatewayResponse, convert::Infallible> {
+    let connection = request.extensions().get::<serve::RequestConnection>();
+    let connection = connection.cloned();
     let handled = forward::handle(sync::Arc::clone(&core), request);
     let mut answer = panics::answer(handled).await?;
     state_idle_time(&core, &mut answer);
-    Ok(answer)
+    let (Some(account), Some(connection)) = (&core.memory, connection) else {
+        return Ok(answer);
+    };
+    let account = sync::Arc::clone(account);
+    Ok(answer.map(|body| {
+        let body = receive::HeldAnswer {
+            body,
+            account,
+            connection,
+        };
+        body.boxed_unsync()
+    }))
 }
 
 /// States in an answer for how long its connection may be reused, if that is less
@@ -239,8 +281,9 @@
     closed: &watch::Receiver<bool>,
 ) -> task::JoinHandle<()> {
     let core = sync::Arc::clone(core);
+    let policy = entry_policy(&core);
     let answer = move |request| entry::handle(sync::Arc::clone(&core), request);
-    tokio::spawn(serve::serve(listener, limits(), closed.clone(), answer))
+    tokio::spawn(serve::serve(listener, policy, closed.clone(), answer))
 }
 
 fn serve_metrics(
@@ -249,8 +292,9 @@
     closed: &watch::Receiver<bool>,
 ) -> task::JoinHandle<()> {
     let core = sync::Arc::clone(core);
+    let policy = entry_policy(&core);
     let answer = move |_| entry::handle_metrics(sync::Arc::clone(&core));
-    tokio::spawn(serve::serve(listener, limits(), closed.clone(), answer))
+    tokio::spawn(serve::serve(listener, policy, closed.clone(), answer))
 }
 
 /// Drives the membership and announces this node's store version and phase.
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::bounds;
 use crate::gateway::budget;
 use crate::gateway::crash;
 use crate::gateway::demand;
@@ -16,6 +17,7 @@
 use crate::gateway::direct;
 use crate::gateway::fleet;
 use crate::gateway::leader;
+use crate::gateway::memory;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::panics;
@@ -73,6 +75,10 @@
     pub loads: sync::Mutex<leader::LoadView>,
     /// Demand of all nodes for scarce room, as far as reported.
     pub demand: sync::Mutex<demand::DemandView>,
+    /// Memory that callers make the process hold, if the settings limit it.
+    pub memory: Option<sync::Arc<memory::MemoryAccount>>,
+    /// Events about bounds on callers.
+    pub bounds: bounds::BoundLog,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Recent checks of runners that may have died during a run.
@@ -128,6 +134,10 @@
             window: settings.retry_window_s,
             has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
+        let memory = settings.memory_mb.map(|memory_mb| {
+            let limits = memory::AccountLimits::of_host(memory_mb);
+            sync::Arc::new(memory::MemoryAccount::new(limits))
+        });
         let recorder = event::EventRecorder::with_capacity(logger, EVENT_CAPACITY);
         let metrics = metrics::GatewayMetrics::default();
         let context = dial::DialContext {
@@ -164,6 +174,8 @@
             members,
             loads: sync::Mutex::default(),
             demand: sync::Mutex::default(),
+            memory,
+            bounds: bounds::BoundLog::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
@@ -487,6 +499,8 @@
         let known = self.table_versions();
         let lag = lock(&self.row_lag).age(&known, time::Instant::now());
         self.metrics.rows_behind_ms.set(lag.as_millis() as i64);
+        let held = self.memory.as_ref().map_or(0, |account| account.used());
+        self.metrics.held_bytes.set(held as i64);
         self.metrics.render()
     }
 
--- a/arbutusfold/src/gateway/descriptors.rs
+++ b/arbutusfold/src/gateway/descriptors.rs
@@ -13,6 +13,16 @@
     limit / 100 * CALLER_PERCENT + limit % 100 * CALLER_PERCENT / 100
 }
 
+/// Share of the descriptors for connections of each listener that does not take
+/// requests, in percent.
+const ENTRY_PERCENT: usize = 4;
+
+/// Returns how many connections a listener for address queries, readiness checks or
+/// metrics may hold if the process may open `limit` descriptors.
+pub fn entry_connections(limit: usize) -> usize {
+    limit * ENTRY_PERCENT / 100
+}
+
 /// Returns how many descriptors the system allows this process to open.
 pub fn system_limit() -> Option<usize> {
     parse_limits(&fs::read_to_string("/proc/self/limits").ok()?)
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Handling of callers' requests: admission, plain services and outcomes.
 
 use std::convert;
+use std::net;
 use std::sync;
 use std::time as std_time;
 
@@ -14,16 +15,20 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::bounds;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::held;
+use crate::gateway::memory;
 use crate::gateway::metrics;
+use crate::gateway::receive;
 use crate::gateway::request;
 use crate::gateway::response;
 use crate::gateway::routing;
 use crate::gateway::stream;
 use crate::id;
+use crate::serve;
 
 /// Time subtracted from a deadline for sending the response to the caller.
 const RESPONSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
@@ -168,7 +173,19 @@
     }
     let timeout = head.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = started + timeout.saturating_sub(RESPONSE_MARGIN);
-    let body = read_body(body, table.limits().body_bytes, deadline).await?;
+    let limit_bytes = table.limits().body_bytes;
+    let body = match &core.memory {
+        Some(account) => {
+            let hold = HeldRequest {
+                core,
+                account,
+                organisation: organisation.as_deref(),
+                deadline,
+            };
+            hold.receive(&parts, body, limit_bytes).await?
+        }
+        None => read_body(body, limit_bytes, deadline).await?,
+    };
     let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
     lock(&core.budget).note_request(&service, started);
     Ok(request::CallerRequest {
@@ -199,6 +216,54 @@
     })
 }
 
+/// A request whose body is received within the account of memory.
+struct HeldRequest<'a> {
+    core: &'a core::GatewayCore,
+    account: &'a sync::Arc<memory::MemoryAccount>,
+    organisation: Option<&'a str>,
+    deadline: time::Instant,
+}
+
+impl HeldRequest<'_> {
+    async fn receive(
+        &self,
+        parts: &http::request::Parts,
+        body: body::Incoming,
+        limit_bytes: usize,
+    ) -> Result<Bytes, response::GatewayRefusal> {
+        let connection = parts.extensions.get::<serve::RequestConnection>();
+        let connection = connection.map(|serve::RequestConnection(state)| &**state);
+        let address = connection.map(serve::crowd::ConnectionState::address);
+        let owner = memory::HoldOwner {
+            address: address.unwrap_or(net::Ipv4Addr::UNSPECIFIED.into()),
+            organisation: self.organisation.map(str::to_owned),
+        };
+        let hold = self
+            .account
+            .open(owner, memory::HoldKind::Incoming, sync::Arc::default());
+        let received = match hold.grow(receive::head_bytes(parts)).await {
+            Ok(()) => {
+                let account = self.account;
+                let deadline = self.deadline;
+                receive::read_body(body, limit_bytes, deadline, account, hold, connection).await
+            }
+            Err(memory::MemoryRefusal) => Err(receive::ReceiveError::NoMemory),
+        };
+        received.map_err(|error| {
+            let cause = match error {
+                receive::ReceiveError::TooLong => Some(bounds::BoundCause::BodyLength),
+                receive::ReceiveError::NoMemory => Some(bounds::BoundCause::Memory),
+                receive::ReceiveError::TimedOut => Some(bounds::BoundCause::BodyTime),
+                receive::ReceiveError::Broken(_) => None,
+            };
+            if let Some(cause) = cause {
+                bounds::note(self.core, cause, address);
+            }
+            error.to_refusal()
+        })
+    }
+}
+
 async fn read_body(
     body: body::Incoming,
     limit_bytes: usize,
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -35,6 +35,13 @@
     pub cause: &'static str,
 }
 
+/// Labels of the counter of requests and connections that met a bound.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BoundLabels {
+    /// Which bound.
+    pub cause: &'static str,
+}
+
 /// Labels of the counter of refused tunnels.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TunnelRefusalLabels {
@@ -116,6 +123,12 @@
     pub transport: peer::TransportMetrics,
     /// Tunnels between nodes.
     pub tunnels: TunnelMetrics,
+    /// Requests and connections of callers that met a bound, by cause.
+    pub bounded: family::Family<BoundLabels, counter::Counter>,
+    /// Open connections of callers.
+    pub connections: gauge::Gauge,
+    /// Memory that callers make the process hold, in bytes.
+    pub held_bytes: gauge::Gauge,
     /// Version of the document in force.
     pub document_version: gauge::Gauge,
     /// Time for which this node has known of a row that it lacks.
@@ -148,6 +161,9 @@
             panics: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
             tunnels: TunnelMetrics::default(),
+            bounded: family::Family::default(),
+            connections: gauge::Gauge::default(),
+            held_bytes: gauge::Gauge::default(),
             document_version: gauge::Gauge::default(),
             rows_behind_ms: gauge::Gauge::default(),
             first_seconds: latency(),
@@ -189,6 +205,21 @@
         registry.register("panics", "Panics of tasks", set.panics.clone());
         set.transport.register(registry);
         set.tunnels.register(registry);
+        registry.register(
+            "callers_bounded",
+            "Requests and connections refused or closed, by cause",
+            set.bounded.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            set.connections.clone(),
+        );
+        registry.register(
+            "caller_bytes",
+            "Memory that callers make the process hold",
+            set.held_bytes.clone(),
+        );
         let version = set.document_version.clone();
         registry.register(
             "document_version",
--- a/arbutusfold/src/gateway/settings.rs
+++ b/arbutusfold/src/gateway/settings.rs
@@ -62,6 +62,10 @@
     /// Descriptors that the process may open; by default, what the system allows it.
     #[serde(default)]
     pub descriptor_limit: Option<usize>,
+    /// Memory that the process may use, in MB; callers are bounded by a part of it if it
+    /// is set.
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
     /// Retries per request that may be sent to a service.
     #[serde(default = "default_retry_share")]
     pub retry_share: f64,
@@ -77,6 +81,9 @@
 /// A gateway needs a few dozen descriptors for listeners, peers and the store.
 const DESCRIPTORS: check::FieldKind = check::FieldKind::Number(128, 1 << 20);
 
+/// Less than this leaves nothing for callers beside the state of a small fleet.
+const MEMORY_MB: check::FieldKind = check::FieldKind::Number(32, 1 << 20);
+
 const MILLISECONDS: check::FieldKind = check::FieldKind::Decimal(1.0, TIME_LIMIT_MS);
 const SECONDS: check::FieldKind = check::FieldKind::Decimal(0.001, TIME_LIMIT_MS / 1_000.0);
 
@@ -103,6 +110,7 @@
     check::FieldSpec::optional("stop_limit_s", SECONDS),
     check::FieldSpec::optional("contact_ms", MILLISECONDS),
     check::FieldSpec::optional("descriptor_limit", DESCRIPTORS),
+    check::FieldSpec::optional("memory_mb", MEMORY_MB),
     check::FieldSpec::optional("retry_share", check::FieldKind::Decimal(0.0, 10.0)),
     check::FieldSpec::optional("retry_extra", check::FieldKind::Decimal(0.0, RETRY_LIMIT)),
     check::FieldSpec::optional("retry_window_s", SECONDS),
--- a/arbutusfold/tests/gateway_settings.rs
+++ b/arbutusfold/tests/gateway_settings.rs
@@ -4,7 +4,7 @@
 
 mod gateway_fixture;
 
-use arbutusfold::gateway::{descriptors, entry, settings};
+use arbutusfold::gateway::{core, descriptors, entry, memory, settings};
 use arbutusfold::member;
 use gateway_fixture::record;
 
@@ -34,6 +34,27 @@
     assert_eq!(parsed.contact_ms.as_millis(), 3_000);
 }
 
+/// Without the setting nothing bounds the memory of callers.
+#[test]
+fn memory_of_callers_is_bounded_where_the_settings_say_so() {
+    let parsed = settings::parse_file("test", &text("")).unwrap();
+    assert_eq!(parsed.memory_mb, None);
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    assert!(
+        core::GatewayCore::new(parsed, logger.clone())
+            .memory
+            .is_none()
+    );
+
+    let parsed = settings::parse_file("test", &text(r#""memory_mb": 112,"#)).unwrap();
+    let account = core::GatewayCore::new(parsed, logger).memory.unwrap();
+    // A body of the longest legal size fits.
+    assert!(account.largest() > 5 << 20);
+    assert!(account.largest() < 112 << 18);
+    assert!(memory::caller_connections(112) * (24 << 10) < 112 << 19);
+    assert!(settings::parse_file("test", &text(r#""memory_mb": 8,"#)).is_err());
+}
+
 #[test]
 fn every_fault_is_named_with_its_place() {
     let bad = text(r#""retry_share": "much", "stop_limit_s": -1, "colour": 3,"#)
--- a/arbutusfold/tests/serve.rs
+++ b/arbutusfold/tests/serve.rs
@@ -152,6 +152,61 @@
     assert!(fourth.read_u8().await.is_ok());
 }
 
+/// Connections that send no request keep nobody out where they give way.
+#[tokio::test]
+async fn silent_connections_give_way_to_new_ones() {
+    let limits = serve::ServeLimits {
+        connections: 2,
+        is_yielding: true,
+        streams: None,
+        ..serve::ServeLimits::default()
+    };
+    let (address, _, _closing) = start(limits, 1);
+    let connect = async || tokio::net::TcpStream::connect(address).await.unwrap();
+    let mut silent = [connect().await, connect().await];
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let mut third = connect().await;
+    third.write_all(GET).await.unwrap();
+    assert!(third.read_u8().await.is_ok());
+    assert!(silent[0].read_u8().await.is_err());
+}
+
+/// A client that sends its head drop by drop is closed, an idle one is not.
+#[tokio::test]
+async fn head_that_takes_too_long_is_given_up_however_it_progresses() {
+    let limits = serve::ServeLimits {
+        head_time: Some(time::Duration::from_millis(300)),
+        streams: None,
+        ..serve::ServeLimits::default()
+    };
+    let (address, _, _closing) = start(limits, 1);
+    let mut idle = tokio::net::TcpStream::connect(address).await.unwrap();
+    let mut slow = tokio::net::TcpStream::connect(address).await.unwrap();
+    let sending = async {
+        while slow.write_all(b"X").await.is_ok() {
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    };
+    let closed = tokio::time::timeout(time::Duration::from_secs(10), sending).await;
+    assert!(closed.is_ok());
+    tokio::time::sleep(time::Duration::from_millis(400)).await;
+    idle.write_all(GET).await.unwrap();
+    assert!(idle.read_u8().await.is_ok());
+}
+
+/// A client that sends further requests without reading gets no further answers.
+#[tokio::test]
+async fn requests_sent_ahead_wait_until_the_answers_are_read() {
+    let (address, answers, _closing) = start(serve::ServeLimits::default(), CHUNKS);
+    let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+    for _ in 0..100 {
+        socket.write_all(GET).await.unwrap();
+    }
+    socket.readable().await.unwrap();
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    assert_eq!(answers.count.load(atomic::Ordering::SeqCst), 1);
+}
+
 #[tokio::test]
 async fn answer_in_flight_is_finished_when_the_server_closes() {
     let (address, answers, closing) = start(serve::ServeLimits::default(), CHUNKS);
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -68,6 +68,22 @@
         subnet: u8,
         size: plan::SoakSize,
         retries: process::RetryLimit,
+    ) -> anyhow::Result<Self> {
+        Self::start_within(program, folder, subnet, size, retries, None).await
+    }
+
+    /// Starts the processes with settings that bound their memory, in MB.
+    ///
+    /// # Errors
+    ///
+    /// As [`start`](Self::start).
+    pub async fn start_within(
+        program: &path::Path,
+        folder: &path::Path,
+        subnet: u8,
+        size: plan::SoakSize,
+        retries: process::RetryLimit,
+        memory_mb: Option<usize>,
     ) -> anyhow::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let ip = |node: usize| net::Ipv4Addr::new(127, 90, subnet, node as u8 + 1);
@@ -108,6 +124,7 @@
                 store: proxy.address(),
                 seeds: seeds.clone(),
                 retries,
+                memory_mb,
             };
             let process = process::GatewayProcess::start(program, &spec, folder)?;
             nodes.push(GatewayNode {
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -56,6 +56,8 @@
     pub seeds: Vec<net::Ipv4Addr>,
     /// Limit on retries.
     pub retries: RetryLimit,
+    /// Memory that the process may use, in MB, if its settings tell.
+    pub memory_mb: Option<usize>,
 }
 
 impl GatewaySpec {
@@ -76,13 +78,17 @@
             .map(|ip| format!("\"{ip}:{PEERS_PORT}\""))
             .collect();
         let ip = self.ip;
+        let memory = self
+            .memory_mb
+            .map(|size| format!(", \"memory_mb\": {size}"));
+        let memory = memory.unwrap_or_default();
         format!(
             r#"{{"name": "{}", "region": "loopback", "domain": "{}",
             "callers": "{ip}:{CALLERS_PORT}", "ready": "{ip}:{READY_PORT}",
             "directory": "{ip}:{DIRECTORY_PORT}", "peers": "{ip}:{PEERS_PORT}",
             "metrics": "{ip}:{METRICS_PORT}", "seeds": [{}], "store": "{}",
             "peer_keys": ["{PEER_KEY}"], "stop_limit_s": {STOP_LIMIT_SECONDS},
-            "retry_share": {}, "retry_extra": {}}}"#,
+            "retry_share": {}, "retry_extra": {}{memory}}}"#,
             self.name,
             self.domain,
             seeds.join(", "),
