--- a/arbutusfold/src/gateway/memory.rs
+++ b/arbutusfold/src/gateway/memory.rs
@@ -11,7 +11,7 @@
 use std::sync;
 use std::time as std_time;
 
-use tokio::time;
+use tokio::{task, time};
 
 use crate::id;
 
@@ -46,6 +46,10 @@
 /// Time for which a request waits for the memory of those that give way to it.
 const RELEASE_TIME: std_time::Duration = std_time::Duration::from_secs(1);
 
+/// Large bodies that are received at a time. Others wait, so that a crowd of them
+/// does not keep the processor from small requests.
+const LARGE_TURNS: usize = 1;
+
 /// Number of an entry of the account.
 pub type HoldId = u64;
 
@@ -235,6 +239,13 @@
         }
     }
 
+    /// Notes that the request of an entry progresses.
+    pub fn progress(&mut self, id: HoldId, now: time::Instant) {
+        if let Some(index) = self.index(id) {
+            self.entries[index].progressed = now;
+        }
+    }
+
     /// Notes that the request of an entry is complete.
     pub fn complete(&mut self, id: HoldId) {
         if let Some(index) = self.index(id) {
@@ -327,6 +338,7 @@
     limits: AccountLimits,
     state: sync::Mutex<AccountState>,
     released: tokio::sync::Notify,
+    turns: tokio::sync::Semaphore,
 }
 
 /// Refusal of memory to a request.
@@ -348,6 +360,7 @@
             limits,
             state: sync::Mutex::new(AccountState::new(limits)),
             released: tokio::sync::Notify::new(),
+            turns: tokio::sync::Semaphore::new(LARGE_TURNS),
         }
     }
 
@@ -356,6 +369,15 @@
         self.limits.total - self.limits.reserve
     }
 
+    /// Waits for the turn of a large body to receive its next part, and lets other
+    /// tasks run meanwhile.
+    pub async fn take_turn(&self) {
+        // The semaphore is never closed.
+        let turn = self.turns.acquire().await;
+        task::yield_now().await;
+        drop(turn);
+    }
+
     /// Returns the bytes that are held.
     pub fn used(&self) -> usize {
         self.lock().used()
@@ -411,6 +433,11 @@
         self.account.lock().force(self.id, extra);
     }
 
+    /// Notes that the request progresses.
+    pub fn progress(&self) {
+        self.account.lock().progress(self.id, time::Instant::now());
+    }
+
     /// Notes that the request is complete and no longer gives way.
     pub fn complete(&self) {
         self.account.lock().complete(self.id);
--- a/arbutusfold/src/gateway/receive.rs
+++ b/arbutusfold/src/gateway/receive.rs
@@ -24,6 +24,13 @@
 /// First size of the buffer of a body whose length is not known.
 const FIRST_BUFFER_BYTES: usize = 4 << 10;
 
+/// Part of a body that is received in one turn, and after which its progress is noted,
+/// in bytes.
+const TURN_BYTES: usize = 16 << 10;
+
+/// Work for each frame of a body, as the bytes that could be copied meanwhile.
+const FRAME_BYTES: usize = 512;
+
 /// Size up to which the buffers of a connection account for a part of an answer.
 const BUFFERED_BYTES: usize = 4 << 10;
 
@@ -114,7 +121,16 @@
     }
     let capacity_limit = declared.unwrap_or(limit_bytes);
     let mut bytes = Vec::new();
+    let mut work = 0;
     loop {
+        if work >= TURN_BYTES {
+            work = 0;
+            hold.progress();
+            if let Some(connection) = connection {
+                connection.enter(crowd::ConnectionPhase::Body);
+            }
+            account.take_turn().await;
+        }
         let frame = tokio::select! {
             biased;
             () = hold.yielding() => return Err(ReceiveError::NoMemory),
@@ -139,9 +155,7 @@
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&data);
-        if let Some(connection) = connection {
-            connection.enter(crowd::ConnectionPhase::Body);
-        }
+        work += data.len() + FRAME_BYTES;
     }
     hold.complete();
     if let Some(connection) = connection {
--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -29,6 +29,10 @@
 /// Time between closing the listener and closing idle connections.
 const SHUTDOWN_GRACE: std_time::Duration = std_time::Duration::from_millis(100);
 
+/// Delay of each request of a client that sends many ahead. It leaves the processor to
+/// clients that wait for their answers.
+const SENT_AHEAD_DELAY: std_time::Duration = std_time::Duration::from_millis(250);
+
 /// Limits on the time and resources that clients may use.
 #[derive(Clone, Debug)]
 pub struct ServeLimits {
@@ -186,6 +190,9 @@
             request.extensions_mut().insert(connection);
             let answered = answer(request);
             async move {
+                if limits.is_yielding && connection_state.is_sending_ahead() {
+                    time::sleep(SENT_AHEAD_DELAY).await;
+                }
                 let mut response = answered.await?;
                 // Nobody reads the rest of a body whose request is answered.
                 if connection_state.is_body_open() {
--- a/arbutusfold/src/serve/crowd.rs
+++ b/arbutusfold/src/serve/crowd.rs
@@ -11,6 +11,10 @@
 /// blocked answer gives way before all others.
 const STALL_TIME: std_time::Duration = std_time::Duration::from_secs(1);
 
+/// Requests that a client may send without waiting for an answer before they are
+/// slowed down.
+const FREE_REQUESTS: u32 = 4;
+
 /// Number of a connection, unique in its listener.
 pub type ConnectionId = u64;
 
@@ -51,6 +55,8 @@
     phase: ConnectionPhase,
     /// Requests that are not answered completely.
     requests: u32,
+    /// Requests since the client last waited for an answer before it sent the next one.
+    sent_ahead: u32,
     is_blocked: bool,
     since: time::Instant,
 }
@@ -78,6 +84,7 @@
             progress: sync::Mutex::new(ConnectionProgress {
                 phase: ConnectionPhase::Opened,
                 requests: 0,
+                sent_ahead: 0,
                 is_blocked: false,
                 since: time::Instant::now(),
             }),
@@ -96,7 +103,10 @@
             true => ConnectionPhase::Body,
             false => ConnectionPhase::Answering,
         });
-        lock(&self.progress).requests += 1;
+        let mut progress = lock(&self.progress);
+        progress.requests += 1;
+        progress.sent_ahead += 1;
+        drop(progress);
         OpenRequest(sync::Arc::clone(self))
     }
 
@@ -107,6 +117,19 @@
         progress.since = time::Instant::now();
     }
 
+    /// Notes that the client has sent nothing more for the moment.
+    pub fn note_quiet(&self) {
+        let mut progress = lock(&self.progress);
+        if progress.phase == ConnectionPhase::Idle {
+            progress.sent_ahead = 0;
+        }
+    }
+
+    /// Returns whether the client sends many requests without waiting for answers.
+    pub fn is_sending_ahead(&self) -> bool {
+        lock(&self.progress).sent_ahead > FREE_REQUESTS
+    }
+
     /// Returns whether the body of the current request was not received completely.
     pub fn is_body_open(&self) -> bool {
         lock(&self.progress).phase == ConnectionPhase::Body
--- a/arbutusfold/src/serve/linger.rs
+++ b/arbutusfold/src/serve/linger.rs
@@ -19,8 +19,15 @@
 /// Longest time for which bytes are discarded.
 const LINGER_LIMIT: std_time::Duration = std_time::Duration::from_secs(2);
 
-/// Bytes that are discarded at a time.
-const DISCARD_BYTES: usize = 4 << 10;
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 16 << 10;
+
+/// Bytes that are discarded before each pause. In all this is more than clients
+/// usually have in transit.
+const DISCARD_BYTES: usize = 64 << 10;
+
+/// Pause that keeps a client that sends on from taking much of the processor.
+const DISCARD_PAUSE: std_time::Duration = std_time::Duration::from_millis(50);
 
 /// A stream that discards what still arrives after it was shut down.
 #[derive(Debug)]
@@ -35,6 +42,10 @@
     /// End of the time without bytes.
     silence: pin::Pin<Box<time::Sleep>>,
     deadline: time::Instant,
+    /// Bytes discarded since the latest pause.
+    discarded: usize,
+    /// End of the pause.
+    pause: Option<pin::Pin<Box<time::Sleep>>>,
 }
 
 impl<S> LingeringStream<S> {
@@ -53,9 +64,15 @@
         let closing = self.closing.get_or_insert_with(|| ClosingState {
             silence: Box::pin(time::sleep(SILENCE_LIMIT)),
             deadline: time::Instant::now() + LINGER_LIMIT,
+            discarded: 0,
+            pause: None,
         });
-        let mut bytes = [0; DISCARD_BYTES];
+        let mut bytes = [0; READ_BYTES];
         loop {
+            if let Some(pause) = &mut closing.pause {
+                task::ready!(pause.as_mut().poll(context));
+                closing.pause = None;
+            }
             let mut buffer = ReadBuf::new(&mut bytes);
             match pin::Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
                 task::Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
@@ -65,6 +82,11 @@
                     if time::Instant::now() >= closing.deadline {
                         return task::Poll::Ready(());
                     }
+                    closing.discarded += buffer.filled().len();
+                    if closing.discarded >= DISCARD_BYTES {
+                        closing.discarded = 0;
+                        closing.pause = Some(Box::pin(time::sleep(DISCARD_PAUSE)));
+                    }
                 }
                 // The client closed its half or reset the connection.
                 task::Poll::Ready(_) => return task::Poll::Ready(()),
--- a/arbutusfold/src/serve/watch.rs
+++ b/arbutusfold/src/serve/watch.rs
@@ -64,6 +64,7 @@
         let before = buffer.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         if polled.is_pending() {
+            self.state.note_quiet();
             return match self.poll_head_end(context) {
                 true => task::Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
                 false => task::Poll::Pending,
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -71,6 +71,16 @@
         (self.ip, READY_PORT).into()
     }
 
+    /// Returns the address of its directory.
+    pub fn directory(&self) -> net::SocketAddr {
+        (self.ip, DIRECTORY_PORT).into()
+    }
+
+    /// Returns the address of its metrics.
+    pub fn metrics(&self) -> net::SocketAddr {
+        (self.ip, METRICS_PORT).into()
+    }
+
     fn settings(&self) -> String {
         let seeds: Vec<_> = self
             .seeds
--- a/soak/tests/fleet_fixture/mod.rs
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -34,6 +34,28 @@
     start_program(&program, name, subnet, size, retries).await
 }
 
+/// Starts a deployment whose gateways know how much memory they may use, in MB, and
+/// waits until they serve.
+pub async fn start_within(
+    memory_mb: Option<usize>,
+    name: &str,
+    subnet: u8,
+    size: plan::SoakSize,
+) -> deployment::SoakDeployment {
+    let program = build_folder().join("arbutusfold");
+    let folder = build_folder().join("fleet-tests").join(name);
+    // A folder of an earlier run holds logs that would be taken for new ones.
+    let _ = std::fs::remove_dir_all(&folder);
+    let retries = process::RetryLimit::default();
+    let started = deployment::SoakDeployment::start_within(
+        &program, &folder, subnet, size, retries, memory_mb,
+    );
+    let deployment = started.await.unwrap();
+    deployment.wait_ready().await.unwrap();
+    deployment.wait_serving().await.unwrap();
+    deployment
+}
+
 /// Starts a deployment whose gateways may open at most `limit` descriptors each.
 pub async fn start_limited(
     limit: usize,
