--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -161,6 +161,7 @@
         sync::Arc::new(runner_limit::LimitHandler::new(sync::Arc::clone(&core))),
     );
 
+    let (caller_policy, entry_policy) = listener_policies(&core);
     let mut loops = store_watch::spawn(&core);
     loops.extend([
         tokio::spawn(run_membership(
@@ -175,13 +176,13 @@
         panics::spawn(&core, suspects::run),
         panics::spawn(&core, suspects::learn),
         panics::spawn(&core, suspect_store::run),
-        serve_entry(&core, ready, &closed),
-        serve_entry(&core, directory, &closed),
-        serve_metrics(&core, metrics, &closed),
+        serve_entry(entry_policy.clone(), ready, &closed),
+        serve_entry(entry_policy.clone(), directory, &closed),
+        serve_metrics(entry_policy, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
     let answer = move |request| answer_caller(sync::Arc::clone(&caller_core), request);
-    let serving = serve::serve(callers, caller_policy(&core), closed, answer);
+    let serving = serve::serve(callers, caller_policy, closed, answer);
     let relay_server = core.relay_server.clone();
     let serving = tokio::spawn(async move {
         serving.await;
@@ -198,36 +199,30 @@
     Ok(())
 }
 
-/// Returns how many descriptors the process may open, if that is known.
-fn descriptor_limit(core: &core::GatewayCore) -> Option<usize> {
-    let limit = core.settings.descriptor_limit;
-    limit.or_else(descriptors::system_limit)
-}
-
-fn caller_policy(core: &sync::Arc<core::GatewayCore>) -> bounds::ListenerPolicy {
-    let mut limits = limits();
-    let allowed = descriptor_limit(core).map(descriptors::caller_connections);
+/// Returns the limits of the listeners for requests of callers, and for readiness
+/// checks, address queries and metrics.
+fn listener_policies(
+    core: &sync::Arc<core::GatewayCore>,
+) -> (bounds::ListenerPolicy, bounds::ListenerPolicy) {
+    let crowd: Option<sync::Arc<serve::crowd::ConnectionCrowd>> =
+        core.memory.as_ref().map(|_| sync::Arc::default());
+    let allowed = core.settings.descriptor_limit;
+    let allowed = allowed.or_else(descriptors::system_limit);
+    let allowed = allowed.map(descriptors::caller_connections);
     let fitting = core.settings.memory_mb.map(memory::caller_connections);
-    let bounds = [allowed, fitting].into_iter().flatten();
-    limits.connections = bounds.fold(limits.connections, usize::min);
-    bounds::ListenerPolicy {
+    let connections = [allowed, fitting].into_iter().flatten();
+    let mut callers = bounds::ListenerPolicy {
         core: sync::Arc::clone(core),
-        limits,
-        is_main: true,
-    }
-}
-
-fn entry_policy(core: &sync::Arc<core::GatewayCore>) -> bounds::ListenerPolicy {
-    let mut limits = limits();
-    let allowed = descriptor_limit(core).filter(|_| core.memory.is_some());
-    if let Some(connections) = allowed.map(descriptors::entry_connections) {
-        limits.connections = limits.connections.min(connections);
-    }
-    bounds::ListenerPolicy {
-        core: sync::Arc::clone(core),
-        limits,
-        is_main: false,
+        limits: limits(),
+        crowd,
+    };
+    let mut entries = callers.clone();
+    callers.limits.connections = connections.fold(callers.limits.connections, usize::min);
+    if core.memory.is_some() {
+        let connections = descriptors::all_connections(callers.limits.connections);
+        entries.limits.connections = connections;
     }
+    (callers, entries)
 }
 
 fn limits() -> serve::ServeLimits {
@@ -276,23 +271,21 @@
 }
 
 fn serve_entry(
-    core: &sync::Arc<core::GatewayCore>,
+    policy: bounds::ListenerPolicy,
     listener: tokio::net::TcpListener,
     closed: &watch::Receiver<bool>,
 ) -> task::JoinHandle<()> {
-    let core = sync::Arc::clone(core);
-    let policy = entry_policy(&core);
+    let core = sync::Arc::clone(&policy.core);
     let answer = move |request| entry::handle(sync::Arc::clone(&core), request);
     tokio::spawn(serve::serve(listener, policy, closed.clone(), answer))
 }
 
 fn serve_metrics(
-    core: &sync::Arc<core::GatewayCore>,
+    policy: bounds::ListenerPolicy,
     listener: tokio::net::TcpListener,
     closed: &watch::Receiver<bool>,
 ) -> task::JoinHandle<()> {
-    let core = sync::Arc::clone(core);
-    let policy = entry_policy(&core);
+    let core = sync::Arc::clone(&policy.core);
     let answer = move |_| entry::handle_metrics(sync::Arc::clone(&core));
     tokio::spawn(serve::serve(listener, policy, closed.clone(), answer))
 }
--- a/arbutusfold/src/gateway/bounds.rs
+++ b/arbutusfold/src/gateway/bounds.rs
@@ -11,6 +11,7 @@
 use crate::gateway::core::lock;
 use crate::gateway::metrics;
 use crate::serve;
+use crate::serve::crowd;
 
 /// Shortest time between two events of one cause.
 const EVENT_PERIOD: std_time::Duration = std_time::Duration::from_secs(1);
@@ -108,13 +109,14 @@
 }
 
 /// Limits of a listener of a gateway, which follow the document in force.
+#[derive(Clone)]
 pub struct ListenerPolicy {
     /// State of the node.
     pub core: sync::Arc<core::GatewayCore>,
     /// Limits where neither the document nor the memory sets others.
     pub limits: serve::ServeLimits,
-    /// Whether the listener is the one for requests of callers.
-    pub is_main: bool,
+    /// Open connections of all listeners; `None` if each listener counts its own.
+    pub crowd: Option<sync::Arc<crowd::ConnectionCrowd>>,
 }
 
 impl serve::ServePolicy for ListenerPolicy {
@@ -133,6 +135,10 @@
         limits
     }
 
+    fn crowd(&self) -> sync::Arc<crowd::ConnectionCrowd> {
+        self.crowd.clone().unwrap_or_default()
+    }
+
     fn note_closed(&self, cause: serve::CloseCause) {
         let cause = match cause {
             serve::CloseCause::Yielded => BoundCause::Yielded,
@@ -144,7 +150,7 @@
     }
 
     fn note_open(&self, count: usize) {
-        if self.is_main {
+        if self.crowd.is_some() {
             self.core.metrics.connections.set(count as i64);
         }
     }
--- a/arbutusfold/src/gateway/descriptors.rs
+++ b/arbutusfold/src/gateway/descriptors.rs
@@ -13,14 +13,14 @@
     limit / 100 * CALLER_PERCENT + limit % 100 * CALLER_PERCENT / 100
 }
 
-/// Share of the descriptors for connections of each listener that does not take
-/// requests, in percent.
-const ENTRY_PERCENT: usize = 4;
+/// Connections that only address queries, readiness checks and metrics may use, in
+/// percent of those of callers. They get in while requests hold all others.
+const ENTRY_PERCENT: usize = 5;
 
-/// Returns how many connections a listener for address queries, readiness checks or
-/// metrics may hold if the process may open `limit` descriptors.
-pub fn entry_connections(limit: usize) -> usize {
-    limit * ENTRY_PERCENT / 100
+/// Returns how many connections all listeners may hold where requests of callers may
+/// hold `callers`.
+pub fn all_connections(callers: usize) -> usize {
+    callers + callers * ENTRY_PERCENT / 100
 }
 
 /// Returns how many descriptors the system allows this process to open.
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -125,7 +125,7 @@
     pub tunnels: TunnelMetrics,
     /// Requests and connections of callers that met a bound, by cause.
     pub bounded: family::Family<BoundLabels, counter::Counter>,
-    /// Open connections of callers.
+    /// Open connections of all listeners for callers and the platform.
     pub connections: gauge::Gauge,
     /// Memory that callers make the process hold, in bytes.
     pub held_bytes: gauge::Gauge,
--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -88,10 +88,15 @@
     /// Returns the limits for a connection that opens now.
     fn limits(&self) -> ServeLimits;
 
+    /// Returns the open connections that the listener's own are counted with.
+    fn crowd(&self) -> sync::Arc<crowd::ConnectionCrowd> {
+        sync::Arc::default()
+    }
+
     /// Notes a connection that was closed because of a limit.
     fn note_closed(&self, _cause: CloseCause) {}
 
-    /// Notes the number of open connections.
+    /// Notes the number of open connections of the crowd.
     fn note_open(&self, _count: usize) {}
 }
 
@@ -146,7 +151,7 @@
 {
     let policy = sync::Arc::new(policy);
     let shutdown = graceful::GracefulShutdown::new();
-    let crowd = sync::Arc::new(crowd::ConnectionCrowd::default());
+    let crowd = policy.crowd();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/arbutusfold/src/serve/crowd.rs
+++ b/arbutusfold/src/serve/crowd.rs
@@ -13,9 +13,9 @@
 
 /// Requests that a client may send without waiting for an answer before they are
 /// slowed down.
-const FREE_REQUESTS: u32 = 4;
+const FREE_REQUESTS: u32 = 2;
 
-/// Number of a connection, unique in its listener.
+/// Number of a connection, unique in its crowd.
 pub type ConnectionId = u64;
 
 /// What a connection is doing.
@@ -165,7 +165,7 @@
     }
 }
 
-/// The open connections of one listener.
+/// The open connections of one listener or of several.
 #[derive(Debug, Default)]
 pub struct ConnectionCrowd {
     next: atomic::AtomicU64,
--- a/arbutusfold/tests/serve.rs
+++ b/arbutusfold/tests/serve.rs
@@ -171,6 +171,25 @@
     assert!(silent[0].read_u8().await.is_err());
 }
 
+/// A body that nobody reads is not waited for: the answer says that the connection ends.
+#[tokio::test]
+async fn answer_to_an_unread_body_ends_the_connection() {
+    let limits = serve::ServeLimits {
+        is_yielding: true,
+        streams: None,
+        ..serve::ServeLimits::default()
+    };
+    let (address, _, _closing) = start(limits, 1);
+    let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n";
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    socket.read_to_end(&mut answer).await.unwrap();
+    let answer = String::from_utf8(answer).unwrap().to_ascii_lowercase();
+    assert!(answer.starts_with("http/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
 /// A client that sends its head drop by drop is closed, an idle one is not.
 #[tokio::test]
 async fn head_that_takes_too_long_is_given_up_however_it_progresses() {
