--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::sync;
 
 use derive_more::{Display, Error};
+use http_body_util::BodyExt;
 use hyper::body;
 use tokio::sync::{mpsc, watch};
 use tokio::{task, time};
@@ -22,6 +23,7 @@
 use crate::serve;
 
 pub mod admission;
+pub mod bounds;
 pub mod budget;
 pub mod claim;
 pub mod core;
@@ -45,6 +47,7 @@
 pub mod leader_driver;
 pub mod length;
 pub mod link_budget;
+pub mod memory;
 pub mod metrics;
 pub mod mirror;
 pub mod neighbour;
@@ -54,6 +57,7 @@
 pub mod quarantine;
 pub mod race;
 pub mod reach;
+pub mod receive;
 pub mod relay;
 pub mod relay_server;
 pub mod replication;
@@ -174,6 +178,7 @@
         sync::Arc::new(runner_limit::LimitHandler::new(sync::Arc::clone(&core))),
     );
 
+    let (caller_policy, entry_policy) = listener_policies(&core);
     let mut loops = store_watch::spawn(&core);
     loops.extend([
         tokio::spawn(run_membership(
@@ -189,20 +194,13 @@
         panics::spawn(&core, suspects::run),
         panics::spawn(&core, suspects::learn),
         panics::spawn(&core, suspect_store::run),
-        serve_entry(&core, ready, &closed),
-        serve_entry(&core, directory, &closed),
-        serve_metrics(&core, metrics, &closed),
+        serve_entry(entry_policy.clone(), ready, &closed),
+        serve_entry(entry_policy.clone(), directory, &closed),
+        serve_metrics(entry_policy, metrics, &closed),
     ]);
     let caller_core = sync::Arc::clone(&core);
-    let mut caller_limits = limits();
-    let allowed = core.settings.descriptor_limit;
-    let allowed = allowed.or_else(descriptors::system_limit);
-    if let Some(allowed) = allowed {
-        let connections = descriptors::caller_connections(allowed);
-        caller_limits.connections = caller_limits.connections.min(connections);
-    }
     let answer = move |request| answer_caller(sync::Arc::clone(&caller_core), request);
-    let serving = serve::serve(callers, caller_limits, closed, answer);
+    let serving = serve::serve(callers, caller_policy, closed, answer);
     let relay_server = core.relay_server.clone();
     let serving = tokio::spawn(async move {
         serving.await;
@@ -219,6 +217,32 @@
     Ok(())
 }
 
+/// Returns the limits of the listeners for requests of callers, and for readiness
+/// checks, address queries and metrics.
+fn listener_policies(
+    core: &sync::Arc<core::GatewayCore>,
+) -> (bounds::ListenerPolicy, bounds::ListenerPolicy) {
+    let crowd: Option<sync::Arc<serve::crowd::ConnectionCrowd>> =
+        core.memory.as_ref().map(|_| sync::Arc::default());
+    let allowed = core.settings.descriptor_limit;
+    let allowed = allowed.or_else(descriptors::system_limit);
+    let allowed = allowed.map(descriptors::caller_connections);
+    let fitting = core.settings.memory_mb.map(memory::caller_connections);
+    let connections = [allowed, fitting].into_iter().flatten();
+    let mut callers = bounds::ListenerPolicy {
+        core: sync::Arc::clone(core),
+        limits: limits(),
+        crowd,
+    };
+    let mut entries = callers.clone();
+    callers.limits.connections = connections.fold(callers.limits.connections, usize::min);
+    if core.memory.is_some() {
+        let connections = descriptors::all_connections(callers.limits.connections);
+        entries.limits.connections = connections;
+    }
+    (callers, entries)
+}
+
 fn limits() -> serve::ServeLimits {
     serve::ServeLimits {
         header_timeout: IDLE_TIMEOUT,
@@ -231,10 +255,23 @@
     core: sync::Arc<core::GatewayCore>,
     request: http::Request<body::Incoming>,
 ) -> Result<response::GatewayResponse, convert::Infallible> {
+    let connection = request.extensions().get::<serve::RequestConnection>();
+    let connection = connection.cloned();
     let handled = forward::handle(sync::Arc::clone(&core), request);
     let mut answer = panics::answer(handled).await?;
     state_idle_time(&core, &mut answer);
-    Ok(answer)
+    let (Some(account), Some(connection)) = (&core.memory, connection) else {
+        return Ok(answer);
+    };
+    let account = sync::Arc::clone(account);
+    Ok(answer.map(|body| {
+        let body = receive::HeldAnswer {
+            body,
+            account,
+            connection,
+        };
+        body.boxed_unsync()
+    }))
 }
 
 /// States in an answer for how long its connection may be reused, if that is less
@@ -252,23 +289,23 @@
 }
 
 fn serve_entry(
-    core: &sync::Arc<core::GatewayCore>,
+    policy: bounds::ListenerPolicy,
     listener: tokio::net::TcpListener,
     closed: &watch::Receiver<bool>,
 ) -> task::JoinHandle<()> {
-    let core = sync::Arc::clone(core);
+    let core = sync::Arc::clone(&policy.core);
     let answer = move |request| entry::handle(sync::Arc::clone(&core), request);
-    tokio::spawn(serve::serve(listener, limits(), closed.clone(), answer))
+    tokio::spawn(serve::serve(listener, policy, closed.clone(), answer))
 }
 
 fn serve_metrics(
-    core: &sync::Arc<core::GatewayCore>,
+    policy: bounds::ListenerPolicy,
     listener: tokio::net::TcpListener,
     closed: &watch::Receiver<bool>,
 ) -> task::JoinHandle<()> {
-    let core = sync::Arc::clone(core);
+    let core = sync::Arc::clone(&policy.core);
     let answer = move |_| entry::handle_metrics(sync::Arc::clone(&core));
-    tokio::spawn(serve::serve(listener, limits(), closed.clone(), answer))
+    tokio::spawn(serve::serve(listener, policy, closed.clone(), answer))
 }
 
 /// Drives the membership and announces this node's store version and phase.
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -10,6 +10,7 @@
 
 use crate::event;
 use crate::gateway::admission;
+use crate::gateway::bounds;
 use crate::gateway::budget;
 use crate::gateway::crash;
 use crate::gateway::demand;
@@ -20,6 +21,7 @@
 use crate::gateway::leader;
 use crate::gateway::length;
 use crate::gateway::link_budget;
+use crate::gateway::memory;
 use crate::gateway::metrics;
 use crate::gateway::mirror;
 use crate::gateway::panics;
@@ -92,6 +94,10 @@
     pub links: sync::Mutex<link_budget::LinkMeter>,
     /// Requests that wait for room, and what decides when they are sent.
     pub admission: admission::AdmissionState,
+    /// Memory that callers make the process hold, if the settings limit it.
+    pub memory: Option<sync::Arc<memory::MemoryAccount>>,
+    /// Events about bounds on callers.
+    pub bounds: bounds::BoundLog,
     /// Retry budgets of this node.
     pub budget: sync::Mutex<budget::RetryBudget>,
     /// Claims of this node for retries of others.
@@ -150,6 +156,10 @@
             has_loans: settings.share_demand,
             has_peers: settings.seeds.iter().any(|seed| *seed != settings.peers),
         };
+        let memory = settings.memory_mb.map(|memory_mb| {
+            let limits = memory::AccountLimits::of_host(memory_mb);
+            sync::Arc::new(memory::MemoryAccount::new(limits))
+        });
         let recorder = event::EventRecorder::with_capacity(logger, EVENT_CAPACITY);
         let metrics = metrics::GatewayMetrics::default();
         let context = dial::DialContext {
@@ -192,6 +202,8 @@
             unread: sync::Mutex::default(),
             links: sync::Mutex::default(),
             admission: admission::AdmissionState::new(settings.wait_limit),
+            memory,
+            bounds: bounds::BoundLog::default(),
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             loans: sync::Mutex::default(),
             crash_checks: sync::Mutex::default(),
@@ -518,6 +530,8 @@
         let known = self.table_versions();
         let lag = lock(&self.row_lag).age(&known, time::Instant::now());
         self.metrics.rows_behind_ms.set(lag.as_millis() as i64);
+        let held = self.memory.as_ref().map_or(0, |account| account.used());
+        self.metrics.held_bytes.set(held as i64);
         self.metrics.render()
     }
 
--- a/arbutusfold/src/gateway/descriptors.rs
+++ b/arbutusfold/src/gateway/descriptors.rs
@@ -13,6 +13,16 @@
     limit / 100 * CALLER_PERCENT + limit % 100 * CALLER_PERCENT / 100
 }
 
+/// Connections that only address queries, readiness checks and metrics may use, in
+/// percent of those of callers. They get in while requests hold all others.
+const ENTRY_PERCENT: usize = 5;
+
+/// Returns how many connections all listeners may hold where requests of callers may
+/// hold `callers`.
+pub fn all_connections(callers: usize) -> usize {
+    callers + callers * ENTRY_PERCENT / 100
+}
+
 /// Returns how many descriptors the system allows this process to open.
 pub fn system_limit() -> Option<usize> {
     parse_limits(&fs::read_to_string("/proc/self/limits").ok()?)
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -42,6 +42,13 @@
     pub cause: String,
 }
 
+/// Labels of the counter of requests and connections that met a bound.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BoundLabels {
+    /// Which bound.
+    pub cause: &'static str,
+}
+
 /// Labels of the counter of refused tunnels.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TunnelRefusalLabels {
@@ -152,6 +159,12 @@
     pub transport: peer::TransportMetrics,
     /// Tunnels between nodes.
     pub tunnels: TunnelMetrics,
+    /// Requests and connections of callers that met a bound, by cause.
+    pub bounded: family::Family<BoundLabels, counter::Counter>,
+    /// Open connections of all listeners for callers and the platform.
+    pub connections: gauge::Gauge,
+    /// Memory that callers make the process hold, in bytes.
+    pub held_bytes: gauge::Gauge,
     /// Version of the document in force.
     pub document_version: gauge::Gauge,
     /// Time for which this node has known of a row that it lacks.
@@ -198,6 +211,9 @@
             demand_bytes: counter::Counter::default(),
             transport: peer::TransportMetrics::default(),
             tunnels: TunnelMetrics::default(),
+            bounded: family::Family::default(),
+            connections: gauge::Gauge::default(),
+            held_bytes: gauge::Gauge::default(),
             document_version: gauge::Gauge::default(),
             rows_behind_ms: gauge::Gauge::default(),
             first_seconds: latency(),
@@ -301,6 +317,21 @@
         );
         set.transport.register(registry);
         set.tunnels.register(registry);
+        registry.register(
+            "callers_bounded",
+            "Requests and connections refused or closed, by cause",
+            set.bounded.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            set.connections.clone(),
+        );
+        registry.register(
+            "caller_bytes",
+            "Memory that callers make the process hold",
+            set.held_bytes.clone(),
+        );
         let version = set.document_version.clone();
         registry.register(
             "document_version",
--- a/arbutusfold/tests/gateway_offer.rs
+++ b/arbutusfold/tests/gateway_offer.rs
@@ -37,7 +37,6 @@
         engine: &engine,
         leads: &leader::LoadView::default(),
         unreported,
-        usable_memory: selector::USABLE_MEMORY,
         unread: [&[], &[]],
         now,
     };
