--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -221,19 +221,15 @@
     for (index, probe) in unproven.iter().zip(probes) {
         states[*index].probe = Some(probe);
     }
-    let mut reaches_other = false;
-    if stage_check::lacks_contrast(&states) {
-        let unanswered = unproven.iter().find(|index| {
-            let probe = states[**index].probe;
-            probe.is_some_and(|probe| probe.answer != stage_check::StageAnswer::Accepted)
-        });
-        if let Some(index) = unanswered {
-            let direct = &core.prober.direct;
+    let reaches_other = match unproven.first() {
+        Some(index) if stage_check::lacks_contrast(&states) => {
             let address = stages[*index].address;
+            let direct = &core.prober.direct;
             let reached = direct.connects_other(address, began_at, CONTRAST_LIMIT);
-            reaches_other = reached.await.unwrap_or(false);
+            reached.await.unwrap_or(false)
         }
-    }
+        _ => false,
+    };
     // Streams may have made progress meanwhile.
     let fresh = stage_states(&core, stages, time::Instant::now());
     for (state, fresh) in states.iter_mut().zip(fresh) {
@@ -284,8 +280,8 @@
     core.note(event::EventCode::StreamChecked, &stream.request, detail);
 }
 
-/// Records the failure of a stage here and for the other nodes; returns whether other
-/// streams of this host are to be woken.
+/// Records the failure of a stage here and for the other nodes, if this host saw it
+/// itself; returns whether other streams of this host are to be woken.
 fn note_failed(
     core: &core::GatewayCore,
     stream: &CheckedStream,
@@ -293,8 +289,10 @@
     probe: Option<stage_check::StageProbe>,
 ) -> bool {
     let instance = &stream.stages[index];
-    let answer = probe.map(|probe| probe.answer);
-    if answer == Some(stage_check::StageAnswer::Refused) {
+    let Some(probe) = probe else {
+        return false;
+    };
+    if probe.answer == stage_check::StageAnswer::Refused {
         request::note_unreachable(core, &instance.crash, &stream.request);
     }
     let key = lock(&core.fleet)
