--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -36,9 +36,9 @@
 /// retries also become free without one.
 const SEEK_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 
-/// Time for which no path is sought for a service after none had room, unless a request
+/// Time for which no path is sought for a service after none was found, unless a request
 /// ends or a summary arrives.
-const FULL_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
+const MISSING_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 
 /// Time after which an arrival counts for a third in the rate of arrivals.
 const ARRIVAL_MEMORY: std_time::Duration = std_time::Duration::from_secs(2);
@@ -58,6 +58,10 @@
 /// Organisations in the demand that this node tells.
 const ORGANISATION_LIMIT: usize = 64;
 
+/// A wait leaves this multiple of the mean time from a send to the first event, in which
+/// most first events come.
+const FIRST_EVENT_FACTOR: u32 = 2;
+
 /// Resumed streams wait for room for this fraction of their callers' patience; some of
 /// it has passed before the stream is given up.
 const RESUMED_PATIENCE: f64 = 0.5;
@@ -104,6 +108,15 @@
     }
 }
 
+/// A search that found no path to send on. It is not repeated for a while.
+#[derive(Clone, Copy, Debug)]
+struct MissingPath {
+    until: time::Instant,
+    /// Tokens of the request; smaller ones may find a path.
+    tokens: f64,
+    error: selector::PathError,
+}
+
 /// State of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceActivity {
@@ -113,9 +126,10 @@
     /// Requests in flight, sorted by organisation.
     in_flight: Vec<(demand::OrganisationKey, u32)>,
     run_times: room::RunAverage,
+    /// Times from a send to the first event.
+    first_times: room::RunAverage,
     measured: Option<(time::Instant, room::RoomReport)>,
-    /// Until when no path is sought for a context of this many tokens or more.
-    full: Option<(time::Instant, f64)>,
+    missing: Option<MissingPath>,
     /// Random number that rounds this node's part of the room, and until when it is
     /// used.
     draw: f64,
@@ -193,7 +207,8 @@
 
     fn count_waiting(&self, service: demand::ServiceKey, rank: demand::RequestRank) -> u32 {
         let requests = self.queue.requests();
-        let own = requests.filter(|waits| waits.service == service && waits.rank == rank);
+        let own = requests
+            .filter(|waits| waits.needs_room && waits.service == service && waits.rank == rank);
         own.count() as u32
     }
 
@@ -225,7 +240,8 @@
                 waiting: 0,
             })
         });
-        let waiting = self.queue.requests().map(|waits| demand::OrganisationUse {
+        let waiting = self.queue.requests().filter(|waits| waits.needs_room);
+        let waiting = waiting.map(|waits| demand::OrganisationUse {
             service: waits.service,
             organisation: waits.organisation,
             in_flight: 0,
@@ -273,7 +289,7 @@
         }
         let mut activity = lock(&self.activity);
         let services = activity.services.iter_mut();
-        services.for_each(|known| known.full = None);
+        services.for_each(|known| known.missing = None);
         activity.queue.wake();
     }
 
@@ -456,7 +472,7 @@
                 let found = others.ranks.iter().find(|demand| demand.rank == rank);
                 found.map_or(own, |demand| own.with_others(demand))
             }
-            None => own.at_all(nodes),
+            None => own,
         };
         match arriving == Some(rank) {
             true => all.with_arriving(),
@@ -507,7 +523,7 @@
 }
 
 /// Returns when the caller of a refused request that has not run should come back, or
-/// `None` if admission is off for it or room does not depend on other requests. The
+/// `None` if admission is off for it or its room does not depend on other requests. The
 /// request is remembered, so that its return comes before others.
 pub fn plan_return(request: &request::CallerRequest) -> Option<std_time::Duration> {
     let engine = engine(request).filter(|_| request.executed == 0)?;
@@ -520,6 +536,10 @@
     }
     let before = view.before(rank, organisation_key(request), false);
     let forecast = view.intake.forecast(rank, before);
+    if forecast.is_zero() {
+        // Something else than room is missing.
+        return None;
+    }
     let deadline = request.head.deadline.unwrap_or(request.rule.timeout);
     let left = deadline.saturating_sub(request.started.elapsed());
     let retry_after = returns::return_time(forecast, left, rand::rng().random());
@@ -560,6 +580,8 @@
     /// What the latest decision rested on, and the time until room appears, if the
     /// request was not sent.
     denial: Option<(RoomView, intake::IntakeVerdict)>,
+    /// Whether the latest attempt to find a path failed for want of room.
+    is_full: bool,
     sent_at: Option<time::Instant>,
 }
 
@@ -576,6 +598,7 @@
             until: request.started,
             place: None,
             denial: None,
+            is_full: false,
             sent_at: None,
             core,
         };
@@ -602,9 +625,16 @@
     pub fn begin(&mut self, request: &request::CallerRequest, is_resumption: bool) {
         let patience = stream::caller_patience(&request.rule);
         let objective = request.rule.objective.unwrap_or_default();
+        let now = time::Instant::now();
         let until = match is_resumption {
-            true => time::Instant::now() + patience.mul_f64(RESUMED_PATIENCE),
-            false => request.started + patience.saturating_sub(objective),
+            true => now + patience.mul_f64(RESUMED_PATIENCE),
+            false => {
+                let mut activity = lock(&self.core.admission.activity);
+                let times = activity.service_mut(self.service).first_times;
+                let usual = times.estimate(objective / FIRST_EVENT_FACTOR, now);
+                let first = objective.max(usual * FIRST_EVENT_FACTOR);
+                request.started + patience.saturating_sub(first)
+            }
         };
         self.until = until.min(request.deadline);
     }
@@ -623,10 +653,12 @@
             return false;
         }
         let tokens = request.context_tokens(engine);
-        let full = lock(&self.core.admission.activity)
+        let missing = lock(&self.core.admission.activity)
             .service_mut(self.service)
-            .full;
-        !full.is_some_and(|(until, fitted)| now < until && tokens >= fitted)
+            .missing;
+        let missing = missing.filter(|path| now < path.until && tokens >= path.tokens);
+        self.is_full = missing.is_some_and(|path| path.error == selector::PathError::NoCapacity);
+        missing.is_none()
     }
 
     /// Decides whether the request is sent now, and keeps why not.
@@ -682,16 +714,20 @@
         if !self.is_on {
             return false;
         }
+        self.is_full = error == selector::PathError::NoCapacity;
         match error {
-            // The runners of this path may be left by others, or end their pause.
+            // Room may appear, and the pause of a runner after a failure may end.
             selector::PathError::NoCapacity | selector::PathError::Failing => {
                 let engine = engine(request);
-                let is_free = request.excluded.is_empty() && request.silent.is_empty();
-                if let Some(engine) = engine.filter(|_| is_free) {
-                    let until = time::Instant::now() + FULL_PERIOD;
-                    let tokens = request.context_tokens(engine);
+                let is_open = request.excluded.is_empty() && request.silent.is_empty();
+                if let Some(engine) = engine.filter(|_| is_open) {
+                    let missing = MissingPath {
+                        until: time::Instant::now() + MISSING_PERIOD,
+                        tokens: request.context_tokens(engine),
+                        error,
+                    };
                     let mut activity = lock(&self.core.admission.activity);
-                    activity.service_mut(self.service).full = Some((until, tokens));
+                    activity.service_mut(self.service).missing = Some(missing);
                 }
                 true
             }
@@ -752,6 +788,7 @@
     /// Puts the request into the queue; returns whether it waits there.
     fn enter(&mut self, request: &request::CallerRequest, now: time::Instant) -> bool {
         let verdict = self.denial.as_ref().map(|(_, verdict)| *verdict);
+        let needs_room = self.is_full || verdict.is_some();
         let forecast = match verdict {
             Some(intake::IntakeVerdict::Refuse(_)) => {
                 self.count_refusal("forecast");
@@ -765,6 +802,7 @@
             service: self.service,
             organisation: self.organisation,
             rank: self.rank,
+            needs_room,
             // A stream that is to go on comes before those that are to start.
             is_return: self.is_return || self.sent_at.is_some(),
             is_above: self
@@ -813,6 +851,7 @@
             return;
         }
         let now = time::Instant::now();
+        self.is_full = false;
         self.sent_at = Some(now);
         let mut activity = lock(&self.core.admission.activity);
         let known = activity.service_mut(self.service);
@@ -820,6 +859,16 @@
         known.change_in_flight(self.organisation, |held| held + 1);
     }
 
+    /// Records that the caller gets the first event.
+    pub fn note_first_event(&self) {
+        if let Some(sent_at) = self.sent_at {
+            let now = time::Instant::now();
+            let mut activity = lock(&self.core.admission.activity);
+            let known = activity.service_mut(self.service);
+            known.first_times.note(now - sent_at, now);
+        }
+    }
+
     /// Records that the request was answered completely.
     pub fn note_answered(&self) {
         if let Some(sent_at) = self.sent_at {
--- a/arbutusfold/src/gateway/intake.rs
+++ b/arbutusfold/src/gateway/intake.rs
@@ -41,15 +41,6 @@
         }
     }
 
-    /// Estimates the count of all nodes from this one's, as if all were alike.
-    pub fn at_all(self, nodes: f64) -> Self {
-        Self {
-            waiting: self.waiting * nodes,
-            arrivals: self.arrivals * nodes,
-            ..self
-        }
-    }
-
     /// Adds a request that has just arrived at this node.
     pub fn with_arriving(self) -> Self {
         Self {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -160,6 +160,7 @@
     };
     let first_seconds = request.started.elapsed().as_secs_f64();
     core.metrics.first_seconds.observe(first_seconds);
+    ticket.note_first_event();
     let (sender, chunks) = mpsc::channel(EVENT_BUFFER);
     let body = response::ChannelBody::new(chunks);
     let mut response = http::Response::new(body.boxed_unsync());
--- a/arbutusfold/src/gateway/waiting.rs
+++ b/arbutusfold/src/gateway/waiting.rs
@@ -22,6 +22,8 @@
     pub organisation: demand::OrganisationKey,
     /// Its rank.
     pub rank: demand::RequestRank,
+    /// Whether it waits for room, and not for a retry or a runner.
+    pub needs_room: bool,
     /// Whether its caller was refused before and came back.
     pub is_return: bool,
     /// Whether its organisation holds its share of the room or more.
@@ -63,7 +65,7 @@
 /// Position of a waiting request among those of its service at this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueuePosition {
-    /// Requests of its rank before it.
+    /// Requests of its rank before it that wait for room.
     pub before: usize,
     /// Whether it looks for room when some may have appeared.
     pub is_seeking: bool,
@@ -148,7 +150,9 @@
             before.filter(|other| other.service == own.service)
         };
         Some(QueuePosition {
-            before: before().filter(|other| other.rank == own.rank).count(),
+            before: before()
+                .filter(|other| other.rank == own.rank && other.needs_room)
+                .count(),
             is_seeking: before().count() < SEEKERS,
         })
     }
--- a/arbutusfold/tests/gateway_room.rs
+++ b/arbutusfold/tests/gateway_room.rs
@@ -120,6 +120,7 @@
         service: demand::name_key("s"),
         organisation,
         rank,
+        needs_room: true,
         is_return: false,
         is_above: false,
         deadline,
