--- a/arbutusfold/tests/demand_network/mod.rs
+++ b/arbutusfold/tests/demand_network/mod.rs
@@ -141,8 +141,6 @@
         })
     }
 
-    fn note_lost(&self, _address: net::SocketAddr) {}
-
     async fn reaches_other(&self, _: net::SocketAddr, _: std_time::Duration) -> bool {
         !self
             .network
