--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -62,6 +62,9 @@
 /// most first events come.
 const FIRST_EVENT_FACTOR: u32 = 2;
 
+/// Largest part of the callers' patience that a wait leaves to the first event.
+const FIRST_EVENT_SHARE: f64 = 0.4;
+
 /// Resumed streams wait for room for this fraction of their callers' patience; some of
 /// it has passed before the stream is given up.
 const RESUMED_PATIENCE: f64 = 0.5;
@@ -634,6 +637,7 @@
                 let times = activity.service_mut(self.service).first_times;
                 let usual = times.estimate(objective / FIRST_EVENT_FACTOR, now);
                 let first = objective.max(usual * FIRST_EVENT_FACTOR);
+                let first = first.min(patience.mul_f64(FIRST_EVENT_SHARE));
                 request.started + patience.saturating_sub(first)
             }
         };
--- a/arbutusfold/src/gateway/budget.rs
+++ b/arbutusfold/src/gateway/budget.rs
@@ -142,16 +142,22 @@
             .push(RetryLoan { until, count });
     }
 
-    /// Takes one borrowed retry; returns whether there was one. It is not given back.
-    pub fn take_borrowed(&mut self, service: &str, now: time::Instant) -> bool {
+    /// Takes one borrowed retry; returns until when it may be sent, or `None` if there is
+    /// none. Its lender counts it as sent, so it goes back to this node only.
+    pub fn take_borrowed(&mut self, service: &str, now: time::Instant) -> Option<time::Instant> {
         let index = self.service_index(service);
         let borrowed = &mut self.services[index].borrowed;
         borrowed.retain(|loan| loan.count > 0 && now < loan.until);
-        let Some(loan) = borrowed.first_mut() else {
-            return false;
-        };
+        let loan = borrowed.first_mut()?;
         loan.count -= 1;
-        true
+        Some(loan.until)
+    }
+
+    /// Returns a borrowed retry that was not sent and may be sent until `until`.
+    pub fn give_back_borrowed(&mut self, service: &str, until: time::Instant) {
+        let index = self.service_index(service);
+        let borrowed = &mut self.services[index].borrowed;
+        borrowed.push(RetryLoan { until, count: 1 });
     }
 
     /// Returns whether this node may ask others for retries now; it returns `true` at
--- a/arbutusfold/src/gateway/claim.rs
+++ b/arbutusfold/src/gateway/claim.rs
@@ -13,10 +13,12 @@
 }
 
 impl<T> Default for PendingClaims<T> {
+    /// Creates claims whose numbers begin at random: a late answer to the process before
+    /// must not fit a claim of this one.
     fn default() -> Self {
         Self {
             claims: Vec::new(),
-            count: 0,
+            count: rand::random(),
         }
     }
 }
@@ -26,7 +28,7 @@
     pub fn add(&mut self) -> (ClaimNumber, oneshot::Receiver<T>) {
         let (sender, answer) = oneshot::channel();
         self.claims.retain(|(_, waiting)| !waiting.is_closed());
-        self.count += 1;
+        self.count = self.count.wrapping_add(1);
         self.claims.push((self.count, sender));
         (self.count, answer)
     }
--- a/arbutusfold/src/gateway/failure_watch.rs
+++ b/arbutusfold/src/gateway/failure_watch.rs
@@ -221,7 +221,10 @@
                 case.silent = 0;
                 FailureStage::Answered
             }
-            ProbeOutcome::Unknown => case.stage,
+            ProbeOutcome::Unknown => {
+                case.silent = 0;
+                case.stage
+            }
             ProbeOutcome::Refused => {
                 case.seen_at = now;
                 FailureStage::Failed
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -209,6 +209,7 @@
         unfinished: Vec::new(),
         trial: None,
         unsent_retry: None,
+        unsent_loan: None,
         is_refusal_noted: false,
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
--- a/arbutusfold/src/gateway/intake.rs
+++ b/arbutusfold/src/gateway/intake.rs
@@ -12,6 +12,14 @@
 /// Standard deviations of the arrivals that a reserve covers beyond their mean.
 const RESERVE_DEVIATIONS: f64 = 3.0;
 
+/// Part of a rank's share of all arrivals that it keeps of the room under any demand of
+/// higher ranks, so that none is locked out.
+const FLOOR_SHARE: f64 = 0.25;
+
+/// Standard deviations of the own arrivals for which room must be left for a request to
+/// be sent without regard to the part of the node.
+const SEND_DEVIATIONS: f64 = 1.0;
+
 /// Longest time that a forecast states; what is further ahead depends on requests
 /// that have not arrived yet.
 const FORECAST_LIMIT: std_time::Duration = std_time::Duration::from_secs(30);
@@ -125,10 +133,21 @@
         })
     }
 
-    /// Returns the room for a rank within the horizon, with what ends meanwhile.
+    /// Returns the room for a rank within the horizon, with what ends meanwhile. The
+    /// ranks above it leave it a part, however much they demand.
     fn available(&self, rank: demand::RequestRank) -> f64 {
         let ending = self.ends * self.horizon.as_secs_f64();
-        self.free + ending - self.reserve(rank)
+        let room = self.free + ending;
+        (room - self.reserve(rank)).max(self.floor(rank) * room)
+    }
+
+    /// Returns the part of the room that a rank has in any case.
+    fn floor(&self, rank: demand::RequestRank) -> f64 {
+        let arrivals: f64 = self.ranks.iter().map(|count| count.arrivals).sum();
+        match arrivals > 0.0 {
+            true => FLOOR_SHARE * self.rank(rank).arrivals / arrivals,
+            false => 0.0,
+        }
     }
 
     /// Returns when room appears for a request of a rank behind `before` others of
@@ -136,7 +155,7 @@
     pub fn forecast(&self, rank: demand::RequestRank, before: f64) -> std_time::Duration {
         let (waiting, arrivals) = self.above(rank);
         let missing = waiting + before + 1.0 - self.free;
-        let rate = self.ends - arrivals;
+        let rate = (self.ends - arrivals).max(self.floor(rank) * self.ends);
         match missing > 0.0 {
             true if rate > 0.0 => {
                 let limit = FORECAST_LIMIT.as_secs_f64();
@@ -163,11 +182,12 @@
         let count = self.rank(query.rank);
         let available = self.available(query.rank);
         let waiting = count.waiting.max(1.0);
-        if self.free >= 1.0 && available >= waiting + self.expected(count.arrivals) {
+        // Requests that arrive at other nodes meanwhile compete for the same room.
+        let arriving = count.arrivals * self.horizon.as_secs_f64();
+        let competing = waiting + arriving;
+        if self.free >= 1.0 && available >= competing + SEND_DEVIATIONS * arriving.sqrt() {
             return true;
         }
-        // Requests that arrive at other nodes meanwhile compete for the same room.
-        let competing = waiting + count.arrivals * self.horizon.as_secs_f64();
         let part = count.own_waiting.max(1.0) / competing.max(count.own_waiting);
         let allowed = part * (available + count.recent) - count.recent - query.own_before;
         allowed > 0.0 && allowed + query.draw >= 1.0
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -117,6 +117,8 @@
     pub trial: Option<trial::TrialPermit>,
     /// When the retry that was not sent yet was taken from the budget.
     pub unsent_retry: Option<time::Instant>,
+    /// Until when the retry that was borrowed and not sent yet may be sent.
+    pub unsent_loan: Option<time::Instant>,
     /// Whether a refused run was counted and logged since the latest attempt.
     pub is_refusal_noted: bool,
     /// Fingerprint, once it was needed.
@@ -522,19 +524,17 @@
         }
         let now = time::Instant::now();
         let granted = lock(&self.core.budget).take(&self.service, now);
-        // A borrowed retry is not given back, since its lender counts it as sent.
-        let granted_or_lent = granted || retry_loan::take(&self.core, &self.service).await;
-        match granted_or_lent {
-            true if granted => self.unsent_retry = Some(now),
-            true => {}
-            false if self.begin_refusal() => {
-                self.count_refused_run("budget");
-                let detail = format!("service={} retry budget exhausted", self.service);
-                self.note(event::EventCode::RetryRefused, detail);
-            }
-            false => {}
+        match granted {
+            true => self.unsent_retry = Some(now),
+            false => self.unsent_loan = retry_loan::take(&self.core, &self.service).await,
+        }
+        let is_taken = granted || self.unsent_loan.is_some();
+        if !is_taken && self.begin_refusal() {
+            self.count_refused_run("budget");
+            let detail = format!("service={} retry budget exhausted", self.service);
+            self.note(event::EventCode::RetryRefused, detail);
         }
-        granted_or_lent
+        is_taken
     }
 
     /// Records that no runner was found for an attempt after one that came as far as
@@ -551,6 +551,9 @@
         if let Some(taken_at) = self.unsent_retry.take() {
             lock(&self.core.budget).give_back(&self.service, taken_at);
         }
+        if let Some(until) = self.unsent_loan.take() {
+            lock(&self.core.budget).give_back_borrowed(&self.service, until);
+        }
     }
 
     /// Returns whether the route and the kind of the request leave it another attempt
@@ -1125,6 +1128,9 @@
         if self.unsent_retry.take().is_some() {
             self.core.metrics.retries.inc();
         }
+        if self.unsent_loan.take().is_some() {
+            self.core.metrics.borrowed_retries.inc();
+        }
         self.begin_run(&target.runners);
         let stages = 0..target.runners.len();
         let instances = stages.filter_map(|stage| Some((stage, target.instance(stage)?)));
--- a/arbutusfold/src/gateway/retry_loan.rs
+++ b/arbutusfold/src/gateway/retry_loan.rs
@@ -35,22 +35,20 @@
 /// Claims of this node that wait for an answer.
 pub type PendingLoans = claim::PendingClaims<u32>;
 
-/// Takes one retry that other nodes lend; returns whether there was one.
-pub async fn take(core: &sync::Arc<core::GatewayCore>, service: &str) -> bool {
+/// Takes one retry that other nodes lend; returns until when it may be sent, or `None`
+/// if there is none.
+pub async fn take(core: &sync::Arc<core::GatewayCore>, service: &str) -> Option<time::Instant> {
     if !core.settings.share_demand {
-        return false;
+        return None;
     }
     let now = time::Instant::now();
-    let mut is_taken = lock(&core.budget).take_borrowed(service, now);
-    let is_due = !is_taken && lock(&core.budget).begin_claim(service, CLAIM_PERIOD, now);
-    if is_due {
-        ask_lenders(core, service).await;
-        is_taken = lock(&core.budget).take_borrowed(service, time::Instant::now());
+    let taken = lock(&core.budget).take_borrowed(service, now);
+    let is_due = taken.is_none() && lock(&core.budget).begin_claim(service, CLAIM_PERIOD, now);
+    if !is_due {
+        return taken;
     }
-    if is_taken {
-        core.metrics.borrowed_retries.inc();
-    }
-    is_taken
+    ask_lenders(core, service).await;
+    lock(&core.budget).take_borrowed(service, time::Instant::now())
 }
 
 /// Asks one node after the other until one lends something.
--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -7,7 +7,8 @@
 use std::sync;
 use std::time as std_time;
 
-use futures_util::future;
+use futures_util::{StreamExt, future, stream};
+use prometheus_client::metrics::counter;
 use tokio::sync as tokio_sync;
 use tokio::time;
 
@@ -23,6 +24,9 @@
 /// Time limit of a connection; a live runner accepts within a few milliseconds.
 const CONNECT_LIMIT: std_time::Duration = std_time::Duration::from_millis(40);
 
+/// Time after which a second connection is opened beside an unanswered one.
+const SECOND_DELAY: std_time::Duration = std_time::Duration::from_millis(15);
+
 /// Time limit for reaching some other runner to compare with.
 const CONTRAST_LIMIT: std_time::Duration = std_time::Duration::from_millis(60);
 
@@ -54,6 +58,8 @@
     direct: sync::Arc<direct::DirectDialer>,
     /// Recent checks, sorted by address.
     probes: sync::Mutex<Vec<RunnerProbe>>,
+    /// Runners that accepted a connection of a check a short time ago.
+    accepted: sync::Mutex<Vec<(net::SocketAddr, time::Instant)>>,
     /// Counts the runners that were found to have failed.
     failures: tokio_sync::watch::Sender<u64>,
 }
@@ -77,6 +83,7 @@
         Self {
             direct,
             probes: sync::Mutex::default(),
+            accepted: sync::Mutex::default(),
             failures: tokio_sync::watch::Sender::new(0),
         }
     }
@@ -87,28 +94,73 @@
     }
 
     /// Opens a connection to a runner and closes it at once, or joins a check that is
-    /// under way or recent; `opened` is called if a connection is opened. A connection
+    /// under way or recent; `opened` counts the
+    /// connections that are opened. A connection
     /// that was accepted before `since` is not recent.
     pub async fn probe(
         &self,
         address: net::SocketAddr,
         since: time::Instant,
-        opened: impl FnOnce(),
+        opened: &counter::Counter,
     ) -> stage_check::StageProbe {
         let cell = self.cell(address, since, time::Instant::now());
         let check = async || {
-            opened();
+            opened.inc();
             let began_at = time::Instant::now();
-            let answer = self.direct.check(address, CONNECT_LIMIT).await;
+            let answer = self.ask(address, opened).await;
+            let ended_at = time::Instant::now();
+            if answer == stage_check::StageAnswer::Accepted {
+                self.note_accepted(address, ended_at);
+            }
             stage_check::StageProbe {
                 answer,
                 began_at,
-                ended_at: time::Instant::now(),
+                ended_at,
             }
         };
         *cell.get_or_init(check).await
     }
 
+    /// Opens a connection, and a second one if the first is not answered at once, since
+    /// a single lost packet must not look like a lost runner.
+    async fn ask(
+        &self,
+        address: net::SocketAddr,
+        opened: &counter::Counter,
+    ) -> stage_check::StageAnswer {
+        opened.inc();
+        let first = self.direct.check(address, CONNECT_LIMIT);
+        let second = async {
+            time::sleep(SECOND_DELAY).await;
+            opened.inc();
+            self.direct.check(address, CONNECT_LIMIT).await
+        };
+        let is_answered = |answer: &stage_check::StageAnswer| match answer {
+            stage_check::StageAnswer::Silent => future::ready(false),
+            _ => future::ready(true),
+        };
+        let first = stream::once(first).boxed();
+        let answers = stream::select(first, stream::once(second).boxed());
+        let answered = answers.filter(is_answered).next().await;
+        answered.unwrap_or(stage_check::StageAnswer::Silent)
+    }
+
+    fn note_accepted(&self, address: net::SocketAddr, now: time::Instant) {
+        let mut accepted = lock(&self.accepted);
+        accepted.retain(|(other, at)| {
+            *other != address && now.saturating_duration_since(*at) < stage_check::ACCEPT_TTL
+        });
+        accepted.push((address, now));
+    }
+
+    /// Returns when a runner last answered this host or accepted a connection of a check.
+    fn accepted_at(&self, address: net::SocketAddr) -> Option<time::Instant> {
+        let accepted = lock(&self.accepted);
+        let found = accepted.iter().find(|(other, _)| *other == address);
+        let checked_at = found.map(|(_, at)| *at);
+        checked_at.max(self.direct.reached_at(address))
+    }
+
     fn cell(
         &self,
         address: net::SocketAddr,
@@ -170,7 +222,7 @@
         let (id, started_ms) = (&instance.crash.upstream, instance.crash.incarnation);
         stage_check::StageState {
             progressed_at: fleet.progressed_at(id),
-            accepted_at: core.prober.direct.reached_at(instance.address),
+            accepted_at: core.prober.accepted_at(instance.address),
             is_gone: fleet.is_gone(id, started_ms, now),
             probe: None,
         }
@@ -213,9 +265,7 @@
     let probes = unproven.iter().map(|index| {
         let address = stages[*index].address;
         let metric = &core.metrics.stage_connections;
-        core.prober.probe(address, stream.last_event, || {
-            metric.inc();
-        })
+        core.prober.probe(address, stream.last_event, metric)
     });
     let probes = future::join_all(probes).await;
     for (index, probe) in unproven.iter().zip(probes) {
@@ -295,11 +345,6 @@
     if probe.answer == stage_check::StageAnswer::Refused {
         request::note_unreachable(core, &instance.crash, &stream.request);
     }
-    let key = lock(&core.fleet)
-        .get(&instance.crash.upstream)
-        .map(|state| state.key);
-    if let Some(key) = key {
-        lock(&core.demand).note_failed(key, instance.crash.incarnation);
-    }
+    core.note_failed(&instance.crash);
     core.prober.note_failed(instance)
 }
--- a/arbutusfold/src/gateway/stream_path.rs
+++ b/arbutusfold/src/gateway/stream_path.rs
@@ -24,6 +24,9 @@
 /// Time between two checks of a silent stream.
 const SILENCE_CHECK_PERIOD: std_time::Duration = std_time::Duration::from_millis(100);
 
+/// A stream whose events come slowly is checked after this multiple of its pace.
+const SLOW_FACTOR: u32 = 2;
+
 /// Most reroutes of one attempt.
 const REROUTE_LIMIT: u32 = 3;
 
@@ -148,7 +151,9 @@
         self.check = None;
         self.events += 1;
         self.first_event_at.get_or_insert(now);
-        self.check_at = now + stage_check::patience(self.policy(request).expected);
+        let expected = self.policy(request).expected;
+        let pace = self.pace().min(expected);
+        self.check_at = now + stage_check::patience(expected).max(pace * SLOW_FACTOR);
         self.note_leaving(request);
         let mut fleet = lock(&request.core.fleet);
         self.target
@@ -157,6 +162,13 @@
             .for_each(|id| fleet.note_progress(id, now));
     }
 
+    /// Returns the mean time between two events so far.
+    fn pace(&self) -> std_time::Duration {
+        let since = self.first_event_at.unwrap_or(self.last_event);
+        let pauses = u32::try_from(self.events.saturating_sub(1)).unwrap_or(u32::MAX);
+        (self.last_event - since) / pauses.max(1)
+    }
+
     /// Waits until a stage is found to have failed or a decision is due. May be
     /// cancelled.
     pub async fn wake(&mut self, request: &request::CallerRequest) -> PathWake {
--- a/arbutusfold/src/gateway/waiting.rs
+++ b/arbutusfold/src/gateway/waiting.rs
@@ -153,7 +153,8 @@
             before: before()
                 .filter(|other| other.rank == own.rank && other.needs_room)
                 .count(),
-            is_seeking: before().count() < SEEKERS,
+            is_seeking: !own.needs_room
+                || before().filter(|other| other.needs_room).count() < SEEKERS,
         })
     }
 
@@ -173,6 +174,10 @@
     pub fn wake(&self) {
         let mut seeking: Vec<(demand::ServiceKey, usize)> = Vec::new();
         for place in &self.places {
+            if !place.request.needs_room {
+                place.signal.notify_one();
+                continue;
+            }
             let service = place.request.service;
             let index = seeking.binary_search_by_key(&service, |(key, _)| *key);
             let index = index.unwrap_or_else(|index| {
--- a/arbutusfold/tests/gateway_budget.rs
+++ b/arbutusfold/tests/gateway_budget.rs
@@ -171,7 +171,7 @@
             sum.0 += requests;
             for _ in 0..retries(node) {
                 let budget = &mut self.nodes[node];
-                if budget.take(SERVICE, now) || budget.take_borrowed(SERVICE, now) {
+                if budget.take(SERVICE, now) || budget.take_borrowed(SERVICE, now).is_some() {
                     sum.1 += 1;
                     continue;
                 }
@@ -283,10 +283,13 @@
     assert_eq!(rest + count, 63, "nine tenths of the extra retries");
     borrower.borrow(SERVICE, count, now);
     let last_use = now + budget::LOAN_TIME - STEP;
-    assert!(borrower.take_borrowed(SERVICE, last_use));
+    assert!(borrower.take_borrowed(SERVICE, last_use).is_some());
     let end = last_use + POLICY.window;
     assert!(take_all(&mut lender, end) as u32 <= rest);
-    assert!(!borrower.take_borrowed(SERVICE, now + budget::LOAN_TIME));
+    assert_eq!(
+        borrower.take_borrowed(SERVICE, now + budget::LOAN_TIME),
+        None
+    );
     let later = end + POLICY.window * 2;
     assert_eq!(take_all(&mut lender, later), 63);
 }
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -76,6 +76,7 @@
         unfinished: Vec::new(),
         trial: None,
         unsent_retry: None,
+        unsent_loan: None,
         is_refusal_noted: false,
         fingerprint: sync::OnceLock::new(),
         part_keys: sync::OnceLock::new(),
