--- a/arbutusfold/src/serve.rs
+++ b/arbutusfold/src/serve.rs
@@ -227,7 +227,7 @@
                     }
                 }
             }
-            if member.state.phase().0 == crowd::ConnectionPhase::Head {
+            if member.state.is_late() {
                 policy.note_closed(CloseCause::HeadTime);
             }
             drop(member);
--- a/arbutusfold/src/serve/crowd.rs
+++ b/arbutusfold/src/serve/crowd.rs
@@ -58,6 +58,8 @@
     /// Requests since the client last waited for an answer before it sent the next one.
     sent_ahead: u32,
     is_blocked: bool,
+    /// Whether a head took too long.
+    is_late: bool,
     since: time::Instant,
 }
 
@@ -86,6 +88,7 @@
                 requests: 0,
                 sent_ahead: 0,
                 is_blocked: false,
+                is_late: false,
                 since: time::Instant::now(),
             }),
             closed: sync::Arc::default(),
@@ -117,6 +120,16 @@
         progress.since = time::Instant::now();
     }
 
+    /// Notes that a head took too long.
+    pub fn note_late(&self) {
+        lock(&self.progress).is_late = true;
+    }
+
+    /// Returns whether a head took too long.
+    pub fn is_late(&self) -> bool {
+        lock(&self.progress).is_late
+    }
+
     /// Notes that the client has sent nothing more for the moment.
     pub fn note_quiet(&self) {
         let mut progress = lock(&self.progress);
--- a/arbutusfold/src/serve/watch.rs
+++ b/arbutusfold/src/serve/watch.rs
@@ -65,10 +65,11 @@
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         if polled.is_pending() {
             self.state.note_quiet();
-            return match self.poll_head_end(context) {
-                true => task::Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-                false => task::Poll::Pending,
-            };
+            if !self.poll_head_end(context) {
+                return task::Poll::Pending;
+            }
+            self.state.note_late();
+            return task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         let is_between = matches!(
             self.state.phase().0,
