--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -577,8 +577,7 @@
     /// Until when the request may wait.
     until: time::Instant,
     place: Option<HeldPlace>,
-    /// What the latest decision rested on, and the time until room appears, if the
-    /// request was not sent.
+    /// The latest decision and what it rested on, unless it was to send the request.
     denial: Option<(RoomView, intake::IntakeVerdict)>,
     /// Whether the latest attempt to find a path failed for want of room.
     is_full: bool,
@@ -623,6 +622,9 @@
     /// Sets until when the request may wait, before it is sent or resumed. The first
     /// event must still come before the caller leaves.
     pub fn begin(&mut self, request: &request::CallerRequest, is_resumption: bool) {
+        if !self.is_on {
+            return;
+        }
         let patience = stream::caller_patience(&request.rule);
         let objective = request.rule.objective.unwrap_or_default();
         let now = time::Instant::now();
--- a/arbutusfold/tests/gateway_intake.rs
+++ b/arbutusfold/tests/gateway_intake.rs
@@ -4,7 +4,7 @@
 
 use std::time;
 
-use arbutusfold::gateway::intake;
+use arbutusfold::gateway::{demand, intake};
 use rand::{RngExt, SeedableRng};
 
 const NODES: usize = 20;
@@ -291,3 +291,44 @@
     let verdict = view.decide(&query(0, 99.0));
     assert!(matches!(verdict, intake::IntakeVerdict::Refuse(_)));
 }
+
+/// Load: the same requests, known to one node alone and to all of them.
+#[test]
+fn node_that_knows_only_its_own_requests_holds_none_for_others() {
+    let own = intake::RankCount {
+        rank: 1,
+        own_waiting: 0.0,
+        waiting: 0.0,
+        arrivals: 1.0,
+        recent: 0.0,
+    };
+    let others = |rank| demand::RankDemand {
+        service: 1,
+        rank,
+        waiting: 40,
+        arrivals_per_second: 50.0,
+    };
+    let view = |ranks| intake::IntakeView {
+        free: 30.0,
+        ends: 10.0,
+        horizon: time::Duration::from_millis(200),
+        ranks,
+    };
+    let query = intake::IntakeQuery {
+        rank: 1,
+        own_before: 0.0,
+        before: 0.0,
+        patience: PATIENCE,
+        draw: 0.5,
+    };
+    let alone = view(vec![own.with_arriving()]);
+    assert_eq!(alone.decide(&query), intake::IntakeVerdict::Send);
+    let high = intake::RankCount { rank: 0, ..own };
+    let together = [
+        high.with_others(&others(0)),
+        own.with_others(&others(1)).with_arriving(),
+    ];
+    let together = view(together.to_vec());
+    assert!(together.reserve(1) > 40.0 && together.reserve(0) == 0.0);
+    assert_ne!(together.decide(&query), intake::IntakeVerdict::Send);
+}
