--- a/arbutusfold/src/gateway/reach.rs
+++ b/arbutusfold/src/gateway/reach.rs
@@ -40,6 +40,10 @@
 /// Part of the difference by which a faster answer shortens the time of slow answers.
 const ANSWER_TIME_WEIGHT: u32 = 8;
 
+/// Runners at which connections ended before an answer, without an answer between, that
+/// put all direct ways in doubt. A request and its retry may crash two on their own.
+const UNANSWERED_LIMIT: usize = 3;
+
 /// Most runners whose ways are remembered.
 const WAY_LIMIT: usize = 1_024;
 
@@ -125,9 +129,9 @@
     heard_at: Option<time::Instant>,
     /// Time that slow answers took of late.
     answer_time: std_time::Duration,
-    /// The latest way that ended before an answer, and when, if no answer of any runner
-    /// came over a later connection.
-    unanswered: Option<(net::SocketAddr, time::Instant)>,
+    /// Runners at which a connection ended before an answer, and when the latest did;
+    /// sorted, without those before a connection over which any answer came.
+    unanswered: Vec<(net::SocketAddr, time::Instant)>,
     doubt: Option<NodeDoubt>,
 }
 
@@ -215,7 +219,7 @@
             false => self.answer_time - (self.answer_time - took) / ANSWER_TIME_WEIGHT,
         };
         self.doubt.take_if(|doubt| doubt.since <= began_at);
-        self.unanswered.take_if(|(_, at)| *at <= began_at);
+        self.unanswered.retain(|(_, ended_at)| *ended_at > began_at);
         let way = self.get_mut(address, now);
         let latest = way
             .answered_since
@@ -231,7 +235,7 @@
 
     /// Records that a direct connection that began at `began_at` ended before a byte of
     /// an answer, unless one came over a later connection. If the same happened to
-    /// another runner just before, all direct ways are in doubt.
+    /// other runners just before, all direct ways are in doubt.
     pub fn note_unanswered(
         &mut self,
         address: net::SocketAddr,
@@ -246,8 +250,12 @@
         way.lost_since.get_or_insert(now);
         way.doubted_at = Some(now);
         cause.clone_into(&mut way.cause);
-        let before = self.unanswered.replace((address, now));
-        if before.is_some_and(|(other, _)| other != address) && self.doubt.is_none() {
+        match self.unanswered.binary_search_by_key(&address, |end| end.0) {
+            Ok(index) => self.unanswered[index].1 = now,
+            Err(index) => self.unanswered.insert(index, (address, now)),
+        }
+        if self.unanswered.len() >= UNANSWERED_LIMIT && self.doubt.is_none() {
+            self.unanswered.clear();
             let cause = format!("connections to several runners ended: {cause}");
             self.doubt = Some(NodeDoubt { since: now, cause });
         }
