Confirm the death of a runner that ends connections before an answer

Cause: a doubted way that gave no answer never confirmed a death, so sound hosts did not note runners that were dead behind a reset (crash request at: 3 deaths noted in ten seconds, 5 late retries, callers refused by "no answer over the direct way"). Once another runner has answered, an end before an answer confirms it; silence does not.

--- a/arbutusfold/src/gateway/direct.rs
+++ b/arbutusfold/src/gateway/direct.rs
@@ -172,7 +172,8 @@
     /// # Errors
     ///
     /// [`dial::DialError`]; it is confirmed if another runner answered, or if there is
-    /// none and `unless_alone` is not set, and no connection was opened.
+    /// none and `unless_alone` is not set, and no connection was opened or one ended
+    /// before an answer.
     pub async fn confirm(
         &self,
         address: net::SocketAddr,
@@ -192,7 +193,13 @@
         }
         let started = time::Instant::now();
         if self.is_doubted(address) {
-            return self.connect_proven(address, deadline - started).await;
+            let proven = self.connect_proven(address, deadline - started).await;
+            // A silent runner exists; one that ends its connections may not.
+            let is_confirmed = self.book().has_ended(address, started);
+            return proven.map_err(|error| dial::DialError {
+                is_confirmed,
+                ..error
+            });
         }
         let connected = self.connect(address, deadline - started).await;
         connected.map_err(|error| {
--- a/arbutusfold/src/gateway/reach.rs
+++ b/arbutusfold/src/gateway/reach.rs
@@ -289,6 +289,13 @@
         self.get(address).is_some_and(|way| way.has_answered(since))
     }
 
+    /// Returns whether a direct connection to this runner ended before an answer at
+    /// `since` or later, and none came over a later one.
+    pub fn has_ended(&self, address: net::SocketAddr, since: time::Instant) -> bool {
+        let doubted_at = self.get(address).and_then(|way| way.doubted_at);
+        doubted_at.is_some_and(|doubted_at| doubted_at >= since)
+    }
+
     /// Returns how long a direct attempt may take until another way is tried, too.
     pub fn race_delay(&self, address: net::SocketAddr) -> std_time::Duration {
         let usual = self.get(address).map(|way| way.connect_time);
