Let requests wait for the first document of a host

A host with wait_limit lets as many requests wait for its first document, for a second and a quarter of the caller's time at most.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -106,6 +106,10 @@
     pub crash_checks: sync::Mutex<crash::CrashChecks>,
     /// Requests under which runners died.
     pub suspects: sync::Mutex<ledger::CrashLedger>,
+    /// Whether a document is in force.
+    pub document_known: watch::Sender<bool>,
+    /// Places of requests that wait for the first document.
+    pub document_waits: tokio::sync::Semaphore,
     /// Whether this node has learned of the requests under which runners died
     /// before it started.
     pub suspects_known: watch::Sender<bool>,
@@ -208,6 +212,8 @@
             loans: sync::Mutex::default(),
             crash_checks: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
+            document_known: watch::Sender::new(false),
+            document_waits: tokio::sync::Semaphore::new(settings.wait_limit),
             suspects_known: watch::Sender::new(false),
             suspects_cleared: tokio::sync::Notify::new(),
             trials: sync::Mutex::default(),
@@ -669,6 +675,7 @@
             .routing
             .write()
             .unwrap_or_else(sync::PoisonError::into_inner) = Some(table);
+        self.document_known.send_replace(true);
         self.metrics.document_version.set(version as i64);
         self.note(
             event::EventCode::ConfigInForce,
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -38,6 +38,13 @@
 /// The node waits for the store, and most callers retry only once.
 const UNREADY_RETRY_AFTER: std_time::Duration = std_time::Duration::from_millis(2_000);
 
+/// Longest time that a request waits for the first document. All hosts may have lost
+/// theirs at once, and callers of a stream leave after twice this time.
+const DOCUMENT_WAIT: std_time::Duration = std_time::Duration::from_millis(1_000);
+
+/// Part of a caller's time that such a wait takes at most.
+const DOCUMENT_WAIT_FRACTION: f64 = 0.25;
+
 /// Time that a request waits for a node that has just started to learn which
 /// requests crash runners.
 const LEARN_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(300);
@@ -134,6 +141,9 @@
 ) -> Result<request::CallerRequest, response::GatewayRefusal> {
     let deadline = head.deadline;
     let unready = || unready_refusal(core, deadline);
+    if core.routing().is_none() {
+        wait_document(core, deadline).await;
+    }
     core.routing().ok_or_else(unready)?;
     let mut known = core.suspects_known.subscribe();
     let learned = time::timeout(LEARN_TIMEOUT, known.wait_for(|known| *known));
@@ -219,6 +229,20 @@
     })
 }
 
+/// Waits a short time for the first document of a node that has just started. As many
+/// requests wait as may wait for room.
+async fn wait_document(core: &core::GatewayCore, deadline: Option<std_time::Duration>) {
+    let Ok(_place) = core.document_waits.try_acquire() else {
+        return;
+    };
+    let limit = deadline.map_or(DOCUMENT_WAIT, |deadline| {
+        DOCUMENT_WAIT.min(deadline.mul_f64(DOCUMENT_WAIT_FRACTION))
+    });
+    let mut known = core.document_known.subscribe();
+    // Without a document in time, the caller is refused.
+    let _ = time::timeout(limit, known.wait_for(|known| *known)).await;
+}
+
 /// Returns the refusal of a node that has no document yet.
 fn unready_refusal(
     core: &core::GatewayCore,
--- a/arbutusfold/tests/gateway_wait.rs
+++ b/arbutusfold/tests/gateway_wait.rs
@@ -219,3 +219,28 @@
     assert_eq!(uses, [(2, 1)]);
     waits.abort();
 }
+
+/// All hosts have started at one moment and the store does not answer yet: a request
+/// waits for the document for a part of its caller's patience, and is refused with a
+/// time to return if none comes.
+#[tokio::test]
+async fn request_waits_for_the_first_document() {
+    let core = node(8);
+    let address = gateway_script::serve_node(&core).await;
+    let refused = call(address, "/s/x").await;
+    assert!(refused.ends_with("no document is known yet"), "{refused}");
+    assert!(retry_after(&refused) >= 0.5, "{refused}");
+    let started = time::Instant::now();
+    let waiting = tokio::spawn(call(address, "/s/x"));
+    time::sleep(milliseconds(100)).await;
+    let runners = start_runners(1, vec![stream(0)]).await;
+    gateway_script::start_core(&core, DOCUMENT, &runners).await;
+    assert_whole(&waiting.await.unwrap(), 2);
+    assert!(started.elapsed() < milliseconds(900));
+    let without = node(0);
+    let address = gateway_script::serve_node(&without).await;
+    let started = time::Instant::now();
+    let refused = call(address, "/s/x").await;
+    assert!(refused.ends_with("no document is known yet"), "{refused}");
+    assert!(started.elapsed() < milliseconds(300));
+}
