Create requests in one place; take out copies and repeated work

No behaviour changes. - forward and two tests each listed the whole state of a request that has made no attempt: CallerRequest::new does it from an AdmittedCall. - The two writes of DirectBytes recorded their result by the same arms. - A check opens its second connection by select_ok, as the dialers do. - The load of the others on a runner was looked up twice for each candidate. - A path was sought a third time with the same length where none was learned.

--- a/arbutusfold/src/gateway/demand_driver.rs
+++ b/arbutusfold/src/gateway/demand_driver.rs
@@ -1,8 +1,7 @@
 //! Sends and receives the demand of nodes and leaders, and lets the leader of a
 //! failure domain check the runners that nodes saw fail.
 //!
-//! Summaries go out periodically. News of failed runners
-//! goes out at once.
+//! Summaries go out periodically, news of failed runners at once.
 
 use std::sync;
 use std::time as std_time;
--- a/arbutusfold/src/gateway/direct_bytes.rs
+++ b/arbutusfold/src/gateway/direct_bytes.rs
@@ -76,6 +76,18 @@
         direct::note_regained(&self.context, self.address, regained);
     }
 
+    fn note_written(&mut self, written: &std_task::Poll<io::Result<usize>>) {
+        match written {
+            std_task::Poll::Ready(Ok(_)) => self.note_sent(),
+            std_task::Poll::Ready(Err(error)) => self.note_error(error),
+            std_task::Poll::Pending => {}
+        }
+    }
+
+    fn note_error(&mut self, error: &io::Error) {
+        self.note_end(&format!("ended before an answer: {error}"));
+    }
+
     /// Records the end of what the runner sends.
     fn note_end(&mut self, cause: &str) {
         if self.heard_at.is_none() && !std::mem::replace(&mut self.is_ended, true) {
@@ -129,10 +141,7 @@
             std_task::Poll::Ready(Ok(())) if has_room => {
                 self.watch.note_end("closed before an answer");
             }
-            std_task::Poll::Ready(Err(error)) => {
-                self.watch
-                    .note_end(&format!("ended before an answer: {error}"));
-            }
+            std_task::Poll::Ready(Err(error)) => self.watch.note_error(error),
             _ => {}
         }
         read
@@ -146,14 +155,7 @@
         bytes: &[u8],
     ) -> std_task::Poll<io::Result<usize>> {
         let written = pin::Pin::new(&mut self.bytes).poll_write(context, bytes);
-        match &written {
-            std_task::Poll::Ready(Ok(_)) => self.watch.note_sent(),
-            std_task::Poll::Ready(Err(error)) => {
-                self.watch
-                    .note_end(&format!("ended before an answer: {error}"));
-            }
-            std_task::Poll::Pending => {}
-        }
+        self.watch.note_written(&written);
         written
     }
 
@@ -163,14 +165,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> std_task::Poll<io::Result<usize>> {
         let written = pin::Pin::new(&mut self.bytes).poll_write_vectored(context, parts);
-        match &written {
-            std_task::Poll::Ready(Ok(_)) => self.watch.note_sent(),
-            std_task::Poll::Ready(Err(error)) => {
-                self.watch
-                    .note_end(&format!("ended before an answer: {error}"));
-            }
-            std_task::Poll::Pending => {}
-        }
+        self.watch.note_written(&written);
         written
     }
 
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -197,9 +197,7 @@
     };
     let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
     lock(&core.budget).note_request(&service, started);
-    let last_event = head.resume_after.unwrap_or(0);
-    Ok(request::CallerRequest {
-        core: sync::Arc::clone(core),
+    let call = request::AdmittedCall {
         table,
         rule,
         service,
@@ -210,23 +208,8 @@
         priority,
         started,
         deadline,
-        excluded: Vec::new(),
-        silent: Vec::new(),
-        executed: 0,
-        attempts: 0,
-        latest_runners: String::new(),
-        trace: sync::Arc::default(),
-        unfinished: Vec::new(),
-        trial: None,
-        unsent_retry: None,
-        unsent_loan: None,
-        is_refusal_noted: false,
-        fingerprint: sync::OnceLock::new(),
-        part_keys: sync::OnceLock::new(),
-        has_begun: false,
-        last_event,
-        expected_first_ms: None,
-    })
+    };
+    Ok(request::CallerRequest::new(core, call))
 }
 
 /// Waits a short time for the first document of a node that has just started. As many
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -489,7 +489,64 @@
     }
 }
 
+/// What is known of a request before its first attempt.
+pub struct AdmittedCall {
+    /// Document that was in force when the request arrived.
+    pub table: sync::Arc<routing::RoutingTable>,
+    /// Route of the request.
+    pub rule: document::RouteRule,
+    /// Service that the request is sent to.
+    pub service: id::ServiceName,
+    /// Decoded headers.
+    pub head: head::CallerHead,
+    /// Method, URI and headers as the caller sent them.
+    pub parts: http::request::Parts,
+    /// Complete body.
+    pub body: Bytes,
+    /// Organisation that the key belongs to.
+    pub organisation: Option<id::OrganisationName>,
+    /// Priority; 0 is the highest.
+    pub priority: u8,
+    /// Time of arrival.
+    pub started: time::Instant,
+    /// Time by which the response must be complete.
+    pub deadline: time::Instant,
+}
+
 impl CallerRequest {
+    /// Creates a request that has made no attempt yet.
+    pub fn new(core: &sync::Arc<core::GatewayCore>, call: AdmittedCall) -> Self {
+        Self {
+            core: sync::Arc::clone(core),
+            last_event: call.head.resume_after.unwrap_or(0),
+            table: call.table,
+            rule: call.rule,
+            service: call.service,
+            head: call.head,
+            parts: call.parts,
+            body: call.body,
+            organisation: call.organisation,
+            priority: call.priority,
+            started: call.started,
+            deadline: call.deadline,
+            excluded: Vec::new(),
+            silent: Vec::new(),
+            executed: 0,
+            attempts: 0,
+            latest_runners: String::new(),
+            trace: sync::Arc::default(),
+            unfinished: Vec::new(),
+            trial: None,
+            unsent_retry: None,
+            unsent_loan: None,
+            is_refusal_noted: false,
+            fingerprint: sync::OnceLock::new(),
+            part_keys: sync::OnceLock::new(),
+            has_begun: false,
+            expected_first_ms: None,
+        }
+    }
+
     /// Returns whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.rule.kind {
@@ -912,10 +969,11 @@
             Err(_) if unreported > 0.0 => choose(0.0, &query),
             chosen => chosen,
         };
+        let expected = query.prompt + query.answer;
         let chosen = match chosen {
             // Nor must memory that only long answers need.
-            Err(selector::PathError::NoCapacity) if is_timed => {
-                let context = query.prompt + query.answer;
+            Err(selector::PathError::NoCapacity) if query.context > expected => {
+                let context = expected;
                 choose(0.0, &path::PathQuery { context, ..query })?
             }
             chosen => chosen?,
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -56,6 +56,15 @@
     pub now: time::Instant,
 }
 
+/// Estimated load of all nodes on a runner.
+#[derive(Clone, Copy, Debug)]
+struct StageLoad {
+    /// Requests in flight.
+    in_flight: f64,
+    /// Memory in use, in tokens of context times layers.
+    token_layers: f64,
+}
+
 impl PathSelector<'_> {
     /// Chooses a path over `states`; `domains` holds their failure domains, sorted.
     ///
@@ -122,11 +131,8 @@
             Some(card) => layout::context_capacity(engine, card, layers.len()),
             None => engine.context_tokens as f64 * f64::from(engine.layers),
         };
-        let others = self.leads.peer_load(state.key);
+        let load = self.load(state);
         let slowdown = self.leads.slowness(state.key);
-        let fleet_factor = 1.0 + self.unreported;
-        let in_flight = f64::from(others.in_flight) + fleet_factor * f64::from(state.in_flight);
-        let used = self.used_token_layers(state);
         let backlogs = self.unread.into_iter();
         let unread = backlogs.map(|list| unread::backlog(list, state.key));
         let avoided = state.is_avoided(self.now);
@@ -136,9 +142,9 @@
             layers,
             step_factor: slowdown * card.map_or(1.0, |card| card.step_factor),
             read_factor: slowdown * card.map_or(1.0, |card| card.read_factor),
-            in_flight,
+            in_flight: load.in_flight,
             slots: f64::from(state.record.slots),
-            free_token_layers: USABLE_MEMORY * capacity - used,
+            free_token_layers: USABLE_MEMORY * capacity - load.token_layers,
             unread_token_layers: unread.sum(),
             penalty_ms: path::AVOIDED_PENALTY_MS * f64::from(avoided)
                 + path::FAILING_PENALTY_MS * state.failure_rate,
@@ -148,7 +154,15 @@
     /// Returns the memory in use at a runner by the requests of all nodes, in tokens of
     /// context times layers.
     pub fn used_token_layers(&self, state: &fleet::RunnerState) -> f64 {
+        self.load(state).token_layers
+    }
+
+    fn load(&self, state: &fleet::RunnerState) -> StageLoad {
         let others = self.leads.peer_load(state.key);
-        others.token_layers as f64 + (1.0 + self.unreported) * state.token_layers as f64
+        let fleet_factor = 1.0 + self.unreported;
+        StageLoad {
+            in_flight: f64::from(others.in_flight) + fleet_factor * f64::from(state.in_flight),
+            token_layers: others.token_layers as f64 + fleet_factor * state.token_layers as f64,
+        }
     }
 }
--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -7,7 +7,7 @@
 use std::sync;
 use std::time as std_time;
 
-use futures_util::{StreamExt, future, stream};
+use futures_util::{FutureExt, future};
 use prometheus_client::metrics::counter;
 use tokio::sync as tokio_sync;
 use tokio::time;
@@ -127,21 +127,20 @@
         address: net::SocketAddr,
         opened: &counter::Counter,
     ) -> stage_check::StageAnswer {
-        opened.inc();
-        let first = self.direct.check(address, SECOND_DELAY + CONNECT_LIMIT);
-        let second = async {
-            time::sleep(SECOND_DELAY).await;
+        let ask = async |limit| {
             opened.inc();
-            self.direct.check(address, CONNECT_LIMIT).await
+            match self.direct.check(address, limit).await {
+                stage_check::StageAnswer::Silent => Err(()),
+                answer => Ok(answer),
+            }
         };
-        let is_answered = |answer: &stage_check::StageAnswer| match answer {
-            stage_check::StageAnswer::Silent => future::ready(false),
-            _ => future::ready(true),
+        let first = ask(SECOND_DELAY + CONNECT_LIMIT);
+        let second = async {
+            time::sleep(SECOND_DELAY).await;
+            ask(CONNECT_LIMIT).await
         };
-        let first = stream::once(first).boxed();
-        let answers = stream::select(first, stream::once(second).boxed());
-        let answered = answers.filter(is_answered).next().await;
-        answered.unwrap_or(stage_check::StageAnswer::Silent)
+        let answered = future::select_ok([first.boxed(), second.boxed()]).await;
+        answered.map_or(stage_check::StageAnswer::Silent, |(answer, _)| answer)
     }
 
     fn note_accepted(&self, address: net::SocketAddr, now: time::Instant) {
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -53,8 +53,7 @@
         panic!("no route");
     };
     let now = time::Instant::now();
-    request::CallerRequest {
-        core: sync::Arc::clone(core),
+    let call = request::AdmittedCall {
         rule: rule.clone(),
         priority,
         service: "s".to_owned(),
@@ -67,24 +66,9 @@
         organisation: None,
         started: now,
         deadline: now + std_time::Duration::from_secs(2),
-        excluded: Vec::new(),
-        silent: Vec::new(),
-        executed: 0,
-        attempts: 0,
-        latest_runners: String::new(),
-        trace: sync::Arc::default(),
-        unfinished: Vec::new(),
-        trial: None,
-        unsent_retry: None,
-        unsent_loan: None,
-        is_refusal_noted: false,
-        fingerprint: sync::OnceLock::new(),
-        part_keys: sync::OnceLock::new(),
-        has_begun: false,
-        last_event: 0,
-        expected_first_ms: None,
         table: sync::Arc::clone(&table),
-    }
+    };
+    request::CallerRequest::new(core, call)
 }
 
 /// Returns an address at which no process listens.
