Leave a neighbour out for a runner that it did not reach, not for all

Cause: a node that said that it did not reach one runner, without proof, was left out as a way to all runners for a second.

Change: it is left out for this runner; for all of them after a second one that it did not reach within the same time, as a node that is cut off does not.

--- a/arbutusfold/src/gateway/neighbour.rs
+++ b/arbutusfold/src/gateway/neighbour.rs
@@ -1,5 +1,6 @@
 //! What a node knows of others as ways to runners.
 
+use std::net;
 use std::time as std_time;
 
 use rand::seq::IndexedRandom;
@@ -27,6 +28,9 @@
     /// Tunnels that it reported to serve, and when.
     reported: Option<(u32, time::Instant)>,
     failed_at: Option<time::Instant>,
+    /// The runner that it did not reach last, without proof that this is due to the
+    /// runner, and when.
+    unreached: Option<(net::SocketAddr, time::Instant)>,
 }
 
 /// The nodes that were used as ways to runners.
@@ -37,15 +41,19 @@
 }
 
 impl NeighbourBook {
-    /// Chooses one of `hosts` at random, by its load, without those that failed a
-    /// short time ago or are in `tried`.
+    /// Chooses one of `hosts` at random, by its load, as a way to a runner, without
+    /// those that failed or did not reach it a short time ago, or are in `tried`.
     pub fn choose<'a>(
         &self,
         hosts: &'a [id::HostName],
+        runner: net::SocketAddr,
         tried: &[id::HostName],
         now: time::Instant,
     ) -> Option<&'a id::HostName> {
-        let is_possible = |host: &&id::HostName| !tried.contains(host) && !self.failed(host, now);
+        let is_possible = |host: &&id::HostName| {
+            let is_left_out = self.failed(host, now) || self.unreached(host, now) == Some(runner);
+            !is_left_out && !tried.contains(host)
+        };
         let possible: Vec<_> = hosts.iter().filter(is_possible).collect();
         let drawn = possible.sample(&mut rand::rng(), CHOICES).copied();
         drawn.min_by_key(|host| self.load(host, now))
@@ -63,9 +71,24 @@
         !is_known
     }
 
+    /// Records that a node did not reach a runner; returns whether it did not reach
+    /// another one just before. A single one may be dead.
+    pub fn note_unreached(
+        &mut self,
+        host: &str,
+        runner: net::SocketAddr,
+        now: time::Instant,
+    ) -> bool {
+        let before = self.unreached(host, now);
+        self.get_mut(host).unreached = Some((runner, now));
+        before.is_some_and(|before| before != runner)
+    }
+
     /// Records that a node connected to a runner.
     pub fn note_worked(&mut self, host: &str) {
-        self.get_mut(host).failed_at = None;
+        let state = self.get_mut(host);
+        state.failed_at = None;
+        state.unreached = None;
     }
 
     /// Adds a tunnel through a node.
@@ -90,6 +113,12 @@
         failed_at.is_some_and(|failed_at| now.saturating_duration_since(failed_at) < LEAVE_OUT_TIME)
     }
 
+    /// Returns the runner that a node did not reach a short time ago.
+    fn unreached(&self, host: &str, now: time::Instant) -> Option<net::SocketAddr> {
+        let (runner, at) = self.get(host)?.unreached?;
+        (now.saturating_duration_since(at) < LEAVE_OUT_TIME).then_some(runner)
+    }
+
     /// Returns the load of a node: what it reported, or this node's own tunnels if
     /// they are more.
     fn load(&self, host: &str, now: time::Instant) -> u32 {
@@ -116,6 +145,7 @@
                     open: 0,
                     reported: None,
                     failed_at: None,
+                    unreached: None,
                 };
                 self.states.insert(index, state);
                 index
--- a/arbutusfold/src/gateway/relay.rs
+++ b/arbutusfold/src/gateway/relay.rs
@@ -134,7 +134,9 @@
             let now = time::Instant::now();
             if next_at.is_some_and(|next_at| now >= next_at) {
                 let chosen = match tried.len() < NEIGHBOUR_LIMIT {
-                    true => lock(&self.book).choose(&hosts, &tried, now).cloned(),
+                    true => lock(&self.book)
+                        .choose(&hosts, address, &tried, now)
+                        .cloned(),
                     false => None,
                 };
                 next_at = chosen.as_ref().map(|_| now + NEIGHBOUR_DELAY);
@@ -177,13 +179,21 @@
                 Err(failure) => failure,
             };
             error.reason = format!("{host}: {failure}");
-            if let RelayFailure::Unreachable { is_refused } = failure {
-                lock(&self.book).note_worked(&host);
-                error.is_refused = is_refused;
-                error.is_confirmed = true;
-                return Err(error);
+            match failure {
+                RelayFailure::Unreachable { is_refused } => {
+                    lock(&self.book).note_worked(&host);
+                    error.is_refused = is_refused;
+                    error.is_confirmed = true;
+                    return Err(error);
+                }
+                RelayFailure::Unproven => {
+                    let now = time::Instant::now();
+                    if lock(&self.book).note_unreached(&host, address, now) {
+                        self.leave_out(&host, "it did not reach two runners");
+                    }
+                }
+                RelayFailure::Way(cause) => self.leave_out(&host, &cause),
             }
-            self.leave_out(&host, &failure.to_string());
             next_at = Some(time::Instant::now());
         }
     }
--- a/arbutusfold/tests/gateway_reach.rs
+++ b/arbutusfold/tests/gateway_reach.rs
@@ -208,15 +208,38 @@
     assert!(book.note_failed("a", now));
     assert!(!book.note_failed("a", now + ms(1)), "known");
     for _ in 0..50 {
-        assert_eq!(book.choose(&all, &[], now).unwrap(), "b");
+        assert_eq!(book.choose(&all, address(1), &[], now).unwrap(), "b");
     }
-    assert_eq!(book.choose(&all, &hosts(&["b"]), now), None);
+    assert_eq!(book.choose(&all, address(1), &hosts(&["b"]), now), None);
     assert_eq!(
-        book.choose(&all, &hosts(&["b"]), now + ms(1_001)).unwrap(),
+        book.choose(&all, address(1), &hosts(&["b"]), now + ms(1_001))
+            .unwrap(),
         "a"
     );
     book.note_worked("a");
-    assert_eq!(book.choose(&all, &hosts(&["b"]), now).unwrap(), "a");
+    assert_eq!(
+        book.choose(&all, address(1), &hosts(&["b"]), now).unwrap(),
+        "a"
+    );
+}
+
+/// A runner that dies is reached by no node, and the nodes go on as ways to others.
+#[tokio::test(start_paused = true)]
+async fn node_that_does_not_reach_one_runner_is_left_out_for_that_one() {
+    let mut book = neighbour::NeighbourBook::default();
+    let all = hosts(&["a"]);
+    let (dead, other) = (address(1), address(2));
+    let now = time::Instant::now();
+    for _ in 0..3 {
+        assert!(!book.note_unreached("a", dead, now));
+    }
+    assert_eq!(book.choose(&all, dead, &[], now), None);
+    assert_eq!(book.choose(&all, other, &[], now).unwrap(), "a");
+    assert!(book.choose(&all, dead, &[], now + ms(1_001)).is_some());
+    // It may be cut off from all of them.
+    assert!(book.note_unreached("a", other, now));
+    book.note_worked("a");
+    assert!(!book.note_unreached("a", dead, now));
 }
 
 #[tokio::test(start_paused = true)]
@@ -228,7 +251,7 @@
     let mut load = [20_u32, 0, 0, 0, 0, 0];
     book.note_load("host-0", 20, now);
     for _ in 0..100 {
-        let chosen = book.choose(&names, &[], now).unwrap().clone();
+        let chosen = book.choose(&names, address(1), &[], now).unwrap().clone();
         let index = names.binary_search(&chosen).unwrap();
         load[index] += 1;
         book.begin(&chosen);
@@ -242,6 +265,10 @@
         (0..200).for_each(|_| book.end(name));
     });
     book.begin("host-1");
-    let drawn = (0..200).map(|_| book.choose(&names[..2], &[], later).unwrap().as_str());
+    let drawn = (0..200).map(|_| {
+        book.choose(&names[..2], address(1), &[], later)
+            .unwrap()
+            .as_str()
+    });
     assert!(drawn.into_iter().all(|name| name == "host-0"));
 }
