Order ranked admission by the organisation's priority, then by the route's

Cause: the rank of admission was the priority that runners are told, that of the organisation where it states one. Requests of such organisations had one rank, so the reserve and the queue never acted between their routes, and the first kind of requests was refused as often as the last.

- A rank combines both priorities, 16 x first + second, each up to 15.
- The priority that runners are told is as before.
Messages are as before.
The check of bounded lists follows the number.
- The play of intake takes kinds of requests apart from ranks, so that several kinds may have one; with a rank for each kind it is the same play.

--- a/arbutusfold/src/gateway/admission.rs
+++ b/arbutusfold/src/gateway/admission.rs
@@ -52,9 +52,6 @@
 /// Time between two updates of the demand that this node tells.
 const PUBLISH_PERIOD: std_time::Duration = std_time::Duration::from_millis(50);
 
-/// Ranks by service in the demand that this node tells.
-const RANK_LIMIT: usize = 8;
-
 /// Organisations in the demand that this node tells.
 const ORGANISATION_LIMIT: usize = 64;
 
@@ -227,7 +224,7 @@
             let active = ranks.filter(|demand| {
                 demand.waiting > 0 || f64::from(demand.arrivals_per_second) >= MIN_ARRIVALS
             });
-            active.take(RANK_LIMIT)
+            active.take(demand::RANK_LIMIT)
         });
         demands.collect()
     }
@@ -533,7 +530,7 @@
     let engine = engine(request).filter(|_| request.executed == 0)?;
     let now = time::Instant::now();
     let core = &request.core;
-    let rank = request.priority;
+    let rank = request.rank;
     let view = view(core, &request.service, engine, Some(rank), now);
     if !view.is_covered {
         return None;
@@ -596,7 +593,7 @@
             is_on: engine(request).is_some(),
             service: 0,
             organisation: 0,
-            rank: request.priority,
+            rank: request.rank,
             is_return: false,
             until: request.started,
             place: None,
--- a/arbutusfold/src/gateway/demand.rs
+++ b/arbutusfold/src/gateway/demand.rs
@@ -14,8 +14,9 @@
 use crate::gateway::leader;
 use crate::id;
 
-/// Most ranks of one service in a summary; the least urgent ones are left out.
-const RANK_LIMIT: usize = 8;
+/// Most ranks of one service in a summary; the least urgent ones are left out. Four
+/// priorities of organisations by four of routes fit, in 15 bytes each at most.
+pub const RANK_LIMIT: usize = 16;
 
 /// Most organisations in a summary; those with the least use are left out.
 const ORGANISATION_LIMIT: usize = 64;
@@ -41,7 +42,7 @@
 /// Hash of a failure domain's name that identifies it in messages between nodes.
 pub type DomainKey = u32;
 
-/// Rank of a request; 0 is the highest.
+/// Rank of a request; 0 is the highest. Nodes only compare ranks.
 pub type RequestRank = u8;
 
 /// Demand of one rank for one service.
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -158,12 +158,18 @@
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let verdict = table.decide(host, parts.uri.path(), head.key.as_deref());
     let refuse = |status, cause: &str| Err(response::GatewayRefusal::failed(status, cause));
-    let (rule, organisation, priority) = match verdict {
+    let (rule, organisation, priority, rank) = match verdict {
         routing::RouteVerdict::Allowed {
             rule,
             organisation,
             priority,
-        } => (rule.clone(), organisation.map(str::to_owned), priority),
+            rank,
+        } => (
+            rule.clone(),
+            organisation.map(str::to_owned),
+            priority,
+            rank,
+        ),
         routing::RouteVerdict::NoRoute => {
             return refuse(
                 http::StatusCode::NOT_FOUND,
@@ -206,6 +212,7 @@
         body,
         organisation,
         priority,
+        rank,
         started,
         deadline,
     };
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -91,8 +91,10 @@
     pub body: Bytes,
     /// Organisation that the key belongs to.
     pub organisation: Option<id::OrganisationName>,
-    /// Priority; 0 is the highest.
+    /// Priority that runners are told; 0 is the highest.
     pub priority: u8,
+    /// Rank in admission.
+    pub rank: demand::RequestRank,
     /// Time of arrival.
     pub started: time::Instant,
     /// Time by which the response must be complete.
@@ -505,8 +507,10 @@
     pub body: Bytes,
     /// Organisation that the key belongs to.
     pub organisation: Option<id::OrganisationName>,
-    /// Priority; 0 is the highest.
+    /// Priority that runners are told; 0 is the highest.
     pub priority: u8,
+    /// Rank in admission.
+    pub rank: demand::RequestRank,
     /// Time of arrival.
     pub started: time::Instant,
     /// Time by which the response must be complete.
@@ -527,6 +531,7 @@
             body: call.body,
             organisation: call.organisation,
             priority: call.priority,
+            rank: call.rank,
             started: call.started,
             deadline: call.deadline,
             excluded: Vec::new(),
--- a/arbutusfold/src/gateway/routing.rs
+++ b/arbutusfold/src/gateway/routing.rs
@@ -2,8 +2,13 @@
 
 use arbutusfold_platform::document;
 
+use crate::gateway::demand;
 use crate::id;
 
+/// Priorities that a rank tells apart, both of organisations and of routes; larger ones
+/// count as the last of them. All ranks then fit the byte that nodes exchange.
+const PRIORITY_COUNT: u8 = 16;
+
 /// An API key with the index of its organisation.
 #[derive(Clone, Debug)]
 struct KeyOwner {
@@ -24,6 +29,8 @@
     /// Keys in ascending order, for binary search.
     keys: Vec<KeyOwner>,
     limits: document::CallerLimits,
+    /// Whether ranks combine the priorities of organisations and routes.
+    combines_priorities: bool,
 }
 
 /// Result of looking up a request.
@@ -35,8 +42,10 @@
         rule: &'a document::RouteRule,
         /// Organisation that the key belongs to.
         organisation: Option<&'a str>,
-        /// Priority; 0 is the highest.
+        /// Priority that runners are told; 0 is the highest.
         priority: u8,
+        /// Rank in admission.
+        rank: demand::RequestRank,
     },
     /// No route matches the host and path.
     NoRoute,
@@ -55,6 +64,10 @@
         let mut services = document.services;
         services.sort_by(|one, other| one.name.cmp(&other.name));
         let organisations = document.organisations;
+        let mut specs = organisations.iter().flatten();
+        let is_stated = specs.any(|spec| spec.priority.is_some());
+        let mut pairs = routes.windows(2);
+        let is_varied = pairs.any(|pair| pair[0].priority != pair[1].priority);
         let mut keys: Vec<_> = organisations
             .iter()
             .flatten()
@@ -75,6 +88,7 @@
             organisations,
             keys,
             limits: document.limits,
+            combines_priorities: is_stated && is_varied,
         }
     }
 
@@ -110,6 +124,7 @@
             rule,
             organisation: None,
             priority: rule.priority,
+            rank: self.rank(rule.priority, rule),
         };
         let Some(organisations) = &self.organisations else {
             return anonymous;
@@ -117,10 +132,12 @@
         match key.and_then(|key| self.find_organisation(key)) {
             Some(index) => {
                 let spec = &organisations[index];
+                let priority = spec.priority.unwrap_or(rule.priority);
                 RouteVerdict::Allowed {
                     rule,
                     organisation: Some(&spec.name),
-                    priority: spec.priority.unwrap_or(rule.priority),
+                    priority,
+                    rank: self.rank(priority, rule),
                 }
             }
             None if rule.public => anonymous,
@@ -128,6 +145,17 @@
         }
     }
 
+    /// Returns the rank of a request with this priority: ordered by the priority, then by
+    /// that of the route. If no organisation states a priority or all routes have the same,
+    /// the rank is the priority itself.
+    fn rank(&self, priority: u8, rule: &document::RouteRule) -> demand::RequestRank {
+        let limit = |priority: u8| priority.min(PRIORITY_COUNT - 1);
+        match self.combines_priorities {
+            true => limit(priority) * PRIORITY_COUNT + limit(rule.priority),
+            false => priority,
+        }
+    }
+
     fn find_route(&self, host: &str, path: &str) -> Option<&document::RouteRule> {
         // The Host header may contain a port.
         let host = host.split(':').next().unwrap_or_default();
--- a/arbutusfold/tests/gateway_demand.rs
+++ b/arbutusfold/tests/gateway_demand.rs
@@ -139,6 +139,32 @@
     assert!(summaries(&mut view, now).fleet.unwrap().is_empty());
 }
 
+/// Guards against ranks of organisations times routes that one node tells and another one
+/// never hears of, so that it neither leaves them room nor shares theirs.
+#[tokio::test(start_paused = true)]
+async fn ranks_of_four_organisations_and_four_routes_are_told_in_few_bytes() {
+    let now = time::Instant::now();
+    let service = demand::name_key("s");
+    let numbers =
+        (0..4).flat_map(|organisation| (0..4).map(move |route| 16 * organisation + route));
+    let ranks: Vec<_> = numbers
+        .map(|number| rank(service, number, 3, 1.5))
+        .collect();
+    let mut view = demand::DemandView::default();
+    view.set_ranks(ranks.clone());
+    assert_eq!(view.node_summary(now).unwrap().ranks, ranks);
+    let message = leader::LeaderMessage::DomainDemand(demand::DemandSummary {
+        ranks: ranks.clone(),
+        ..demand::DemandSummary::default()
+    });
+    let length = postcard::to_stdvec(&message).unwrap().len();
+    println!("ranks={} bytes={length}", ranks.len());
+    assert!(length <= 16 * 15, "{length}");
+    let mut other = demand::DemandView::default();
+    other.receive("m1", message, now);
+    assert_eq!(summaries(&mut other, now).fleet.unwrap().ranks, ranks);
+}
+
 /// Guards against a message with impossible numbers or lists that ends or confuses a
 /// node.
 #[tokio::test(start_paused = true)]
@@ -170,9 +196,9 @@
     }
     view.receive("m1", leader::LeaderMessage::DomainDemand(huge), now);
     let fleet = summaries(&mut view, now + 5 * MS).fleet.unwrap();
-    assert_eq!(fleet.ranks.len(), 9);
-    assert!((0..8).all(|index| fleet.ranks[index] == rank(1, index as u8, u32::MAX, 0.0)));
-    assert_eq!(fleet.ranks[8], rank(3, 0, 0, f32::MAX));
+    assert_eq!(fleet.ranks.len(), 17);
+    assert!((0..16).all(|index| fleet.ranks[index] == rank(1, index as u8, u32::MAX, 0.0)));
+    assert_eq!(fleet.ranks[16], rank(3, 0, 0, f32::MAX));
     assert_eq!(fleet.organisations.len(), 64);
     assert_eq!(fleet.organisations[63], organisation(999, 3 * 999));
     assert_eq!(fleet.prompts[0].token_layers, u64::MAX);
--- a/arbutusfold/tests/gateway_intake.rs
+++ b/arbutusfold/tests/gateway_intake.rs
@@ -4,7 +4,8 @@
 
 use std::time;
 
-use arbutusfold::gateway::{demand, intake};
+use arbutusfold::gateway::{demand, intake, routing};
+use arbutusfold_platform::document;
 use rand::{RngExt, SeedableRng};
 
 const NODES: usize = 20;
@@ -15,7 +16,10 @@
 const LAG: usize = 20;
 /// Mean run time in seconds; runs take from half to one and a half of it.
 const RUN_S: f64 = 4.0;
-const RANKS: usize = 3;
+/// Kinds of requests.
+const KINDS: usize = 3;
+/// Ranks of the kinds where each has its own.
+const RANKS: [demand::RequestRank; KINDS] = [0, 1, 2];
 const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 /// Requests of a node that look for room.
 const SEEKERS: usize = 3;
@@ -25,45 +29,45 @@
 #[derive(Clone, Copy, Default)]
 struct NodeSums {
     running: f64,
-    waiting: [f64; RANKS],
-    arrivals: [f64; RANKS],
+    waiting: [f64; KINDS],
+    arrivals: [f64; KINDS],
 }
 
 #[derive(Default)]
 struct NodeState {
     /// Ends of the running requests, in steps.
     ends: Vec<usize>,
-    /// Rank and arrival of the waiting requests, in order.
-    queue: Vec<(u8, usize)>,
-    sends: Vec<(u8, usize)>,
+    /// Kind and arrival of the waiting requests, in order.
+    queue: Vec<(usize, usize)>,
+    sends: Vec<(usize, usize)>,
     sums: NodeSums,
     draw: f64,
 }
 
-/// Arrivals and sends by the second of arrival and the rank, and running requests by
+/// Arrivals and sends by the second of arrival and the kind, and running requests by
 /// step.
 struct Outcome {
-    arrived: Vec<[f64; RANKS]>,
-    sent: Vec<[f64; RANKS]>,
+    arrived: Vec<[f64; KINDS]>,
+    sent: Vec<[f64; KINDS]>,
     running: Vec<f64>,
 }
 
 impl Outcome {
-    /// Returns the share of a rank's requests of these seconds that were sent.
-    fn share(&self, rank: usize, seconds: std::ops::Range<usize>) -> f64 {
-        let sum = |counts: &[[f64; RANKS]]| {
+    /// Returns the share of a kind's requests of these seconds that were sent.
+    fn share(&self, kind: usize, seconds: std::ops::Range<usize>) -> f64 {
+        let sum = |counts: &[[f64; KINDS]]| {
             counts[seconds.clone()]
                 .iter()
-                .map(|by_rank| by_rank[rank])
+                .map(|by_kind| by_kind[kind])
                 .sum::<f64>()
         };
         sum(&self.sent) / sum(&self.arrived).max(1.0)
     }
 
-    /// Returns that share of each rank.
+    /// Returns that share of each kind.
     fn shares(&self, seconds: std::ops::Range<usize>) -> Vec<f64> {
-        (0..RANKS)
-            .map(|rank| self.share(rank, seconds.clone()))
+        (0..KINDS)
+            .map(|kind| self.share(kind, seconds.clone()))
             .collect()
     }
 
@@ -74,27 +78,37 @@
     }
 }
 
-/// Counts the entries of a rank.
-fn count_rank<'a>(entries: impl Iterator<Item = &'a (u8, usize)>, rank: usize) -> f64 {
-    entries
-        .filter(|(other, _)| usize::from(*other) == rank)
-        .count() as f64
+/// Counts the entries of a kind for which this holds.
+fn count_kinds<'a>(
+    entries: impl Iterator<Item = &'a (usize, usize)>,
+    is_counted: impl Fn(usize) -> bool,
+) -> f64 {
+    entries.filter(|(kind, _)| is_counted(*kind)).count() as f64
 }
 
-/// Lets requests arrive at `rates(second)` by rank, as all nodes together. If ranks are
-/// not `ranked`, the first that asks gets the room.
+/// Lets requests arrive at `rates(second)` by kind, as all nodes together. Without
+/// ranks of the kinds, the first that asks gets the room.
 fn play(
     seconds: usize,
     seed: u64,
-    is_ranked: bool,
-    rates: impl Fn(usize) -> [f64; RANKS],
+    ranks: Option<[demand::RequestRank; KINDS]>,
+    rates: impl Fn(usize) -> [f64; KINDS],
 ) -> Outcome {
+    let is_ranked = ranks.is_some();
+    let ranks = ranks.unwrap_or(RANKS);
+    let mut numbers = ranks.to_vec();
+    numbers.sort_unstable();
+    numbers.dedup();
+    let sum_rank = |sums: &[f64; KINDS], rank| {
+        let kinds = (0..KINDS).filter(|kind| ranks[*kind] == rank);
+        kinds.map(|kind| sums[kind]).sum::<f64>()
+    };
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
     let mut nodes: Vec<_> = (0..NODES).map(|_| NodeState::default()).collect();
     let mut history: Vec<Vec<NodeSums>> = Vec::new();
     let mut outcome = Outcome {
-        arrived: vec![[0.0; RANKS]; seconds],
-        sent: vec![[0.0; RANKS]; seconds],
+        arrived: vec![[0.0; KINDS]; seconds],
+        sent: vec![[0.0; KINDS]; seconds],
         running: Vec::new(),
     };
     let second = |step: usize| (step as f64 * STEP_S) as usize;
@@ -105,23 +119,24 @@
         };
         let all = |sum: &dyn Fn(&NodeSums) -> f64| late.iter().map(sum).sum::<f64>();
         let late_running = all(&|sums| sums.running);
-        let late_waiting = [0, 1, 2].map(|rank| all(&|sums| sums.waiting[rank]));
-        let late_arrivals = [0, 1, 2].map(|rank| all(&|sums| sums.arrivals[rank]));
+        let late_waiting = [0, 1, 2].map(|kind| all(&|sums| sums.waiting[kind]));
+        let late_arrivals = [0, 1, 2].map(|kind| all(&|sums| sums.arrivals[kind]));
         nodes
             .iter_mut()
             .for_each(|node| node.ends.retain(|end| *end > step));
         let mut running: usize = nodes.iter().map(|node| node.ends.len()).sum();
         for (index, node) in nodes.iter_mut().enumerate() {
-            for (rank, rate) in rates(second(step)).into_iter().enumerate() {
-                node.sums.arrivals[rank] *= (-STEP_S / ARRIVAL_MEMORY_S).exp();
+            for (kind, rate) in rates(second(step)).into_iter().enumerate() {
+                node.sums.arrivals[kind] *= (-STEP_S / ARRIVAL_MEMORY_S).exp();
                 if random.random::<f64>() < rate * STEP_S / NODES as f64 {
-                    node.sums.arrivals[rank] += 1.0 / ARRIVAL_MEMORY_S;
-                    node.queue.push((rank as u8, step));
-                    outcome.arrived[second(step)][rank] += 1.0;
+                    node.sums.arrivals[kind] += 1.0 / ARRIVAL_MEMORY_S;
+                    node.queue.push((kind, step));
+                    outcome.arrived[second(step)][kind] += 1.0;
                 }
             }
             if is_ranked {
-                node.queue.sort_unstable();
+                node.queue
+                    .sort_by_key(|(kind, arrived)| (ranks[*kind], *arrived));
             }
             if step % LAG == index % LAG {
                 node.draw = random.random();
@@ -132,30 +147,34 @@
             let free = CAPACITY - (late_running - own_late.running) - held;
             let mut kept = Vec::new();
             let queue = std::mem::take(&mut node.queue);
-            for (place, (rank, arrived)) in queue.iter().copied().enumerate() {
+            for (place, (kind, arrived)) in queue.iter().copied().enumerate() {
                 let is_sent = match is_ranked {
                     false => running < CAPACITY as usize,
                     true if place >= SEEKERS && arrived < step => false,
                     true => {
-                        let count = |number: usize| {
+                        let rank = ranks[kind];
+                        let count = |number: demand::RequestRank| {
+                            let is_same = |other: usize| ranks[other] == number;
                             let own = kept.iter().chain(&queue[place..]);
-                            let own = count_rank(own, number);
+                            let own = count_kinds(own, is_same);
                             intake::RankCount {
-                                rank: number as u8,
+                                rank: number,
                                 own_waiting: own,
-                                waiting: own + late_waiting[number] - own_late.waiting[number],
-                                arrivals: node.sums.arrivals[number] + late_arrivals[number]
-                                    - own_late.arrivals[number],
-                                recent: count_rank(node.sends.iter(), number),
+                                waiting: own + sum_rank(&late_waiting, number)
+                                    - sum_rank(&own_late.waiting, number),
+                                arrivals: sum_rank(&node.sums.arrivals, number)
+                                    + sum_rank(&late_arrivals, number)
+                                    - sum_rank(&own_late.arrivals, number),
+                                recent: count_kinds(node.sends.iter(), is_same),
                             }
                         };
                         let view = intake::IntakeView {
                             free: free.max(0.0),
                             ends: running as f64 / RUN_S,
                             horizon: time::Duration::from_secs_f64(LAG as f64 * STEP_S),
-                            ranks: (0..RANKS).map(count).collect(),
+                            ranks: numbers.iter().copied().map(count).collect(),
                         };
-                        let own_before = count_rank(kept.iter(), usize::from(rank));
+                        let own_before = count_kinds(kept.iter(), |other| ranks[other] == rank);
                         let verdict = view.decide(&intake::IntakeQuery {
                             rank,
                             own_before,
@@ -175,16 +194,16 @@
                     running += 1;
                     let run_s = RUN_S * (0.5 + random.random::<f64>());
                     node.ends.push(step + (run_s / STEP_S) as usize);
-                    node.sends.push((rank, step));
-                    outcome.sent[second(arrived)][usize::from(rank)] += 1.0;
+                    node.sends.push((kind, step));
+                    outcome.sent[second(arrived)][kind] += 1.0;
                 } else if is_ranked && ((step - arrived) as f64) * STEP_S < PATIENCE.as_secs_f64() {
-                    kept.push((rank, arrived));
+                    kept.push((kind, arrived));
                 }
             }
             node.queue = kept;
             node.sums.running = node.ends.len() as f64;
-            for (rank, waiting) in node.sums.waiting.iter_mut().enumerate() {
-                *waiting = count_rank(node.queue.iter(), rank);
+            for (kind, waiting) in node.sums.waiting.iter_mut().enumerate() {
+                *waiting = count_kinds(node.queue.iter(), |other| other == kind);
             }
         }
         outcome.running.push(running as f64);
@@ -194,12 +213,12 @@
 }
 
 /// Rates of a load of four fifths of the room, in requests per second.
-const USUAL: [f64; RANKS] = [30.0, 30.0, 20.0];
+const USUAL: [f64; KINDS] = [30.0, 30.0, 20.0];
 
 /// Load: one rank bursts for 20 s, to more than the whole room.
 #[test]
 fn burst_of_any_rank_never_costs_a_higher_rank_more_than_a_lower_one() {
-    for (burst, seed) in (0..RANKS).flat_map(|rank| (1..4).map(move |seed| (rank, seed))) {
+    for (burst, seed) in (0..KINDS).flat_map(|rank| (1..4).map(move |seed| (rank, seed))) {
         let rates = |second: usize| {
             let mut rates = USUAL;
             if (10..30).contains(&second) {
@@ -207,7 +226,7 @@
             }
             rates
         };
-        let ranked = play(40, seed, true, rates);
+        let ranked = play(40, seed, Some(RANKS), rates);
         for from in 10..=20 {
             let shares = ranked.shares(from..from + 10);
             assert!(
@@ -224,22 +243,75 @@
             );
         }
         // Served in the order of arrival, every rank pays alike for the burst.
-        let unranked = play(40, seed, false, rates);
+        let unranked = play(40, seed, None, rates);
         if burst > 0 {
             assert!(ranked.share(0, 10..30) > unranked.share(0, 10..30) + 0.2);
         }
     }
 }
 
+/// Returns the ranks of requests of these priorities of the organisation and the route.
+fn ranks_of(kinds: [(u8, u8); KINDS]) -> [demand::RequestRank; KINDS] {
+    let route = |(_, priority): (u8, u8)| {
+        format!(
+            r#"{{"name":"r-{priority}","hostname":"h","prefix":"/r-{priority}/","service":"s",
+            "type":"streaming","priority":{priority}}}"#
+        )
+    };
+    let organisation = |(priority, _): (u8, u8)| {
+        format!(r#"{{"name":"o-{priority}","apiKeys":["k-{priority}"],"priority":{priority}}}"#)
+    };
+    let text = format!(
+        r#"{{"version":1,"services":[],"routes":[{}],"tenants":[{}]}}"#,
+        kinds.map(route).join(","),
+        kinds.map(organisation).join(",")
+    );
+    let table = routing::RoutingTable::new(document::decode(text.as_bytes()).unwrap());
+    kinds.map(|(organisation, route)| {
+        let key = format!("k-{organisation}");
+        match table.decide("h", &format!("/r-{route}/"), Some(&key)) {
+            routing::RouteVerdict::Allowed { rank, .. } => rank,
+            verdict => panic!("{verdict:?}"),
+        }
+    })
+}
+
+/// Load: organisations that state one priority burst at their last route, or one of a
+/// lower priority at its first.
+#[test]
+fn burst_within_organisations_is_served_by_the_order_of_their_routes() {
+    let same = [(1, 0), (1, 1), (1, 2)];
+    let mixed = [(0, 2), (1, 0), (1, 2)];
+    for (kinds, burst) in [(same, 1), (same, 2), (mixed, 1), (mixed, 2)] {
+        let rates = |second: usize| {
+            let mut rates = USUAL;
+            if (10..30).contains(&second) {
+                rates[burst] += 120.0;
+            }
+            rates
+        };
+        let ranks = ranks_of(kinds);
+        for seed in 1..4 {
+            let shares = play(40, seed, Some(ranks), rates).shares(10..30);
+            assert!(
+                shares[..burst].iter().all(|share| *share >= 0.9)
+                    && shares[burst] <= 0.8
+                    && shares.is_sorted_by(|one, other| *one >= other - 0.03),
+                "{kinds:?} burst {burst}, seed {seed}: {shares:?}"
+            );
+        }
+    }
+}
+
 /// Load: a rank asks for more than the room while the ranks above it do not come, or
 /// have just stopped to.
 #[test]
 fn room_is_not_left_idle_for_ranks_that_do_not_come() {
     for seed in 1..4 {
-        let alone = play(30, seed, true, |_| [0.0, 0.0, 150.0]);
+        let alone = play(30, seed, Some(RANKS), |_| [0.0, 0.0, 150.0]);
         let used = alone.used(8);
         assert!(used >= 0.97, "{used}");
-        let stopped = play(40, seed, true, |second| match second {
+        let stopped = play(40, seed, Some(RANKS), |second| match second {
             0..10 => [60.0, 20.0, 150.0],
             _ => [0.0, 0.0, 150.0],
         });
@@ -251,8 +323,8 @@
 /// Load: the room is far larger than what is asked for.
 #[test]
 fn plentiful_room_holds_nobody() {
-    let calm = play(20, 1, true, |_| [20.0, 20.0, 10.0]);
-    for rank in 0..RANKS {
+    let calm = play(20, 1, Some(RANKS), |_| [20.0, 20.0, 10.0]);
+    for rank in 0..KINDS {
         assert!(calm.share(rank, 0..18) >= 1.0);
     }
 }
@@ -333,6 +405,45 @@
     assert_ne!(together.decide(&query), intake::IntakeVerdict::Send);
 }
 
+/// Load: more ranks than summaries hold, so that each node knows only its own requests of
+/// the last one.
+#[test]
+fn rank_that_summaries_leave_out_is_not_served_before_those_that_they_list() {
+    let count = |rank, nodes: usize| intake::RankCount {
+        rank,
+        own_waiting: 1.0,
+        waiting: nodes as f64,
+        arrivals: nodes as f64,
+        recent: 0.0,
+    };
+    let left_out = demand::RANK_LIMIT as u8;
+    let listed = (0..left_out).map(|rank| count(rank, NODES));
+    let ranks: Vec<_> = listed.chain([count(left_out, 1)]).collect();
+    let mut sent = [0, 0];
+    for (free, draw) in (0..600).flat_map(|free| (0..20).map(move |draw| (free, draw))) {
+        let view = intake::IntakeView {
+            free: f64::from(free),
+            ends: 100.0,
+            horizon: time::Duration::from_millis(200),
+            ranks: ranks.clone(),
+        };
+        let is_sent = [left_out - 1, left_out].map(|rank| {
+            let query = intake::IntakeQuery {
+                rank,
+                own_before: 0.0,
+                before: 0.0,
+                patience: PATIENCE,
+                draw: f64::from(draw) / 20.0,
+            };
+            view.decide(&query) == intake::IntakeVerdict::Send
+        });
+        assert!(is_sent[0] || !is_sent[1], "free {free}, draw {draw}");
+        sent[0] += usize::from(is_sent[0]);
+        sent[1] += usize::from(is_sent[1]);
+    }
+    assert!(sent[0] > sent[1] && sent[1] > 0, "{sent:?}");
+}
+
 /// A burst of the highest rank beyond all that ends leaves the lower ranks a quarter of
 /// their share of the arrivals, at all nodes together.
 #[test]
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -48,7 +48,12 @@
 
 fn request(core: &sync::Arc<core::GatewayCore>) -> request::CallerRequest {
     let table = core.routing().unwrap();
-    let routing::RouteVerdict::Allowed { rule, priority, .. } = table.decide("h", "/p/x", None)
+    let routing::RouteVerdict::Allowed {
+        rule,
+        priority,
+        rank,
+        ..
+    } = table.decide("h", "/p/x", None)
     else {
         panic!("no route");
     };
@@ -56,6 +61,7 @@
     let call = request::AdmittedCall {
         rule: rule.clone(),
         priority,
+        rank,
         service: "s".to_owned(),
         head: head::CallerHead {
             request: "request-1".to_owned(),
--- a/arbutusfold/tests/gateway_routing.rs
+++ b/arbutusfold/tests/gateway_routing.rs
@@ -69,6 +69,7 @@
             rule,
             organisation,
             priority,
+            ..
         } => Some((rule.name.clone(), organisation.map(str::to_owned), priority)),
         routing::RouteVerdict::NoRoute | routing::RouteVerdict::KeyUnknown => None,
     }
@@ -104,6 +105,86 @@
     assert!(decided(&table, "desk.example", "/a/", None).is_some());
 }
 
+/// Returns a table with a public route at `/N/` and an organisation with the key `N` for
+/// each of these priorities.
+fn ranked(routes: &[u8], organisations: &[Option<u8>]) -> routing::RoutingTable {
+    let route = |(number, priority): (usize, &u8)| document::RouteRule {
+        priority: *priority,
+        ..rule("ranked", &format!("/{number}/"), true)
+    };
+    let organisation = |(number, priority): (usize, &Option<u8>)| document::OrganisationKeys {
+        name: format!("house-{number}"),
+        keys: vec![number.to_string()],
+        priority: *priority,
+    };
+    let organisations = organisations.iter().enumerate().map(organisation);
+    routing::RoutingTable::new(document::RoutingDocument {
+        version: 3,
+        routes: routes.iter().enumerate().map(route).collect(),
+        services: Vec::new(),
+        organisations: Some(organisations.collect()),
+        limits: document::CallerLimits::default(),
+    })
+}
+
+/// Returns the priority and the rank of a request to a route of an organisation.
+fn order(table: &routing::RoutingTable, route: usize, key: Option<usize>) -> (u8, u8) {
+    let key = key.map(|number| number.to_string());
+    match table.decide("desk.example", &format!("/{route}/"), key.as_deref()) {
+        routing::RouteVerdict::Allowed { priority, rank, .. } => (priority, rank),
+        verdict => panic!("{verdict:?}"),
+    }
+}
+
+#[test]
+fn rank_goes_by_the_organisation_and_then_by_the_route() {
+    let routes: Vec<u8> = (0..16).collect();
+    let organisations: Vec<_> = (0..16).map(Some).chain([None]).collect();
+    let table = ranked(&routes, &organisations);
+    for (route, number) in (0..16).flat_map(|route| (0..16).map(move |number| (route, number))) {
+        let rank = (16 * number + route) as u8;
+        assert_eq!(order(&table, route, Some(number)), (number as u8, rank));
+    }
+    // The route stands for an organisation that states none, and for callers of none.
+    for (route, key) in (0..16).flat_map(|route| [(route, Some(16)), (route, None)]) {
+        let expected = (route as u8, (17 * route) as u8);
+        assert_eq!(order(&table, route, key), expected);
+    }
+}
+
+/// Guards against a large priority that comes before a smaller one, or that orders the
+/// requests of another organisation.
+#[test]
+fn large_priorities_share_the_last_rank() {
+    let priorities = [0, 14, 15, 16, 31, 32, 255];
+    let table = ranked(&priorities, &priorities.map(Some));
+    let numbers = 0..priorities.len();
+    let pairs = numbers.flat_map(|number| (0..priorities.len()).map(move |route| (number, route)));
+    let ranks = pairs.map(|(number, route)| order(&table, route, Some(number)).1);
+    let ranks: Vec<_> = ranks.collect();
+    assert!(ranks[..14].is_sorted_by(|one, other| one < other || *one % 16 == 15));
+    let rows: Vec<_> = ranks.chunks(priorities.len()).collect();
+    assert!(rows.iter().all(|row| row.is_sorted()));
+    assert!(rows[..3].windows(2).all(|pair| pair[0][6] < pair[1][0]));
+    assert!(rows[2..].windows(2).all(|pair| pair[0] == pair[1]));
+}
+
+/// Without two priorities to combine, ranks are the priorities, as nodes of the release
+/// before state them.
+#[test]
+fn one_kind_of_priority_is_the_rank_itself() {
+    let priorities = [0, 9, 16, 255];
+    let by_route = ranked(&priorities, &[None]);
+    let by_organisation = ranked(&[20, 20], &priorities.map(Some));
+    for (number, priority) in priorities.into_iter().enumerate() {
+        let expected = (priority, priority);
+        assert_eq!(order(&by_route, number, Some(0)), expected);
+        assert_eq!(order(&by_route, number, None), expected);
+        assert_eq!(order(&by_organisation, 1, Some(number)), expected);
+    }
+    assert_eq!(order(&by_organisation, 1, None), (20, 20));
+}
+
 #[test]
 fn services_get_requests_by_weight() {
     let rule = rule("split", "/a/", true);
--- a/arbutusfold/tests/gateway_wait.rs
+++ b/arbutusfold/tests/gateway_wait.rs
@@ -12,7 +12,7 @@
 
 use arbutusfold::gateway::core;
 use gateway_script::{STREAM_HEAD, assert_whole, call, events, rejection, script, start_runners};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time;
 
 /// A model whose runners have memory for two requests each, and callers who leave after
@@ -165,6 +165,75 @@
     assert!(first.detail.contains("rank=0"), "{}", first.detail);
 }
 
+/// Starts a runner that answers each stream with one event and keeps the heads of their
+/// requests.
+async fn start_listener() -> (
+    gateway_script::TestRunners,
+    sync::Arc<sync::Mutex<Vec<String>>>,
+) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let runners = gateway_script::TestRunners {
+        addresses: vec![listener.local_addr().unwrap()],
+        runs: sync::Arc::default(),
+        left: sync::Arc::default(),
+    };
+    let heads: sync::Arc<sync::Mutex<Vec<String>>> = sync::Arc::default();
+    let seen = sync::Arc::clone(&heads);
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let seen = sync::Arc::clone(&seen);
+            tokio::spawn(async move {
+                let head = gateway_script::read_head(&mut socket).await?;
+                let answer = match head.starts_with("GET /v1/report") {
+                    true => gateway_script::answer(404, "no report"),
+                    false => {
+                        seen.lock().unwrap().push(head);
+                        format!("{STREAM_HEAD}{}", events(1..=1))
+                    }
+                };
+                socket.write_all(answer.as_bytes()).await.ok()
+            });
+        }
+    });
+    (runners, heads)
+}
+
+/// The route orders requests of an organisation in admission, and runners are told the
+/// priority of the organisation as before.
+#[tokio::test]
+async fn runners_are_told_one_priority_where_ranks_differ() {
+    let (runners, heads) = start_listener().await;
+    let core = node(8);
+    let organisation = r#""tenants":[{"name":"o","apiKeys":["k"],"priority":1}],"services""#;
+    let document = DOCUMENT.replace("\"services\"", organisation);
+    let address = gateway_script::start_core(&core, &document, &runners).await;
+    for path in ["/s/x", "/last/x"] {
+        let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: request-1\r\n\
+             Authorization: Bearer k\r\nConnection: close\r\n\r\n"
+        );
+        socket.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        let read = socket.read_to_string(&mut answer);
+        time::timeout(milliseconds(2_000), read)
+            .await
+            .unwrap()
+            .unwrap();
+        assert_whole(&answer, 1);
+    }
+    let heads = heads.lock().unwrap().clone();
+    let told = heads.iter().flat_map(|head| head.lines());
+    let told: Vec<_> = told
+        .filter_map(|line| line.strip_prefix("Request-Priority: "))
+        .collect();
+    assert_eq!(told, ["1", "1"], "{heads:?}");
+    core.tick(time::Instant::now());
+    let own = core.demand.lock().unwrap().own().clone();
+    let ranks: Vec<_> = own.ranks.iter().map(|rank| rank.rank).collect();
+    assert_eq!(ranks, [16, 18]);
+}
+
 /// A full queue refuses at once.
 #[tokio::test]
 async fn full_queue_refuses_at_once() {
