Measure decisions under load beside simpler ones

Ranked admission, shares of organisations, reserved memory and the choice of paths by unread prompts had no baseline in the bench.

Four scenarios drive the product's decisions and the baselines with the same requests: ranked-intake (no rank; first come, first served), organisation-share (no shares; first come), length-reserve (the hint) and prompt-mix (fewest requests in flight). The first two share one model of nodes with late sums. Loads are ratios of what is asked for to the room. Tests assert the direction by the targets of the design notes.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -20,8 +20,14 @@
 pub mod way;
 pub mod world;
 
+mod contended_room;
+mod deciding_node;
 mod decision_cost;
 mod domain_loss;
 mod latency;
+mod length_reserve;
+mod organisation_share;
+mod prompt_mix;
+mod ranked_intake;
 mod saturation;
 mod stage_death;
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -15,7 +15,11 @@
 use crate::full_outage;
 use crate::health;
 use crate::latency;
+use crate::length_reserve;
 use crate::member;
+use crate::organisation_share;
+use crate::prompt_mix;
+use crate::ranked_intake;
 use crate::record;
 use crate::report;
 use crate::saturation;
@@ -99,6 +103,22 @@
         name: "record",
         measure: record::measure,
     },
+    BenchScenario {
+        name: "ranked-intake",
+        measure: ranked_intake::measure,
+    },
+    BenchScenario {
+        name: "organisation-share",
+        measure: organisation_share::measure,
+    },
+    BenchScenario {
+        name: "length-reserve",
+        measure: length_reserve::measure,
+    },
+    BenchScenario {
+        name: "prompt-mix",
+        measure: prompt_mix::measure,
+    },
 ];
 
 impl BenchScenario {
