Review of a gateway's document before it is sent

`arbutusfold review [--in-force FILE] [--json] DOCUMENT` prints errors, entries that never match, limits that are never reached, and differences from the document in force. Each rule follows from what gateways do with the field; they share constants and the layout's own arithmetic. Keys are counted and never shown. At most 200 findings are kept, and at most 8 MiB are read, which is what gateways read at once.

--- a/arbutusfold/src/check.rs
+++ b/arbutusfold/src/check.rs
@@ -11,7 +11,7 @@
 const QUOTE_LIMIT_CHARACTERS: usize = 48;
 
 /// Maximum number of errors in a report; further ones are only counted.
-const ISSUE_LIMIT: usize = 200;
+pub const ISSUE_LIMIT: usize = 200;
 
 /// Maximum length of a name in characters.
 const NAME_LIMIT_CHARACTERS: usize = 64;
--- a/arbutusfold/src/command.rs
+++ b/arbutusfold/src/command.rs
@@ -1,12 +1,15 @@
 //! Command-line options and the commands that call no other node.
 
-use std::io;
+use std::fs;
+use std::io::{self, Read, Write};
 use std::net;
 use std::path;
 
 use anyhow::Context;
+use arbutusfold::gateway::review;
 use arbutusfold::gateway::settings as gateway_settings;
 use arbutusfold::{document, event, gateway, id, node, settings};
+use arbutusfold_platform::store;
 use bpaf::Bpaf;
 use slog::Drain;
 use tokio::signal::unix;
@@ -52,6 +55,20 @@
         #[bpaf(positional("DOCUMENT"), many)]
         documents: Vec<path::PathBuf>,
     },
+    /// Review a gateway's document before it is sent: errors, entries without effect,
+    /// and what differs from the one in force
+    #[bpaf(command)]
+    Review {
+        /// Document in force, to compare with
+        #[bpaf(long("in-force"), argument("FILE"))]
+        in_force: Option<path::PathBuf>,
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+        /// Document of gateways
+        #[bpaf(positional("DOCUMENT"), complete_shell(bpaf::ShellComp::File { mask: None }))]
+        document: path::PathBuf,
+    },
     /// Submit or inspect the configuration
     #[bpaf(command)]
     Config {
@@ -167,6 +184,11 @@
             gateway,
             documents,
         } => check_files(&settings, &gateway, &documents),
+        CliCommand::Review {
+            in_force,
+            json,
+            document,
+        } => review_document(&document, in_force.as_deref(), json),
         CliCommand::Digest => print_digest(),
         CliCommand::Config { config_command } => block_on(remote::run_config(config_command)),
         CliCommand::Audit {
@@ -229,6 +251,42 @@
     }
 }
 
+/// Prints the findings about a gateway's document; errors among them refuse it.
+fn review_document(
+    path: &path::Path,
+    in_force: Option<&path::Path>,
+    json: bool,
+) -> Result<(), CommandError> {
+    let document = read_document(path)?;
+    let in_force = in_force.map(read_document).transpose()?;
+    let found = review::review_bytes(&document, in_force.as_deref());
+    let text = match json {
+        true => serde_json::to_string_pretty(&found).map_err(anyhow::Error::from)? + "\n",
+        false => found.to_string(),
+    };
+    io::stdout()
+        .write_all(text.as_bytes())
+        .map_err(anyhow::Error::from)?;
+    match found.errors {
+        0 => Ok(()),
+        errors => {
+            let message = format!("{}: errors: {errors}", path.display());
+            Err(CommandError::new(ExitReason::Refused, message))
+        }
+    }
+}
+
+/// Reads a document up to just behind the longest that gateways read.
+fn read_document(path: &path::Path) -> anyhow::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let read = fs::File::open(path).and_then(|file| {
+        let mut file = file.take(store::ANSWER_LIMIT_BYTES as u64 + 1);
+        file.read_to_end(&mut bytes)
+    });
+    read.with_context(|| format!("cannot read {}", path.display()))?;
+    Ok(bytes)
+}
+
 fn print_digest() -> Result<(), CommandError> {
     let mut line = String::new();
     io::stdin()
--- a/arbutusfold/src/gateway/bounds.rs
+++ b/arbutusfold/src/gateway/bounds.rs
@@ -17,7 +17,7 @@
 const EVENT_PERIOD: std_time::Duration = std_time::Duration::from_secs(1);
 
 /// Smallest read buffer that the HTTP library takes, in bytes.
-const MIN_HEAD_BYTES: usize = 8 << 10;
+pub const MIN_HEAD_BYTES: usize = 8 << 10;
 
 /// Cause for which a request was refused or a connection closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -32,7 +32,7 @@
 use crate::serve;
 
 /// Time subtracted from a deadline for sending the response to the caller.
-const RESPONSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
+pub const RESPONSE_MARGIN: std_time::Duration = std_time::Duration::from_millis(30);
 
 /// `Retry-After` time of a node that has no document yet, unless it forecasts returns.
 /// The node waits for the store, and most callers retry only once.
--- a/arbutusfold/src/gateway/layout.rs
+++ b/arbutusfold/src/gateway/layout.rs
@@ -59,15 +59,28 @@
 
 /// Returns the layer boundaries at which all runners split the model.
 pub fn boundaries(engine: &document::EngineSpec) -> Vec<u32> {
-    let smallest = engine.cards.iter().map(|card| card.memory_mb);
-    let smallest = smallest.fold(f64::INFINITY, f64::min);
-    let unit = unit_layers(engine, smallest);
-    let units = engine.layers.div_ceil(unit);
+    let units = unit_count(engine);
     (0..=units)
         .map(|unit| unit * engine.layers / units)
         .collect()
 }
 
+/// Returns whether the boundaries of the model's layers can be computed.
+pub fn has_boundaries(engine: &document::EngineSpec) -> bool {
+    unit_count(engine).checked_mul(engine.layers).is_some()
+}
+
+/// Returns the fewest and the most layers that runners with each of the engine's cards
+/// get.
+pub fn span_limits(engine: &document::EngineSpec) -> Vec<(u32, u32)> {
+    let units = unit_count(engine);
+    let limits = |card: &document::CardSpec| {
+        let most = max_span_layers(engine, units, card.memory_mb);
+        (engine.layers / units, most.min(engine.layers))
+    };
+    engine.cards.iter().map(limits).collect()
+}
+
 /// Assigns spans to the runners without layers, the fastest first.
 ///
 /// A runner whose card the engine does not know gets none.
@@ -173,7 +186,7 @@
         .zip(&all)
         .map(|(local, all)| gain(local) + FLEET_WEIGHT * gain(all))
         .collect();
-    let most = max_span_layers(engine, bounds, card.memory_mb);
+    let most = max_span_layers(engine, (bounds.len() - 1) as u32, card.memory_mb);
     let mut best: Option<(f64, runner::LayerSpan)> = None;
     for from in 0..gains.len() {
         let ends = (from + 1..bounds.len()).take_while(|end| bounds[*end] - bounds[from] <= most);
@@ -224,6 +237,13 @@
     })
 }
 
+/// Returns the number of units that the layers are split into.
+fn unit_count(engine: &document::EngineSpec) -> u32 {
+    let smallest = engine.cards.iter().map(|card| card.memory_mb);
+    let smallest = smallest.fold(f64::INFINITY, f64::min);
+    engine.layers.div_ceil(unit_layers(engine, smallest))
+}
+
 /// Returns the number of layers that fit into the target fraction of a memory,
 /// at least one.
 fn unit_layers(engine: &document::EngineSpec, memory_mb: f64) -> u32 {
@@ -233,8 +253,8 @@
 
 /// Returns the largest number of layers of one runner: the number of whole
 /// units nearest to the target fraction of its memory, within the limit.
-fn max_span_layers(engine: &document::EngineSpec, bounds: &[u32], memory_mb: f64) -> u32 {
-    let unit = f64::from(engine.layers) / (bounds.len() - 1) as f64;
+fn max_span_layers(engine: &document::EngineSpec, units: u32, memory_mb: f64) -> u32 {
+    let unit = f64::from(engine.layers) / f64::from(units);
     let layers = memory_mb / engine.layer_mb.max(0.001);
     let nearest = LAYER_MEMORY_TARGET * layers + unit / 2.0;
     nearest.min(LAYER_MEMORY_LIMIT * layers).max(1.0).floor() as u32
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -42,7 +42,7 @@
 const CONNECT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(300);
 
 /// Most attempts of one request, including those that runners rejected.
-const ATTEMPT_LIMIT: u32 = 4;
+pub const ATTEMPT_LIMIT: u32 = 4;
 
 /// Most claims for a permit before a request is refused. Each one that is denied
 /// keeps later requests from the same runner for a while.
--- a/arbutusfold/src/gateway/selector.rs
+++ b/arbutusfold/src/gateway/selector.rs
@@ -14,7 +14,7 @@
 
 /// Fraction of a runner's context memory that paths may fill. The rest is a
 /// reserve, because reported loads are delayed and lengths are estimates.
-const USABLE_MEMORY: f64 = 0.85;
+pub const USABLE_MEMORY: f64 = 0.85;
 
 /// Largest relative increase of a stage's cost by a random factor.
 const JITTER: f64 = 0.1;
--- a/arbutusfold/tests/cli.rs
+++ b/arbutusfold/tests/cli.rs
@@ -108,3 +108,82 @@
     let with_token = [&status[..], &["--token-file", token.to_str().unwrap()]].concat();
     assert_eq!(run(&with_token, "").code, 5);
 }
+
+const REVIEWED: &str = r#"{"version":7,"routes":[{"name":"get","hostname":"desk.example","prefix":"/",
+    "type":"idempotent","service":"plain"}],"services":[{"name":"plain"}],
+    "tenants":[{"name":"desk","apiKeys":["secret"]}]}"#;
+
+#[test]
+fn review_of_a_sound_document_ends_with_0() {
+    let sound = temp_file("review-sound.json", REVIEWED);
+    let output = run(&["review", sound.to_str().unwrap()], "");
+    assert_eq!((output.code, &*output.err), (0, ""));
+    assert_eq!(output.out, "errors: 0, warnings: 0, differences: 0\n");
+    let warned = REVIEWED.replace("desk.example", "desk.example:80");
+    let warned = temp_file("review-warned.json", &warned);
+    let output = run(&["review", warned.to_str().unwrap()], "");
+    assert_eq!(output.code, 0);
+    assert!(output.out.contains("routes[0]: warning[host_with_port]: "));
+}
+
+#[test]
+fn review_with_errors_ends_with_3_and_names_them() {
+    let wrong = REVIEWED.replace(r#""service":"plain""#, r#""service":"plian""#);
+    let wrong = temp_file("review-wrong.json", &wrong);
+    let wrong = wrong.to_str().unwrap();
+    let output = run(&["review", wrong], "");
+    assert_eq!(output.code, 3);
+    assert_eq!(
+        output.out,
+        "routes[0].services[0]: error[service_unknown]: there is no service \"plian\"\n\
+         services[0]: warning[service_unused]: no route names service \"plain\"\n\
+         errors: 1, warnings: 1, differences: 0\n"
+    );
+    assert_eq!(output.err, format!("{wrong}: errors: 1\n"));
+}
+
+#[test]
+fn review_compares_with_the_document_in_force_and_prints_json() {
+    let in_force = temp_file("review-old.json", REVIEWED);
+    let changed = REVIEWED.replace(r#""version":7"#, r#""version":8"#);
+    let changed = changed.replace("secret", "hidden");
+    let changed = temp_file("review-new.json", &changed);
+    let (in_force, changed) = (in_force.to_str().unwrap(), changed.to_str().unwrap());
+    let output = run(&["review", "--json", "--in-force", in_force, changed], "");
+    assert_eq!((output.code, &*output.err), (0, ""));
+    let printed: serde_json::Value = serde_json::from_str(&output.out).unwrap();
+    let expected = serde_json::json!({
+        "version": 8, "in_force": 7, "errors": 0, "warnings": 0, "differences": 1, "omitted": 0,
+        "findings": [{ "place": "organisations[0]", "severity": "difference", "code": "keys_changed",
+            "message": "organisation \"desk\": 1 keys added, 1 removed" }],
+    });
+    assert_eq!(printed, expected);
+    let behind = run(&["review", "--in-force", changed, in_force], "");
+    assert_eq!(behind.code, 3);
+    assert!(behind.out.contains("version: error[version_not_higher]: "));
+    assert!(!behind.out.contains("secret") && !behind.out.contains("hidden"));
+}
+
+#[test]
+fn review_of_garbage_ends_with_3() {
+    let directory = std::env::temp_dir();
+    let garbage = directory.join(format!("arbutusfold-cli-{}-garbage", process::id()));
+    std::fs::write(&garbage, b"\xff\x00{[").unwrap();
+    let garbage = garbage.to_str().unwrap();
+    let output = run(&["review", "--json", garbage], "");
+    assert_eq!(output.code, 3);
+    let printed: serde_json::Value = serde_json::from_str(&output.out).unwrap();
+    assert_eq!(printed["version"], serde_json::Value::Null);
+    assert_eq!(printed["findings"][0]["code"], "refused");
+    let endless = run(&["review", "/dev/zero"], "");
+    assert_eq!(endless.code, 3);
+    assert!(endless.out.contains("document: error[too_long]: "));
+}
+
+#[test]
+fn review_without_a_readable_file_ends_with_1_or_2() {
+    assert_eq!(run(&["review", "/nowhere/document.json"], "").code, 1);
+    assert_eq!(run(&["review", "/"], "").code, 1);
+    assert_eq!(run(&["review"], "").code, 2);
+    assert_eq!(run(&["review", "--in-force"], "").code, 2);
+}
