--- a/fuzz/tests/malformed.rs
+++ b/fuzz/tests/malformed.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use arbutusfold::gateway::review;
 use arbutusfold::{check, document, settings};
 use proptest::prelude::*;
 use proptest::test_runner;
@@ -30,6 +31,27 @@
     })
 }
 
+fn good_gateway_document() -> serde_json::Value {
+    serde_json::json!({
+        "version": 7,
+        "routes": [
+            {"name": "chat", "hostname": "desk.example", "prefix": "/chat/", "type": "streaming",
+             "timeoutMs": 20_000, "goalMs": 500, "gapAimMs": 200, "maxAttempts": 2, "resumable": true,
+             "trafficSplit": [{"service": "model", "weight": 9}, {"service": "plain", "weight": 1}]},
+            {"name": "post", "hostname": "desk.example", "prefix": "/post/", "type": "non_idempotent",
+             "service": "plain"},
+        ],
+        "services": [
+            {"name": "model", "engine": {"kvTokenBytes": 918_000, "stride": 3, "step_ms": 1.0,
+             "usual": {"prompt": 774, "answer": 204}, "layers": 80, "layerMb": 1_750.0,
+             "kinds": [{"name": "a", "sizeMb": 72_000.0, "pace": 2.4, "readX": 3.2}]}},
+            {"name": "plain"},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304},
+        "tenants": [{"name": "desk", "apiKeys": ["one", "two"], "priority": 1}],
+    })
+}
+
 fn good_settings() -> serde_json::Value {
     serde_json::json!({
         "name": "entry-1", "region": "peru-central", "domain": "pe-a",
@@ -201,6 +223,22 @@
 
 /// Runs `refuse` on spoilt texts and returns how many were refused.
 fn run(good: fn() -> serde_json::Value, refuse: fn(&str) -> Option<check::CheckReport>) -> usize {
+    let (refused, cases) = run_spoilt(good, |text| match refuse(text) {
+        Some(report) => {
+            assert_clear(&report, text);
+            true
+        }
+        None => false,
+    });
+    assert!(refused >= REFUSED_LEAST.min(cases * 3 / 4));
+    refused
+}
+
+/// Runs `is_refused` on spoilt texts and returns how many of how many were refused.
+fn run_spoilt(
+    good: fn() -> serde_json::Value,
+    is_refused: impl Fn(&str) -> bool,
+) -> (usize, usize) {
     let cases = std::env::var("ARBUTUSFOLD_FUZZ_CASES")
         .ok()
         .and_then(|cases| cases.parse().ok())
@@ -216,18 +254,14 @@
     let faults = prop::collection::vec(fault(), 1..5);
     let outcome = runner.run(&faults, |faults| {
         let text = spoil(good(), &faults);
-        if let Some(report) = refuse(&text) {
-            assert_clear(&report, &text);
-            refused.set(refused.get() + 1);
-        }
+        refused.set(refused.get() + usize::from(is_refused(&text)));
         Ok(())
     });
     if let Err(error) = outcome {
         panic!("{error}");
     }
     println!("{} of {cases} refused", refused.get());
-    assert!(refused.get() >= REFUSED_LEAST.min(cases as usize * 3 / 4));
-    refused.get()
+    (refused.get(), cases as usize)
 }
 
 #[test]
@@ -249,3 +283,55 @@
         settings::parse(text).err().map(|error| error.report)
     });
 }
+
+/// Checks that a review is bounded and that its counts are right.
+fn assert_bounded(found: &review::DocumentReview) {
+    let all = found.errors + found.warnings + found.differences;
+    assert_eq!(all, found.findings.len() + found.omitted);
+    assert!(found.findings.len() <= check::ISSUE_LIMIT);
+    for finding in &found.findings {
+        let text = finding.to_string();
+        assert!(!text.contains('\n') && text.len() < 3_000, "{text:?}");
+    }
+}
+
+#[test]
+fn malformed_gateway_documents_are_reviewed() {
+    let good = good_gateway_document().to_string();
+    assert_eq!(review::review_bytes(good.as_bytes(), None).findings, []);
+    let in_force = good.replace(r#""version":7"#, r#""version":6"#);
+    let found_by_kind = std::cell::Cell::new([0; 2]);
+    let (refused, cases) = run_spoilt(good_gateway_document, |text| {
+        let found = review::review_bytes(text.as_bytes(), Some(in_force.as_bytes()));
+        assert_bounded(&found);
+        let swapped = review::review_bytes(in_force.as_bytes(), Some(text.as_bytes()));
+        assert_bounded(&swapped);
+        let [warned, differing] = found_by_kind.get();
+        found_by_kind.set([
+            warned + usize::from(found.warnings > 0),
+            differing + usize::from(found.differences > 0),
+        ]);
+        found.errors > 0
+    });
+    let [warned, differing] = found_by_kind.get();
+    println!("{warned} warned, {differing} differing");
+    // The faults must reach what comes behind the decoder.
+    assert!(refused >= cases / 2);
+    assert!(warned >= cases / 100 && differing >= cases / 100);
+}
+
+#[test]
+fn arbitrary_bytes_are_reviewed() {
+    let config = test_runner::Config {
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    };
+    let random = test_runner::TestRng::from_seed(test_runner::RngAlgorithm::ChaCha, &[4; 32]);
+    let mut runner = test_runner::TestRunner::new_with_rng(config, random);
+    let bytes = prop::collection::vec(any::<u8>(), 0..200);
+    let outcome = runner.run(&bytes, |bytes| {
+        assert_bounded(&review::review_bytes(&bytes, Some(&bytes)));
+        Ok(())
+    });
+    outcome.unwrap();
+}
