Mend what the reviews of the three parts found

- The rank of a request depends on the request alone.
It took the document into account (whether priorities vary), so an edit of another route changed the order of those that wait.
- A neighbour is left out for all runners only after the third one that it did not reach: a request and its retry may crash two.
- Review of documents: names that routes or organisations share, and an organisation without keys, are warnings, since no look-up depends on them; an unknown service with weight 0 is no error; the longest document is what an answer of the store holds in base64.

--- a/arbutusfold/src/command.rs
+++ b/arbutusfold/src/command.rs
@@ -280,7 +280,7 @@
 fn read_document(path: &path::Path) -> anyhow::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     let read = fs::File::open(path).and_then(|file| {
-        let mut file = file.take(store::ANSWER_LIMIT_BYTES as u64 + 1);
+        let mut file = file.take(store::VALUE_LIMIT_BYTES as u64 + 1);
         file.read_to_end(&mut bytes)
     });
     read.with_context(|| format!("cannot read {}", path.display()))?;
--- a/arbutusfold/src/gateway/length.rs
+++ b/arbutusfold/src/gateway/length.rs
@@ -19,8 +19,8 @@
 /// answers count.
 const KEPT_WEIGHT: f64 = 0.995;
 
-/// Weight of answers from which a histogram is used. Its upper quartile then
-/// rests on five answers.
+/// Weight of answers from which a histogram is used. Its median then has about ten
+/// answers on each side.
 const MIN_WEIGHT: f64 = 20.0;
 
 /// Quantile of the lengths that memory is reserved for. A stream fills its
--- a/arbutusfold/src/gateway/neighbour.rs
+++ b/arbutusfold/src/gateway/neighbour.rs
@@ -11,6 +11,10 @@
 /// Time for which a node that failed as a way is left out.
 pub const LEAVE_OUT_TIME: std_time::Duration = std_time::Duration::from_millis(1_000);
 
+/// Runners that a node did not reach within that time, from which on it is left out for
+/// all of them. A request and its retry may crash two on their own.
+const UNREACHED_LIMIT: usize = 3;
+
 /// Time after which the load that a node reported says nothing any more.
 const LOAD_TTL: std_time::Duration = std_time::Duration::from_secs(5);
 
@@ -28,9 +32,9 @@
     /// Tunnels that it reported to serve, and when.
     reported: Option<(u32, time::Instant)>,
     failed_at: Option<time::Instant>,
-    /// The runner that it did not reach last, without proof that this is due to the
-    /// runner, and when.
-    unreached: Option<(net::SocketAddr, time::Instant)>,
+    /// Runners that it did not reach, without proof that this is due to them, and when;
+    /// sorted.
+    unreached: Vec<(net::SocketAddr, time::Instant)>,
 }
 
 /// The nodes that were used as ways to runners.
@@ -51,7 +55,7 @@
         now: time::Instant,
     ) -> Option<&'a id::HostName> {
         let is_possible = |host: &&id::HostName| {
-            let is_left_out = self.failed(host, now) || self.unreached(host, now) == Some(runner);
+            let is_left_out = self.failed(host, now) || self.has_missed(host, runner, now);
             !is_left_out && !tried.contains(host)
         };
         let possible: Vec<_> = hosts.iter().filter(is_possible).collect();
@@ -71,24 +75,26 @@
         !is_known
     }
 
-    /// Records that a node did not reach a runner; returns whether it did not reach
-    /// another one just before. A single one may be dead.
+    /// Records that a node did not reach a runner; returns whether it did not reach so
+    /// many of late that this is hardly due to them.
     pub fn note_unreached(
         &mut self,
         host: &str,
         runner: net::SocketAddr,
         now: time::Instant,
     ) -> bool {
-        let before = self.unreached(host, now);
-        self.get_mut(host).unreached = Some((runner, now));
-        before.is_some_and(|before| before != runner)
+        let unreached = &mut self.get_mut(host).unreached;
+        unreached.retain(|(other, at)| *other != runner && is_recent(*at, now));
+        let index = unreached.partition_point(|(other, _)| *other < runner);
+        unreached.insert(index, (runner, now));
+        unreached.len() >= UNREACHED_LIMIT
     }
 
     /// Records that a node connected to a runner.
     pub fn note_worked(&mut self, host: &str) {
         let state = self.get_mut(host);
         state.failed_at = None;
-        state.unreached = None;
+        state.unreached.clear();
     }
 
     /// Adds a tunnel through a node.
@@ -110,13 +116,16 @@
 
     fn failed(&self, host: &str, now: time::Instant) -> bool {
         let failed_at = self.get(host).and_then(|state| state.failed_at);
-        failed_at.is_some_and(|failed_at| now.saturating_duration_since(failed_at) < LEAVE_OUT_TIME)
+        failed_at.is_some_and(|failed_at| is_recent(failed_at, now))
     }
 
-    /// Returns the runner that a node did not reach a short time ago.
-    fn unreached(&self, host: &str, now: time::Instant) -> Option<net::SocketAddr> {
-        let (runner, at) = self.get(host)?.unreached?;
-        (now.saturating_duration_since(at) < LEAVE_OUT_TIME).then_some(runner)
+    /// Returns whether a node did not reach a runner a short time ago.
+    fn has_missed(&self, host: &str, runner: net::SocketAddr, now: time::Instant) -> bool {
+        let mut unreached = self
+            .get(host)
+            .into_iter()
+            .flat_map(|state| &state.unreached);
+        unreached.any(|(other, at)| *other == runner && is_recent(*at, now))
     }
 
     /// Returns the load of a node: what it reported, or this node's own tunnels if
@@ -145,7 +154,7 @@
                     open: 0,
                     reported: None,
                     failed_at: None,
-                    unreached: None,
+                    unreached: Vec::new(),
                 };
                 self.states.insert(index, state);
                 index
@@ -159,3 +168,8 @@
             .binary_search_by(|state| state.host.as_str().cmp(host))
     }
 }
+
+/// Returns whether a node is still left out for what happened then.
+fn is_recent(at: time::Instant, now: time::Instant) -> bool {
+    now.saturating_duration_since(at) < LEAVE_OUT_TIME
+}
--- a/arbutusfold/src/gateway/relay.rs
+++ b/arbutusfold/src/gateway/relay.rs
@@ -189,7 +189,7 @@
                 RelayFailure::Unproven => {
                     let now = time::Instant::now();
                     if lock(&self.book).note_unreached(&host, address, now) {
-                        self.leave_out(&host, "it did not reach two runners");
+                        self.leave_out(&host, "it did not reach several runners");
                     }
                 }
                 RelayFailure::Way(cause) => self.leave_out(&host, &cause),
--- a/arbutusfold/src/gateway/review.rs
+++ b/arbutusfold/src/gateway/review.rs
@@ -1,7 +1,8 @@
 //! Review of an operator's document before it is sent.
 //!
 //! An error is an entry that gateways cannot serve or whose look-up is ambiguous. A
-//! warning is an entry or limit that has no effect or cannot be reached. A difference
+//! warning is an entry or limit that has no effect or cannot be reached, also where
+//! another entry takes its requests. A difference
 //! is a change of what is in force. Keys are counted and never shown.
 
 use std::fmt;
@@ -149,8 +150,8 @@
 /// Reviews an encoded document, and compares it with the one in force if that is given.
 pub fn review_bytes(document: &[u8], in_force: Option<&[u8]>) -> DocumentReview {
     let mut review = DocumentReview::default();
-    if document.len() > store::ANSWER_LIMIT_BYTES {
-        let limit = store::ANSWER_LIMIT_BYTES;
+    if document.len() > store::VALUE_LIMIT_BYTES {
+        let limit = store::VALUE_LIMIT_BYTES;
         let message = format_args!("longer than the {limit} bytes that gateways read at once");
         review.error(&"document", "too_long", message);
         return review.finish();
@@ -259,8 +260,8 @@
     };
     for (index, first) in repeated(organisations.iter().map(|spec| &spec.name)) {
         let name = check::quote(&organisations[index].name);
-        let message = format_args!("{name} is also the name of organisations[{first}]");
-        review.error(&format!("organisations[{index}]"), "name_twice", message);
+        let message = format_args!("has one share with organisations[{first}], also named {name}");
+        review.warn(&format!("organisations[{index}]"), "name_shared", message);
     }
     for (index, spec) in organisations.iter().enumerate() {
         let place = format!("organisations[{index}]");
@@ -271,7 +272,7 @@
         if spec.keys.is_empty() {
             let name = check::quote(&spec.name);
             let message = format_args!("organisation {name} has no key, so nobody is its caller");
-            review.error(&place, "organisation_without_keys", message);
+            review.warn(&place, "organisation_without_keys", message);
         }
         if let Some(priority) = spec.priority {
             check_priority(priority, &place, review);
--- a/arbutusfold/src/gateway/route_review.rs
+++ b/arbutusfold/src/gateway/route_review.rs
@@ -16,10 +16,13 @@
                 "name_missing",
                 format_args!("learns lengths of answers together with routes[{first}], which has no name either"),
             ),
-            false => review.error(
+            false => review.warn(
                 &place,
-                "name_twice",
-                format_args!("{} is also the name of routes[{first}]", check::quote(&routes[index].name)),
+                "name_shared",
+                format_args!(
+                    "learns lengths of answers together with routes[{first}], also named {}",
+                    check::quote(&routes[index].name)
+                ),
             ),
         }
     }
@@ -143,7 +146,7 @@
     for (index, share) in shares.iter().enumerate() {
         let place = format!("{place}.services[{index}]");
         let name = check::quote(&share.service);
-        if names.binary_search(&&share.service).is_err() {
+        if share.weight > 0.0 && names.binary_search(&&share.service).is_err() {
             let message = format_args!("there is no service {name}");
             review.error(&place, "service_unknown", message);
         }
--- a/arbutusfold/src/gateway/routing.rs
+++ b/arbutusfold/src/gateway/routing.rs
@@ -29,8 +29,6 @@
     /// Keys in ascending order, for binary search.
     keys: Vec<KeyOwner>,
     limits: document::CallerLimits,
-    /// Whether ranks combine the priorities of organisations and routes.
-    combines_priorities: bool,
 }
 
 /// Result of looking up a request.
@@ -64,10 +62,6 @@
         let mut services = document.services;
         services.sort_by(|one, other| one.name.cmp(&other.name));
         let organisations = document.organisations;
-        let mut specs = organisations.iter().flatten();
-        let is_stated = specs.any(|spec| spec.priority.is_some());
-        let mut pairs = routes.windows(2);
-        let is_varied = pairs.any(|pair| pair[0].priority != pair[1].priority);
         let mut keys: Vec<_> = organisations
             .iter()
             .flatten()
@@ -88,7 +82,6 @@
             organisations,
             keys,
             limits: document.limits,
-            combines_priorities: is_stated && is_varied,
         }
     }
 
@@ -124,7 +117,7 @@
             rule,
             organisation: None,
             priority: rule.priority,
-            rank: self.rank(rule.priority, rule),
+            rank: rank(rule.priority, rule),
         };
         let Some(organisations) = &self.organisations else {
             return anonymous;
@@ -137,7 +130,7 @@
                     rule,
                     organisation: Some(&spec.name),
                     priority,
-                    rank: self.rank(priority, rule),
+                    rank: rank(priority, rule),
                 }
             }
             None if rule.public => anonymous,
@@ -145,17 +138,6 @@
         }
     }
 
-    /// Returns the rank of a request with this priority: ordered by the priority, then by
-    /// that of the route. If no organisation states a priority or all routes have the same,
-    /// the rank is the priority itself.
-    fn rank(&self, priority: u8, rule: &document::RouteRule) -> demand::RequestRank {
-        let limit = |priority: u8| priority.min(PRIORITY_COUNT - 1);
-        match self.combines_priorities {
-            true => limit(priority) * PRIORITY_COUNT + limit(rule.priority),
-            false => priority,
-        }
-    }
-
     fn find_route(&self, host: &str, path: &str) -> Option<&document::RouteRule> {
         // The Host header may contain a port.
         let host = host.split(':').next().unwrap_or_default();
@@ -175,6 +157,13 @@
     }
 }
 
+/// Returns the rank of a request with this priority: ordered by the priority, then by
+/// that of the route.
+fn rank(priority: u8, rule: &document::RouteRule) -> demand::RequestRank {
+    let limit = |priority: u8| priority.min(PRIORITY_COUNT - 1);
+    limit(priority) * PRIORITY_COUNT + limit(rule.priority)
+}
+
 /// Chooses a service of a route by weight; `draw` is a random number from 0 to 1.
 pub fn choose_service(rule: &document::RouteRule, draw: f64) -> &str {
     let total: f64 = rule.services.iter().map(|share| share.weight).sum();
