--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -107,15 +107,6 @@
             true
         })
     }
-
-    /// Copies the logs of the nodes to a folder.
-    pub fn keep_logs(&self, to: &Path) -> io::Result<()> {
-        std::fs::create_dir_all(to)?;
-        for node in &self.nodes {
-            std::fs::copy(&node.log, to.join(format!("{}.log", node.name)))?;
-        }
-        Ok(())
-    }
 }
 
 impl Drop for Fleet {
--- a/review/standin/plain.rs
+++ b/review/standin/plain.rs
@@ -20,10 +20,8 @@
 /// A request that a runner ran.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub at_ms: u64,
     pub request: String,
     pub service: String,
-    pub tenant: String,
 }
 
 /// Requests that all runners ran.
@@ -136,10 +134,8 @@
             self.id, self.service, request.first_line
         ));
         self.runs.lock().unwrap().push(Run {
-            at_ms: self.record.now_ms(),
             request: id.clone(),
             service: self.service.clone(),
-            tenant,
         });
         thread::sleep(WORK);
         let stamp = format!("stamp-{}-{id}", self.id);
