Review case 1: bytes without end from runners exhaust the memory of nodes

The case shows that nodes collect up to 16 MB of a failed answer for each request, outside any account, and so exceed their memory while runners send bytes without end (rule Fault: processes that end by themselves).

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Returns the id of the process, 0 if none runs.
+    pub fn process(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,10 +5,12 @@
 //! rule of the case was broken, with 0 if it held and with 2 if the case could not run.
 //! With the variable `TROUBLE=0` the disruption is left out.
 
+mod endless;
 mod era;
 mod fleet;
 mod http;
 mod json;
+mod model;
 mod plain;
 mod record;
 mod store;
@@ -36,6 +38,7 @@
     let record = record::Record::new();
     record.note(format!("case      {case} trouble={trouble}"));
     let result = match case.as_str() {
+        "endless" => endless::run(&record, trouble),
         "era" => era::run(&record, trouble),
         _ => Ok(Verdict::NotRun("unknown case".to_owned())),
     };
