Order versions of the store by its era

Cause: versions were plain numbers, and each comparison took the higher one for the later one. After the drill numbers go back and are given out again. The mirror dropped the rows of the whole read as old and went on at the old position; without a 410, when the numbers had passed it, it read nothing.

Now a version is an era and a number. platform/ sets the era from the answer, the mirror alone decides what follows: a copy goes over to the next era by a whole table, rows of an era before are ignored. Nodes name eras behind the numbers in their messages, where the release before ignores them. On related paths: trust in a leader, entries that the copy lacks, entries from before a process began to leave, records of crashes, fencing tokens. Event 806, metric store_era.

--- a/arbutusfold/src/event.rs
+++ b/arbutusfold/src/event.rs
@@ -210,7 +210,8 @@
     StoreLost = 800, Warning;
     /// The platform's store answers again.
     StoreRegained = 801, Info;
-    /// The store discarded its history, so its tables are read completely.
+    /// The store discarded its history or came back from an older copy, so the table is
+    /// read completely.
     StoreReread = 802, Info;
     /// Rows of the store were received from a peer.
     RowsFromPeer = 803, Info;
@@ -218,6 +219,8 @@
     RowsRequested = 804, Info;
     /// Rows of the store could not be decoded; the others of their page are used.
     RowsUnreadable = 805, Warning;
+    /// The store or a peer named a later era: the store came back from an older copy.
+    StoreEraChanged = 806, Warning;
 }
 
 impl EventCode {
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -132,6 +132,8 @@
     /// The latest outage of the store.
     outage: sync::Mutex<Option<fleet::StoreOutage>>,
     store_lost: atomic::AtomicBool,
+    /// Latest era of the store that the store or a peer named.
+    store_era: atomic::AtomicU64,
     /// When the store last answered for each table.
     store_answered_at: sync::Mutex<[Option<time::Instant>; store::WatchedTable::ALL.len()]>,
     leading: watch::Sender<bool>,
@@ -226,6 +228,7 @@
             routing: sync::RwLock::default(),
             outage: sync::Mutex::default(),
             store_lost: atomic::AtomicBool::new(false),
+            store_era: atomic::AtomicU64::new(0),
             store_answered_at: sync::Mutex::default(),
             leading: watch::Sender::new(false),
             row_lag: sync::Mutex::default(),
@@ -293,7 +296,7 @@
         let mirrors = lock(&self.mirrors);
         mirrors
             .iter()
-            .map(mirror::TableMirror::latest_version)
+            .map(|mirror| mirror.latest_version().number)
             .sum()
     }
 
@@ -423,6 +426,41 @@
         }
     }
 
+    /// Returns the latest known era of the store, 0 for a store that names none.
+    pub fn store_era(&self) -> store::StoreEra {
+        self.store_era.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records that the store or a peer named an era of the store.
+    ///
+    /// In a new era the store may lack the entries of live runners until they are
+    /// written again, as after an outage, and what this node wrote there.
+    pub fn note_era(&self, era: store::StoreEra, source: &str) {
+        let before = self.store_era.fetch_max(era, atomic::Ordering::Relaxed);
+        if era <= before {
+            return;
+        }
+        self.metrics.store_era.set(era as i64);
+        let versions = {
+            let mirrors = lock(&self.mirrors);
+            mirrors.each_ref().map(|mirror| mirror.complete_version())
+        };
+        let [operator, runners] = versions;
+        let detail = format!("before={before} operator={operator} runners={runners} from={source}");
+        self.note(event::EventCode::StoreEraChanged, &era.to_string(), detail);
+        if versions.iter().all(|version| version.number == 0) {
+            // This node has nothing of the era before.
+            return;
+        }
+        let now = time::Instant::now();
+        *lock(&self.outage) = Some(fleet::StoreOutage {
+            failed_at: now,
+            restored_at: (!self.is_store_lost()).then_some(now),
+        });
+        *lock(&self.suspects_stored) = None;
+        self.suspects_unstored.notify_one();
+    }
+
     /// Returns the latest outage of the store.
     pub fn outage(&self) -> Option<fleet::StoreOutage> {
         *lock(&self.outage)
--- a/arbutusfold/src/gateway/fleet.rs
+++ b/arbutusfold/src/gateway/fleet.rs
@@ -629,13 +629,19 @@
 
     fn upsert(
         &mut self,
-        record: runner::RunnerRecord,
+        mut record: runner::RunnerRecord,
         version: store::RowVersion,
     ) -> Option<FleetChange> {
         match self.search(&record.id) {
             Ok(index) => {
                 let state = &mut self.runners[index];
                 let id = record.id.clone();
+                let is_same_process = state.record.started_ms == record.started_ms;
+                if is_same_process && state.version.era < version.era {
+                    // The copy that the store came back from may be from before the
+                    // process began to leave.
+                    record.leaving |= state.record.leaving;
+                }
                 let left = record.leaving && !state.is_leaving();
                 let changed = state.is_changed(&record);
                 if state.record.started_ms != record.started_ms {
--- a/arbutusfold/src/gateway/layout_controller.rs
+++ b/arbutusfold/src/gateway/layout_controller.rs
@@ -4,7 +4,8 @@
 //! waits longer the higher its rank is, so that usually only the first one
 //! acts. Safety does not depend on this. The fencing token is the version of a
 //! row that the acting node writes conditionally, and runners refuse a token
-//! lower than the highest they have seen. Each order also names the number of
+//! lower than the highest they have seen. A token ends with the era of the store,
+//! as the row may be lost with it, and those of the next era are higher. Each order also names the number of
 //! orders that the runner has taken before, so that a late order has no effect.
 
 use std::sync;
@@ -69,7 +70,8 @@
 /// The state of the layout control on one node.
 struct LayoutController {
     core: sync::Arc<core::GatewayCore>,
-    fencing: Option<id::FencingNumber>,
+    /// Version of the lease row that this node wrote.
+    lease: Option<store::RowVersion>,
     pending: Vec<PendingLoad>,
     /// Since when loads have been required.
     needed_since: Option<time::Instant>,
@@ -82,7 +84,7 @@
     time::sleep(START_DELAY).await;
     let mut controller = LayoutController {
         core,
-        fencing: None,
+        lease: None,
         pending: Vec::new(),
         needed_since: None,
         runner_count: (0, time::Instant::now()),
@@ -131,10 +133,12 @@
         if now.saturating_duration_since(since) < STANDBY_DELAY * rank {
             return;
         }
-        if self.fencing.is_none() {
-            self.fencing = self.acquire_fencing().await;
+        let era = self.core.store_era();
+        if self.lease.is_none_or(|lease| lease.era < era) {
+            self.lease = self.acquire_lease().await;
         }
-        let Some(fencing) = self.fencing else { return };
+        let Some(lease) = self.lease else { return };
+        let fencing = lease.ordinal();
         let orders = required
             .iter()
             .map(|required| self.send_order(required, fencing));
@@ -143,7 +147,7 @@
             match result {
                 OrderResult::Accepted => self.add_pending(required, now),
                 OrderResult::Refused => {}
-                OrderResult::Fenced => self.fencing = None,
+                OrderResult::Fenced => self.lease = None,
             }
         }
         self.needed_since = None;
@@ -220,8 +224,8 @@
         });
     }
 
-    /// Writes the lease row; its new version is the fencing token.
-    async fn acquire_fencing(&self) -> Option<id::FencingNumber> {
+    /// Writes the lease row and returns its new version.
+    async fn acquire_lease(&self) -> Option<store::RowVersion> {
         let core = &self.core;
         core.metrics.store_calls.inc();
         let rows = match core.store.read(LEASE_TABLE).await {
@@ -232,7 +236,7 @@
             }
         };
         let lease = rows.iter().find(|row| row.key == LEASE_KEY);
-        let before = lease.map_or(0, |row| row.version);
+        let before = lease.map(|row| row.version).unwrap_or_default();
         let swap = store::RowSwap {
             table: LEASE_TABLE.to_owned(),
             key: LEASE_KEY.to_owned(),
@@ -242,7 +246,8 @@
         core.metrics.store_calls.inc();
         match core.store.swap(swap).await {
             Ok(store::SwapOutcome::Written(version)) => {
-                let detail = format!("fencing={version} before={before}");
+                core.note_era(version.era, "store");
+                let detail = format!("fencing={} before={before}", version.ordinal());
                 core.note(event::EventCode::LeaseTaken, LEASE_KEY, detail);
                 Some(version)
             }
--- a/arbutusfold/src/gateway/leader_driver.rs
+++ b/arbutusfold/src/gateway/leader_driver.rs
@@ -101,16 +101,24 @@
 impl peer::MessageHandler for LeaderHandler {
     fn handle(&self, sender: &str, body: &[u8]) {
         // Messages that a later release added cannot be decoded and are dropped.
-        let Ok((message, named)) = versions::decode::<leader::LeaderMessage>(body) else {
+        let Ok((mut message, named)) = versions::decode::<leader::LeaderMessage>(body) else {
             return;
         };
         if message.is_demand() {
             return demand_driver::receive(&self.core, sender, message);
         }
         let is_fleet_summary = matches!(message, leader::LeaderMessage::FleetSummary(_));
-        let version = match &message {
+        let era = named.as_ref().map_or(0, versions::era);
+        let version = match &mut message {
             leader::LeaderMessage::FleetSummary(summary)
-            | leader::LeaderMessage::DomainSummary(summary) => summary.store_version,
+            | leader::LeaderMessage::DomainSummary(summary) => {
+                if era < self.core.store_era() {
+                    // What its sender passes on of the store is older than what is
+                    // known here, so nobody may rely on it.
+                    summary.store_age_ms = u32::MAX;
+                }
+                summary.store_version
+            }
             _ => 0,
         };
         let now = time::Instant::now();
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -167,6 +167,8 @@
     pub held_bytes: gauge::Gauge,
     /// Version of the document in force.
     pub document_version: gauge::Gauge,
+    /// Era of the store.
+    pub store_era: gauge::Gauge,
     /// Time for which this node has known of a row that it lacks.
     pub rows_behind_ms: gauge::Gauge,
     /// Time to the first event of a stream, in seconds.
@@ -215,6 +217,7 @@
             connections: gauge::Gauge::default(),
             held_bytes: gauge::Gauge::default(),
             document_version: gauge::Gauge::default(),
+            store_era: gauge::Gauge::default(),
             rows_behind_ms: gauge::Gauge::default(),
             first_seconds: latency(),
             total_seconds: latency(),
@@ -338,6 +341,11 @@
             "Version of the document in force",
             version,
         );
+        registry.register(
+            "store_era",
+            "Latest known era of the store, which rises when it comes back from an older copy",
+            set.store_era.clone(),
+        );
         registry.register(
             "rows_behind_ms",
             "Time since a peer named a newer row than this node has",
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -1,7 +1,9 @@
 //! Copies of the store's watched tables on a node.
 //!
 //! Rows arrive from the store or from peers. The version of a row decides
-//! which copy is newer, so rows may arrive twice, late and in any order.
+//! which copy is newer, so rows may arrive twice, late and in any order. The changes
+//! between two versions of different eras are not known, so a copy goes over to the next
+//! era by a whole table only.
 
 use arbutusfold_platform::store;
 use bytes::Bytes;
@@ -47,7 +49,7 @@
     /// Returns the version up to which the copy has every change, 0 until it is
     /// complete.
     pub fn complete_version(&self) -> store::RowVersion {
-        self.complete_version.unwrap_or(0)
+        self.complete_version.unwrap_or_default()
     }
 
     /// Returns the version of the newest change in the part of the copy that is
@@ -59,7 +61,7 @@
         }
         let versions = self.rows.iter().map(|row| row.version);
         let settled = versions.filter(|version| *version <= complete);
-        settled.max().unwrap_or(0)
+        settled.max().unwrap_or_default()
     }
 
     /// Returns the highest version among the rows.
@@ -78,9 +80,12 @@
         self.rows.iter().filter(|row| row.value.is_some())
     }
 
-    /// Merges rows into the copy and returns those whose content changed.
+    /// Merges rows into the copy and returns those whose content changed. Rows of an era
+    /// before that of a complete copy are ignored: they may be gone since.
     pub fn merge(&mut self, rows: impl IntoIterator<Item = MirrorRow>) -> Vec<MirrorRow> {
-        let changes = rows.into_iter().filter_map(|row| self.merge_row(row));
+        let era = self.complete_version().era;
+        let rows = rows.into_iter().filter(|row| row.version.era >= era);
+        let changes = rows.filter_map(|row| self.merge_row(row));
         let changes = changes.collect();
         self.purge_tombstones();
         changes
@@ -90,7 +95,8 @@
     /// rows whose content changed.
     ///
     /// Returns `None` and merges nothing if this copy is not complete up to that
-    /// version: the rows in between would be missing and nothing would show it.
+    /// version, or the changes are of another era than it: the rows in between would be
+    /// missing and nothing would show it.
     pub fn merge_after(
         &mut self,
         after: store::RowVersion,
@@ -109,7 +115,7 @@
         rows: Vec<MirrorRow>,
     ) -> Option<Vec<MirrorRow>> {
         let end = self.complete_version.unwrap_or(self.latest_version);
-        if end < after {
+        if end < after || after.era != until.era {
             return None;
         }
         self.complete_version = self.complete_version.map(|end| end.max(until));
@@ -129,7 +135,7 @@
             .filter(|row| keys.binary_search(&row.key).is_err())
             .map(|row| MirrorRow {
                 key: row.key.clone(),
-                version: version.max(row.version + 1),
+                version: version.max(row.version.next()),
                 value: None,
             })
             .collect();
@@ -139,13 +145,17 @@
 
     /// Returns the rows that changed after a version, up to the one up to which a
     /// whole copy is complete, or `None` if tombstones from after that version may have
-    /// been purged.
+    /// been purged, or the copy is of another era than it.
     pub fn changes_after(&self, version: store::RowVersion) -> Option<Vec<MirrorRow>> {
         let is_settled =
             |row: &&MirrorRow| self.complete_version.is_none_or(|end| row.version <= end);
         let settled = self.rows.iter().filter(is_settled);
         let changed = settled.filter(|row| row.version > version);
-        (version >= self.purged_version).then(|| changed.cloned().collect())
+        let is_same_era = self
+            .complete_version
+            .is_none_or(|end| end.era == version.era);
+        let is_known = is_same_era && version >= self.purged_version;
+        is_known.then(|| changed.cloned().collect())
     }
 
     fn merge_row(&mut self, row: MirrorRow) -> Option<MirrorRow> {
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -64,22 +64,76 @@
         /// may have removed the entries of live runners.
         failed_ms: Option<u32>,
     },
-    /// Versions of the sender's copies, sent when they changed. The release before
-    /// drops it.
+    /// Versions of the sender's copies, sent when they changed.
     Versions(versions::TableVersions),
 }
 
+impl MirrorMessage {
+    /// Encodes the message, followed by the eras of its versions.
+    ///
+    /// # Errors
+    ///
+    /// [`postcard::Error`] if the message cannot be encoded.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let eras = match self {
+            Self::Request(versions) | Self::Versions(versions) => {
+                versions.iter().map(|version| version.era).collect()
+            }
+            Self::Rows { extent, .. } => vec![extent.version().era],
+            // The packed message names its own.
+            Self::Relay { .. } => Vec::new(),
+        };
+        versions::encode_eras(self, &eras)
+    }
+
+    /// Decodes a message and the eras of its versions.
+    ///
+    /// # Errors
+    ///
+    /// [`postcard::Error`] if the message cannot be decoded.
+    pub fn decode(body: &[u8]) -> postcard::Result<Self> {
+        let (mut message, eras) = versions::decode_eras(body)?;
+        match &mut message {
+            Self::Request(versions) | Self::Versions(versions) => {
+                versions::set_eras(versions, &eras);
+            }
+            Self::Rows { extent, rows, .. } => {
+                let era = eras.first().copied().unwrap_or(0);
+                extent.version_mut().era = era;
+                rows.iter_mut().for_each(|row| row.version.era = era);
+            }
+            Self::Relay { .. } => {}
+        }
+        Ok(message)
+    }
+}
+
 /// Part of a table that a list of rows makes up.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RowExtent {
     /// All rows of the table as of this version.
     #[display("full:{_0}")]
     Full(store::RowVersion),
-    /// The rows that changed after this version.
+    /// The rows that changed after this version, all of its era.
     #[display("after:{_0}")]
     After(store::RowVersion),
 }
 
+impl RowExtent {
+    /// Returns the version that the extent names.
+    pub fn version(self) -> store::RowVersion {
+        match self {
+            Self::Full(version) | Self::After(version) => version,
+        }
+    }
+
+    fn version_mut(&mut self) -> &mut store::RowVersion {
+        match self {
+            Self::Full(version) | Self::After(version) => version,
+        }
+    }
+}
+
 /// Requests rows when the membership reports a peer with a higher store
 /// version, and stops the node when another process has taken its name.
 pub struct MembershipListener {
@@ -103,11 +157,11 @@
     }
 
     fn attachment(&self) -> Vec<u8> {
-        postcard::to_stdvec(&self.core.table_versions()).unwrap_or_default()
+        versions::encode_versions(&self.core.table_versions()).unwrap_or_default()
     }
 
     fn attached(&self, attachment: &[u8], from: &str) {
-        if let Ok(named) = postcard::from_bytes(attachment) {
+        if let Ok(named) = versions::decode_versions(attachment) {
             note_versions(&self.core, named, from);
         }
     }
@@ -136,7 +190,7 @@
 impl peer::MessageHandler for MirrorHandler {
     fn handle(&self, sender: &str, body: &[u8]) {
         // Messages that a later release added cannot be decoded and are dropped.
-        let Ok(message) = postcard::from_bytes::<MirrorMessage>(body) else {
+        let Ok(message) = MirrorMessage::decode(body) else {
             return;
         };
         match message {
@@ -185,10 +239,12 @@
         let Some(table) = store::WatchedTable::ALL.get(table).copied() else {
             return;
         };
+        self.core.note_era(extent.version().era, sender);
         let before = self
             .core
             .with_mirror(table, mirror::TableMirror::change_version);
-        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let newest = rows.iter().map(|row| row.version).max();
+        let newest = newest.unwrap_or_default();
         let detail = format!(
             "table={} rows={} newest={newest} extent={extent} before={before} from={sender}",
             table.index(),
@@ -291,7 +347,8 @@
     after: store::RowVersion,
     rows: Vec<mirror::MirrorRow>,
 ) {
-    if rows.is_empty() {
+    let complete = core.with_mirror(table, mirror::TableMirror::complete_version);
+    if rows.is_empty() && after.era == complete.era {
         return;
     }
     let is_leading = core.is_leading();
@@ -310,8 +367,8 @@
 }
 
 /// Forwards the changes after a version to the other nodes of the failure
-/// domain, if this node leads it. A node that had no rows before forwards the
-/// whole table, as it does not know which rows were removed.
+/// domain, if this node leads it. A node that had no rows of the same era before
+/// forwards the whole table, as it does not know which rows were removed.
 pub fn forward_changes(
     core: &core::GatewayCore,
     table: store::WatchedTable,
@@ -323,14 +380,15 @@
     let complete = core.with_mirror(table, mirror::TableMirror::complete_version);
     let settled = rows.into_iter().filter(|row| row.version <= complete);
     let rows: Vec<_> = settled.collect();
-    if rows.is_empty() || !core.is_leading() {
+    let is_whole = after.number == 0 || after.era != complete.era;
+    if (rows.is_empty() && !is_whole) || !core.is_leading() {
         return;
     }
-    let has_removals = after == 0 || rows.iter().any(|row| row.value.is_none());
+    let has_removals = is_whole || rows.iter().any(|row| row.value.is_none());
     let failed_ms = outage_age_ms(core).filter(|_| has_removals);
-    let message = match after {
-        0 => missing_rows(core, table.index(), after),
-        _ => Some(MirrorMessage::Rows {
+    let message = match is_whole {
+        true => missing_rows(core, table.index(), after),
+        false => Some(MirrorMessage::Rows {
             table: table.index(),
             extent: RowExtent::After(after),
             rows,
@@ -367,7 +425,7 @@
 }
 
 fn pack(message: &MirrorMessage) -> Option<Bytes> {
-    let plain = postcard::to_stdvec(message).ok()?;
+    let plain = message.encode().ok()?;
     Some(lz4_flex::compress_prepend_size(&plain).into())
 }
 
@@ -378,7 +436,7 @@
         return None;
     }
     let plain = lz4_flex::decompress_size_prepended(packed).ok()?;
-    postcard::from_bytes(&plain).ok()
+    MirrorMessage::decode(&plain).ok()
 }
 
 /// Returns the time since the start of the latest failed call to the store, if
@@ -403,7 +461,7 @@
         if !mirror.is_complete() || mirror.change_version() <= after {
             return None;
         }
-        let changed = mirror.changes_after(after).filter(|_| after > 0);
+        let changed = mirror.changes_after(after).filter(|_| after.number > 0);
         Some(match changed {
             Some(rows) => MirrorMessage::Rows {
                 table: index,
@@ -420,5 +478,7 @@
 }
 
 fn send(core: &core::GatewayCore, to: &str, message: &MirrorMessage) {
-    core.send_message(to, peer::MessageKind::Mirror, message);
+    if let Ok(body) = message.encode() {
+        core.post.send(to, peer::MessageKind::Mirror, &body);
+    }
 }
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -91,6 +91,7 @@
             Some(after) => core.store.changes(table, after, wait).await,
             None => core.store.snapshot(table).await,
         };
+        core.note_era(core.store.era(), "store");
         match answer {
             Ok(page) => {
                 core.record_store_call(table, true, started, "answered");
@@ -109,7 +110,14 @@
                     Some(after) => core.merge_between(table, after, page.version, rows),
                     None => Some(core.replace(table, rows, page.version)),
                 };
-                replication::share_changes(&core, table, before, changed.unwrap_or_default());
+                let Some(changed) = changed else {
+                    // The changes since the position are unknown: the store came back
+                    // from an older copy, and its numbers have passed the position.
+                    note_reread(&core, position, &page.version.to_string());
+                    position = None;
+                    continue;
+                };
+                replication::share_changes(&core, table, before, changed);
                 // Changes come in bursts, for example when runners register or
                 // their entries expire.
                 time::sleep(match core.is_leading() {
@@ -120,8 +128,7 @@
                 position = Some(core.with_mirror(table, mirror::TableMirror::complete_version));
             }
             Err(store::StoreError::HistoryLost) => {
-                let detail = format!("after={}", position.unwrap_or(0));
-                core.note(event::EventCode::StoreReread, "store", detail);
+                note_reread(&core, position, "gone");
                 position = None;
             }
             Err(error) => {
@@ -135,3 +142,9 @@
         }
     }
 }
+
+fn note_reread(core: &core::GatewayCore, position: Option<store::RowVersion>, found: &str) {
+    let after = position.unwrap_or_default();
+    let detail = format!("after={after} found={found} era={}", core.store_era());
+    core.note(event::EventCode::StoreReread, "store", detail);
+}
--- a/arbutusfold/src/gateway/suspect_store.rs
+++ b/arbutusfold/src/gateway/suspect_store.rs
@@ -34,7 +34,7 @@
 /// The row as a node last read or wrote it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoredLedger {
-    /// Version of the row, 0 if it is absent.
+    /// Version of the row; its number is 0 if the row is absent.
     pub version: store::RowVersion,
     /// Digest of the records that it stands for.
     pub digest: u64,
@@ -103,7 +103,14 @@
         value: encode(records),
     };
     core.metrics.store_calls.inc();
-    match core.store.swap(swap).await {
+    let outcome = core.store.swap(swap).await;
+    core.note_era(core.store.era(), "store");
+    match outcome {
+        // The number that was expected is that of another row in another era, which may
+        // hold records that were not read.
+        Ok(store::SwapOutcome::Written(version)) if version.era != known.version.era => {
+            *lock(&core.suspects_stored) = None;
+        }
         Ok(store::SwapOutcome::Written(version)) => {
             *lock(&core.suspects_stored) = Some(StoredLedger { version, digest });
             let detail = format!("written version={version}");
@@ -122,9 +129,12 @@
 /// Reads the row and merges its records into those of this node.
 async fn read(core: &core::GatewayCore) -> Result<StoredLedger, store::StoreError> {
     core.metrics.store_calls.inc();
-    let page = core.store.read(TABLE).await?;
+    let page = core.store.read(TABLE).await;
+    core.note_era(core.store.era(), "store");
+    let page = page?;
     let row = page.rows.iter().find(|row| row.key == KEY);
-    let version = row.map_or(0, |row| row.version);
+    let absent = store::RowVersion::new(page.version.era, 0);
+    let version = row.map_or(absent, |row| row.version);
     let records = row.and_then(|row| postcard::from_bytes(row.value.as_deref()?).ok());
     let is_readable = row.is_none() || records.is_some();
     let records: Vec<ledger::SuspectRecord> = records.unwrap_or_default();
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -21,6 +21,7 @@
 use crate::gateway::leader;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
+use crate::gateway::versions;
 use crate::id;
 use crate::member;
 use crate::peer;
@@ -230,7 +231,7 @@
 impl peer::MessageHandler for LedgerHandler {
     fn handle(&self, sender: &str, body: &[u8]) {
         // Messages that a later release added cannot be decoded and are dropped.
-        let Ok(message) = postcard::from_bytes::<LedgerMessage>(body) else {
+        let Ok((message, eras)) = versions::decode_eras::<LedgerMessage>(body) else {
             return;
         };
         let core = &self.core;
@@ -257,8 +258,13 @@
                     send(core, sender, &LedgerMessage::Changed(records));
                 }
             }
-            LedgerMessage::Stored { version, digest } => {
-                if lock(&core.suspects).digest() == digest {
+            LedgerMessage::Stored {
+                mut version,
+                digest,
+            } => {
+                version.era = eras.first().copied().unwrap_or(0);
+                let is_current = version.era == core.store_era();
+                if is_current && lock(&core.suspects).digest() == digest {
                     let stored = suspect_store::StoredLedger { version, digest };
                     *lock(&core.suspects_stored) = Some(stored);
                 }
@@ -371,8 +377,12 @@
         version: stored.version,
         digest: stored.digest,
     };
+    let Ok(body) = versions::encode_eras(&message, &[stored.version.era]) else {
+        return;
+    };
     let others = other_leaders(core, &leader::leaders(&members));
-    others.iter().for_each(|to| send(core, to, &message));
+    let kind = peer::MessageKind::Suspect;
+    others.iter().for_each(|to| core.post.send(to, kind, &body));
 }
 
 fn send_changes(core: &core::GatewayCore) {
--- a/arbutusfold/src/gateway/versions.rs
+++ b/arbutusfold/src/gateway/versions.rs
@@ -1,7 +1,9 @@
 //! Versions of the copies of the store's tables, as nodes tell each other.
 //!
-//! The versions follow the message that carries them: nodes of the release before
-//! ignore bytes behind a message that they can decode.
+//! The versions follow the message that carries them, and the eras of versions follow
+//! these: nodes of the release before ignore bytes behind a message that they can decode.
+//! A message without eras is from a node that knows none, and its versions are older than
+//! those of any era.
 
 use std::time as std_time;
 
@@ -18,6 +20,33 @@
 /// of [`store::WatchedTable::ALL`]; 0 for a copy that is not complete.
 pub type TableVersions = Vec<store::RowVersion>;
 
+/// Returns the latest era of the copies.
+pub fn era(versions: &TableVersions) -> store::StoreEra {
+    let eras = versions.iter().map(|version| version.era);
+    eras.max().unwrap_or(0)
+}
+
+/// Encodes versions and their eras.
+///
+/// # Errors
+///
+/// [`postcard::Error`] if they cannot be encoded.
+pub fn encode_versions(versions: &TableVersions) -> postcard::Result<Vec<u8>> {
+    let eras: Vec<_> = versions.iter().map(|version| version.era).collect();
+    encode_eras(versions, &eras)
+}
+
+/// Decodes versions and the eras that follow them.
+///
+/// # Errors
+///
+/// [`postcard::Error`] if they cannot be decoded.
+pub fn decode_versions(bytes: &[u8]) -> postcard::Result<TableVersions> {
+    let (mut versions, eras) = decode_eras::<TableVersions>(bytes)?;
+    set_eras(&mut versions, &eras);
+    Ok(versions)
+}
+
 /// Encodes a message that is followed by the sender's versions.
 ///
 /// # Errors
@@ -25,7 +54,7 @@
 /// [`postcard::Error`] if the message cannot be encoded.
 pub fn encode(message: &impl Serialize, versions: &TableVersions) -> postcard::Result<Vec<u8>> {
     let mut body = postcard::to_stdvec(message)?;
-    body.extend(postcard::to_stdvec(versions)?);
+    body.extend(encode_versions(versions)?);
     Ok(body)
 }
 
@@ -38,7 +67,41 @@
     body: &[u8],
 ) -> postcard::Result<(T, Option<TableVersions>)> {
     let (message, rest) = postcard::take_from_bytes(body)?;
-    Ok((message, postcard::from_bytes(rest).ok()))
+    Ok((message, decode_versions(rest).ok()))
+}
+
+/// Encodes a message that is followed by the eras of the versions in it.
+///
+/// # Errors
+///
+/// [`postcard::Error`] if the message cannot be encoded.
+pub fn encode_eras(
+    message: &impl Serialize,
+    eras: &[store::StoreEra],
+) -> postcard::Result<Vec<u8>> {
+    let mut body = postcard::to_stdvec(message)?;
+    if eras.iter().any(|era| *era > 0) {
+        body.extend(postcard::to_stdvec(eras)?);
+    }
+    Ok(body)
+}
+
+/// Decodes a message and the eras that follow it, none for a sender that knows none.
+///
+/// # Errors
+///
+/// [`postcard::Error`] if the message cannot be decoded.
+pub fn decode_eras<T: de::DeserializeOwned>(
+    body: &[u8],
+) -> postcard::Result<(T, Vec<store::StoreEra>)> {
+    let (message, rest) = postcard::take_from_bytes(body)?;
+    Ok((message, postcard::from_bytes(rest).unwrap_or_default()))
+}
+
+/// Sets the eras of versions that were decoded without them.
+pub fn set_eras(versions: &mut TableVersions, eras: &[store::StoreEra]) {
+    let named = versions.iter_mut().zip(eras);
+    named.for_each(|(version, era)| version.era = *era);
 }
 
 /// A peer and the versions that it named.
--- a/arbutusfold/tests/demand_network/mod.rs
+++ b/arbutusfold/tests/demand_network/mod.rs
@@ -284,7 +284,7 @@
         for core in self.nodes.get().unwrap() {
             let row = mirror::MirrorRow {
                 key: format!("i-{runner}"),
-                version: version * 1_000 + runner as u64,
+                version: store::RowVersion::new(0, version * 1_000 + runner as u64),
                 value: Some(Bytes::from(value.clone())),
             };
             core.merge(store::WatchedTable::Runners, vec![row]);
--- a/arbutusfold/tests/gateway_admission.rs
+++ b/arbutusfold/tests/gateway_admission.rs
@@ -25,7 +25,7 @@
         let text = gateway_script::DOCUMENT.replace("\"version\":1", "\"version\":2");
         let row = mirror::MirrorRow {
             key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
-            version: 2,
+            version: store::RowVersion::new(0, 2),
             value: Some(Bytes::from(text.replace("/p/", "/added/"))),
         };
         core.merge(store::WatchedTable::Operator, vec![row]);
--- a/arbutusfold/tests/gateway_core.rs
+++ b/arbutusfold/tests/gateway_core.rs
@@ -25,7 +25,7 @@
     let text = format!(r#"{{"version": {version}, "routes": [], "services": []}}"#);
     mirror::MirrorRow {
         key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
-        version: row_version,
+        version: store::RowVersion::new(0, row_version),
         value: Some(Bytes::from(text)),
     }
 }
@@ -37,7 +37,11 @@
     core.merge(store::WatchedTable::Operator, vec![document_row(10, 6)]);
     assert_eq!(core.document_version(), 6);
     core.merge(store::WatchedTable::Operator, vec![document_row(11, 3)]);
-    core.replace(store::WatchedTable::Operator, vec![document_row(12, 4)], 12);
+    core.replace(
+        store::WatchedTable::Operator,
+        vec![document_row(12, 4)],
+        store::RowVersion::new(0, 12),
+    );
     assert_eq!(core.document_version(), 6);
     core.merge(store::WatchedTable::Operator, vec![document_row(13, 9)]);
     assert_eq!(core.document_version(), 9);
@@ -50,7 +54,7 @@
         "born":1,"type":"l4","models":[{"name":"m"}]}"#;
     mirror::MirrorRow {
         key: "i-1".to_owned(),
-        version,
+        version: store::RowVersion::new(0, version),
         value: is_present.then(|| Bytes::from(entry)),
     }
 }
@@ -83,7 +87,11 @@
         time::advance(100 * MS).await;
         receive_summary(&core, 50);
     }
-    core.merge_after(store::WatchedTable::Runners, 1, vec![runner_row(2, false)]);
+    core.merge_after(
+        store::WatchedTable::Runners,
+        store::RowVersion::new(0, 1),
+        vec![runner_row(2, false)],
+    );
     let now = time::Instant::now();
     let fleet = core.fleet.lock().unwrap();
     assert!(fleet.get("i-1").is_none_or(|state| !state.is_usable(now)));
@@ -102,7 +110,7 @@
     }
     let rows = replication::MirrorMessage::Rows {
         table: store::WatchedTable::Runners.index(),
-        extent: replication::RowExtent::After(1),
+        extent: replication::RowExtent::After(store::RowVersion::new(0, 1)),
         rows: vec![runner_row(2, false)],
     };
     let plain = postcard::to_stdvec(&rows).unwrap();
--- a/arbutusfold/tests/gateway_fleet.rs
+++ b/arbutusfold/tests/gateway_fleet.rs
@@ -5,6 +5,7 @@
 use std::time as std_time;
 
 use arbutusfold::gateway::{demand, fleet, leader, mirror};
+use arbutusfold_platform::store;
 use bytes::Bytes;
 use tokio::time;
 
@@ -22,7 +23,7 @@
 fn row(version: u64, value: Option<Bytes>) -> mirror::MirrorRow {
     mirror::MirrorRow {
         key: "i-1".to_owned(),
-        version,
+        version: store::RowVersion::new(0, version),
         value,
     }
 }
--- a/arbutusfold/tests/gateway_limits.rs
+++ b/arbutusfold/tests/gateway_limits.rs
@@ -31,7 +31,7 @@
         );
         let row = mirror::MirrorRow {
             key: RUNNER.to_owned(),
-            version: born,
+            version: store::RowVersion::new(0, born),
             value: Some(Bytes::from(value)),
         };
         core.merge(store::WatchedTable::Runners, vec![row]);
--- a/arbutusfold/tests/gateway_loan.rs
+++ b/arbutusfold/tests/gateway_loan.rs
@@ -23,7 +23,7 @@
         let core = network.node(node);
         let row = mirror::MirrorRow {
             key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
-            version: 20,
+            version: store::RowVersion::new(0, 20),
             value: Some(Bytes::from(document)),
         };
         core.merge(store::WatchedTable::Operator, vec![row]);
--- a/arbutusfold/tests/gateway_messages.rs
+++ b/arbutusfold/tests/gateway_messages.rs
@@ -41,7 +41,7 @@
         "state":"ready","born":7}"#;
     let row = mirror::MirrorRow {
         key: "i-1".to_owned(),
-        version: 1,
+        version: store::RowVersion::new(0, 1),
         value: Some(Bytes::from(value)),
     };
     core.merge(store::WatchedTable::Runners, vec![row]);
--- a/arbutusfold/tests/gateway_network/mod.rs
+++ b/arbutusfold/tests/gateway_network/mod.rs
@@ -78,10 +78,30 @@
 
 /// Returns the state of the node with this record and these further settings.
 pub fn core_with(record: &member::MemberRecord, extra: &str) -> sync::Arc<core::GatewayCore> {
+    build(
+        record,
+        net::SocketAddr::from(([10, 0, 0, 1], 60_006)),
+        extra,
+    )
+}
+
+/// Returns the state of the node with this record whose store has this address.
+pub fn core_at(
+    record: &member::MemberRecord,
+    store: net::SocketAddr,
+) -> sync::Arc<core::GatewayCore> {
+    build(record, store, "")
+}
+
+fn build(
+    record: &member::MemberRecord,
+    store: net::SocketAddr,
+    extra: &str,
+) -> sync::Arc<core::GatewayCore> {
     let text = format!(
         r#"{{"name": "{}", "region": "r", "domain": "{}", "callers": "10.0.0.1:60001",
         "ready": "10.0.0.1:60002", "directory": "10.0.0.1:60003",
-        "peers": "{}", "metrics": "10.0.0.1:60005", "store": "10.0.0.1:60006",
+        "peers": "{}", "metrics": "10.0.0.1:60005", "store": "{store}",
         "peer_keys": ["00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"],
         {extra}}}"#,
         record.name, record.domain, record.peers
--- a/arbutusfold/tests/gateway_offer.rs
+++ b/arbutusfold/tests/gateway_offer.rs
@@ -5,6 +5,7 @@
 mod gateway_fixture;
 
 use arbutusfold::gateway::{fleet, leader, mirror, path, selector};
+use arbutusfold_platform::store;
 use bytes::Bytes;
 use gateway_fixture::{engine, query};
 use tokio::time;
@@ -19,7 +20,7 @@
         );
         let row = mirror::MirrorRow {
             key: format!("i-{number}"),
-            version: 1,
+            version: store::RowVersion::new(0, 1),
             value: Some(Bytes::from(entry)),
         };
         fleet.update(&row, None);
--- a/arbutusfold/tests/gateway_page.rs
+++ b/arbutusfold/tests/gateway_page.rs
@@ -48,7 +48,9 @@
     let wait = time::Duration::ZERO;
     for page in [
         client.snapshot(table).await,
-        client.changes(table, 4, wait).await,
+        client
+            .changes(table, store::RowVersion::new(0, 4), wait)
+            .await,
     ] {
         let page = page.unwrap();
         let rows: Vec<_> = page
@@ -57,7 +59,7 @@
             .map(|row| {
                 (
                     row.key.as_str(),
-                    row.version,
+                    row.version.number,
                     row.value.as_ref().map(|value| value.len()),
                 )
             })
@@ -69,7 +71,7 @@
             ("i-9", 11, Some(1)),
         ];
         assert_eq!(rows, expected);
-        assert_eq!(page.version, 12);
+        assert_eq!(page.version.number, 12);
         assert_eq!(page.faults.len(), ODD_ROWS.len());
     }
 }
--- a/arbutusfold/tests/gateway_relay.rs
+++ b/arbutusfold/tests/gateway_relay.rs
@@ -12,7 +12,7 @@
 use arbutusfold::gateway::runner_call;
 use arbutusfold::gateway::{dial, direct, fleet, metrics, mirror, race, relay, relay_server};
 use arbutusfold::{event, member, peer};
-use arbutusfold_platform::link;
+use arbutusfold_platform::{link, store};
 use bytes::Bytes;
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -181,7 +181,7 @@
             );
             let row = mirror::MirrorRow {
                 key: format!("i-{index}"),
-                version: 1,
+                version: store::RowVersion::new(0, 1),
                 value: Some(Bytes::from(value)),
             };
             known.update(&row, None).unwrap();
--- a/arbutusfold/tests/gateway_release.rs
+++ b/arbutusfold/tests/gateway_release.rs
@@ -47,11 +47,16 @@
     }
 }
 
+/// Returns a version of a store that names no era.
+fn at(number: u64) -> store::RowVersion {
+    store::RowVersion::new(0, number)
+}
+
 fn row() -> mirror::MirrorRow {
     let text = r#"{"version":20,"routes":[],"services":[]}"#;
     mirror::MirrorRow {
         key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
-        version: 20,
+        version: at(20),
         value: Some(Bytes::from(text)),
     }
 }
@@ -80,11 +85,11 @@
     let loads = leader::LeaderMessage::NodeLoads(summary().loads);
     assert_eq!(lead(NODE_LOADS), (loads, None));
     let rows = |hex| postcard::from_bytes::<replication::MirrorMessage>(&bytes(hex)).unwrap();
-    let request = replication::MirrorMessage::Request(vec![3, 4]);
+    let request = replication::MirrorMessage::Request(vec![at(3), at(4)]);
     assert_eq!(rows(ROW_REQUEST), request);
     let full = replication::MirrorMessage::Rows {
         table: 0,
-        extent: replication::RowExtent::Full(20),
+        extent: replication::RowExtent::Full(at(20)),
         rows: vec![row()],
     };
     assert_eq!(rows(ROWS), full);
@@ -140,7 +145,7 @@
 #[test]
 fn messages_of_this_release_are_read_by_the_one_before() {
     let message = leader::LeaderMessage::FleetSummary(summary());
-    let body = versions::encode(&message, &vec![20, 31]).unwrap();
+    let body = versions::encode(&message, &vec![at(20), at(31)]).unwrap();
     assert!(body.starts_with(&bytes(FLEET_SUMMARY)));
     assert_eq!(
         postcard::from_bytes::<leader::LeaderMessage>(&body).unwrap(),
@@ -153,7 +158,7 @@
         postcard::from_bytes::<message::MemberMessage>(&body).unwrap(),
         probe()
     );
-    let request = replication::MirrorMessage::Request(vec![3, 4]);
+    let request = replication::MirrorMessage::Request(vec![at(3), at(4)]);
     assert_eq!(postcard::to_stdvec(&request).unwrap(), bytes(ROW_REQUEST));
 }
 
@@ -171,7 +176,7 @@
 async fn document_from_a_leader_of_the_release_before_comes_into_force() {
     let core = node();
     let handler = replication::MirrorHandler::new(sync::Arc::clone(&core));
-    core.replace(store::WatchedTable::Operator, Vec::new(), 3);
+    core.replace(store::WatchedTable::Operator, Vec::new(), at(3));
     handler.handle("front-zone-0001", &bytes(RELAY));
     assert_eq!(core.document_version(), 20);
 }
--- a/arbutusfold/tests/gateway_replication.rs
+++ b/arbutusfold/tests/gateway_replication.rs
@@ -119,6 +119,11 @@
     network
 }
 
+/// Returns a version of a store that names no era.
+fn at(number: u64) -> store::RowVersion {
+    store::RowVersion::new(0, number)
+}
+
 /// Returns a document with so many routes, with names drawn by its version.
 fn document(version: u64, routes: usize) -> mirror::MirrorRow {
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(9);
@@ -143,7 +148,7 @@
     );
     mirror::MirrorRow {
         key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
-        version,
+        version: at(version),
         value: Some(Bytes::from(text)),
     }
 }
@@ -163,8 +168,8 @@
     answer_leader(leader);
     let before = leader.with_mirror(table, mirror::TableMirror::change_version);
     let version = row.version;
-    let changed = match before {
-        0 => leader.replace(table, vec![row], 1),
+    let changed = match before.number {
+        0 => leader.replace(table, vec![row], at(1)),
         _ => leader
             .merge_between(table, before, version, vec![row])
             .unwrap(),
@@ -177,7 +182,7 @@
         "born":1,"type":"l4","models":[{"name":"m"}]}"#;
     mirror::MirrorRow {
         key: format!("i-{version}"),
-        version,
+        version: at(version),
         value: Some(Bytes::from(entry)),
     }
 }
@@ -191,13 +196,13 @@
     let table = store::WatchedTable::Runners;
     let nodes = network.nodes.get().unwrap();
     for core in nodes.iter().filter(|core| !core.is_leading()) {
-        core.replace(table, vec![runner_row(1), runner_row(2)], 2);
+        core.replace(table, vec![runner_row(1), runner_row(2)], at(2));
     }
     let leader = nodes.iter().find(|core| core.is_leading()).unwrap();
     answer_leader(leader);
     // The runner of row 1 has left.
-    let changed = leader.replace(table, vec![runner_row(2), runner_row(4)], 4);
-    replication::forward_changes(leader, table, 0, changed);
+    let changed = leader.replace(table, vec![runner_row(2), runner_row(4)], at(4));
+    replication::forward_changes(leader, table, at(0), changed);
     time::sleep(1_000 * MS).await;
     for core in nodes {
         let fleet = core.fleet.lock().unwrap();
--- a/arbutusfold/tests/gateway_request.rs
+++ b/arbutusfold/tests/gateway_request.rs
@@ -21,7 +21,7 @@
 fn row(key: &str, value: String) -> mirror::MirrorRow {
     mirror::MirrorRow {
         key: key.to_owned(),
-        version: 1,
+        version: store::RowVersion::new(0, 1),
         value: Some(Bytes::from(value)),
     }
 }
--- a/arbutusfold/tests/gateway_room.rs
+++ b/arbutusfold/tests/gateway_room.rs
@@ -7,6 +7,7 @@
 use std::time as std_time;
 
 use arbutusfold::gateway::{demand, fleet, leader, mirror, room, selector, waiting};
+use arbutusfold_platform::store;
 use bytes::Bytes;
 use gateway_fixture::engine;
 use tokio::time;
@@ -27,7 +28,7 @@
         );
         let row = mirror::MirrorRow {
             key: format!("r-{index}"),
-            version: 1,
+            version: store::RowVersion::new(0, 1),
             value: Some(Bytes::from(value)),
         };
         assert!(fleet.update(&row, None).is_some());
--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -140,7 +140,7 @@
 ) -> net::SocketAddr {
     let row = |key: &str, value: String| mirror::MirrorRow {
         key: key.to_owned(),
-        version: 1,
+        version: store::RowVersion::new(0, 1),
         value: Some(Bytes::from(value)),
     };
     let key = store::WatchedTable::DOCUMENT_KEY;
--- a/arbutusfold/tests/gateway_stage_probe.rs
+++ b/arbutusfold/tests/gateway_stage_probe.rs
@@ -262,7 +262,9 @@
 }
 
 fn merge(core: &core::GatewayCore, table: store::WatchedTable, rows: Vec<(&str, String)>) {
-    let version = core.with_mirror(table, |mirror| mirror.latest_version()) + 1;
+    let version = core
+        .with_mirror(table, |mirror| mirror.latest_version())
+        .next();
     let rows = rows.into_iter().map(|(key, value)| mirror::MirrorRow {
         key: key.to_owned(),
         version,
--- a/arbutusfold/tests/gateway_versions.rs
+++ b/arbutusfold/tests/gateway_versions.rs
@@ -77,11 +77,16 @@
     cores
 }
 
+/// Returns a version of a store that names no era.
+fn at(number: u64) -> store::RowVersion {
+    store::RowVersion::new(0, number)
+}
+
 fn document_row(version: u64) -> mirror::MirrorRow {
     let text = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
     mirror::MirrorRow {
         key: store::WatchedTable::DOCUMENT_KEY.to_owned(),
-        version,
+        version: at(version),
         value: Some(Bytes::from(text)),
     }
 }
@@ -90,7 +95,7 @@
     let entry = r#"{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready"}"#;
     mirror::MirrorRow {
         key: key.to_owned(),
-        version,
+        version: at(version),
         value: Some(Bytes::from(entry)),
     }
 }
@@ -102,9 +107,9 @@
     time::sleep(500 * MS).await;
     nodes.sort_by_key(|core| !core.is_leading());
     for core in &nodes {
-        core.replace(store::WatchedTable::Operator, vec![document_row(1)], 3);
+        core.replace(store::WatchedTable::Operator, vec![document_row(1)], at(3));
         let runners = vec![runner_row("i-1", 2), runner_row("i-2", 3)];
-        core.replace(store::WatchedTable::Runners, runners, 3);
+        core.replace(store::WatchedTable::Runners, runners, at(3));
     }
     nodes.try_into().ok().unwrap()
 }
@@ -127,7 +132,9 @@
     record_answer(reader, true);
     let before = reader.with_mirror(table, mirror::TableMirror::change_version);
     let rows = vec![document_row(version)];
-    let changed = reader.merge_between(table, before, version, rows).unwrap();
+    let changed = reader
+        .merge_between(table, before, at(version), rows)
+        .unwrap();
     replication::share_changes(reader, table, before, changed);
     let read_at = time::Instant::now();
     while nodes.iter().any(|core| core.document_version() < version) {
@@ -147,8 +154,8 @@
         let nodes = start(size, 3);
         time::sleep(2_000 * MS).await;
         for core in &nodes {
-            core.replace(store::WatchedTable::Operator, vec![document_row(1)], 1);
-            core.replace(store::WatchedTable::Runners, Vec::new(), 1);
+            core.replace(store::WatchedTable::Operator, vec![document_row(1)], at(1));
+            core.replace(store::WatchedTable::Runners, Vec::new(), at(1));
         }
         let reader = nodes.iter().position(|core| !core.is_leading()).unwrap();
         // The others do not know yet that the store does not serve them.
@@ -177,9 +184,14 @@
     // A whole read of the table after the history was lost: a runner is gone, as of
     // version 60.
     let runners = vec![runner_row("i-1", 2)];
-    follower.replace(store::WatchedTable::Runners, runners, 60);
+    follower.replace(store::WatchedTable::Runners, runners, at(60));
     // The message with this change is lost.
-    leader.merge_between(store::WatchedTable::Operator, 3, 20, vec![document_row(20)]);
+    leader.merge_between(
+        store::WatchedTable::Operator,
+        at(3),
+        at(20),
+        vec![document_row(20)],
+    );
     time::sleep(APPLY_LIMIT).await;
     assert_eq!(follower.document_version(), 20);
 }
@@ -189,9 +201,14 @@
 #[tokio::test(start_paused = true)]
 async fn newer_document_does_not_hide_a_missing_removal() {
     let [leader, follower] = start_pair().await;
-    follower.merge_between(store::WatchedTable::Operator, 3, 90, vec![document_row(90)]);
+    follower.merge_between(
+        store::WatchedTable::Operator,
+        at(3),
+        at(90),
+        vec![document_row(90)],
+    );
     let runners = vec![runner_row("i-1", 2)];
-    leader.replace(store::WatchedTable::Runners, runners, 10);
+    leader.replace(store::WatchedTable::Runners, runners, at(10));
     time::sleep(APPLY_LIMIT).await;
     let fleet = follower.fleet.lock().unwrap();
     let ids: Vec<_> = fleet
@@ -209,8 +226,8 @@
 async fn page_that_names_a_later_version_does_not_hide_a_missing_document() {
     let [leader, follower] = start_pair().await;
     let table = store::WatchedTable::Operator;
-    follower.merge_between(table, 3, 50, Vec::new());
-    leader.merge_between(table, 3, 20, vec![document_row(20)]);
+    follower.merge_between(table, at(3), at(50), Vec::new());
+    leader.merge_between(table, at(3), at(20), vec![document_row(20)]);
     time::sleep(APPLY_LIMIT).await;
     assert_eq!(follower.document_version(), 20);
 }
--- a/arbutusfold/tests/gateway_work.rs
+++ b/arbutusfold/tests/gateway_work.rs
@@ -38,7 +38,7 @@
     let core = sync::Arc::new(core::GatewayCore::new(settings, logger));
     let row = |key: &str, value: String| mirror::MirrorRow {
         key: key.to_owned(),
-        version: 1,
+        version: store::RowVersion::new(0, 1),
         value: Some(Bytes::from(value)),
     };
     let key = store::WatchedTable::DOCUMENT_KEY;
