Read runners' answers within bounds and the account of memory

Cause: the body of a failure was read to its end, up to 16 MB a request, before its head counted, and neither these bytes nor those of successful answers were in any account.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::serve;
 
 pub mod admission;
+pub mod answer_body;
 pub mod bounds;
 pub mod budget;
 pub mod claim;
--- a/arbutusfold/src/gateway/event_stream.rs
+++ b/arbutusfold/src/gateway/event_stream.rs
@@ -3,8 +3,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event in bytes; runners send no longer ones.
-pub const EVENT_LIMIT_BYTES: usize = 1 << 20;
+/// Longest event in bytes; runners send no longer ones. All streams of a host can hold
+/// that much at once.
+pub const EVENT_LIMIT_BYTES: usize = 128 << 10;
 
 /// One server-sent event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -5,16 +5,16 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold_platform::{document, head, link};
+use arbutusfold_platform::{document, head};
 use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http_body_util::{BodyExt, Limited};
 use hyper::body;
 use rand::RngExt;
 use tokio::time;
 
 use crate::event;
+use crate::gateway::answer_body;
 use crate::gateway::bounds;
 use crate::gateway::core;
 use crate::gateway::core::lock;
@@ -199,7 +199,10 @@
             };
             hold.receive(&parts, body, limit_bytes).await?
         }
-        None => read_body(body, limit_bytes, deadline).await?,
+        None => {
+            let read = receive::read_unheld(body, limit_bytes, deadline);
+            read.await.map_err(|error| error.to_refusal())?
+        }
     };
     let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
     lock(&core.budget).note_request(&service, started);
@@ -298,37 +301,6 @@
     }
 }
 
-async fn read_body(
-    body: body::Incoming,
-    limit_bytes: usize,
-    deadline: time::Instant,
-) -> Result<Bytes, response::GatewayRefusal> {
-    let collected = Limited::new(body, limit_bytes).collect();
-    match time::timeout_at(deadline, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(response::GatewayRefusal::failed(
-                http::StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too long",
-            ))
-        }
-        Ok(Err(error)) => {
-            let cause = format!("the body broke off: {error}");
-            Err(response::GatewayRefusal::failed(
-                http::StatusCode::BAD_REQUEST,
-                cause,
-            ))
-        }
-        Err(_) => {
-            let cause = "the body did not come in time";
-            Err(response::GatewayRefusal::failed(
-                http::StatusCode::REQUEST_TIMEOUT,
-                cause,
-            ))
-        }
-    }
-}
-
 async fn serve(mut request: request::CallerRequest) -> response::GatewayResponse {
     let core = sync::Arc::clone(&request.core);
     if let Some(refusal) = request.quarantine_refusal().await {
@@ -384,7 +356,7 @@
     core.metrics.requests.get_or_create(&labels).inc();
 }
 
-/// A complete response of a plain service.
+/// A complete response of a plain service that is no failure.
 struct PlainAnswer {
     target: request::AttemptTarget,
     parts: http::response::Parts,
@@ -394,6 +366,8 @@
 /// Result of one attempt at a plain service.
 enum PlainEnd {
     Answered(Box<PlainAnswer>),
+    /// The runner reported a failure; with the body, if it came soon.
+    Reported(http::response::Parts, Option<Bytes>),
     /// The attempt failed.
     Failed(request::AttemptReach, String),
     /// The run is silent and may go on.
@@ -454,17 +428,16 @@
                     parts,
                     bytes,
                 } = *answer;
-                if !parts.status.is_server_error() {
-                    if parts.status.is_success() {
-                        request.note_begun();
-                    }
-                    request.note_answered();
-                    lock(&request.core.fleet).note_success(&target.runners[0]);
-                    return Ok(relay(&parts, bytes));
+                if parts.status.is_success() {
+                    request.note_begun();
                 }
-                request.note_reported_failure(&target, &parts);
-                error_response = Some(relay(&parts, bytes));
+                request.note_answered();
+                lock(&request.core.fleet).note_success(&target.runners[0]);
+                return Ok(relay(&parts, bytes));
+            }
+            PlainEnd::Reported(parts, bytes) => {
                 let cause = format!("status {}", parts.status.as_u16());
+                error_response = bytes.map(|bytes| relay(&parts, bytes)).or(error_response);
                 (request::AttemptReach::Ran, cause)
             }
             PlainEnd::Failed(reach, cause) => (reach, cause),
@@ -493,7 +466,9 @@
     error_response: &mut Option<response::GatewayResponse>,
 ) {
     if let Some(reported) = request.note_held_failures(held) {
-        *error_response = Some(relay(&reported.parts, reported.bytes));
+        let bytes = reported.bytes;
+        let response = bytes.map(|bytes| relay(&reported.parts, bytes));
+        *error_response = response.or(error_response.take());
     }
 }
 
@@ -515,7 +490,8 @@
         request::AttemptOutcome::Silent { answer, cause } => {
             request.note_held(&target, &cause);
             let id = request.head.request.clone();
-            let run = wait_answer(id, answer, guard, target);
+            let reader = request.body_reader(&target);
+            let run = wait_answer(id, answer, guard, target, reader);
             return PlainEnd::Silent(run.boxed(), cause);
         }
         request::AttemptOutcome::Unanswered { reach, cause } => {
@@ -527,24 +503,30 @@
         }
     };
     let (parts, body) = response.into_parts();
-    let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES);
-    let read = time::timeout(request.time_left(), read).await;
+    let reader = request.body_reader(&target);
+    if parts.status.is_server_error() {
+        request.note_reported_failure(&target, &parts);
+        let bytes = reader.read_failure(body).await;
+        drop(link);
+        return PlainEnd::Reported(parts, bytes);
+    }
+    let read = reader.read(body).await;
     drop(link);
     match read {
-        Ok(Ok(bytes)) => PlainEnd::Answered(Box::new(PlainAnswer {
+        Ok(bytes) => PlainEnd::Answered(Box::new(PlainAnswer {
             target,
             parts,
             bytes,
         })),
-        Ok(Err(error)) => {
-            let fault = held::RunFault::lost(&error, crash::CrashSign::Body);
-            request.note_fault(&target, &fault, false);
-            PlainEnd::Failed(request::AttemptReach::Ran, fault.cause)
-        }
-        Err(_) => {
+        Err(receive::ReceiveError::TimedOut) => {
             request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
             PlainEnd::TimedOut
         }
+        Err(error) => {
+            let fault = answer_body::fault(&error);
+            request.note_fault(&target, &fault, false);
+            PlainEnd::Failed(request::AttemptReach::Ran, fault.cause)
+        }
     }
 }
 
@@ -555,28 +537,27 @@
     answer: request::PendingAnswer,
     _guard: request::LoadGuard,
     target: request::AttemptTarget,
+    reader: answer_body::BodyReader,
 ) -> HeldEnd {
     let (response, link) = match answer.wait_valid(&id).await {
         Ok(answered) => answered,
         Err(fault) => return Err(fault.at(target, false)),
     };
     let (parts, body) = response.into_parts();
-    let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES).await;
+    if parts.status.is_server_error() {
+        let bytes = reader.read_failure(body).await;
+        let response = held::FailureResponse { parts, bytes };
+        return Err(held::RunFault::reported(response).at(target, false));
+    }
+    let read = reader.read(body).await;
     drop(link);
     match read {
-        Ok(bytes) if parts.status.is_server_error() => {
-            let response = held::FailureResponse { parts, bytes };
-            Err(held::RunFault::reported(response).at(target, false))
-        }
         Ok(bytes) => Ok(Box::new(PlainAnswer {
             target,
             parts,
             bytes,
         })),
-        Err(error) => {
-            let fault = held::RunFault::lost(&error, crash::CrashSign::Body);
-            Err(fault.at(target, false))
-        }
+        Err(error) => Err(answer_body::fault(&error).at(target, false)),
     }
 }
 
--- a/arbutusfold/src/gateway/held.rs
+++ b/arbutusfold/src/gateway/held.rs
@@ -30,13 +30,13 @@
     pub response: Option<FailureResponse>,
 }
 
-/// Complete response of a runner that failed a request.
+/// Response of a runner that failed a request.
 #[derive(Debug)]
 pub struct FailureResponse {
     /// Head of the response.
     pub parts: http::response::Parts,
-    /// Complete body.
-    pub bytes: Bytes,
+    /// Complete body, if it came soon.
+    pub bytes: Option<Bytes>,
 }
 
 impl RunFault {
--- a/arbutusfold/src/gateway/receive.rs
+++ b/arbutusfold/src/gateway/receive.rs
@@ -5,7 +5,7 @@
 use std::task;
 use std::time as std_time;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body;
 use tokio::time;
@@ -164,6 +164,31 @@
     Ok(Bytes::from_owner(HeldBytes { bytes, _hold: hold }))
 }
 
+/// Reads a body of up to `limit_bytes` that is in no account.
+///
+/// # Errors
+///
+/// [`ReceiveError`] if the body is too long, late or broken.
+pub async fn read_unheld(
+    mut body: body::Incoming,
+    limit_bytes: usize,
+    deadline: time::Instant,
+) -> Result<Bytes, ReceiveError> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = time::timeout_at(deadline, body.frame()).await;
+        let frame = frame.map_err(|_| ReceiveError::TimedOut)?;
+        let Some(frame) = frame.transpose().map_err(ReceiveError::Broken)? else {
+            return Ok(bytes.freeze());
+        };
+        let data = frame.into_data().unwrap_or_default();
+        if bytes.len() + data.len() > limit_bytes {
+            return Err(ReceiveError::TooLong);
+        }
+        bytes.extend_from_slice(&data);
+    }
+}
+
 /// Body of an answer whose large parts are held in the account until they are sent.
 pub struct HeldAnswer {
     /// Body of the answer.
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -13,6 +13,7 @@
 
 use crate::event;
 use crate::gateway::admission;
+use crate::gateway::answer_body;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
@@ -59,9 +60,6 @@
 /// next one. Room and retries are found again as other requests end.
 const RESTART_PAUSE: std_time::Duration = std_time::Duration::from_millis(200);
 
-/// Longest response of a plain service in bytes.
-pub const RESPONSE_LIMIT_BYTES: usize = 16 << 20;
-
 /// A rejection that takes at least this long can be due to a runner that died
 /// during the run; a runner that was dead before is named at once.
 const LATE_REJECTION: std_time::Duration = std_time::Duration::from_millis(500);
@@ -1433,6 +1431,15 @@
         self.exclude(&target.runners[0]);
     }
 
+    /// Returns the reader of the body of an answer of the first runner.
+    pub fn body_reader(&self, target: &AttemptTarget) -> answer_body::BodyReader {
+        answer_body::BodyReader {
+            account: self.core.memory.clone(),
+            runner: target.address.ip(),
+            deadline: self.deadline,
+        }
+    }
+
     /// Records why a run broke. If only the way to its runner was lost, the runner may
     /// still be at work.
     pub fn note_fault(&mut self, target: &AttemptTarget, fault: &held::RunFault, progressed: bool) {
--- a/arbutusfold/src/gateway/runner_call.rs
+++ b/arbutusfold/src/gateway/runner_call.rs
@@ -13,7 +13,7 @@
 const CALL_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(1_000);
 
 /// Longest report of a runner in bytes.
-const REPORT_LIMIT_BYTES: usize = 1 << 20;
+const REPORT_LIMIT_BYTES: usize = 256 << 10;
 
 /// Attempts to get an answer from a runner that closes its connections.
 const CHECK_ATTEMPTS: u32 = 3;
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 
 use crate::event;
 use crate::gateway::admission;
+use crate::gateway::answer_body;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::event_stream;
@@ -452,14 +453,17 @@
         }
         request::AttemptOutcome::Head { response, link } => {
             let (parts, body) = response.into_parts();
-            let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES);
-            let read = time::timeout(request.time_left(), read).await;
-            drop(link);
             lock(&request.core.fleet).note_error(&path.target.runners[0]);
             request.exclude(&path.target.runners[0]);
-            match read {
-                Ok(Ok(bytes)) => AttemptEnd::Response(parts, bytes),
-                _ => {
+            let reader = request.body_reader(&path.target);
+            let bytes = match parts.status.is_server_error() {
+                true => reader.read_failure(body).await,
+                false => reader.read(body).await.ok(),
+            };
+            drop(link);
+            match bytes {
+                Some(bytes) => AttemptEnd::Response(parts, bytes),
+                None => {
                     let cause = format!("status {}", parts.status.as_u16());
                     AttemptEnd::Failed(request::AttemptReach::Ran, cause)
                 }
@@ -468,7 +472,8 @@
         request::AttemptOutcome::Silent { answer, cause } => {
             request.note_held(&path.target, &cause);
             let id = request.head.request.clone();
-            let run = wait_head(id, answer, path, cursor, is_resumption);
+            let reader = request.body_reader(&path.target);
+            let run = wait_head(id, answer, path, cursor, is_resumption, reader);
             AttemptEnd::Silent(run.boxed(), cause)
         }
         request::AttemptOutcome::Unanswered { reach, cause } => AttemptEnd::Failed(reach, cause),
@@ -513,6 +518,7 @@
     path: stream_path::StreamPath,
     cursor: event_stream::EventCursor,
     is_resumption: bool,
+    reader: answer_body::BodyReader,
 ) -> HeldEnd {
     let (response, link) = match answer.wait_valid(&id).await {
         Ok(answered) => answered,
@@ -520,14 +526,17 @@
     };
     if !response.status().is_success() {
         let (parts, body) = response.into_parts();
-        let read = link::read_body(body, request::RESPONSE_LIMIT_BYTES).await;
-        let fault = match read {
-            Ok(bytes) if !is_resumption && !parts.status.is_server_error() => {
-                return Ok(StartOutcome::Response(forward::relay(&parts, bytes)));
+        let fault = match is_resumption || parts.status.is_server_error() {
+            true => {
+                let bytes = reader.read_failure(body).await;
+                held::RunFault::reported(held::FailureResponse { parts, bytes })
             }
-            Ok(bytes) => held::RunFault::reported(held::FailureResponse { parts, bytes }),
-            Err(error) => held::RunFault::lost(&error, crash::CrashSign::Body),
+            false => match reader.read(body).await {
+                Ok(bytes) => return Ok(StartOutcome::Response(forward::relay(&parts, bytes))),
+                Err(error) => answer_body::fault(&error),
+            },
         };
+        drop(link);
         return Err(fault.at(path.target, false));
     }
     let attempt = StreamAttempt::new(response, link, path);
