Begin no request late in a stop that cannot end before the node

What callers would see: in a planned stop, requests that came late were sent to runners and cut at the end of the process, also those that may not be repeated.

Cause: a node took requests on open connections until it ended, whatever their deadline, and nothing answered what was open then.

Now a request that comes once callers can know of the stop begins only if its deadline is before the end of the node, else it is refused unrun; what is open 200 ms before the end is answered.

--- a/arbutusfold/src/drain.rs
+++ b/arbutusfold/src/drain.rs
@@ -70,12 +70,22 @@
         }
     }
 
+    /// Returns the time from the signal until the node no longer listens.
+    pub fn listening_time(&self) -> std_time::Duration {
+        LEAVE_PROPAGATION_TIME + self.answer_keep
+    }
+
+    /// Returns the longest time from the signal to the exit.
+    pub fn longest_time(&self) -> std_time::Duration {
+        self.listening_time() + self.stop_limit
+    }
+
     /// Processes an event and returns the operation that follows from it.
     pub fn handle(&mut self, event: DrainEvent, now: time::Instant) -> Option<DrainAction> {
         match (self.phase, event) {
             (DrainPhase::Running, DrainEvent::Signal) => {
                 // A peer that has not received the announcement may still give out this address.
-                let until = now + LEAVE_PROPAGATION_TIME + self.answer_keep;
+                let until = now + self.listening_time();
                 self.phase = DrainPhase::Listening { until };
                 Some(DrainAction::Announce)
             }
--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -80,6 +80,7 @@
 pub mod stage_check;
 pub mod stage_probe;
 pub mod stall;
+pub mod stop;
 pub mod store_watch;
 pub mod stream;
 pub mod stream_path;
@@ -372,6 +373,7 @@
     let keep = settings.answer_keep_ms;
     let limit = settings.stop_limit_s.saturating_sub(keep + STOP_MARGIN);
     let keeper = drain::DrainSequence::new(keep, limit);
+    let (listening_time, longest_time) = (keeper.listening_time(), keeper.longest_time());
     let note = |code| {
         let in_flight = core.metrics.in_flight.get();
         let tunnels = core.relay_server.active();
@@ -380,6 +382,11 @@
     };
     let announce = || {
         core.begin_stop();
+        let now = time::Instant::now();
+        core.stop_plan.send_replace(Some(stop::StopPlan {
+            announced_at: now + listening_time,
+            ends_at: now + longest_time,
+        }));
         note(event::EventCode::StopBegan);
         let leaving = member::MemberEvent::Phase(member::MemberPhase::Leaving);
         driver.step(leaving, time::Instant::now());
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -33,6 +33,7 @@
 use crate::gateway::runner_limit;
 use crate::gateway::settings;
 use crate::gateway::stage_probe;
+use crate::gateway::stop;
 use crate::gateway::store_watch;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
@@ -142,6 +143,8 @@
     /// When this node last requested rows from a peer.
     rows_requested_at: sync::Mutex<Option<time::Instant>>,
     stopping: atomic::AtomicBool,
+    /// Times of the graceful stop, once it has begun.
+    pub stop_plan: watch::Sender<Option<stop::StopPlan>>,
 }
 
 impl GatewayCore {
@@ -234,6 +237,7 @@
             row_lag: sync::Mutex::default(),
             rows_requested_at: sync::Mutex::default(),
             stopping: atomic::AtomicBool::new(false),
+            stop_plan: watch::Sender::new(None),
             started_at: time::Instant::now(),
             settings,
         }
@@ -281,6 +285,23 @@
         self.stopping.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns whether a request with this deadline may begin now.
+    pub fn admits(&self, deadline: time::Instant) -> bool {
+        let plan = *self.stop_plan.borrow();
+        plan.is_none_or(|plan| plan.admits(deadline, time::Instant::now()))
+    }
+
+    /// Waits until this node stops and has to answer the requests that are still open.
+    pub async fn answers_due(&self) {
+        let mut plans = self.stop_plan.subscribe();
+        // The sender is a part of this state, so it exists as long as the call.
+        if let Ok(plan) = plans.wait_for(Option::is_some).await.map(|plan| *plan)
+            && let Some(plan) = plan
+        {
+            time::sleep_until(plan.answers_at()).await;
+        }
+    }
+
     /// Marks this node as stopping.
     pub fn begin_stop(&self) {
         self.stopping.store(true, atomic::Ordering::Relaxed);
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -27,6 +27,7 @@
 use crate::gateway::response;
 use crate::gateway::returns;
 use crate::gateway::routing;
+use crate::gateway::stop;
 use crate::gateway::stream;
 use crate::id;
 use crate::serve;
@@ -60,21 +61,30 @@
     core.metrics.in_flight.inc();
     let _guard = InFlightGuard(sync::Arc::clone(&core));
     let disconnect = DisconnectGuard::new(&core, &request_id, started);
-    let mut response = match admit(&core, head, request, started).await {
-        Ok(request) => serve(request).await,
-        Err(refusal) => {
-            let detail = format!(
-                "status={} cause={} document={} ms={}",
-                refusal.status.as_u16(),
-                refusal.cause,
-                core.document_version(),
-                started.elapsed().as_millis()
-            );
-            core.note(event::EventCode::RequestRefused, &request_id, detail);
-            count_request(&core, "none", refusal.status);
-            refusal.to_response()
+    let refuse = |refusal: response::GatewayRefusal| {
+        let detail = format!(
+            "status={} cause={} document={} ms={}",
+            refusal.status.as_u16(),
+            refusal.cause,
+            core.document_version(),
+            started.elapsed().as_millis()
+        );
+        core.note(event::EventCode::RequestRefused, &request_id, detail);
+        count_request(&core, "none", refusal.status);
+        refusal.to_response()
+    };
+    let served = async {
+        match admit(&core, head, request, started).await {
+            Ok(request) => serve(request).await,
+            Err(refusal) => refuse(refusal),
         }
     };
+    let mut response = tokio::select! {
+        biased;
+        response = served => response,
+        // The request may have run; the end of the process would cut it.
+        () = core.answers_due() => refuse(stop::failure()),
+    };
     disconnect.disarm();
     if core.is_stopping() {
         let close = http::HeaderValue::from_static("close");
@@ -188,6 +198,9 @@
     }
     let timeout = head.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = started + timeout.saturating_sub(RESPONSE_MARGIN);
+    if !core.admits(deadline) {
+        return Err(stop::refusal());
+    }
     let limit_bytes = table.limits().body_bytes;
     let body = match &core.memory {
         Some(account) => {
@@ -204,6 +217,10 @@
             read.await.map_err(|error| error.to_refusal())?
         }
     };
+    // The node may have begun to stop while the body arrived.
+    if !core.admits(deadline) {
+        return Err(stop::refusal());
+    }
     let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
     lock(&core.budget).note_request(&service, started);
     let call = request::AdmittedCall {
--- /dev/null
+++ b/arbutusfold/src/gateway/stop.rs
@@ -0,0 +1,49 @@
+//! What a node that stops can still serve.
+
+use std::time as std_time;
+
+use tokio::time;
+
+use crate::gateway::response;
+
+/// Time before its end at which a stopping node answers requests that are still open. An
+/// answer needs that long to reach its caller.
+const ANSWER_TIME: std_time::Duration = std_time::Duration::from_millis(200);
+
+/// Why a node does not finish a request.
+const CAUSE: &str = "this node stops before the request could end";
+
+/// Times of a graceful stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopPlan {
+    /// Until when callers may not know yet that the node stops.
+    pub announced_at: time::Instant,
+    /// When the process ends at the latest.
+    pub ends_at: time::Instant,
+}
+
+impl StopPlan {
+    /// Returns whether a request with this deadline may begin now. Once callers can know
+    /// better, it must end before the node does.
+    pub fn admits(&self, deadline: time::Instant, now: time::Instant) -> bool {
+        now < self.announced_at || deadline <= self.answers_at()
+    }
+
+    /// Returns when the node answers requests that are still open.
+    pub fn answers_at(&self) -> time::Instant {
+        self.ends_at
+            .checked_sub(ANSWER_TIME)
+            .unwrap_or(self.ends_at)
+    }
+}
+
+/// Returns the refusal of a request that must not begin any more. Other nodes serve it at
+/// once.
+pub fn refusal() -> response::GatewayRefusal {
+    response::GatewayRefusal::not_run(CAUSE, std_time::Duration::ZERO)
+}
+
+/// Returns the answer to a request that may have run and does not end in time.
+pub fn failure() -> response::GatewayRefusal {
+    response::GatewayRefusal::failed(http::StatusCode::BAD_GATEWAY, CAUSE)
+}
