Take an answer that states no end of its body for one that broke off

What callers would see: a 200 with a short or empty body, framed as whole, or a stream that ends as complete, where the runner had broken off.

Cause: behind a head without a length and without chunks the body ends with its connection, and so does one that broke off.

Now such a body counts as broken: a request that may be repeated goes to another runner, others get 502, a stream is resumed. Answers without a body are whole. The scripted runners of the tests ended streams with their connection; they send them in chunks now.

--- a/arbutusfold/src/gateway/answer_body.rs
+++ b/arbutusfold/src/gateway/answer_body.rs
@@ -7,7 +7,7 @@
 use std::sync;
 use std::time as std_time;
 
-use arbutusfold_platform::link;
+use arbutusfold_platform::{head, link};
 use bytes::Bytes;
 use hyper::body;
 use tokio::time;
@@ -26,6 +26,14 @@
 /// Longest time for the body of a failure. Its head is enough to try another runner.
 const FAILURE_TIME: std_time::Duration = std_time::Duration::from_millis(250);
 
+/// Why an answer is of no use whose end nothing states.
+pub const UNFRAMED: &str = "the answer states no end of its body";
+
+/// Returns whether an answer has no body or states where it ends.
+pub fn is_framed(parts: &http::response::Parts, body: &body::Incoming) -> bool {
+    body::Body::is_end_stream(body) || head::is_framed(&parts.headers)
+}
+
 /// Reads the bodies of the answers of one runner.
 #[derive(Clone, Debug)]
 pub struct BodyReader {
@@ -42,26 +50,38 @@
     ///
     /// # Errors
     ///
-    /// [`receive::ReceiveError`] if it is too long, late or broken, or there is no memory
-    /// for it.
-    pub async fn read(&self, body: body::Incoming) -> Result<Bytes, receive::ReceiveError> {
-        self.read_up_to(body, ANSWER_LIMIT_BYTES, self.deadline)
+    /// [`receive::ReceiveError`] if it is too long, late or broken, may have broken off, or
+    /// there is no memory for it.
+    pub async fn read(
+        &self,
+        parts: &http::response::Parts,
+        body: body::Incoming,
+    ) -> Result<Bytes, receive::ReceiveError> {
+        self.read_up_to(parts, body, ANSWER_LIMIT_BYTES, self.deadline)
             .await
     }
 
     /// Reads the body of a failure, `None` if it is not complete soon.
-    pub async fn read_failure(&self, body: body::Incoming) -> Option<Bytes> {
+    pub async fn read_failure(
+        &self,
+        parts: &http::response::Parts,
+        body: body::Incoming,
+    ) -> Option<Bytes> {
         let deadline = self.deadline.min(time::Instant::now() + FAILURE_TIME);
-        let read = self.read_up_to(body, FAILURE_LIMIT_BYTES, deadline);
+        let read = self.read_up_to(parts, body, FAILURE_LIMIT_BYTES, deadline);
         read.await.ok()
     }
 
     async fn read_up_to(
         &self,
+        parts: &http::response::Parts,
         body: body::Incoming,
         limit_bytes: usize,
         deadline: time::Instant,
     ) -> Result<Bytes, receive::ReceiveError> {
+        if !is_framed(parts, &body) {
+            return Err(receive::ReceiveError::Unframed);
+        }
         let Some(account) = &self.account else {
             return receive::read_unheld(body, limit_bytes, deadline).await;
         };
@@ -79,6 +99,7 @@
     match error {
         receive::ReceiveError::TooLong => held::RunFault::ran("the answer is too long", None),
         receive::ReceiveError::NoMemory => held::RunFault::ran("no memory for the answer", None),
+        receive::ReceiveError::Unframed => held::RunFault::ran(UNFRAMED, None),
         receive::ReceiveError::TimedOut => held::RunFault::ran("no whole answer in time", None),
         receive::ReceiveError::Broken(error) => {
             let is_blamed = !link::is_way_lost(error);
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -308,7 +308,7 @@
                 receive::ReceiveError::TooLong => Some(bounds::BoundCause::BodyLength),
                 receive::ReceiveError::NoMemory => Some(bounds::BoundCause::Memory),
                 receive::ReceiveError::TimedOut => Some(bounds::BoundCause::BodyTime),
-                receive::ReceiveError::Broken(_) => None,
+                receive::ReceiveError::Broken(_) | receive::ReceiveError::Unframed => None,
             };
             if let Some(cause) = cause {
                 bounds::note(self.core, cause, address);
@@ -523,11 +523,11 @@
     let reader = request.body_reader(&target);
     if parts.status.is_server_error() {
         request.note_reported_failure(&target, &parts);
-        let bytes = reader.read_failure(body).await;
+        let bytes = reader.read_failure(&parts, body).await;
         drop(link);
         return PlainEnd::Reported(parts, bytes);
     }
-    let read = reader.read(body).await;
+    let read = reader.read(&parts, body).await;
     drop(link);
     match read {
         Ok(bytes) => PlainEnd::Answered(Box::new(PlainAnswer {
@@ -562,11 +562,11 @@
     };
     let (parts, body) = response.into_parts();
     if parts.status.is_server_error() {
-        let bytes = reader.read_failure(body).await;
+        let bytes = reader.read_failure(&parts, body).await;
         let response = held::FailureResponse { parts, bytes };
         return Err(held::RunFault::reported(response).at(target, false));
     }
-    let read = reader.read(body).await;
+    let read = reader.read(&parts, body).await;
     drop(link);
     match read {
         Ok(bytes) => Ok(Box::new(PlainAnswer {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -42,6 +42,8 @@
     /// Head of the response.
     parts: http::response::Parts,
     body: body::Incoming,
+    /// Whether the response states where its body ends.
+    is_framed: bool,
     _link: link::HttpLink,
     path: stream_path::StreamPath,
     splitter: event_stream::EventSplitter,
@@ -457,8 +459,8 @@
             request.exclude(&path.target.runners[0]);
             let reader = request.body_reader(&path.target);
             let bytes = match parts.status.is_server_error() {
-                true => reader.read_failure(body).await,
-                false => reader.read(body).await.ok(),
+                true => reader.read_failure(&parts, body).await,
+                false => reader.read(&parts, body).await.ok(),
             };
             drop(link);
             match bytes {
@@ -528,10 +530,10 @@
         let (parts, body) = response.into_parts();
         let fault = match is_resumption || parts.status.is_server_error() {
             true => {
-                let bytes = reader.read_failure(body).await;
+                let bytes = reader.read_failure(&parts, body).await;
                 held::RunFault::reported(held::FailureResponse { parts, bytes })
             }
-            false => match reader.read(body).await {
+            false => match reader.read(&parts, body).await {
                 Ok(bytes) => return Ok(StartOutcome::Response(forward::relay(&parts, bytes))),
                 Err(error) => answer_body::fault(&error),
             },
@@ -547,6 +549,7 @@
 async fn read_event(
     body: &mut body::Incoming,
     splitter: &mut event_stream::EventSplitter,
+    is_framed: bool,
 ) -> StreamRead {
     let broken = |cause: &str, sign| StreamRead::Broken(held::RunFault::ran(cause, sign));
     loop {
@@ -577,6 +580,9 @@
                 let cause = "the runner ended in the middle of an event";
                 return broken(cause, Some(crash::CrashSign::Body));
             }
+            None if !is_framed => {
+                return broken(answer_body::UNFRAMED, Some(crash::CrashSign::Body));
+            }
             None => return StreamRead::Ended,
         }
     }
@@ -591,6 +597,7 @@
         path.note_head();
         let (parts, body) = response.into_parts();
         Self {
+            is_framed: answer_body::is_framed(&parts, &body),
             parts,
             body,
             _link: link,
@@ -667,7 +674,7 @@
 
     /// Reads the next event. May be cancelled.
     async fn read(&mut self) -> StreamRead {
-        read_event(&mut self.body, &mut self.splitter).await
+        read_event(&mut self.body, &mut self.splitter, self.is_framed).await
     }
 
     /// Waits for the next event; reroutes the stream if it stalls or if a runner of its
@@ -676,7 +683,7 @@
         loop {
             let woken = tokio::select! {
                 biased;
-                read = read_event(&mut self.body, &mut self.splitter) => Err(read),
+                read = read_event(&mut self.body, &mut self.splitter, self.is_framed) => Err(read),
                 wake = self.path.wake(request) => Ok(wake),
             };
             let (silent, cause) = match woken {
--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -30,8 +30,18 @@
     "timeoutMs":2500,"goalMs":50,"gapAimMs":50,"maxAttempts":3,"public":true,"service":"s"}],
     "services":[{"name":"s","healthPath":"/health","maxConns":10,"protocol":"h1","tls":false}]}"#;
 
-/// Head of a stream, whose body ends with its connection.
-pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\n";
+/// Head of a stream. What follows it in a script is sent in chunks, the last of which
+/// comes at the end of the script.
+pub const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// End of a body in chunks.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Returns one chunk of a body.
+pub fn chunk(body: &str) -> String {
+    format!("{:x}\r\n{body}\r\n", body.len())
+}
 
 /// Parts of the answer to one run, each sent after a pause in milliseconds. The
 /// connection closes after the last one.
@@ -85,6 +95,7 @@
         return socket.write_all(answer.as_bytes()).await.ok();
     }
     let script = scripts.get(runs.fetch_add(1, atomic::Ordering::SeqCst))?;
+    let mut is_chunked = false;
     for (pause_ms, part) in script {
         tokio::select! {
             () = time::sleep(std_time::Duration::from_millis(*pause_ms)) => {}
@@ -93,7 +104,24 @@
                 return None;
             }
         }
-        socket.write_all(part.as_bytes()).await.ok()?;
+        let (head, body) = match part.split_once(STREAM_HEAD) {
+            Some((before, body)) => {
+                is_chunked = true;
+                (format!("{before}{STREAM_HEAD}"), body)
+            }
+            None => (String::new(), part.as_str()),
+        };
+        let body = match is_chunked && !body.is_empty() {
+            true => chunk(body),
+            false => body.to_owned(),
+        };
+        socket
+            .write_all(format!("{head}{body}").as_bytes())
+            .await
+            .ok()?;
+    }
+    if is_chunked {
+        socket.write_all(LAST_CHUNK.as_bytes()).await.ok()?;
     }
     Some(())
 }
--- a/arbutusfold/tests/gateway_stage_probe.rs
+++ b/arbutusfold/tests/gateway_stage_probe.rs
@@ -13,7 +13,7 @@
 use arbutusfold::gateway::{core, mirror};
 use arbutusfold_platform::store;
 use bytes::Bytes;
-use gateway_script::{STREAM_HEAD, assert_whole, events, read_head, serve_node};
+use gateway_script::{LAST_CHUNK, STREAM_HEAD, assert_whole, chunk, events, read_head, serve_node};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
 use tokio::{task, time};
@@ -120,8 +120,8 @@
         for number in 0..=self.script.events {
             let part = match number {
                 0 => String::new(),
-                1 => format!("{STREAM_HEAD}{}", events(1..=1)),
-                _ => events(number..=number),
+                1 => format!("{STREAM_HEAD}{}", chunk(&events(1..=1))),
+                _ => chunk(&events(number..=number)),
             };
             socket.write_all(part.as_bytes()).await.ok()?;
             if self.script.stalled_after == Some(number) {
@@ -131,7 +131,7 @@
             }
             time::sleep(EVENT_PERIOD).await;
         }
-        Some(())
+        socket.write_all(LAST_CHUNK.as_bytes()).await.ok()
     }
 
     async fn take_order(&self, socket: &mut tokio::net::TcpStream, head: &str) -> Option<()> {
--- a/arbutusfold/tests/gateway_wait.rs
+++ b/arbutusfold/tests/gateway_wait.rs
@@ -11,7 +11,9 @@
 use std::time as std_time;
 
 use arbutusfold::gateway::core;
-use gateway_script::{STREAM_HEAD, assert_whole, call, events, rejection, script, start_runners};
+use gateway_script::{
+    LAST_CHUNK, STREAM_HEAD, assert_whole, call, chunk, events, rejection, script, start_runners,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time;
 
@@ -188,7 +190,7 @@
                     true => gateway_script::answer(404, "no report"),
                     false => {
                         seen.lock().unwrap().push(head);
-                        format!("{STREAM_HEAD}{}", events(1..=1))
+                        format!("{STREAM_HEAD}{}{LAST_CHUNK}", chunk(&events(1..=1)))
                     }
                 };
                 socket.write_all(answer.as_bytes()).await.ok()
