Play the return of the store from a copy beside nine processes

Six drills by seed (copy 0.5 to 3 s old, away 0 to 1.5 s, one or two returns, alone, beside a replacement, or with a node turned away); more with ARBUTUSFOLD_ERA_DRILLS.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -162,6 +162,17 @@
     /// all earlier ones.
     pub fn put_document(&self) {
         let version = 1 + self.document_count.fetch_add(1, atomic::Ordering::SeqCst);
+        self.write_document(version);
+    }
+
+    /// Writes again what the operator and the runners wrote, as they do after the store
+    /// came back from an older copy.
+    pub fn write_again(&self) {
+        self.write_document(self.document_count());
+        self.fleet.publish_all();
+    }
+
+    fn write_document(&self, version: u64) {
         operator::put_document(
             &self.store,
             &operator::DocumentSpec {
--- /dev/null
+++ b/soak/tests/fleet_era.rs
@@ -0,0 +1,123 @@
+//! A store that comes back from an older copy, beside a fleet of real processes.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet_fixture;
+
+use std::time;
+
+use arbutusfold_platform_standin::{caller, store};
+use arbutusfold_soak::{deployment, plan, proxy};
+use rand::{RngExt, SeedableRng};
+
+/// Time from the store's acknowledgement of a change until every node has it in force;
+/// equals the deployments' `configApplyMs`.
+const APPLY_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Drills, unless `ARBUTUSFOLD_ERA_DRILLS` says otherwise.
+const DRILLS: u64 = 6;
+
+const SIZE: plan::SoakSize = plan::SoakSize {
+    nodes: 9,
+    runners: 10,
+    plain_runners: 2,
+    fault_window: time::Duration::ZERO,
+    faults: 0,
+    cuts: 0,
+    proxied: false,
+};
+
+/// What happens to the nodes during a drill.
+#[derive(Clone, Copy, Debug)]
+enum DrillCompany {
+    Nothing,
+    /// A node is replaced while the store is away.
+    Replace(usize),
+    /// The store turns a node away from before its return on.
+    TurnAway(usize),
+}
+
+/// Waits until all nodes serve the route that the latest document added; returns the
+/// slowest one if it is late.
+async fn find_late(deployment: &deployment::SoakDeployment) -> Option<(time::Duration, String)> {
+    let written_at = tokio::time::Instant::now();
+    let document = deployment.document_count();
+    let path = format!("/v{document}/x");
+    let waits = deployment.nodes.iter().map(|node| {
+        let (address, name, path) = (node.spec.callers(), node.spec.name.clone(), path.clone());
+        async move {
+            loop {
+                let asked_at = tokio::time::Instant::now();
+                let request = format!("era-{document}-{name}-{asked_at:?}");
+                let answer = caller::has_route(address, &path, &request, deployment::KEY).await;
+                let took = asked_at - written_at;
+                if answer == Some(true) || took > 3 * APPLY_LIMIT {
+                    return (took, name);
+                }
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        }
+    });
+    let slowest = futures_util::future::join_all(waits).await;
+    slowest
+        .into_iter()
+        .max()
+        .filter(|(took, _)| *took > APPLY_LIMIT)
+}
+
+/// Guards against a confirmed change that is late or ignored, since the store came back
+/// from an older copy and its versions went back.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_after_the_store_came_back_from_a_copy_are_in_force_in_time() {
+    let deployment = fleet_fixture::start_serving("era", 236, SIZE).await;
+    deployment.store.set_era(1);
+    let drills = std::env::var("ARBUTUSFOLD_ERA_DRILLS").ok();
+    let drills = drills.map_or(DRILLS, |drills| drills.parse().unwrap());
+    let mut faults = Vec::new();
+    for seed in 0..drills {
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut millis =
+            |range: std::ops::Range<u64>| time::Duration::from_millis(random.random_range(range));
+        let (age, absence) = (millis(500..3_000), millis(0..1_500));
+        let (rewrite, change) = (millis(0..1_000), millis(50..2_000));
+        let node = random.random_range(0..SIZE.nodes);
+        let company = match seed % 3 {
+            0 => DrillCompany::Nothing,
+            1 => DrillCompany::Replace(node),
+            _ => DrillCompany::TurnAway(node),
+        };
+        let copies = 1 + seed % 2;
+        let drill = format!(
+            "seed {seed}: age={age:?} absence={absence:?} rewrite={rewrite:?} change={change:?} \
+             {company:?} returns={copies}"
+        );
+        let copy = deployment.store.copy();
+        deployment.put_document();
+        tokio::time::sleep(age).await;
+        deployment.put_document();
+        deployment.write_again();
+        deployment.store.set_fault(store::StoreFault::Busy);
+        match company {
+            DrillCompany::Nothing => {}
+            DrillCompany::Replace(node) => deployment.replace(node).await.unwrap(),
+            DrillCompany::TurnAway(node) => {
+                let turned_away = &deployment.nodes[node].store;
+                turned_away.set_fault(proxy::ProxyFault::Reset);
+            }
+        }
+        tokio::time::sleep(absence).await;
+        (0..copies).for_each(|_| deployment.store.come_back(copy.clone()));
+        deployment.store.set_fault(store::StoreFault::None);
+        tokio::time::sleep(rewrite).await;
+        deployment.write_again();
+        tokio::time::sleep(change).await;
+        deployment.wait_ready().await.unwrap();
+        deployment.put_document();
+        if let Some(late) = find_late(&deployment).await {
+            faults.push(format!("{drill}: {late:?}"));
+        }
+        let proxies = deployment.nodes.iter().map(|node| &node.store);
+        proxies.for_each(|proxy| proxy.set_fault(proxy::ProxyFault::None));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
