--- a/arbutusfold/tests/gateway_endless.rs
+++ b/arbutusfold/tests/gateway_endless.rs
@@ -125,7 +125,8 @@
         let answer = answer.await.unwrap();
         assert!(!answer.starts_with("HTTP/1.1 200"), "{answer:.200}");
     }
-    assert!(most > PART_BYTES, "what is read is in the account: {most}");
+    // The requests themselves take a tenth of that.
+    assert!(most > 2 << 20, "what is read is in the account: {most}");
     assert!(most <= ACCOUNT_BYTES, "{most}");
     let released = async {
         while core.memory.as_ref().unwrap().used() > 0 {
@@ -135,10 +136,10 @@
     time::timeout(SERVED_LIMIT, released).await.unwrap();
 }
 
-/// Guards against nodes that read interim answers or header fields without end, and serve
-/// nothing else meanwhile.
+/// Guards against nodes that read interim answers or header fields without end at the
+/// full speed of the link, for as long as the request may take.
 #[tokio::test]
-async fn heads_without_end_are_left_for_another_runner() {
+async fn heads_without_end_are_not_read_to_the_deadline() {
     let interim = "HTTP/1.1 103 X\r\nX: x\r\n\r\n";
     let field = "X: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n";
     for (head, unit, size) in [
@@ -147,18 +148,13 @@
         ("HTTP/1.1 200 X\r\nX: ", "x", PART_BYTES),
     ] {
         let part = unit.repeat(size / unit.len()).into_bytes();
-        for (path, sound) in [("/p/x", SOUND), ("/s/x", SOUND_STREAM)] {
-            let runners = start_runners(2, 1, head, part.clone(), sound).await;
-            let (_core, node) = start_node(&runners).await;
-            let began_at = time::Instant::now();
-            let answer = call(node, path).await;
-            let took = began_at.elapsed();
-            assert!(
-                answer.starts_with("HTTP/1.1 200"),
-                "{path} {unit:?}: {answer}"
-            );
-            assert!(took < SERVED_LIMIT, "{path} {unit:?}: {took:?}");
-        }
+        let runners = start_runners(1, 1, head, part, SOUND).await;
+        let (_core, node) = start_node(&runners).await;
+        let began_at = time::Instant::now();
+        let answer = call(node, "/once/x").await;
+        let took = began_at.elapsed();
+        assert!(answer.starts_with("HTTP/1.1 502"), "{unit:?}: {answer}");
+        assert!(took < SERVED_LIMIT, "{unit:?}: {took:?}");
     }
 }
 
