--- a/arbutusfold/tests/gateway_stop.rs
+++ b/arbutusfold/tests/gateway_stop.rs
@@ -37,7 +37,7 @@
         let runners = start_runners(1, vec![silent()]).await;
         let (core, node) = start_node(&runners).await;
         // The routes allow 2.5 s.
-        begin_stop(&core, 0 * MS, 2_000 * MS);
+        begin_stop(&core, std_time::Duration::ZERO, 2_000 * MS);
         let began_at = time::Instant::now();
         let answer = call(node, path).await;
         assert!(answer.starts_with("HTTP/1.1 503"), "{path}: {answer}");
