Take what a stopping node can still serve, and what it was already reading

Cause: compared the whole deadline of plain requests with the end of the node, and asked again once the body had come.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -285,10 +285,12 @@
         self.stopping.load(atomic::Ordering::Relaxed)
     }
 
-    /// Returns whether a request with this deadline may begin now.
-    pub fn admits(&self, deadline: time::Instant) -> bool {
+    /// Returns whether a request on a route with this deadline may begin now, as far as a
+    /// stop of this node allows it.
+    pub fn admits(&self, rule: &document::RouteRule, deadline: time::Instant) -> bool {
         let plan = *self.stop_plan.borrow();
-        plan.is_none_or(|plan| plan.admits(deadline, time::Instant::now()))
+        let now = time::Instant::now();
+        plan.is_none_or(|plan| plan.admits(stop::expected_end(rule, deadline, now), now))
     }
 
     /// Waits until this node stops and has to answer the requests that are still open.
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -198,7 +198,7 @@
     }
     let timeout = head.deadline.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = started + timeout.saturating_sub(RESPONSE_MARGIN);
-    if !core.admits(deadline) {
+    if !core.admits(&rule, deadline) {
         return Err(stop::refusal());
     }
     let limit_bytes = table.limits().body_bytes;
@@ -217,10 +217,6 @@
             read.await.map_err(|error| error.to_refusal())?
         }
     };
-    // The node may have begun to stop while the body arrived.
-    if !core.admits(deadline) {
-        return Err(stop::refusal());
-    }
     let service = routing::choose_service(&rule, rand::rng().random()).to_owned();
     lock(&core.budget).note_request(&service, started);
     let call = request::AdmittedCall {
--- a/arbutusfold/src/gateway/stop.rs
+++ b/arbutusfold/src/gateway/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time as std_time;
 
+use arbutusfold_platform::document;
 use tokio::time;
 
 use crate::gateway::response;
@@ -23,10 +24,10 @@
 }
 
 impl StopPlan {
-    /// Returns whether a request with this deadline may begin now. Once callers can know
-    /// better, it must end before the node does.
-    pub fn admits(&self, deadline: time::Instant, now: time::Instant) -> bool {
-        now < self.announced_at || deadline <= self.answers_at()
+    /// Returns whether a request that ends at `ends_at` may begin now. Once callers can
+    /// know better, it must end before the node does.
+    pub fn admits(&self, ends_at: time::Instant, now: time::Instant) -> bool {
+        now < self.announced_at || ends_at <= self.answers_at()
     }
 
     /// Returns when the node answers requests that are still open.
@@ -37,6 +38,20 @@
     }
 }
 
+/// Returns when a request that begins now is expected to end. The objective of a streaming
+/// route is about its first event only.
+pub fn expected_end(
+    rule: &document::RouteRule,
+    deadline: time::Instant,
+    now: time::Instant,
+) -> time::Instant {
+    let objective = match rule.kind {
+        document::RouteKind::Streaming => None,
+        document::RouteKind::Idempotent | document::RouteKind::NonIdempotent => rule.objective,
+    };
+    objective.map_or(deadline, |objective| deadline.min(now + objective))
+}
+
 /// Returns the refusal of a request that must not begin any more. Other nodes serve it at
 /// once.
 pub fn refusal() -> response::GatewayRefusal {
