One call of the store, one error of bodies, one question about eras

- core.call_store counts a call and notes the era in its answer; it stood at four calls, at the lease without the answers of failed calls.
- What is wrong with a body of an answer has a type of its own; the error of callers' bodies had a variant that no caller can cause.
- Whether changes since a version can be told is asked of the mirror; the forwarding of rows compared eras itself.

--- a/arbutusfold/src/gateway/answer_body.rs
+++ b/arbutusfold/src/gateway/answer_body.rs
@@ -29,6 +29,45 @@
 /// Why an answer is of no use whose end nothing states.
 pub const UNFRAMED: &str = "the answer states no end of its body";
 
+/// A body that was not read as a whole.
+#[derive(Debug)]
+pub enum BodyError {
+    /// Nothing states where it ends, so it may have broken off.
+    Unframed,
+    /// It was not received.
+    NotReceived(receive::ReceiveError),
+}
+
+impl BodyError {
+    /// Returns whether the deadline of the request has passed.
+    pub fn is_late(&self) -> bool {
+        matches!(self, Self::NotReceived(receive::ReceiveError::TimedOut))
+    }
+
+    /// Returns the fault of the run.
+    pub fn to_fault(&self) -> held::RunFault {
+        let error = match self {
+            Self::Unframed => return held::RunFault::ran(UNFRAMED, None),
+            Self::NotReceived(error) => error,
+        };
+        match error {
+            receive::ReceiveError::TooLong => held::RunFault::ran("the answer is too long", None),
+            receive::ReceiveError::NoMemory => {
+                held::RunFault::ran("no memory for the answer", None)
+            }
+            receive::ReceiveError::TimedOut => held::RunFault::ran("no whole answer in time", None),
+            receive::ReceiveError::Broken(error) => {
+                let is_blamed = !link::is_way_lost(error);
+                let sign = Some(crash::CrashSign::Body).filter(|_| is_blamed);
+                held::RunFault {
+                    is_blamed,
+                    ..held::RunFault::ran(format!("answer lost: {error}"), sign)
+                }
+            }
+        }
+    }
+}
+
 /// Returns whether an answer has no body or states where it ends.
 pub fn is_framed(parts: &http::response::Parts, body: &body::Incoming) -> bool {
     body::Body::is_end_stream(body) || head::is_framed(&parts.headers)
@@ -50,13 +89,13 @@
     ///
     /// # Errors
     ///
-    /// [`receive::ReceiveError`] if it is too long, late or broken, may have broken off, or
-    /// there is no memory for it.
+    /// [`BodyError`] if it is too long, late or broken, may have broken off, or there is no
+    /// memory for it.
     pub async fn read(
         &self,
         parts: &http::response::Parts,
         body: body::Incoming,
-    ) -> Result<Bytes, receive::ReceiveError> {
+    ) -> Result<Bytes, BodyError> {
         self.read_up_to(parts, body, ANSWER_LIMIT_BYTES, self.deadline)
             .await
     }
@@ -78,36 +117,20 @@
         body: body::Incoming,
         limit_bytes: usize,
         deadline: time::Instant,
-    ) -> Result<Bytes, receive::ReceiveError> {
+    ) -> Result<Bytes, BodyError> {
         if !is_framed(parts, &body) {
-            return Err(receive::ReceiveError::Unframed);
+            return Err(BodyError::Unframed);
         }
         let Some(account) = &self.account else {
-            return receive::read_unheld(body, limit_bytes, deadline).await;
+            let read = receive::read_unheld(body, limit_bytes, deadline).await;
+            return read.map_err(BodyError::NotReceived);
         };
         let owner = memory::HoldOwner {
             address: self.runner,
             organisation: None,
         };
         let hold = account.open(owner, memory::HoldKind::Incoming, sync::Arc::default());
-        receive::read_body(body, limit_bytes, deadline, account, hold, None).await
-    }
-}
-
-/// Returns the fault of a run whose body could not be read.
-pub fn fault(error: &receive::ReceiveError) -> held::RunFault {
-    match error {
-        receive::ReceiveError::TooLong => held::RunFault::ran("the answer is too long", None),
-        receive::ReceiveError::NoMemory => held::RunFault::ran("no memory for the answer", None),
-        receive::ReceiveError::Unframed => held::RunFault::ran(UNFRAMED, None),
-        receive::ReceiveError::TimedOut => held::RunFault::ran("no whole answer in time", None),
-        receive::ReceiveError::Broken(error) => {
-            let is_blamed = !link::is_way_lost(error);
-            let sign = Some(crash::CrashSign::Body).filter(|_| is_blamed);
-            held::RunFault {
-                is_blamed,
-                ..held::RunFault::ran(format!("answer lost: {error}"), sign)
-            }
-        }
+        let read = receive::read_body(body, limit_bytes, deadline, account, hold, None);
+        read.await.map_err(BodyError::NotReceived)
     }
 }
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -454,6 +454,15 @@
         self.store_era.load(atomic::Ordering::Relaxed)
     }
 
+    /// Makes a call to the store, counts it and notes the era that the store names, be it
+    /// in the answer to a call that failed.
+    pub async fn call_store<T>(&self, call: impl Future<Output = T>) -> T {
+        self.metrics.store_calls.inc();
+        let result = call.await;
+        self.note_era(self.store.era(), "store");
+        result
+    }
+
     /// Records that the store or a peer named an era of the store.
     ///
     /// In a new era the store may lack the entries of live runners until they are
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -304,7 +304,7 @@
                 receive::ReceiveError::TooLong => Some(bounds::BoundCause::BodyLength),
                 receive::ReceiveError::NoMemory => Some(bounds::BoundCause::Memory),
                 receive::ReceiveError::TimedOut => Some(bounds::BoundCause::BodyTime),
-                receive::ReceiveError::Broken(_) | receive::ReceiveError::Unframed => None,
+                receive::ReceiveError::Broken(_) => None,
             };
             if let Some(cause) = cause {
                 bounds::note(self.core, cause, address);
@@ -531,12 +531,12 @@
             parts,
             bytes,
         })),
-        Err(receive::ReceiveError::TimedOut) => {
+        Err(error) if error.is_late() => {
             request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
             PlainEnd::TimedOut
         }
         Err(error) => {
-            let fault = answer_body::fault(&error);
+            let fault = error.to_fault();
             request.note_fault(&target, &fault, false);
             PlainEnd::Failed(request::AttemptReach::Ran, fault.cause)
         }
@@ -570,7 +570,7 @@
             parts,
             bytes,
         })),
-        Err(error) => Err(answer_body::fault(&error).at(target, false)),
+        Err(error) => Err(error.to_fault().at(target, false)),
     }
 }
 
--- a/arbutusfold/src/gateway/layout_controller.rs
+++ b/arbutusfold/src/gateway/layout_controller.rs
@@ -227,8 +227,7 @@
     /// Writes the lease row and returns its new version.
     async fn acquire_lease(&self) -> Option<store::RowVersion> {
         let core = &self.core;
-        core.metrics.store_calls.inc();
-        let rows = match core.store.read(LEASE_TABLE).await {
+        let rows = match core.call_store(core.store.read(LEASE_TABLE)).await {
             Ok(page) => page.rows,
             Err(error) => {
                 core.note(event::EventCode::LeaseLost, LEASE_KEY, error.to_string());
@@ -243,10 +242,8 @@
             expected: before,
             value: core.settings.name.clone().into_bytes(),
         };
-        core.metrics.store_calls.inc();
-        match core.store.swap(swap).await {
+        match core.call_store(core.store.swap(swap)).await {
             Ok(store::SwapOutcome::Written(version)) => {
-                core.note_era(version.era, "store");
                 let detail = format!("fencing={} before={before}", version.ordinal());
                 core.note(event::EventCode::LeaseTaken, LEASE_KEY, detail);
                 Some(version)
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -143,6 +143,13 @@
         self.merge(rows.into_iter().chain(removed))
     }
 
+    /// Returns whether the copy, if it is complete, is of the same era as a version. What
+    /// changed between two eras cannot be told.
+    pub fn is_in_era_of(&self, version: store::RowVersion) -> bool {
+        self.complete_version
+            .is_none_or(|end| end.era == version.era)
+    }
+
     /// Returns the rows that changed after a version, up to the one up to which a
     /// whole copy is complete, or `None` if tombstones from after that version may have
     /// been purged, or the copy is of another era than it.
--- a/arbutusfold/src/gateway/receive.rs
+++ b/arbutusfold/src/gateway/receive.rs
@@ -61,8 +61,6 @@
     TimedOut,
     /// It broke off.
     Broken(hyper::Error),
-    /// Nothing states where it ends, so it may have broken off.
-    Unframed,
 }
 
 impl ReceiveError {
@@ -86,10 +84,6 @@
                 http::StatusCode::BAD_REQUEST,
                 format!("the body broke off: {error}"),
             ),
-            Self::Unframed => failed(
-                http::StatusCode::BAD_REQUEST,
-                "the body has no end".to_owned(),
-            ),
         }
     }
 }
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -347,8 +347,7 @@
     after: store::RowVersion,
     rows: Vec<mirror::MirrorRow>,
 ) {
-    let complete = core.with_mirror(table, mirror::TableMirror::complete_version);
-    if rows.is_empty() && after.era == complete.era {
+    if rows.is_empty() && core.with_mirror(table, |mirror| mirror.is_in_era_of(after)) {
         return;
     }
     let is_leading = core.is_leading();
@@ -377,10 +376,12 @@
 ) {
     // Rows of a later page are newer than what the copy is complete up to. Peers
     // request them once it is.
-    let complete = core.with_mirror(table, mirror::TableMirror::complete_version);
+    let (complete, is_same_era) = core.with_mirror(table, |mirror| {
+        (mirror.complete_version(), mirror.is_in_era_of(after))
+    });
     let settled = rows.into_iter().filter(|row| row.version <= complete);
     let rows: Vec<_> = settled.collect();
-    let is_whole = after.number == 0 || after.era != complete.era;
+    let is_whole = after.number == 0 || !is_same_era;
     if (rows.is_empty() && !is_whole) || !core.is_leading() {
         return;
     }
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -85,13 +85,14 @@
             true => std_time::Duration::ZERO,
             false => poll_wait,
         };
-        core.metrics.store_calls.inc();
         let started = time::Instant::now();
         let answer = match position {
-            Some(after) => core.store.changes(table, after, wait).await,
-            None => core.store.snapshot(table).await,
+            Some(after) => {
+                core.call_store(core.store.changes(table, after, wait))
+                    .await
+            }
+            None => core.call_store(core.store.snapshot(table)).await,
         };
-        core.note_era(core.store.era(), "store");
         match answer {
             Ok(page) => {
                 core.record_store_call(table, true, started, "answered");
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -535,7 +535,7 @@
             }
             false => match reader.read(&parts, body).await {
                 Ok(bytes) => return Ok(StartOutcome::Response(forward::relay(&parts, bytes))),
-                Err(error) => answer_body::fault(&error),
+                Err(error) => error.to_fault(),
             },
         };
         drop(link);
--- a/arbutusfold/src/gateway/suspect_store.rs
+++ b/arbutusfold/src/gateway/suspect_store.rs
@@ -102,10 +102,7 @@
         expected: known.version,
         value: encode(records),
     };
-    core.metrics.store_calls.inc();
-    let outcome = core.store.swap(swap).await;
-    core.note_era(core.store.era(), "store");
-    match outcome {
+    match core.call_store(core.store.swap(swap)).await {
         // The number that was expected is that of another row in another era, which may
         // hold records that were not read.
         Ok(store::SwapOutcome::Written(version)) if version.era != known.version.era => {
@@ -128,10 +125,7 @@
 
 /// Reads the row and merges its records into those of this node.
 async fn read(core: &core::GatewayCore) -> Result<StoredLedger, store::StoreError> {
-    core.metrics.store_calls.inc();
-    let page = core.store.read(TABLE).await;
-    core.note_era(core.store.era(), "store");
-    let page = page?;
+    let page = core.call_store(core.store.read(TABLE)).await?;
     let row = page.rows.iter().find(|row| row.key == KEY);
     let absent = store::RowVersion::new(page.version.era, 0);
     let version = row.map_or(absent, |row| row.version);
