--- a/arbutusfold/tests/gateway_endless.rs
+++ b/arbutusfold/tests/gateway_endless.rs
@@ -40,41 +40,26 @@
     part: Vec<u8>,
     sound: &'static str,
 ) -> TestRunners {
-    let runs = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let left = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let mut addresses = Vec::new();
-    for _ in 0..count {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        addresses.push(listener.local_addr().unwrap());
-        let (runs, left) = (sync::Arc::clone(&runs), sync::Arc::clone(&left));
-        let (head, part) = (head.to_owned(), part.clone());
-        tokio::spawn(async move {
-            while let Ok((mut socket, _)) = listener.accept().await {
-                let (runs, left) = (sync::Arc::clone(&runs), sync::Arc::clone(&left));
-                let (head, part) = (head.clone(), part.clone());
-                tokio::spawn(async move {
-                    let request = gateway_script::read_head(&mut socket).await?;
-                    if request.starts_with("GET /v1/report") {
-                        return None;
-                    }
-                    if runs.fetch_add(1, atomic::Ordering::SeqCst) >= endless_runs {
-                        return socket.write_all(sound.as_bytes()).await.ok();
-                    }
-                    socket.write_all(head.as_bytes()).await.ok()?;
-                    while socket.write_all(&part).await.is_ok() {
-                        time::sleep(PART_PAUSE).await;
-                    }
-                    left.fetch_add(1, atomic::Ordering::SeqCst);
-                    Some(())
-                });
+    let head = head.to_owned();
+    gateway_script::start_playing(count, move |mut socket, counts| {
+        let (head, part) = (head.clone(), part.clone());
+        async move {
+            let request = gateway_script::read_head(&mut socket).await?;
+            if request.starts_with("GET /v1/report") {
+                return None;
             }
-        });
-    }
-    TestRunners {
-        addresses,
-        runs,
-        left,
-    }
+            if counts.runs.fetch_add(1, atomic::Ordering::SeqCst) >= endless_runs {
+                return socket.write_all(sound.as_bytes()).await.ok();
+            }
+            socket.write_all(head.as_bytes()).await.ok()?;
+            while socket.write_all(&part).await.is_ok() {
+                time::sleep(PART_PAUSE).await;
+            }
+            counts.left.fetch_add(1, atomic::Ordering::SeqCst);
+            Some(())
+        }
+    })
+    .await
 }
 
 /// Starts a node on a host with 64 MB.
--- a/arbutusfold/tests/gateway_era.rs
+++ b/arbutusfold/tests/gateway_era.rs
@@ -19,7 +19,6 @@
 use arbutusfold_platform::store;
 use arbutusfold_platform_standin::server;
 use arbutusfold_platform_standin::store as standin;
-use bytes::Bytes;
 use tokio::time;
 
 const MS: std_time::Duration = std_time::Duration::from_millis(1);
@@ -393,30 +392,3 @@
     );
     assert_eq!(core.document_version(), 40);
 }
-
-/// Guards against pages of one table that come from two copies of the store.
-#[tokio::test]
-async fn table_whose_pages_come_from_two_eras_is_read_again() {
-    let calls = sync::Arc::new(sync::atomic::AtomicU64::new(0));
-    let counted = sync::Arc::clone(&calls);
-    let answer = move |_| {
-        let call = counted.fetch_add(1, sync::atomic::Ordering::Relaxed);
-        let more = call == 0;
-        let body = format!(
-            r#"{{"rows":[{{"table":"op","part":"","key":"k{call}","ver":3,"value":"YQ=="}}],
-            "hasMore":{more},"ver":5,"nowMs":1}}"#
-        );
-        let mut answer = server::complete_answer(200, Bytes::from(body));
-        answer.headers_mut().insert("store-era", (call + 1).into());
-        async move { Some(answer) }
-    };
-    let any_port = net::SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = server::StandinServer::start(any_port, answer)
-        .await
-        .unwrap();
-    let client = store::StoreClient::new(server.address(), std_time::Duration::from_secs(1));
-    let error = client.snapshot(OPERATOR).await.unwrap_err();
-    assert_eq!(error, store::StoreError::HistoryLost);
-    let page = client.snapshot(OPERATOR).await.unwrap();
-    assert_eq!((page.version, client.era()), (at(3, 5), 3));
-}
--- a/arbutusfold/tests/gateway_page.rs
+++ b/arbutusfold/tests/gateway_page.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net;
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use arbutusfold_platform::store;
@@ -93,3 +95,39 @@
     let table = store::WatchedTable::Runners;
     assert!(client.snapshot(table).await.is_err());
 }
+
+/// Guards against pages of one table that come from two copies of the store.
+#[tokio::test]
+async fn table_whose_pages_come_from_two_eras_is_read_again() {
+    let calls = sync::Arc::new(atomic::AtomicU64::new(0));
+    let counted = sync::Arc::clone(&calls);
+    let answer = move |_| {
+        let call = counted.fetch_add(1, atomic::Ordering::Relaxed);
+        let more = call == 0;
+        let body = format!(
+            r#"{{"rows":[{{"table":"op","part":"","key":"k{call}","ver":3,"value":"YQ=="}}],
+            "hasMore":{more},"ver":5,"nowMs":1}}"#
+        );
+        let mut answer = server::complete_answer(200, body);
+        answer.headers_mut().insert("store-era", (call + 1).into());
+        async move { Some(answer) }
+    };
+    let any_port = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = server::StandinServer::start(any_port, answer)
+        .await
+        .unwrap();
+    let client = store::StoreClient::new(server.address(), time::Duration::from_secs(1));
+    let error = client
+        .snapshot(store::WatchedTable::Operator)
+        .await
+        .unwrap_err();
+    assert_eq!(error, store::StoreError::HistoryLost);
+    let page = client
+        .snapshot(store::WatchedTable::Operator)
+        .await
+        .unwrap();
+    assert_eq!(
+        (page.version, client.era()),
+        (store::RowVersion::new(3, 5), 3)
+    );
+}
--- a/arbutusfold/tests/gateway_script/mod.rs
+++ b/arbutusfold/tests/gateway_script/mod.rs
@@ -47,6 +47,15 @@
 /// connection closes after the last one.
 pub type Script = Vec<(u64, String)>;
 
+/// Counts of the runs at some runners.
+#[derive(Clone, Debug, Default)]
+pub struct RunCounts {
+    /// Number of runs that began.
+    pub runs: sync::Arc<atomic::AtomicUsize>,
+    /// Number of runs whose connection the node closed before their end.
+    pub left: sync::Arc<atomic::AtomicUsize>,
+}
+
 /// Runner whose answers are scripted.
 pub struct TestRunners {
     /// Addresses of the runners.
@@ -57,32 +66,46 @@
     pub left: sync::Arc<atomic::AtomicUsize>,
 }
 
-/// Starts runners; the run that begins as number `n` at any of them is answered by
-/// `scripts[n]`.
-pub async fn start_runners(count: usize, scripts: Vec<Script>) -> TestRunners {
-    let scripts = sync::Arc::new(scripts);
-    let runs = sync::Arc::new(atomic::AtomicUsize::new(0));
-    let left = sync::Arc::new(atomic::AtomicUsize::new(0));
+/// Starts runners whose connections are answered by `play`, which counts runs that begin
+/// and those whose connection the node closed before their end.
+pub async fn start_playing<F>(
+    count: usize,
+    play: impl Fn(tokio::net::TcpStream, RunCounts) -> F + Send + Sync + 'static,
+) -> TestRunners
+where
+    F: Future<Output = Option<()>> + Send + 'static,
+{
+    let counts = RunCounts::default();
+    let play = sync::Arc::new(play);
     let mut addresses = Vec::new();
     for _ in 0..count {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         addresses.push(listener.local_addr().unwrap());
-        let scripts = sync::Arc::clone(&scripts);
-        let counts = (sync::Arc::clone(&runs), sync::Arc::clone(&left));
+        let (play, counts) = (sync::Arc::clone(&play), counts.clone());
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                let (scripts, (runs, left)) = (sync::Arc::clone(&scripts), counts.clone());
-                tokio::spawn(async move { play(socket, &scripts, &runs, &left).await });
+                tokio::spawn(play(socket, counts.clone()));
             }
         });
     }
     TestRunners {
         addresses,
-        runs,
-        left,
+        runs: counts.runs,
+        left: counts.left,
     }
 }
 
+/// Starts runners; the run that begins as number `n` at any of them is answered by
+/// `scripts[n]`.
+pub async fn start_runners(count: usize, scripts: Vec<Script>) -> TestRunners {
+    let scripts = sync::Arc::new(scripts);
+    start_playing(count, move |socket, counts| {
+        let scripts = sync::Arc::clone(&scripts);
+        async move { play(socket, &scripts, &counts.runs, &counts.left).await }
+    })
+    .await
+}
+
 async fn play(
     mut socket: tokio::net::TcpStream,
     scripts: &[Script],
--- a/soak/tests/fleet_answers.rs
+++ b/soak/tests/fleet_answers.rs
@@ -6,6 +6,8 @@
 #[path = "fleet_fixture/channel.rs"]
 mod channel;
 mod fleet_fixture;
+#[path = "fleet_fixture/raw_runner.rs"]
+mod raw_runner;
 
 use std::sync;
 use std::sync::atomic;
@@ -15,17 +17,9 @@
 use arbutusfold_soak::{deployment, plan};
 use channel::{ChannelAnswer, KeptChannel};
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-const SIZE: plan::SoakSize = plan::SoakSize {
-    nodes: 2,
-    runners: 10,
-    plain_runners: 2,
-    fault_window: time::Duration::ZERO,
-    faults: 0,
-    cuts: 0,
-    proxied: false,
-};
+use tokio::io::AsyncWriteExt;
+
+const SIZE: plan::SoakSize = fleet_fixture::calm_size(2);
 
 /// Time within which a document is in force at every node.
 const APPLY_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -450,6 +444,54 @@
     assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
 }
 
+/// Guards against requests that come late in a planned stop, run at a runner and are cut
+/// at the end of the process, also those that may not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_late_in_a_planned_stop_are_not_begun_or_answered_before_its_end() {
+    let operator = TestOperator::start("late-in-a-stop", 239).await;
+    let deployment = &operator.deployment;
+    let node = deployment.nodes[0].spec.callers();
+    let paths = ["/post/hold", "/get/look", "/model/write"];
+    let request = |path| format!("{}order", head("POST", path, deployment::KEY, 5, 480));
+    let mut slot = deployment.nodes[0].process.lock().await;
+    let process = slot.as_mut().unwrap();
+    process.signal(nix::sys::signal::Signal::SIGTERM).unwrap();
+    let stopped_at = tokio::time::Instant::now();
+    let pause = time::Duration::from_millis(300);
+    // The heads of these end after the listener was closed, and too late for the routes.
+    tokio::time::sleep_until(stopped_at + LISTEN_TIME - pause).await;
+    let mut late = Vec::new();
+    for path in paths {
+        let request = request(path);
+        let (begin, rest) = request.split_at(request.len() / 2);
+        let mut channel = KeptChannel::open(node).await.unwrap();
+        channel.send(begin.as_bytes()).await.unwrap();
+        late.push((path, channel, rest.to_owned()));
+    }
+    // These are sent while the node listens, to runners that do not answer.
+    for plain in ["i-00", "i-01"] {
+        deployment.fleet.suspend(plain);
+    }
+    let mut open = tokio::task::JoinSet::new();
+    for path in &paths[..2] {
+        let request = request(path);
+        let mut channel = KeptChannel::open(node).await.unwrap();
+        open.spawn(async move { in_time(channel.ask(&request)).await });
+    }
+    tokio::time::sleep_until(stopped_at + LISTEN_TIME + pause).await;
+    let runs = deployment.fleet.runs().len();
+    for (path, mut channel, rest) in late {
+        let answer = in_time(channel.ask(&rest)).await;
+        assert_eq!(answer.unwrap().status, 503, "{path}");
+    }
+    assert_eq!(deployment.fleet.runs().len(), runs, "nothing ran");
+    for answer in open.join_all().await {
+        assert_eq!(answer.unwrap().status, 502);
+    }
+    let ended = process.wait(time::Duration::from_secs(3)).await;
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
 /// Sends requests on kept connections to each node while `disturb` runs, and returns
 /// what is wrong with the answers and the number of refusals.
 async fn press_while(
@@ -564,18 +606,11 @@
 
 /// Answers one request of a node with a fault.
 async fn answer_faultily(
+    head: &str,
     stream: &mut tokio::net::TcpStream,
     fault: RunnerFault,
 ) -> std::io::Result<()> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await?);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let id = head.lines().find_map(|line| {
-        let (name, value) = line.split_once(": ")?;
-        name.eq_ignore_ascii_case("request-id").then_some(value)
-    });
+    let id = raw_runner::header(head, "request-id");
     let id = match fault {
         RunnerFault::OtherRequest => "another",
         _ => id.unwrap_or("none"),
@@ -615,19 +650,13 @@
 /// Starts a runner that answers with each fault in turn, and
 /// returns its address.
 async fn start_faulty(subnet: u8) -> std::net::SocketAddr {
-    let any_port = std::net::SocketAddr::from(([127, 90, subnet, 201], 0));
-    let listener = tokio::net::TcpListener::bind(any_port).await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        for fault in RUNNER_FAULTS.into_iter().cycle() {
-            let Ok((mut stream, _)) = listener.accept().await else {
-                return;
-            };
-            // A node may close the connection at any time.
-            tokio::spawn(async move { answer_faultily(&mut stream, fault).await });
-        }
-    });
-    address
+    let next = atomic::AtomicUsize::new(0);
+    raw_runner::start(subnet, move |head, mut stream| {
+        let number = next.fetch_add(1, atomic::Ordering::Relaxed);
+        let fault = RUNNER_FAULTS[number % RUNNER_FAULTS.len()];
+        async move { answer_faultily(&head, &mut stream, fault).await }
+    })
+    .await
 }
 
 /// Guards against one malformed answer, row or document that ends a process or that
--- a/soak/tests/fleet_callers.rs
+++ b/soak/tests/fleet_callers.rs
@@ -16,15 +16,7 @@
 use tokio::net as tokio_net;
 use tokio::task;
 
-const SIZE: plan::SoakSize = plan::SoakSize {
-    nodes: 1,
-    runners: 10,
-    plain_runners: 2,
-    fault_window: time::Duration::ZERO,
-    faults: 0,
-    cuts: 0,
-    proxied: false,
-};
+const SIZE: plan::SoakSize = fleet_fixture::calm_size(1);
 
 /// Memory of the smallest host of the users.
 const MEMORY_MB: usize = 112;
@@ -342,14 +334,6 @@
     assert_eq!(&answer, b"HTTP/1.1 200 OK");
 }
 
-/// Returns the most memory that a process ever had resident, in MB.
-fn peak_memory_mb(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kilobytes = line.unwrap().split_whitespace().next().unwrap();
-    kilobytes.parse::<usize>().unwrap() >> 10
-}
-
 fn descriptor_count(process: u32) -> usize {
     std::fs::read_dir(format!("/proc/{process}/fd"))
         .unwrap()
@@ -403,7 +387,7 @@
         name.is_some_and(|name| incomplete.iter().any(|kind| name.starts_with(kind)))
     });
     assert_eq!(ran.count(), 0);
-    let peak = peak_memory_mb(id);
+    let peak = fleet_fixture::peak_memory_mb(id);
     let (calm_p99, p99) = (calm.p99(), pressed.p99());
     let share = pressed.served_share();
     eprintln!("{name}: served {share:.3} p99 {calm_p99:?} -> {p99:?} peak {peak} MB");
--- a/soak/tests/fleet_document.rs
+++ b/soak/tests/fleet_document.rs
@@ -6,7 +6,6 @@
 
 use std::time;
 
-use arbutusfold_platform_standin::caller;
 use arbutusfold_soak::{deployment, plan, proxy};
 
 /// Time from the store's acknowledgement of a change until every node has it in force,
@@ -23,37 +22,7 @@
 /// Changes while one node reaches the store.
 const CHANGES: usize = 5;
 
-const SIZE: plan::SoakSize = plan::SoakSize {
-    nodes: 6,
-    runners: 10,
-    plain_runners: 2,
-    fault_window: time::Duration::ZERO,
-    faults: 0,
-    cuts: 0,
-    proxied: false,
-};
-
-/// Waits until a node serves the route that a document added; returns the time since
-/// `changed_at`.
-async fn wait_in_force(
-    node: std::net::SocketAddr,
-    document: u64,
-    changed_at: tokio::time::Instant,
-) -> time::Duration {
-    let path = format!("/v{document}/x");
-    loop {
-        let asked_at = tokio::time::Instant::now();
-        let request = format!("document-{document}-{node}-{asked_at:?}");
-        let answer = caller::has_route(node, &path, &request, deployment::KEY).await;
-        if answer == Some(true) {
-            return asked_at - changed_at;
-        }
-        if changed_at.elapsed() > 10 * APPLY_LIMIT {
-            return changed_at.elapsed();
-        }
-        tokio::time::sleep(time::Duration::from_millis(15)).await;
-    }
-}
+const SIZE: plan::SoakSize = fleet_fixture::calm_size(6);
 
 /// Writes a document and returns the time until the slowest node has it in force,
 /// with that node's name.
@@ -65,7 +34,11 @@
     let document = deployment.document_count();
     let waits = deployment.nodes.iter().map(|node| {
         let (address, name) = (node.spec.callers(), node.spec.name.clone());
-        async move { (wait_in_force(address, document, changed_at).await, name) }
+        async move {
+            let limit = 10 * APPLY_LIMIT;
+            let waited = fleet_fixture::wait_in_force(address, document, changed_at, limit);
+            (waited.await, name)
+        }
     });
     let waits = futures_util::future::join_all(waits);
     async move { waits.await.into_iter().max().unwrap() }
--- a/soak/tests/fleet_entries.rs
+++ b/soak/tests/fleet_entries.rs
@@ -16,15 +16,7 @@
 /// Most log lines of a node about odd entries, which are written many times.
 const LINE_LIMIT: usize = 60;
 
-const SIZE: plan::SoakSize = plan::SoakSize {
-    nodes: 3,
-    runners: 10,
-    plain_runners: 2,
-    fault_window: time::Duration::ZERO,
-    faults: 0,
-    cuts: 0,
-    proxied: false,
-};
+const SIZE: plan::SoakSize = fleet_fixture::calm_size(3);
 
 /// Returns a sound entry of a runner that does not exist, with one field replaced.
 fn entry(field: &str, value: &str) -> Vec<u8> {
--- a/soak/tests/fleet_era.rs
+++ b/soak/tests/fleet_era.rs
@@ -6,7 +6,7 @@
 
 use std::time;
 
-use arbutusfold_platform_standin::{caller, store};
+use arbutusfold_platform_standin::store;
 use arbutusfold_soak::{deployment, plan, proxy};
 use rand::{RngExt, SeedableRng};
 
@@ -17,15 +17,7 @@
 /// Drills, unless `ARBUTUSFOLD_ERA_DRILLS` says otherwise.
 const DRILLS: u64 = 6;
 
-const SIZE: plan::SoakSize = plan::SoakSize {
-    nodes: 9,
-    runners: 10,
-    plain_runners: 2,
-    fault_window: time::Duration::ZERO,
-    faults: 0,
-    cuts: 0,
-    proxied: false,
-};
+const SIZE: plan::SoakSize = fleet_fixture::calm_size(9);
 
 /// What happens to the nodes during a drill.
 #[derive(Clone, Copy, Debug)]
@@ -42,20 +34,12 @@
 async fn find_late(deployment: &deployment::SoakDeployment) -> Option<(time::Duration, String)> {
     let written_at = tokio::time::Instant::now();
     let document = deployment.document_count();
-    let path = format!("/v{document}/x");
     let waits = deployment.nodes.iter().map(|node| {
-        let (address, name, path) = (node.spec.callers(), node.spec.name.clone(), path.clone());
+        let (address, name) = (node.spec.callers(), node.spec.name.clone());
         async move {
-            loop {
-                let asked_at = tokio::time::Instant::now();
-                let request = format!("era-{document}-{name}-{asked_at:?}");
-                let answer = caller::has_route(address, &path, &request, deployment::KEY).await;
-                let took = asked_at - written_at;
-                if answer == Some(true) || took > 3 * APPLY_LIMIT {
-                    return (took, name);
-                }
-                tokio::time::sleep(time::Duration::from_millis(20)).await;
-            }
+            let limit = 3 * APPLY_LIMIT;
+            let waited = fleet_fixture::wait_in_force(address, document, written_at, limit);
+            (waited.await, name)
         }
     });
     let slowest = futures_util::future::join_all(waits).await;
--- a/soak/tests/fleet_fixture/channel.rs
+++ b/soak/tests/fleet_fixture/channel.rs
@@ -2,6 +2,7 @@
 //! byte that is sent.
 
 #![allow(clippy::unwrap_used)]
+#![allow(dead_code)]
 
 use std::io;
 use std::net;
--- a/soak/tests/fleet_fixture/mod.rs
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -5,9 +5,33 @@
 
 use std::path;
 use std::sync;
+use std::time;
 
+use arbutusfold_platform_standin::caller;
 use arbutusfold_soak::{deployment, plan, process};
 
+/// Returns the size of a small deployment with this many gateways and without random
+/// faults, whose runners are reached directly.
+pub const fn calm_size(nodes: usize) -> plan::SoakSize {
+    plan::SoakSize {
+        nodes,
+        runners: 10,
+        plain_runners: 2,
+        fault_window: time::Duration::ZERO,
+        faults: 0,
+        cuts: 0,
+        proxied: false,
+    }
+}
+
+/// Returns the most memory that a process ever had resident, in MB.
+pub fn peak_memory_mb(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.unwrap().split_whitespace().next().unwrap();
+    kilobytes.parse::<usize>().unwrap() >> 10
+}
+
 /// Returns the folder of the built programs.
 pub fn build_folder() -> path::PathBuf {
     let test = std::env::current_exe().unwrap();
@@ -105,3 +129,26 @@
     deployment.wait_serving().await.unwrap();
     deployment
 }
+
+/// Waits until a node serves the route that a document added, for `limit` at most; returns
+/// the time since `changed_at`.
+pub async fn wait_in_force(
+    node: std::net::SocketAddr,
+    document: u64,
+    changed_at: tokio::time::Instant,
+    limit: time::Duration,
+) -> time::Duration {
+    let path = format!("/v{document}/x");
+    loop {
+        let asked_at = tokio::time::Instant::now();
+        let request = format!("document-{document}-{node}-{asked_at:?}");
+        let answer = caller::has_route(node, &path, &request, deployment::KEY).await;
+        if answer == Some(true) {
+            return asked_at - changed_at;
+        }
+        if changed_at.elapsed() > limit {
+            return changed_at.elapsed();
+        }
+        tokio::time::sleep(time::Duration::from_millis(15)).await;
+    }
+}
--- a/soak/tests/fleet_release.rs
+++ b/soak/tests/fleet_release.rs
@@ -34,15 +34,7 @@
 /// Time between two replacements.
 const REST_TIME: time::Duration = time::Duration::from_secs(4);
 
-const SIZE: plan::SoakSize = plan::SoakSize {
-    nodes: 6,
-    runners: 10,
-    plain_runners: 2,
-    fault_window: time::Duration::ZERO,
-    faults: 0,
-    cuts: 0,
-    proxied: false,
-};
+const SIZE: plan::SoakSize = fleet_fixture::calm_size(6);
 
 /// A node that is being replaced, which is judged by nothing; `SIZE.nodes` for none.
 type ReplacedNode = sync::Arc<atomic::AtomicUsize>;
@@ -160,19 +152,18 @@
     }
 }
 
-/// Guards against a change that is late, or a request that fails, while old and new
-/// processes run side by side.
-#[tokio::test(flavor = "multi_thread")]
-#[ignore = "needs a build of the release before"]
-async fn processes_of_two_releases_side_by_side_put_changes_in_force_in_time() {
+/// Replaces processes of the release before by those of this one, and back, in front of a
+/// store that names an era, 0 for none.
+async fn replace_there_and_back(era: u64, name: &str, subnet: u8) {
     let before = std::env::var_os("ARBUTUSFOLD_RELEASE_BEFORE").unwrap();
     let before = path::PathBuf::from(before);
     let now = fleet_fixture::build_folder().join("arbutusfold");
-    let folder = fleet_fixture::build_folder().join("fleet-tests/release");
+    let folder = fleet_fixture::build_folder().join("fleet-tests").join(name);
     let _ = std::fs::remove_dir_all(&folder);
     let retries = process::RetryLimit::default();
-    let started = deployment::SoakDeployment::start(&before, &folder, 234, SIZE, retries).await;
+    let started = deployment::SoakDeployment::start(&before, &folder, subnet, SIZE, retries).await;
     let deployment = sync::Arc::new(started.unwrap());
+    deployment.store.set_era(era);
     deployment.wait_ready().await.unwrap();
     deployment.wait_serving().await.unwrap();
     let replaced = ReplacedNode::new(atomic::AtomicUsize::new(SIZE.nodes));
@@ -206,3 +197,19 @@
     assert!(late.is_empty(), "{late:#?}");
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against a change that is late, or a request that fails, while old and new
+/// processes run side by side.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "needs a build of the release before"]
+async fn processes_of_two_releases_side_by_side_put_changes_in_force_in_time() {
+    replace_there_and_back(0, "release", 234).await;
+}
+
+/// Guards against the same beside a store that names an era, which only one of the two
+/// releases reads.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "needs a build of the release before"]
+async fn processes_of_two_releases_beside_a_store_with_an_era_put_changes_in_force_in_time() {
+    replace_there_and_back(1, "release-era", 235).await;
+}
