Take a newer document from a peer that knows no eras

Cause: rows without an era count as older than any with one, and so did the versions that such peers name: the node neither asked nor took anything.

Now peers without an era are compared by their numbers, and a document comes into force by its own version, which the copy of the table need not follow. The copy still takes rows of the store's era only, so high numbers from before a return of the store do no harm.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -716,6 +716,14 @@
         }
     }
 
+    /// Applies rows of an earlier era, or of a peer that knows none, which are no part of
+    /// the copy of the table: a document's own version tells whether it is newer.
+    pub fn apply_older(&self, table: store::WatchedTable, rows: &[mirror::MirrorRow]) {
+        if table == store::WatchedTable::Operator {
+            self.apply_changes(table, rows);
+        }
+    }
+
     fn apply_document(&self, row: &mirror::MirrorRow) {
         let Some(value) = &row.value else { return };
         let document = match document::decode(value) {
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -252,6 +252,9 @@
         );
         self.core
             .note(event::EventCode::RowsFromPeer, "store", detail);
+        if extent.version().era < self.core.store_era() {
+            self.core.apply_older(table, &rows);
+        }
         let changed = match extent {
             RowExtent::Full(version) => Some(self.core.replace(table, rows, version)),
             RowExtent::After(after) => self.core.merge_after(table, after, rows),
--- a/arbutusfold/src/gateway/versions.rs
+++ b/arbutusfold/src/gateway/versions.rs
@@ -115,11 +115,14 @@
 }
 
 impl RowSource {
-    /// Returns whether the peer has a newer change than copies of the versions
-    /// `known`.
+    /// Returns whether the peer may have a newer change than copies of the versions
+    /// `known`. Of a peer that names no era, only the numbers can be compared.
     fn is_ahead(&self, known: &TableVersions) -> bool {
         let mut tables = self.versions.iter().zip(known);
-        tables.any(|(version, known)| version > known)
+        tables.any(|(version, known)| match version.era {
+            0 => version.number > known.number,
+            _ => version > known,
+        })
     }
 }
 
--- a/arbutusfold/tests/gateway_era.rs
+++ b/arbutusfold/tests/gateway_era.rs
@@ -392,3 +392,34 @@
     );
     assert_eq!(core.document_version(), 40);
 }
+
+/// Guards against a confirmed document that is late at a node which reaches only peers of
+/// a release that knows no eras, in front of a store that names one.
+#[tokio::test(start_paused = true)]
+async fn newer_document_of_a_peer_without_eras_comes_into_force() {
+    let core = gateway_network::core_of(&gateway_network::record(0));
+    core.note_era(1, "store");
+    core.replace(OPERATOR, vec![document_row(at(1, 15), 30)], at(1, 15));
+    let named = vec![at(0, 16), at(0, 0)];
+    let lag = || core.row_lag.lock().unwrap();
+    let now = time::Instant::now();
+    assert!(lag().note("front-2", named, &core.table_versions(), now));
+    let source = lag().next_source(&core.table_versions(), now);
+    assert_eq!(source.as_deref(), Some("front-2"));
+    let handler = replication::MirrorHandler::new(sync::Arc::clone(&core));
+    for (number, version, in_force) in [(16, 40, 40), (22, 20, 40)] {
+        let rows = replication::MirrorMessage::Rows {
+            table: OPERATOR.index(),
+            extent: replication::RowExtent::After(at(0, 15)),
+            rows: vec![document_row(at(0, number), version)],
+        };
+        handler.handle("front-2", &rows.encode().unwrap());
+        assert_eq!(core.document_version(), in_force);
+    }
+    let complete = core.with_mirror(OPERATOR, mirror::TableMirror::complete_version);
+    assert_eq!(
+        complete,
+        at(1, 15),
+        "the copy holds rows of the store's era only"
+    );
+}
