Pass on rows of a later page once the copy is complete up to them

A follower kept a row of a table for good that its leader and the store had replaced: a removed key or runner would have stayed in use there.

Cause: a leader reads a table in pages while it is written. A row of a later page can be newer than what the copy is complete up to, and is held back from followers until it is. When the change feed then delivers it, its content is no change for the leader, so it was left out of what followers get, and they took their copies for complete beyond it. It needs a table of more than one page, so the era of the store is not part of the cause; the read of the whole table after a return makes it likely.

Now the mirror returns the rows that are settled with the changes, for both callers (the store's pages and rows of peers). store_watch::take_page is split off so that tests take pages as the watch does.

--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -91,8 +91,9 @@
         changes
     }
 
-    /// Merges the changes after a version, up to the newest of them, and returns the
-    /// rows whose content changed.
+    /// Merges the changes after a version, up to the newest of them. Returns the rows whose
+    /// content changed, and those that are settled now: the copy had them before it was
+    /// complete up to them, so they were not passed on.
     ///
     /// Returns `None` and merges nothing if this copy is not complete up to that
     /// version, or the changes are of another era than it: the rows in between would be
@@ -118,12 +119,15 @@
         if end < after || after.era != until.era {
             return None;
         }
-        self.complete_version = self.complete_version.map(|end| end.max(until));
-        Some(self.merge(rows))
+        let settled = match self.complete_version {
+            Some(end) => self.complete_to(end.max(until)),
+            None => Vec::new(),
+        };
+        Some(self.merge_settled(rows, settled))
     }
 
     /// Replaces the copy by the whole table as of a version and returns the rows
-    /// whose content changed. Rows that the table lacks become tombstones, unless
+    /// that [`Self::merge_after`] does. Rows that the table lacks become tombstones, unless
     /// they are newer than that version.
     pub fn replace(&mut self, rows: Vec<MirrorRow>, version: store::RowVersion) -> Vec<MirrorRow> {
         let mut keys: Vec<_> = rows.iter().map(|row| row.key.clone()).collect();
@@ -139,8 +143,36 @@
                 value: None,
             })
             .collect();
-        self.complete_version = self.complete_version.max(Some(version));
-        self.merge(rows.into_iter().chain(removed))
+        let settled = self.complete_to(self.complete_version().max(version));
+        self.merge_settled(rows.into_iter().chain(removed), settled)
+    }
+
+    /// Records that the copy has every change up to a version, and returns the rows that it
+    /// had before.
+    fn complete_to(&mut self, version: store::RowVersion) -> Vec<MirrorRow> {
+        let before = self.complete_version.replace(version).unwrap_or(version);
+        if self.latest_version <= before {
+            return Vec::new();
+        }
+        let rows = self.rows.iter();
+        rows.filter(|row| row.version > before && row.version <= version)
+            .cloned()
+            .collect()
+    }
+
+    /// Merges rows and returns those that changed, and the settled ones that did not.
+    fn merge_settled(
+        &mut self,
+        rows: impl IntoIterator<Item = MirrorRow>,
+        settled: Vec<MirrorRow>,
+    ) -> Vec<MirrorRow> {
+        let mut changed = self.merge(rows);
+        for row in settled {
+            if changed.iter().all(|change| change.key != row.key) {
+                changed.push(row);
+            }
+        }
+        changed
     }
 
     /// Returns whether the copy, if it is complete, is of the same era as a version. What
--- a/arbutusfold/src/gateway/store_watch.rs
+++ b/arbutusfold/src/gateway/store_watch.rs
@@ -97,28 +97,12 @@
             Ok(page) => {
                 core.record_store_call(table, true, started, "answered");
                 retry_delay = RETRY_DELAY_MIN;
-                if let Some(fault) = page.faults.first() {
-                    let detail = format!(
-                        "table={} rows={} first={fault}",
-                        table.index(),
-                        page.faults.len()
-                    );
-                    core.note(event::EventCode::RowsUnreadable, "store", detail);
-                }
-                let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
-                let before = core.with_mirror(table, mirror::TableMirror::change_version);
-                let changed = match position {
-                    Some(after) => core.merge_between(table, after, page.version, rows),
-                    None => Some(core.replace(table, rows, page.version)),
-                };
-                let Some(changed) = changed else {
-                    // The changes since the position are unknown: the store came back
-                    // from an older copy, and its numbers have passed the position.
-                    note_reread(&core, position, &page.version.to_string());
+                let found = page.version;
+                if !take_page(&core, table, position, page) {
+                    note_reread(&core, position, &found.to_string());
                     position = None;
                     continue;
-                };
-                replication::share_changes(&core, table, before, changed);
+                }
                 // Changes come in bursts, for example when runners register or
                 // their entries expire.
                 time::sleep(match core.is_leading() {
@@ -144,6 +128,38 @@
     }
 }
 
+/// Takes a page of the store, the whole table or the changes after `position`, into the
+/// copy of the table, and passes on what changed.
+///
+/// Returns whether the page could be taken. The changes since a position of another era
+/// are unknown: the store came back from an older copy, and its numbers have passed it.
+pub fn take_page(
+    core: &core::GatewayCore,
+    table: store::WatchedTable,
+    position: Option<store::RowVersion>,
+    page: store::RowPage,
+) -> bool {
+    if let Some(fault) = page.faults.first() {
+        let detail = format!(
+            "table={} rows={} first={fault}",
+            table.index(),
+            page.faults.len()
+        );
+        core.note(event::EventCode::RowsUnreadable, "store", detail);
+    }
+    let rows = page.rows.into_iter().map(mirror::MirrorRow::from).collect();
+    let before = core.with_mirror(table, mirror::TableMirror::change_version);
+    let changed = match position {
+        Some(after) => core.merge_between(table, after, page.version, rows),
+        None => Some(core.replace(table, rows, page.version)),
+    };
+    let is_taken = changed.is_some();
+    if let Some(changed) = changed {
+        replication::share_changes(core, table, before, changed);
+    }
+    is_taken
+}
+
 fn note_reread(core: &core::GatewayCore, position: Option<store::RowVersion>, found: &str) {
     let after = position.unwrap_or_default();
     let detail = format!("after={after} found={found} era={}", core.store_era());
--- a/arbutusfold/tests/gateway_mirror.rs
+++ b/arbutusfold/tests/gateway_mirror.rs
@@ -126,3 +126,18 @@
     let sent = table.changes_after(at(3)).unwrap();
     assert_eq!(sent, [row("a", 7, Some("leaving")), row("z", 8, Some("x"))]);
 }
+
+/// Guards against a row that followers never get: their leader read it in a later page of
+/// the table, so the change that completes its copy up to it is none of its content.
+#[test]
+fn row_of_a_later_page_is_passed_on_when_the_copy_is_complete_up_to_it() {
+    let mut leader = mirror::TableMirror::default();
+    leader.replace(vec![row("a", 4, Some("old"))], at(4));
+    let mut follower = leader.clone();
+    leader.replace(vec![row("a", 6, Some("new"))], at(5));
+    let changes = vec![row("a", 6, Some("new")), row("b", 7, Some("x"))];
+    let changed = leader.merge_between(at(5), at(7), changes).unwrap();
+    follower.merge_after(at(4), changed).unwrap();
+    assert_eq!(follower.get("a"), leader.get("a"));
+    assert_eq!(follower.complete_version(), at(7));
+}
