Send nodes that start the document that the store lost

Callers saw: between a return of the store from an older copy and the operator's rewrite, a node that started served by the older document of the copy: old services, 404 for routes that are there, keys that had been taken away. Three nodes replaced one after the other: the first one had no latest route within 6 s, for a bound of 2 s.

Cause: peers give up their row of the former era for the store's, so what they send a node that starts is the copy's document, although they themselves still go by the later one.

Now a node keeps the row of the document in force. As long as its copy of the operator's table has another one, it sends it ahead of its records of crashes to a node that starts, which is not ready before it has these, and to nodes that request rows. The receiver takes it by the document's own version and leaves its copy of the table alone. Without a return nothing is sent.

Evidence: node_that_starts_takes_the_document_that_the_store_lost_from_a_peer and nodes_that_start_before_the_operator_writes_again_keep_the_document (three real processes) fail on the code before and pass now.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -130,6 +130,8 @@
     pub suspects_unstored: tokio::sync::Notify,
     mirrors: sync::Mutex<[mirror::TableMirror; store::WatchedTable::ALL.len()]>,
     routing: sync::RwLock<Option<sync::Arc<routing::RoutingTable>>>,
+    /// Row of the document in force.
+    document_row: sync::Mutex<Option<mirror::MirrorRow>>,
     /// The latest outage of the store.
     outage: sync::Mutex<Option<fleet::StoreOutage>>,
     store_lost: atomic::AtomicBool,
@@ -229,6 +231,7 @@
             suspects_unstored: tokio::sync::Notify::new(),
             mirrors: sync::Mutex::default(),
             routing: sync::RwLock::default(),
+            document_row: sync::Mutex::default(),
             outage: sync::Mutex::default(),
             store_lost: atomic::AtomicBool::new(false),
             store_era: atomic::AtomicU64::new(0),
@@ -272,6 +275,18 @@
         self.routing().map_or(0, |table| table.version())
     }
 
+    /// Returns the row of the document in force if the copy of the operator's table has
+    /// another one: the store came back without the latest document.
+    pub fn unstored_document(&self) -> Option<mirror::MirrorRow> {
+        let row = lock(&self.document_row).clone()?;
+        let is_stored = self.with_mirror(store::WatchedTable::Operator, |mirror| {
+            mirror
+                .get(&row.key)
+                .is_some_and(|stored| stored.value == row.value)
+        });
+        (!is_stored).then_some(row)
+    }
+
     /// Returns whether this node can serve callers: it has the runner entries and
     /// a document, knows which requests crash runners, and it is not stopping.
     pub fn is_ready(&self) -> bool {
@@ -724,7 +739,9 @@
         }
     }
 
-    fn apply_document(&self, row: &mirror::MirrorRow) {
+    /// Puts the document of a row in force if its own version is higher than that of the
+    /// one in force.
+    pub fn apply_document(&self, row: &mirror::MirrorRow) {
         let Some(value) = &row.value else { return };
         let document = match document::decode(value) {
             Ok(document) => document,
@@ -736,6 +753,9 @@
         };
         let current = self.document_version();
         if document.version <= current {
+            if document.version == current {
+                self.note_stored_again(row);
+            }
             let detail = format!("document version in force: {current}");
             let subject = document.version.to_string();
             self.note(event::EventCode::ConfigBehind, &subject, detail);
@@ -753,6 +773,7 @@
             .routing
             .write()
             .unwrap_or_else(sync::PoisonError::into_inner) = Some(table);
+        *lock(&self.document_row) = Some(row.clone());
         self.document_known.send_replace(true);
         self.metrics.document_version.set(version as i64);
         self.note(
@@ -762,6 +783,17 @@
         );
     }
 
+    /// Records that the document in force was written again in a later row.
+    fn note_stored_again(&self, row: &mirror::MirrorRow) {
+        let mut known = lock(&self.document_row);
+        if known
+            .as_ref()
+            .is_none_or(|known| known.version < row.version)
+        {
+            *known = Some(row.clone());
+        }
+    }
+
     /// Applies the runners, sorted by key, that a leader found to have failed; none of
     /// them gets requests for `hold`.
     pub fn apply_failed(&self, failed: &[demand::FailedRunner], hold: std_time::Duration) {
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -55,7 +55,7 @@
     },
     /// Rows that the receiver merges and passes on.
     Relay {
-        /// [`Self::Rows`], compressed.
+        /// [`Self::Rows`] or [`Self::Document`], compressed.
         packed: Bytes,
         /// Nodes that get the rows from the receiver.
         receivers: Vec<id::HostName>,
@@ -66,6 +66,9 @@
     },
     /// Versions of the sender's copies, sent when they changed.
     Versions(versions::TableVersions),
+    /// Row of the document that is in force at the sender and that the store lost. It is
+    /// no part of a copy of the table.
+    Document(mirror::MirrorRow),
 }
 
 impl MirrorMessage {
@@ -80,6 +83,7 @@
                 versions.iter().map(|version| version.era).collect()
             }
             Self::Rows { extent, .. } => vec![extent.version().era],
+            Self::Document(row) => vec![row.version.era],
             // The packed message names its own.
             Self::Relay { .. } => Vec::new(),
         };
@@ -102,6 +106,7 @@
                 extent.version_mut().era = era;
                 rows.iter_mut().for_each(|row| row.version.era = era);
             }
+            Self::Document(row) => row.version.era = eras.first().copied().unwrap_or(0),
             Self::Relay { .. } => {}
         }
         Ok(message)
@@ -195,6 +200,7 @@
         };
         match message {
             MirrorMessage::Request(after) => {
+                send_document(&self.core, sender);
                 for (index, after) in after.into_iter().enumerate() {
                     let missing = missing_rows(&self.core, index, after);
                     if let Some(packed) = missing.and_then(|missing| pack(&missing)) {
@@ -208,6 +214,7 @@
                 rows,
             } => self.receive_rows(sender, table, extent, rows),
             MirrorMessage::Versions(named) => note_versions(&self.core, named, sender),
+            MirrorMessage::Document(row) => self.core.apply_document(&row),
             MirrorMessage::Relay {
                 packed,
                 receivers,
@@ -215,13 +222,14 @@
             } => {
                 relay(&self.core, &packed, &receivers, failed_ms);
                 self.note_outage(failed_ms);
-                if let Some(MirrorMessage::Rows {
-                    table,
-                    extent,
-                    rows,
-                }) = unpack(&packed)
-                {
-                    self.receive_rows(sender, table, extent, rows);
+                match unpack(&packed) {
+                    Some(MirrorMessage::Rows {
+                        table,
+                        extent,
+                        rows,
+                    }) => self.receive_rows(sender, table, extent, rows),
+                    Some(MirrorMessage::Document(row)) => self.core.apply_document(&row),
+                    _ => {}
                 }
             }
         }
@@ -481,6 +489,16 @@
     })
 }
 
+/// Sends a peer the document in force if the store lost it: the peer may have read the
+/// store only, and callers would get what an earlier document said until the operator
+/// has written the latest one again.
+pub fn send_document(core: &core::GatewayCore, to: &str) {
+    let message = core.unstored_document().map(MirrorMessage::Document);
+    if let Some(packed) = message.and_then(|message| pack(&message)) {
+        relay(core, &packed, &[to.to_owned()], None);
+    }
+}
+
 fn send(core: &core::GatewayCore, to: &str, message: &MirrorMessage) {
     if let Ok(body) = message.encode() {
         core.post.send(to, peer::MessageKind::Mirror, &body);
--- a/arbutusfold/src/gateway/suspects.rs
+++ b/arbutusfold/src/gateway/suspects.rs
@@ -19,6 +19,7 @@
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::leader;
+use crate::gateway::replication;
 use crate::gateway::suspect_store;
 use crate::gateway::trial;
 use crate::gateway::versions;
@@ -284,6 +285,8 @@
             LedgerMessage::Ended(fingerprint) => trial::end(core, &fingerprint),
             LedgerMessage::Request => {
                 if *core.suspects_known.borrow() {
+                    // It arrives first: a node that has the records is ready to serve.
+                    replication::send_document(core, sender);
                     let records = shared_records(core);
                     send(core, sender, &LedgerMessage::Known(records));
                 }
--- a/arbutusfold/tests/gateway_era.rs
+++ b/arbutusfold/tests/gateway_era.rs
@@ -13,7 +13,7 @@
     core, leader, leader_driver, mirror, replication, store_watch, suspect_store, suspects,
     versions,
 };
-use arbutusfold::peer::MessageHandler;
+use arbutusfold::peer::{self, MessageHandler};
 use arbutusfold::suspect;
 use arbutusfold::suspect::ledger;
 use arbutusfold_platform::store;
@@ -423,3 +423,32 @@
         "the copy holds rows of the store's era only"
     );
 }
+
+/// Guards against callers that a node which starts before the operator has written again
+/// serves by the older document of the copy, for example with a key that was taken away.
+#[tokio::test(start_paused = true)]
+async fn node_that_starts_takes_the_document_that_the_store_lost_from_a_peer() {
+    let network = gateway_network::start(2, 0.0, 1);
+    let [peer, started] = network.nodes.get().unwrap().as_slice() else {
+        unreachable!()
+    };
+    for core in [peer, started] {
+        let handler = replication::MirrorHandler::new(sync::Arc::clone(core));
+        core.post
+            .register(peer::MessageKind::Mirror, sync::Arc::new(handler));
+    }
+    peer.replace(OPERATOR, vec![document_row(at(1, 22), 20)], at(1, 22));
+    peer.suspects_known.send_replace(true);
+    for core in [peer, started] {
+        core.replace(OPERATOR, vec![document_row(at(2, 9), 10)], at(2, 14));
+    }
+    suspects::learn(sync::Arc::clone(started)).await;
+    assert_eq!(started.document_version(), 20);
+    let complete = started.with_mirror(OPERATOR, mirror::TableMirror::complete_version);
+    assert_eq!(complete, at(2, 14), "the copy holds rows of the store only");
+
+    // Once the operator has written it again, nobody sends it any more.
+    assert!(peer.unstored_document().is_some());
+    peer.merge(OPERATOR, vec![document_row(at(2, 15), 20)]);
+    assert!(peer.unstored_document().is_none());
+}
--- a/soak/tests/fleet_era.rs
+++ b/soak/tests/fleet_era.rs
@@ -105,3 +105,22 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against callers that a node which starts before the operator has written again
+/// serves by the older document of the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_before_the_operator_writes_again_keep_the_document() {
+    let size = fleet_fixture::calm_size(3);
+    let deployment = fleet_fixture::start_serving("era-start", 235, size).await;
+    deployment.store.set_era(1);
+    deployment.put_document();
+    let copy = deployment.store.copy();
+    deployment.put_document();
+    assert_eq!(find_late(&deployment).await, None);
+    deployment.store.come_back(copy);
+    for node in 0..size.nodes {
+        deployment.replace(node).await.unwrap();
+        deployment.wait_ready().await.unwrap();
+        assert_eq!(find_late(&deployment).await, None, "node {node}");
+    }
+}
