Known red: callers that send very slowly; print which calls were slow

Nothing told whether one pause of the machine held them all up, so the test prints the slowest calls with when they began, and how late its own callers were. Bound and sample are as before. The test of drills prints its times as well.

--- a/soak/tests/fleet_callers.rs
+++ b/soak/tests/fleet_callers.rs
@@ -249,8 +249,10 @@
 struct CallTally {
     unserved: Vec<String>,
     total: usize,
-    /// Times of the calls to plain services that were served.
-    times: Vec<time::Duration>,
+    /// When calls to plain services that were served began, and how long they took.
+    served: Vec<(time::Duration, time::Duration)>,
+    /// Longest time by which a call began too late: the callers themselves were held up.
+    caller_delay: time::Duration,
 }
 
 impl CallTally {
@@ -259,17 +261,28 @@
     }
 
     fn p99(&self) -> time::Duration {
-        let mut times = self.times.clone();
+        let mut times: Vec<_> = self.served.iter().map(|(_, took)| *took).collect();
         times.sort_unstable();
         times[(times.len() - 1) * 99 / 100]
     }
+
+    /// Describes the slowest calls: a pause of the machine slows those of one moment.
+    fn describe_slowest(&self) -> String {
+        let mut slowest = self.served.clone();
+        slowest.sort_unstable_by_key(|(_, took)| std::cmp::Reverse(*took));
+        slowest.truncate(8);
+        let delay = self.caller_delay;
+        format!("slowest (begun at, took) {slowest:?}, callers late by at most {delay:?}")
+    }
 }
 
 /// Calls a node as ordinary callers do, each on a connection of its own.
 async fn call_ordinarily(node: net::SocketAddr, duration: time::Duration) -> CallTally {
     let mut calls = task::JoinSet::new();
-    let end = tokio::time::Instant::now() + duration;
+    let start = tokio::time::Instant::now();
+    let end = start + duration;
     let mut ticks = tokio::time::interval(CALL_PERIOD);
+    let mut tally = CallTally::default();
     let kinds = [
         CallKind::Get,
         CallKind::Post,
@@ -278,25 +291,26 @@
         CallKind::Stream,
     ];
     for number in 0_usize.. {
-        if ticks.tick().await >= end {
+        let due = ticks.tick().await;
+        if due >= end {
             break;
         }
+        tally.caller_delay = tally.caller_delay.max(due.elapsed());
         let kind = kinds[number % kinds.len()];
         calls.spawn(async move {
             let request = format!("ordinary-{}", rand_id());
             let begun = tokio::time::Instant::now();
             let record = caller::call(node, request, kind, deployment::KEY).await;
-            (record, begun.elapsed())
+            (record, begun - start, begun.elapsed())
         });
     }
-    let mut tally = CallTally::default();
-    for (record, time) in calls.join_all().await {
+    for (record, begun, time) in calls.join_all().await {
         tally.total += 1;
         if record.outcome != CallOutcome::Served {
             let line = format!("{:?} {:?} {time:?}", record.kind, record.outcome);
             tally.unserved.push(line);
         } else if record.kind != CallKind::Stream {
-            tally.times.push(time);
+            tally.served.push((begun, time));
         }
     }
     tally
@@ -397,7 +411,8 @@
     assert!(share >= SERVED_SHARE, "{share}: {:#?}", pressed.unserved);
     assert!(peak < MEMORY_MB, "{peak} MB");
     let limit = calm_p99.mul_f64(SLOWDOWN_LIMIT);
-    assert!(p99 <= limit, "p99 {p99:?}, in calm {calm_p99:?}");
+    let slowest = pressed.describe_slowest();
+    assert!(p99 <= limit, "p99 {p99:?}, in calm {calm_p99:?}, {slowest}");
     let deadline = tokio::time::Instant::now() + RELEASE_LIMIT;
     while descriptor_count(id) > descriptors + KEPT_DESCRIPTORS {
         let left = descriptor_count(id);
--- a/soak/tests/fleet_era.rs
+++ b/soak/tests/fleet_era.rs
@@ -30,8 +30,8 @@
 }
 
 /// Waits until all nodes serve the route that the latest document added; returns the
-/// slowest one if it is late.
-async fn find_late(deployment: &deployment::SoakDeployment) -> Option<(time::Duration, String)> {
+/// slowest one.
+async fn find_slowest(deployment: &deployment::SoakDeployment) -> (time::Duration, String) {
     let written_at = tokio::time::Instant::now();
     let document = deployment.document_count();
     let waits = deployment.nodes.iter().map(|node| {
@@ -42,11 +42,14 @@
             (waited.await, name)
         }
     });
-    let slowest = futures_util::future::join_all(waits).await;
-    slowest
-        .into_iter()
-        .max()
-        .filter(|(took, _)| *took > APPLY_LIMIT)
+    let waits = futures_util::future::join_all(waits).await;
+    waits.into_iter().max().unwrap()
+}
+
+/// Returns the slowest node if it is late.
+async fn find_late(deployment: &deployment::SoakDeployment) -> Option<(time::Duration, String)> {
+    let slowest = find_slowest(deployment).await;
+    Some(slowest).filter(|(took, _)| *took > APPLY_LIMIT)
 }
 
 /// Guards against a confirmed change that is late or ignored, since the store came back
@@ -57,7 +60,7 @@
     deployment.store.set_era(1);
     let drills = std::env::var("ARBUTUSFOLD_ERA_DRILLS").ok();
     let drills = drills.map_or(DRILLS, |drills| drills.parse().unwrap());
-    let mut faults = Vec::new();
+    let (mut faults, mut times) = (Vec::new(), Vec::new());
     for seed in 0..drills {
         let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         let mut millis =
@@ -97,12 +100,18 @@
         tokio::time::sleep(change).await;
         deployment.wait_ready().await.unwrap();
         deployment.put_document();
-        if let Some(late) = find_late(&deployment).await {
-            faults.push(format!("{drill}: {late:?}"));
+        let (took, name) = find_slowest(&deployment).await;
+        if took > APPLY_LIMIT {
+            faults.push(format!("{drill}: {name} after {took:?}"));
         }
+        times.push(took);
         let proxies = deployment.nodes.iter().map(|node| &node.store);
         proxies.for_each(|proxy| proxy.set_fault(proxy::ProxyFault::None));
     }
+    times.sort_unstable();
+    let p99 = times[(times.len() - 1) * 99 / 100];
+    let p50 = times[times.len() / 2];
+    eprintln!("era: {drills} drills, slowest node p50 {p50:?} p99 {p99:?}");
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
