One wait for a document at all nodes, one handler of what messages carry

From a reading of the whole change. The soak's tests of documents and of drills share one wait for the slowest node; a message's content is handled the same whether it came packed; the mirror asks itself about its era in one place; the test of eras brings documents into force in one call. Behaviour and assertions are as before.

--- a/arbutusfold/src/gateway/layout_controller.rs
+++ b/arbutusfold/src/gateway/layout_controller.rs
@@ -5,8 +5,9 @@
 //! acts. Safety does not depend on this. The fencing token is the version of a
 //! row that the acting node writes conditionally, and runners refuse a token
 //! lower than the highest they have seen. A token ends with the era of the store,
-//! as the row may be lost with it, and those of the next era are higher. Each order also names the number of
-//! orders that the runner has taken before, so that a late order has no effect.
+//! as the row may be lost with it, and those of the next era are higher. Each order
+//! also names the number of orders that the runner has taken before, so that a late
+//! order has no effect.
 
 use std::sync;
 use std::time as std_time;
--- a/arbutusfold/src/gateway/mirror.rs
+++ b/arbutusfold/src/gateway/mirror.rs
@@ -190,10 +190,7 @@
             |row: &&MirrorRow| self.complete_version.is_none_or(|end| row.version <= end);
         let settled = self.rows.iter().filter(is_settled);
         let changed = settled.filter(|row| row.version > version);
-        let is_same_era = self
-            .complete_version
-            .is_none_or(|end| end.era == version.era);
-        let is_known = is_same_era && version >= self.purged_version;
+        let is_known = self.is_in_era_of(version) && version >= self.purged_version;
         is_known.then(|| changed.cloned().collect())
     }
 
--- a/arbutusfold/src/gateway/receive.rs
+++ b/arbutusfold/src/gateway/receive.rs
@@ -55,7 +55,7 @@
 pub enum ReceiveError {
     /// It is longer than the limit.
     TooLong,
-    /// Callers hold all memory that they may hold.
+    /// The account has no memory for it.
     NoMemory,
     /// The deadline has passed.
     TimedOut,
@@ -64,7 +64,8 @@
 }
 
 impl ReceiveError {
-    /// Converts the error to the refusal of a request that has not run.
+    /// Converts the error of a request's body to the refusal of the request, which has not
+    /// run.
     pub fn to_refusal(&self) -> response::GatewayRefusal {
         let failed = response::GatewayRefusal::failed;
         match self {
--- a/arbutusfold/src/gateway/replication.rs
+++ b/arbutusfold/src/gateway/replication.rs
@@ -208,13 +208,7 @@
                     }
                 }
             }
-            MirrorMessage::Rows {
-                table,
-                extent,
-                rows,
-            } => self.receive_rows(sender, table, extent, rows),
             MirrorMessage::Versions(named) => note_versions(&self.core, named, sender),
-            MirrorMessage::Document(row) => self.core.apply_document(&row),
             MirrorMessage::Relay {
                 packed,
                 receivers,
@@ -222,21 +216,31 @@
             } => {
                 relay(&self.core, &packed, &receivers, failed_ms);
                 self.note_outage(failed_ms);
-                match unpack(&packed) {
-                    Some(MirrorMessage::Rows {
-                        table,
-                        extent,
-                        rows,
-                    }) => self.receive_rows(sender, table, extent, rows),
-                    Some(MirrorMessage::Document(row)) => self.core.apply_document(&row),
-                    _ => {}
+                if let Some(content) = unpack(&packed) {
+                    self.receive(sender, content);
                 }
             }
+            content => self.receive(sender, content),
         }
     }
 }
 
 impl MirrorHandler {
+    /// Handles what a message carries; only such messages are packed.
+    fn receive(&self, sender: &str, content: MirrorMessage) {
+        match content {
+            MirrorMessage::Rows {
+                table,
+                extent,
+                rows,
+            } => self.receive_rows(sender, table, extent, rows),
+            MirrorMessage::Document(row) => self.core.apply_document(&row),
+            MirrorMessage::Request(_)
+            | MirrorMessage::Relay { .. }
+            | MirrorMessage::Versions(_) => {}
+        }
+    }
+
     fn receive_rows(
         &self,
         sender: &str,
--- a/arbutusfold/tests/gateway_era.rs
+++ b/arbutusfold/tests/gateway_era.rs
@@ -90,6 +90,11 @@
         self.store.put("op", "config", Some(document(version)));
     }
 
+    async fn put_in_force(&self, version: u64) {
+        self.write_document(version);
+        assert!(self.is_in_force(version).await);
+    }
+
     /// Writes entries of other runners, each of which raises the store's number.
     fn write_entries(&self, count: usize) {
         for number in 0..count {
@@ -122,15 +127,12 @@
 #[tokio::test]
 async fn document_with_a_lower_row_number_in_a_new_era_comes_into_force() {
     let watched = WatchedStore::start().await;
-    watched.write_document(10);
-    assert!(watched.is_in_force(10).await);
+    watched.put_in_force(10).await;
     let copy = watched.store.copy();
     watched.write_entries(20);
-    watched.write_document(20);
-    assert!(watched.is_in_force(20).await);
+    watched.put_in_force(20).await;
     watched.store.come_back(copy);
-    watched.write_document(30);
-    assert!(watched.is_in_force(30).await);
+    watched.put_in_force(30).await;
     let reread = watched.core.recorder.about("store");
     assert!(reread.iter().any(|record| record.name == "StoreReread"));
 }
@@ -140,11 +142,9 @@
 #[tokio::test]
 async fn document_written_before_the_numbers_pass_the_position_comes_into_force() {
     let watched = WatchedStore::start().await;
-    watched.write_document(10);
-    assert!(watched.is_in_force(10).await);
+    watched.put_in_force(10).await;
     let copy = watched.store.copy();
-    watched.write_document(20);
-    assert!(watched.is_in_force(20).await);
+    watched.put_in_force(20).await;
     watched.store.set_fault(standin::StoreFault::Busy);
     time::sleep(1_000 * MS).await;
     watched.store.come_back(copy);
@@ -159,12 +159,10 @@
 #[tokio::test]
 async fn document_after_two_returns_of_which_one_was_seen_comes_into_force() {
     let watched = WatchedStore::start().await;
-    watched.write_document(10);
-    assert!(watched.is_in_force(10).await);
+    watched.put_in_force(10).await;
     let copy = watched.store.copy();
     watched.write_entries(40);
-    watched.write_document(20);
-    assert!(watched.is_in_force(20).await);
+    watched.put_in_force(20).await;
     watched.store.set_fault(standin::StoreFault::Busy);
     time::sleep(500 * MS).await;
     watched.store.come_back(copy.clone());
@@ -181,11 +179,9 @@
 async fn document_in_force_does_not_go_back_with_the_store() {
     let watched = WatchedStore::start().await;
     let empty = watched.store.copy();
-    watched.write_document(10);
-    assert!(watched.is_in_force(10).await);
+    watched.put_in_force(10).await;
     let copy = watched.store.copy();
-    watched.write_document(20);
-    assert!(watched.is_in_force(20).await);
+    watched.put_in_force(20).await;
     for copy in [copy, empty] {
         watched.store.come_back(copy);
         time::sleep(600 * MS).await;
@@ -200,8 +196,7 @@
     let watched = WatchedStore::start().await;
     let empty = watched.store.copy();
     watched.store.put("servers", "i-1", Some(entry("ready")));
-    watched.write_document(10);
-    assert!(watched.is_in_force(10).await);
+    watched.put_in_force(10).await;
     let is_usable = || {
         let fleet = watched.core.fleet.lock().unwrap();
         let now = time::Instant::now();
@@ -224,8 +219,7 @@
     let watched = WatchedStore::start().await;
     let core = &watched.core;
     let empty = watched.store.copy();
-    watched.write_document(10);
-    assert!(watched.is_in_force(10).await);
+    watched.put_in_force(10).await;
     let alone = vec![gateway_network::record(0)];
     core.members
         .publish(alone, arbutusfold::member::RemoteRegions::default());
--- a/arbutusfold/tests/gateway_era_state.rs
+++ b/arbutusfold/tests/gateway_era_state.rs
@@ -114,7 +114,7 @@
 
 /// Store, nodes and what delays their messages.
 struct CaseState {
-    store: sync::Arc<sync::Mutex<ModelStore>>,
+    store: sync::Mutex<ModelStore>,
     network: sync::Arc<gateway_network::TestNetwork>,
     random: sync::Mutex<rand_chacha::ChaCha8Rng>,
 }
@@ -239,7 +239,7 @@
         ..ModelStore::default()
     };
     let state = sync::Arc::new(CaseState {
-        store: sync::Arc::new(sync::Mutex::new(store)),
+        store: sync::Mutex::new(store),
         network: sync::Arc::clone(&network),
         random: sync::Mutex::new(rand_chacha::ChaCha8Rng::seed_from_u64(seed)),
     });
--- a/soak/tests/fleet_document.rs
+++ b/soak/tests/fleet_document.rs
@@ -30,18 +30,7 @@
     deployment: &deployment::SoakDeployment,
 ) -> impl Future<Output = (time::Duration, String)> + use<> {
     deployment.put_document();
-    let changed_at = tokio::time::Instant::now();
-    let document = deployment.document_count();
-    let waits = deployment.nodes.iter().map(|node| {
-        let (address, name) = (node.spec.callers(), node.spec.name.clone());
-        async move {
-            let limit = 10 * APPLY_LIMIT;
-            let waited = fleet_fixture::wait_in_force(address, document, changed_at, limit);
-            (waited.await, name)
-        }
-    });
-    let waits = futures_util::future::join_all(waits);
-    async move { waits.await.into_iter().max().unwrap() }
+    fleet_fixture::slowest_in_force(deployment, 10 * APPLY_LIMIT)
 }
 
 /// Lets one node after the other be the only one that reaches the store, and returns
--- a/soak/tests/fleet_era.rs
+++ b/soak/tests/fleet_era.rs
@@ -29,26 +29,9 @@
     TurnAway(usize),
 }
 
-/// Waits until all nodes serve the route that the latest document added; returns the
-/// slowest one.
-async fn find_slowest(deployment: &deployment::SoakDeployment) -> (time::Duration, String) {
-    let written_at = tokio::time::Instant::now();
-    let document = deployment.document_count();
-    let waits = deployment.nodes.iter().map(|node| {
-        let (address, name) = (node.spec.callers(), node.spec.name.clone());
-        async move {
-            let limit = 3 * APPLY_LIMIT;
-            let waited = fleet_fixture::wait_in_force(address, document, written_at, limit);
-            (waited.await, name)
-        }
-    });
-    let waits = futures_util::future::join_all(waits).await;
-    waits.into_iter().max().unwrap()
-}
-
 /// Returns the slowest node if it is late.
 async fn find_late(deployment: &deployment::SoakDeployment) -> Option<(time::Duration, String)> {
-    let slowest = find_slowest(deployment).await;
+    let slowest = fleet_fixture::slowest_in_force(deployment, 3 * APPLY_LIMIT).await;
     Some(slowest).filter(|(took, _)| *took > APPLY_LIMIT)
 }
 
@@ -100,7 +83,8 @@
         tokio::time::sleep(change).await;
         deployment.wait_ready().await.unwrap();
         deployment.put_document();
-        let (took, name) = find_slowest(&deployment).await;
+        let limit = 3 * APPLY_LIMIT;
+        let (took, name) = fleet_fixture::slowest_in_force(&deployment, limit).await;
         if took > APPLY_LIMIT {
             faults.push(format!("{drill}: {name} after {took:?}"));
         }
--- a/soak/tests/fleet_fixture/mod.rs
+++ b/soak/tests/fleet_fixture/mod.rs
@@ -132,7 +132,7 @@
 
 /// Waits until a node serves the route that a document added, for `limit` at most; returns
 /// the time since `changed_at`.
-pub async fn wait_in_force(
+async fn wait_in_force(
     node: std::net::SocketAddr,
     document: u64,
     changed_at: tokio::time::Instant,
@@ -152,3 +152,22 @@
         tokio::time::sleep(time::Duration::from_millis(15)).await;
     }
 }
+
+/// Returns the time until the slowest node has the latest document in force, counted from
+/// the call, and that node's name; waits for at most `limit`.
+pub fn slowest_in_force(
+    deployment: &deployment::SoakDeployment,
+    limit: time::Duration,
+) -> impl Future<Output = (time::Duration, String)> + use<> {
+    let changed_at = tokio::time::Instant::now();
+    let document = deployment.document_count();
+    let waits = deployment.nodes.iter().map(|node| {
+        let (address, name) = (node.spec.callers(), node.spec.name.clone());
+        async move {
+            let waited = wait_in_force(address, document, changed_at, limit);
+            (waited.await, name)
+        }
+    });
+    let waits = futures_util::future::join_all(waits);
+    async move { waits.await.into_iter().max().unwrap() }
+}
