Make the drill of nine processes lose more than is written again

changes_after_the_store_came_back_from_a_copy_are_in_force_in_time passed on as well: nodes had not read what a return lost, and what runners and operator wrote again raised the numbers beyond it before the change came. It guarded against nothing that the code before did.

Now two to seven times as much is lost, all nodes have read it, and the change comes 0.05 to 2 s after the return whether or not the rewrite is done.

--- a/soak/tests/fleet_era.rs
+++ b/soak/tests/fleet_era.rs
@@ -51,6 +51,9 @@
         let (age, absence) = (millis(500..3_000), millis(0..1_500));
         let (rewrite, change) = (millis(0..1_000), millis(50..2_000));
         let node = random.random_range(0..SIZE.nodes);
+        // More is lost than is written again, so the change gets a number that the nodes
+        // have passed.
+        let lost = random.random_range(2..8);
         let company = match seed % 3 {
             0 => DrillCompany::Nothing,
             1 => DrillCompany::Replace(node),
@@ -59,10 +62,11 @@
         let copies = 1 + seed % 2;
         let drill = format!(
             "seed {seed}: age={age:?} absence={absence:?} rewrite={rewrite:?} change={change:?} \
-             {company:?} returns={copies}"
+             {company:?} returns={copies} lost={lost}"
         );
         let copy = deployment.store.copy();
         deployment.put_document();
+        (0..lost).for_each(|_| deployment.write_again());
         tokio::time::sleep(age).await;
         deployment.put_document();
         deployment.write_again();
@@ -78,13 +82,17 @@
         tokio::time::sleep(absence).await;
         (0..copies).for_each(|_| deployment.store.come_back(copy.clone()));
         deployment.store.set_fault(store::StoreFault::None);
-        tokio::time::sleep(rewrite).await;
-        deployment.write_again();
-        tokio::time::sleep(change).await;
-        deployment.wait_ready().await.unwrap();
-        deployment.put_document();
-        let limit = 3 * APPLY_LIMIT;
-        let (took, name) = fleet_fixture::slowest_in_force(&deployment, limit).await;
+        let written_again = async {
+            tokio::time::sleep(rewrite).await;
+            deployment.write_again();
+        };
+        let changed = async {
+            tokio::time::sleep(change).await;
+            deployment.wait_ready().await.unwrap();
+            deployment.put_document();
+            fleet_fixture::slowest_in_force(&deployment, 3 * APPLY_LIMIT).await
+        };
+        let ((took, name), ()) = tokio::join!(changed, written_again);
         if took > APPLY_LIMIT {
             faults.push(format!("{drill}: {name} after {took:?}"));
         }
