Log how runners' answers end, and the phase of a stop

No decision changes, but for one: an answer with a transfer coding that is no chunking, which ends with its connection whatever its length says (RFC 9112, 6.3), counts as one without a length.

--- a/arbutusfold/src/gateway.rs
+++ b/arbutusfold/src/gateway.rs
@@ -24,6 +24,7 @@
 
 pub mod admission;
 pub mod answer_body;
+pub mod answer_end;
 pub mod bounds;
 pub mod budget;
 pub mod claim;
--- a/arbutusfold/src/gateway/answer_body.rs
+++ b/arbutusfold/src/gateway/answer_body.rs
@@ -12,6 +12,7 @@
 use hyper::body;
 use tokio::time;
 
+use crate::gateway::answer_end;
 use crate::gateway::crash;
 use crate::gateway::held;
 use crate::gateway::memory;
@@ -29,26 +30,59 @@
 /// Why an answer is of no use whose end nothing states.
 pub const UNFRAMED: &str = "the answer states no end of its body";
 
-/// A body that was not read as a whole.
+/// Why a body was not read as a whole.
 #[derive(Debug)]
-pub enum BodyError {
+pub enum BodyFault {
     /// Nothing states where it ends, so it may have broken off.
     Unframed,
     /// It was not received.
     NotReceived(receive::ReceiveError),
 }
 
+/// A body that was not read as a whole.
+#[derive(Debug)]
+pub struct BodyError {
+    fault: BodyFault,
+    end: answer_end::AnswerEnd,
+}
+
 impl BodyError {
+    fn new(framing: head::BodyFraming, fault: BodyFault) -> Self {
+        let connection = match &fault {
+            BodyFault::NotReceived(receive::ReceiveError::Broken(error)) => {
+                answer_end::ConnectionEnd::of_error(error)
+            }
+            _ => answer_end::ConnectionEnd::Open,
+        };
+        Self {
+            fault,
+            end: answer_end::AnswerEnd {
+                framing,
+                connection,
+            },
+        }
+    }
+
     /// Returns whether the deadline of the request has passed.
     pub fn is_late(&self) -> bool {
-        matches!(self, Self::NotReceived(receive::ReceiveError::TimedOut))
+        matches!(
+            self.fault,
+            BodyFault::NotReceived(receive::ReceiveError::TimedOut)
+        )
     }
 
     /// Returns the fault of the run.
     pub fn to_fault(&self) -> held::RunFault {
-        let error = match self {
-            Self::Unframed => return held::RunFault::ran(UNFRAMED, None),
-            Self::NotReceived(error) => error,
+        held::RunFault {
+            end: Some(self.end),
+            ..self.run_fault()
+        }
+    }
+
+    fn run_fault(&self) -> held::RunFault {
+        let error = match &self.fault {
+            BodyFault::Unframed => return held::RunFault::ran(UNFRAMED, None),
+            BodyFault::NotReceived(error) => error,
         };
         match error {
             receive::ReceiveError::TooLong => held::RunFault::ran("the answer is too long", None),
@@ -68,9 +102,12 @@
     }
 }
 
-/// Returns whether an answer has no body or states where it ends.
-pub fn is_framed(parts: &http::response::Parts, body: &body::Incoming) -> bool {
-    body::Body::is_end_stream(body) || head::is_framed(&parts.headers)
+/// Returns what tells where the body of an answer ends; no body ends with its head.
+pub fn framing(parts: &http::response::Parts, body: &body::Incoming) -> head::BodyFraming {
+    match body::Body::is_end_stream(body) {
+        true => head::BodyFraming::Length,
+        false => head::body_framing(&parts.headers),
+    }
 }
 
 /// Reads the bodies of the answers of one runner.
@@ -118,12 +155,14 @@
         limit_bytes: usize,
         deadline: time::Instant,
     ) -> Result<Bytes, BodyError> {
-        if !is_framed(parts, &body) {
-            return Err(BodyError::Unframed);
+        let framing = framing(parts, &body);
+        if framing == head::BodyFraming::Connection {
+            return Err(BodyError::new(framing, BodyFault::Unframed));
         }
+        let not_received = |error| BodyError::new(framing, BodyFault::NotReceived(error));
         let Some(account) = &self.account else {
             let read = receive::read_unheld(body, limit_bytes, deadline).await;
-            return read.map_err(BodyError::NotReceived);
+            return read.map_err(not_received);
         };
         let owner = memory::HoldOwner {
             address: self.runner,
@@ -131,6 +170,6 @@
         };
         let hold = account.open(owner, memory::HoldKind::Incoming, sync::Arc::default());
         let read = receive::read_body(body, limit_bytes, deadline, account, hold, None);
-        read.await.map_err(BodyError::NotReceived)
+        read.await.map_err(not_received)
     }
 }
--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -300,6 +300,14 @@
         self.stopping.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns how far this node is in its stop.
+    pub fn stop_phase(&self) -> stop::StopPhase {
+        let plan = *self.stop_plan.borrow();
+        plan.map_or(stop::StopPhase::Running, |plan| {
+            plan.phase(time::Instant::now())
+        })
+    }
+
     /// Returns whether a request on a route with this deadline may begin now, as far as a
     /// stop of this node allows it.
     pub fn admits(&self, rule: &document::RouteRule, deadline: time::Instant) -> bool {
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 
 use crate::event;
 use crate::gateway::answer_body;
+use crate::gateway::answer_end;
 use crate::gateway::bounds;
 use crate::gateway::core;
 use crate::gateway::core::lock;
@@ -373,6 +374,7 @@
 struct PlainAnswer {
     target: request::AttemptTarget,
     parts: http::response::Parts,
+    framing: head::BodyFraming,
     bytes: Bytes,
 }
 
@@ -439,12 +441,14 @@
                 let PlainAnswer {
                     target,
                     parts,
+                    framing,
                     bytes,
                 } = *answer;
                 if parts.status.is_success() {
                     request.note_begun();
                 }
                 request.note_answered();
+                request.note_answer_end(answer_end::AnswerEnd::complete(framing));
                 lock(&request.core.fleet).note_success(&target.runners[0]);
                 return Ok(relay(&parts, bytes));
             }
@@ -523,12 +527,14 @@
         drop(link);
         return PlainEnd::Reported(parts, bytes);
     }
+    let framing = answer_body::framing(&parts, &body);
     let read = reader.read(&parts, body).await;
     drop(link);
     match read {
         Ok(bytes) => PlainEnd::Answered(Box::new(PlainAnswer {
             target,
             parts,
+            framing,
             bytes,
         })),
         Err(error) if error.is_late() => {
@@ -562,12 +568,14 @@
         let response = held::FailureResponse { parts, bytes };
         return Err(held::RunFault::reported(response).at(target, false));
     }
+    let framing = answer_body::framing(&parts, &body);
     let read = reader.read(&parts, body).await;
     drop(link);
     match read {
         Ok(bytes) => Ok(Box::new(PlainAnswer {
             target,
             parts,
+            framing,
             bytes,
         })),
         Err(error) => Err(error.to_fault().at(target, false)),
--- a/arbutusfold/src/gateway/held.rs
+++ b/arbutusfold/src/gateway/held.rs
@@ -12,6 +12,7 @@
 use futures_util::{FutureExt, StreamExt, future};
 use tokio::time;
 
+use crate::gateway::answer_end;
 use crate::gateway::crash;
 use crate::gateway::request;
 
@@ -28,6 +29,8 @@
     pub sign: Option<crash::CrashSign>,
     /// The response, if the runner reported a failure of its own.
     pub response: Option<FailureResponse>,
+    /// How the answer ended, if one began.
+    pub end: Option<answer_end::AnswerEnd>,
 }
 
 /// Response of a runner that failed a request.
@@ -48,6 +51,7 @@
             is_blamed: true,
             sign,
             response: None,
+            end: None,
         }
     }
 
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -42,6 +42,15 @@
     pub cause: String,
 }
 
+/// Labels of the counter of answers that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerEndLabels {
+    /// What tells where the body ends.
+    pub framing: String,
+    /// What had become of the connection.
+    pub connection: String,
+}
+
 /// Labels of the counter of requests and connections that met a bound.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BoundLabels {
@@ -122,6 +131,8 @@
     pub limit_permits: counter::Counter,
     /// Claims for such a permit that were denied or not answered.
     pub limit_denials: counter::Counter,
+    /// Answers of runners whose bodies ended, by framing and end of the connection.
+    pub answer_ends: family::Family<AnswerEndLabels, counter::Counter>,
     /// Streams resumed on another path.
     pub resumed: counter::Counter,
     /// Running streams moved to other runners, by cause.
@@ -195,6 +206,7 @@
             crashes: family::Family::default(),
             limit_permits: counter::Counter::default(),
             limit_denials: counter::Counter::default(),
+            answer_ends: family::Family::default(),
             resumed: counter::Counter::default(),
             rerouted: family::Family::default(),
             stage_checks: counter::Counter::default(),
@@ -254,6 +266,11 @@
             "Claims for such a permit that got none",
             set.limit_denials.clone(),
         );
+        registry.register(
+            "answer_ends",
+            "Answers whose bodies ended, by framing and connection",
+            set.answer_ends.clone(),
+        );
         registry.register("resumed", "Streams resumed elsewhere", set.resumed.clone());
         registry.register(
             "rerouted",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -14,6 +14,7 @@
 use crate::event;
 use crate::gateway::admission;
 use crate::gateway::answer_body;
+use crate::gateway::answer_end;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
@@ -133,6 +134,8 @@
     /// Expected time to the first event on the latest path, in milliseconds, where it
     /// is estimated.
     pub expected_first_ms: Option<f64>,
+    /// How the latest answer that ended did so, for the log.
+    pub latest_end: Option<answer_end::AnswerEnd>,
 }
 
 /// One stage of a path: a runner and the layers that it runs.
@@ -295,6 +298,7 @@
             is_blamed: false,
             sign: None,
             response: None,
+            end: None,
         })
     }
 }
@@ -547,6 +551,7 @@
             part_keys: sync::OnceLock::new(),
             has_begun: false,
             expected_first_ms: None,
+            latest_end: None,
         }
     }
 
@@ -658,8 +663,11 @@
         let expected = self.expected_first_ms.map_or(String::new(), |expected| {
             format!(" expected_first_ms={}", expected as u64)
         });
+        let end = self
+            .latest_end
+            .map_or(String::new(), |end| format!(" {end}"));
         format!(
-            "route={} service={} organisation={} document={} priority={} runs={} sends={} runners={} ms={}",
+            "route={} service={} organisation={} document={} priority={} runs={} sends={} runners={} ms={} stop={}",
             self.rule.name,
             self.service,
             self.organisation.as_deref().unwrap_or("none"),
@@ -669,7 +677,9 @@
             self.attempts,
             self.latest_runners,
             self.started.elapsed().as_millis(),
-        ) + &expected
+            self.core.stop_phase(),
+        ) + &end
+            + &expected
     }
 
     /// Chooses the runners for the next attempt, and gets a permit if the first
@@ -1443,6 +1453,9 @@
     /// Records why a run broke. If only the way to its runner was lost, the runner may
     /// still be at work.
     pub fn note_fault(&mut self, target: &AttemptTarget, fault: &held::RunFault, progressed: bool) {
+        if let Some(end) = fault.end {
+            self.note_answer_end(end);
+        }
         if !fault.is_blamed {
             return;
         }
@@ -1453,6 +1466,16 @@
         }
     }
 
+    /// Records how an answer ended.
+    pub fn note_answer_end(&mut self, end: answer_end::AnswerEnd) {
+        self.latest_end = Some(end);
+        let labels = metrics::AnswerEndLabels {
+            framing: end.framing.to_string(),
+            connection: end.connection.to_string(),
+        };
+        self.core.metrics.answer_ends.get_or_create(&labels).inc();
+    }
+
     /// Records the runs that ended without delivering while they were held; returns
     /// the latest failure that a runner reported.
     pub fn note_held_failures<T>(
--- a/arbutusfold/src/gateway/stop.rs
+++ b/arbutusfold/src/gateway/stop.rs
@@ -3,6 +3,7 @@
 use std::time as std_time;
 
 use arbutusfold_platform::document;
+use derive_more::Display;
 use tokio::time;
 
 use crate::gateway::response;
@@ -14,6 +15,23 @@
 /// Why a node does not finish a request.
 const CAUSE: &str = "this node stops before the request could end";
 
+/// How far a node is in its stop.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StopPhase {
+    /// It is not stopping.
+    #[display("none")]
+    Running,
+    /// Callers may not know of the stop yet.
+    #[display("announcing")]
+    Announcing,
+    /// It takes what it can finish.
+    #[display("draining")]
+    Draining,
+    /// It answers what is open.
+    #[display("answering")]
+    Answering,
+}
+
 /// Times of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
@@ -30,6 +48,15 @@
         now < self.announced_at || ends_at <= self.answers_at()
     }
 
+    /// Returns how far the stop is.
+    pub fn phase(&self, now: time::Instant) -> StopPhase {
+        match now {
+            now if now < self.announced_at => StopPhase::Announcing,
+            now if now < self.answers_at() => StopPhase::Draining,
+            _ => StopPhase::Answering,
+        }
+    }
+
     /// Returns when the node answers requests that are still open.
     pub fn answers_at(&self) -> time::Instant {
         self.ends_at
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use crate::event;
 use crate::gateway::admission;
 use crate::gateway::answer_body;
+use crate::gateway::answer_end;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::event_stream;
@@ -42,8 +43,8 @@
     /// Head of the response.
     parts: http::response::Parts,
     body: body::Incoming,
-    /// Whether the response states where its body ends.
-    is_framed: bool,
+    /// What tells where the body ends.
+    framing: head::BodyFraming,
     _link: link::HttpLink,
     path: stream_path::StreamPath,
     splitter: event_stream::EventSplitter,
@@ -549,15 +550,23 @@
 async fn read_event(
     body: &mut body::Incoming,
     splitter: &mut event_stream::EventSplitter,
-    is_framed: bool,
+    framing: head::BodyFraming,
 ) -> StreamRead {
-    let broken = |cause: &str, sign| StreamRead::Broken(held::RunFault::ran(cause, sign));
+    let fault = |cause: &str, sign, connection| held::RunFault {
+        end: Some(answer_end::AnswerEnd {
+            framing,
+            connection,
+        }),
+        ..held::RunFault::ran(cause, sign)
+    };
+    let crashed = Some(crash::CrashSign::Body);
     loop {
         if let Some(event) = splitter.next_event() {
             return StreamRead::Event(event);
         }
         if splitter.is_over_limit() {
-            return broken("an event is too long", None);
+            let open = answer_end::ConnectionEnd::Open;
+            return StreamRead::Broken(fault("an event is too long", None, open));
         }
         match body.frame().await {
             Some(Ok(frame)) => {
@@ -565,23 +574,26 @@
                     splitter.push(bytes);
                 }
             }
-            Some(Err(error)) if link::is_way_lost(&error) => {
-                let cause = format!("the way to the runner broke: {error}");
+            Some(Err(error)) => {
+                let connection = answer_end::ConnectionEnd::of_error(&error);
+                let is_blamed = connection != answer_end::ConnectionEnd::WayLost;
+                let (what, sign) = match is_blamed {
+                    true => ("the runner broke off", crashed),
+                    false => ("the way to the runner broke", None),
+                };
                 return StreamRead::Broken(held::RunFault {
-                    is_blamed: false,
-                    ..held::RunFault::ran(cause, None)
+                    is_blamed,
+                    ..fault(&format!("{what}: {error}"), sign, connection)
                 });
             }
-            Some(Err(error)) => {
-                let cause = format!("the runner broke off: {error}");
-                return broken(&cause, Some(crash::CrashSign::Body));
-            }
             None if splitter.is_partial() => {
                 let cause = "the runner ended in the middle of an event";
-                return broken(cause, Some(crash::CrashSign::Body));
+                let connection = answer_end::AnswerEnd::complete(framing).connection;
+                return StreamRead::Broken(fault(cause, crashed, connection));
             }
-            None if !is_framed => {
-                return broken(answer_body::UNFRAMED, Some(crash::CrashSign::Body));
+            None if framing == head::BodyFraming::Connection => {
+                let orderly = answer_end::ConnectionEnd::Orderly;
+                return StreamRead::Broken(fault(answer_body::UNFRAMED, crashed, orderly));
             }
             None => return StreamRead::Ended,
         }
@@ -597,7 +609,7 @@
         path.note_head();
         let (parts, body) = response.into_parts();
         Self {
-            is_framed: answer_body::is_framed(&parts, &body),
+            framing: answer_body::framing(&parts, &body),
             parts,
             body,
             _link: link,
@@ -674,7 +686,7 @@
 
     /// Reads the next event. May be cancelled.
     async fn read(&mut self) -> StreamRead {
-        read_event(&mut self.body, &mut self.splitter, self.is_framed).await
+        read_event(&mut self.body, &mut self.splitter, self.framing).await
     }
 
     /// Waits for the next event; reroutes the stream if it stalls or if a runner of its
@@ -683,7 +695,7 @@
         loop {
             let woken = tokio::select! {
                 biased;
-                read = read_event(&mut self.body, &mut self.splitter, self.is_framed) => Err(read),
+                read = read_event(&mut self.body, &mut self.splitter, self.framing) => Err(read),
                 wake = self.path.wake(request) => Ok(wake),
             };
             let (silent, cause) = match woken {
@@ -723,6 +735,7 @@
 
     fn note_end(&self, request: &mut request::CallerRequest) {
         request.note_answered();
+        request.note_answer_end(answer_end::AnswerEnd::complete(self.framing));
         request.note_length();
         let mut fleet = lock(&request.core.fleet);
         self.path
