Take an answer that ends with its connection for whole

Beside it, sound runners were passed over for doubling pauses, and each such answer took a retry from the budget.

Cause: took an answer without a length and without chunks for one that broke off, whatever became of its connection.

Now an orderly end of the connection ends such a body, a reset or a lost way breaks it off.

--- a/arbutusfold/src/gateway/answer_body.rs
+++ b/arbutusfold/src/gateway/answer_body.rs
@@ -27,14 +27,14 @@
 /// Longest time for the body of a failure. Its head is enough to try another runner.
 const FAILURE_TIME: std_time::Duration = std_time::Duration::from_millis(250);
 
-/// Why an answer is of no use whose end nothing states.
-pub const UNFRAMED: &str = "the answer states no end of its body";
+/// Why an answer is of no use that ended with its connection and its runner.
+pub const RUNNER_LOST: &str = "the runner ended with its answer";
 
 /// Why a body was not read as a whole.
 #[derive(Debug)]
 pub enum BodyFault {
-    /// Nothing states where it ends, so it may have broken off.
-    Unframed,
+    /// Its runner's process ended, and nothing states that the body is whole.
+    RunnerLost,
     /// It was not received.
     NotReceived(receive::ReceiveError),
 }
@@ -47,19 +47,14 @@
 }
 
 impl BodyError {
-    fn new(framing: head::BodyFraming, fault: BodyFault) -> Self {
-        let connection = match &fault {
-            BodyFault::NotReceived(receive::ReceiveError::Broken(error)) => {
-                answer_end::ConnectionEnd::of_error(error)
-            }
+    fn not_received(framing: head::BodyFraming, error: receive::ReceiveError) -> Self {
+        let connection = match &error {
+            receive::ReceiveError::Broken(error) => answer_end::ConnectionEnd::of_error(error),
             _ => answer_end::ConnectionEnd::Open,
         };
         Self {
-            fault,
-            end: answer_end::AnswerEnd {
-                framing,
-                connection,
-            },
+            fault: BodyFault::NotReceived(error),
+            end: answer_end::AnswerEnd::cut(framing, connection),
         }
     }
 
@@ -81,7 +76,9 @@
 
     fn run_fault(&self) -> held::RunFault {
         let error = match &self.fault {
-            BodyFault::Unframed => return held::RunFault::ran(UNFRAMED, None),
+            BodyFault::RunnerLost => {
+                return held::RunFault::ran(RUNNER_LOST, Some(crash::CrashSign::Body));
+            }
             BodyFault::NotReceived(error) => error,
         };
         match error {
@@ -110,15 +107,22 @@
     }
 }
 
-/// Reads the bodies of the answers of one runner.
+/// The whole body of an answer.
 #[derive(Clone, Debug)]
+pub struct WholeBody {
+    /// Its bytes.
+    pub bytes: Bytes,
+    /// How it ended.
+    pub end: answer_end::AnswerEnd,
+}
+
+/// Reads the bodies of the answers of one runner.
+#[derive(Clone)]
 pub struct BodyReader {
-    /// Account of the process, if its settings limit its memory.
-    pub account: Option<sync::Arc<memory::MemoryAccount>>,
+    /// Judges ends that only the connection states.
+    pub judge: answer_end::EndJudge,
     /// Address of the runner.
     pub runner: net::IpAddr,
-    /// Deadline of the request.
-    pub deadline: time::Instant,
 }
 
 impl BodyReader {
@@ -132,8 +136,9 @@
         &self,
         parts: &http::response::Parts,
         body: body::Incoming,
-    ) -> Result<Bytes, BodyError> {
-        self.read_up_to(parts, body, ANSWER_LIMIT_BYTES, self.deadline)
+    ) -> Result<WholeBody, BodyError> {
+        let deadline = self.judge.deadline;
+        self.read_up_to(parts, body, ANSWER_LIMIT_BYTES, deadline)
             .await
     }
 
@@ -143,9 +148,9 @@
         parts: &http::response::Parts,
         body: body::Incoming,
     ) -> Option<Bytes> {
-        let deadline = self.deadline.min(time::Instant::now() + FAILURE_TIME);
+        let deadline = self.judge.deadline.min(time::Instant::now() + FAILURE_TIME);
         let read = self.read_up_to(parts, body, FAILURE_LIMIT_BYTES, deadline);
-        read.await.ok()
+        read.await.ok().map(|whole| whole.bytes)
     }
 
     async fn read_up_to(
@@ -154,22 +159,27 @@
         body: body::Incoming,
         limit_bytes: usize,
         deadline: time::Instant,
-    ) -> Result<Bytes, BodyError> {
+    ) -> Result<WholeBody, BodyError> {
         let framing = framing(parts, &body);
-        if framing == head::BodyFraming::Connection {
-            return Err(BodyError::new(framing, BodyFault::Unframed));
-        }
-        let not_received = |error| BodyError::new(framing, BodyFault::NotReceived(error));
-        let Some(account) = &self.account else {
-            let read = receive::read_unheld(body, limit_bytes, deadline).await;
-            return read.map_err(not_received);
-        };
-        let owner = memory::HoldOwner {
-            address: self.runner,
-            organisation: None,
+        let read = match &self.judge.core.memory {
+            None => receive::read_unheld(body, limit_bytes, deadline).await,
+            Some(account) => {
+                let owner = memory::HoldOwner {
+                    address: self.runner,
+                    organisation: None,
+                };
+                let hold = account.open(owner, memory::HoldKind::Incoming, sync::Arc::default());
+                receive::read_body(body, limit_bytes, deadline, account, hold, None).await
+            }
         };
-        let hold = account.open(owner, memory::HoldKind::Incoming, sync::Arc::default());
-        let read = receive::read_body(body, limit_bytes, deadline, account, hold, None);
-        read.await.map_err(not_received)
+        let bytes = read.map_err(|error| BodyError::not_received(framing, error))?;
+        let end = self.judge.judge(framing).await;
+        match end.is_runner_lost() {
+            true => Err(BodyError {
+                fault: BodyFault::RunnerLost,
+                end,
+            }),
+            false => Ok(WholeBody { bytes, end }),
+        }
     }
 }
--- a/arbutusfold/src/gateway/answer_end.rs
+++ b/arbutusfold/src/gateway/answer_end.rs
@@ -1,9 +1,16 @@
 //! How the answers of runners end.
 
 use std::io;
+use std::sync;
 
 use arbutusfold_platform::{head, link};
 use derive_more::Display;
+use tokio::time;
+
+use crate::gateway::core;
+use crate::gateway::crash;
+use crate::gateway::stage_probe;
+use crate::id;
 
 /// What has become of the connection of an answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
@@ -44,26 +51,97 @@
     }
 }
 
+/// What a runner shows after it closed the connection of an answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum RunnerSign {
+    /// It was not asked.
+    #[display("no")]
+    Unasked,
+    /// It accepts connections.
+    #[display("accepted")]
+    Accepted,
+    /// No process listens at its address any more.
+    #[display("ended")]
+    Ended,
+    /// It does not answer, or this node may be cut off from it.
+    #[display("silent")]
+    Silent,
+    /// It leaves, so the end of its process says nothing about its answers.
+    #[display("leaving")]
+    Leaving,
+}
+
 /// How the body of an answer ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("framing={framing} end={connection}")]
+#[display("framing={framing} end={connection} asked={sign}")]
 pub struct AnswerEnd {
     /// What tells where the body ends.
     pub framing: head::BodyFraming,
     /// What has become of the connection.
     pub connection: ConnectionEnd,
+    /// What the runner showed after that.
+    pub sign: RunnerSign,
 }
 
 impl AnswerEnd {
-    /// Returns the end of a body that was read as a whole.
+    /// Returns the end of a body that was cut, or not read to its end.
+    pub fn cut(framing: head::BodyFraming, connection: ConnectionEnd) -> Self {
+        Self {
+            framing,
+            connection,
+            sign: RunnerSign::Unasked,
+        }
+    }
+
+    /// Returns the end of a body that is complete by its framing.
     pub fn complete(framing: head::BodyFraming) -> Self {
         let connection = match framing {
             head::BodyFraming::Length | head::BodyFraming::Chunks => ConnectionEnd::Open,
             head::BodyFraming::Connection => ConnectionEnd::Orderly,
         };
-        Self {
-            framing,
-            connection,
+        Self::cut(framing, connection)
+    }
+
+    /// Returns whether the body itself states its end.
+    pub fn is_stated(&self) -> bool {
+        self.framing != head::BodyFraming::Connection
+    }
+
+    /// Returns whether the runner died with its answer.
+    pub fn is_runner_lost(&self) -> bool {
+        self.sign == RunnerSign::Ended
+    }
+}
+
+/// Judges ends of answers that only their connections state.
+///
+/// A connection that was closed in order ends such an answer; one that was reset breaks
+/// it off. But the end of a process closes its connections in order as well, so the
+/// runner is asked whether it still exists.
+#[derive(Clone)]
+pub struct EndJudge {
+    /// State of the node.
+    pub core: sync::Arc<core::GatewayCore>,
+    /// Id of the request.
+    pub request: id::RequestId,
+    /// The runner that sent the answer.
+    pub runner: Option<crash::RunnerInstance>,
+    /// Deadline of the request.
+    pub deadline: time::Instant,
+}
+
+impl EndJudge {
+    /// Judges the end of a body that is complete by its framing and came just now.
+    pub async fn judge(&self, framing: head::BodyFraming) -> AnswerEnd {
+        let end = AnswerEnd::complete(framing);
+        let Some(runner) = self.runner.as_ref().filter(|_| !end.is_stated()) else {
+            return end;
+        };
+        let asked = stage_probe::ask_closed(&self.core, runner, &self.request);
+        let sign = time::timeout_at(self.deadline, asked).await;
+        AnswerEnd {
+            sign: sign.unwrap_or(RunnerSign::Silent),
+            ..end
         }
     }
 }
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -15,7 +15,6 @@
 
 use crate::event;
 use crate::gateway::answer_body;
-use crate::gateway::answer_end;
 use crate::gateway::bounds;
 use crate::gateway::core;
 use crate::gateway::core::lock;
@@ -374,8 +373,7 @@
 struct PlainAnswer {
     target: request::AttemptTarget,
     parts: http::response::Parts,
-    framing: head::BodyFraming,
-    bytes: Bytes,
+    body: answer_body::WholeBody,
 }
 
 /// Result of one attempt at a plain service.
@@ -441,16 +439,15 @@
                 let PlainAnswer {
                     target,
                     parts,
-                    framing,
-                    bytes,
+                    body,
                 } = *answer;
                 if parts.status.is_success() {
                     request.note_begun();
                 }
                 request.note_answered();
-                request.note_answer_end(answer_end::AnswerEnd::complete(framing));
+                request.note_answer_end(body.end);
                 lock(&request.core.fleet).note_success(&target.runners[0]);
-                return Ok(relay(&parts, bytes));
+                return Ok(relay(&parts, body.bytes));
             }
             PlainEnd::Reported(parts, bytes) => {
                 let cause = format!("status {}", parts.status.as_u16());
@@ -527,15 +524,13 @@
         drop(link);
         return PlainEnd::Reported(parts, bytes);
     }
-    let framing = answer_body::framing(&parts, &body);
     let read = reader.read(&parts, body).await;
     drop(link);
     match read {
-        Ok(bytes) => PlainEnd::Answered(Box::new(PlainAnswer {
+        Ok(body) => PlainEnd::Answered(Box::new(PlainAnswer {
             target,
             parts,
-            framing,
-            bytes,
+            body,
         })),
         Err(error) if error.is_late() => {
             request.check_crash(&target, 0, crash::CrashSign::Timeout, false);
@@ -568,15 +563,13 @@
         let response = held::FailureResponse { parts, bytes };
         return Err(held::RunFault::reported(response).at(target, false));
     }
-    let framing = answer_body::framing(&parts, &body);
     let read = reader.read(&parts, body).await;
     drop(link);
     match read {
-        Ok(bytes) => Ok(Box::new(PlainAnswer {
+        Ok(body) => Ok(Box::new(PlainAnswer {
             target,
             parts,
-            framing,
-            bytes,
+            body,
         })),
         Err(error) => Err(error.to_fault().at(target, false)),
     }
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -141,6 +141,8 @@
     pub stage_checks: counter::Counter,
     /// Connections that these checks opened to the runners of the stream.
     pub stage_connections: counter::Counter,
+    /// Connections opened to runners after answers that ended with their connection.
+    pub end_connections: counter::Counter,
     /// Callers that disconnected before the end of their response.
     pub abandoned: counter::Counter,
     /// Orders sent to runners.
@@ -211,6 +213,7 @@
             rerouted: family::Family::default(),
             stage_checks: counter::Counter::default(),
             stage_connections: counter::Counter::default(),
+            end_connections: counter::Counter::default(),
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
@@ -287,6 +290,11 @@
             "Connections that such checks opened",
             set.stage_connections.clone(),
         );
+        registry.register(
+            "end_connections",
+            "Connections opened after answers that ended with their connection",
+            set.end_connections.clone(),
+        );
         registry.register(
             "abandoned",
             "Callers that left early",
--- a/arbutusfold/src/gateway/request.rs
+++ b/arbutusfold/src/gateway/request.rs
@@ -1441,12 +1441,21 @@
         self.exclude(&target.runners[0]);
     }
 
+    /// Returns what judges the ends of answers of the first runner.
+    pub fn end_judge(&self, target: &AttemptTarget) -> answer_end::EndJudge {
+        answer_end::EndJudge {
+            core: sync::Arc::clone(&self.core),
+            request: self.head.request.clone(),
+            runner: target.instance(0),
+            deadline: self.deadline,
+        }
+    }
+
     /// Returns the reader of the body of an answer of the first runner.
     pub fn body_reader(&self, target: &AttemptTarget) -> answer_body::BodyReader {
         answer_body::BodyReader {
-            account: self.core.memory.clone(),
+            judge: self.end_judge(target),
             runner: target.address.ip(),
-            deadline: self.deadline,
         }
     }
 
--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::answer_end;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
@@ -252,6 +253,41 @@
         .collect()
 }
 
+/// Finds out whether the process of a runner still exists that has just closed the
+/// connection of an answer in order.
+pub async fn ask_closed(
+    core: &core::GatewayCore,
+    instance: &crash::RunnerInstance,
+    request: &str,
+) -> answer_end::RunnerSign {
+    let now = time::Instant::now();
+    let (id, started_ms) = (&instance.crash.upstream, instance.crash.incarnation);
+    {
+        let fleet = lock(&core.fleet);
+        if fleet.is_gone(id, started_ms, now) {
+            return answer_end::RunnerSign::Ended;
+        }
+        if fleet.get(id).is_none() || fleet.leaving_since(id, started_ms).is_some() {
+            return answer_end::RunnerSign::Leaving;
+        }
+    }
+    let metric = &core.metrics.end_connections;
+    let probe = core.prober.probe(instance.address, now, metric).await;
+    match probe.answer {
+        stage_check::StageAnswer::Accepted => return answer_end::RunnerSign::Accepted,
+        stage_check::StageAnswer::Silent => return answer_end::RunnerSign::Silent,
+        stage_check::StageAnswer::Refused => {}
+    }
+    // A node that is cut off may be refused everywhere.
+    let direct = &core.prober.direct;
+    let reached = direct.reaches_other(instance.address, now, CONTRAST_LIMIT);
+    if !reached.await.unwrap_or(true) {
+        return answer_end::RunnerSign::Silent;
+    }
+    request::note_unreachable(core, &instance.crash, request);
+    answer_end::RunnerSign::Ended
+}
+
 /// Checks the stages of a silent stream and records those that have failed; returns
 /// their indices.
 pub async fn check(core: sync::Arc<core::GatewayCore>, stream: CheckedStream) -> Vec<usize> {
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -45,6 +45,10 @@
     body: body::Incoming,
     /// What tells where the body ends.
     framing: head::BodyFraming,
+    /// How the body ended, once it has.
+    end: Option<answer_end::AnswerEnd>,
+    /// Judges an end that only the connection states.
+    judge: answer_end::EndJudge,
     _link: link::HttpLink,
     path: stream_path::StreamPath,
     splitter: event_stream::EventSplitter,
@@ -451,7 +455,8 @@
     };
     match outcome {
         request::AttemptOutcome::Head { response, link } if response.status().is_success() => {
-            let attempt = StreamAttempt::new(response, link, path);
+            let judge = request.end_judge(&path.target);
+            let attempt = StreamAttempt::new(response, link, path, judge);
             attempt.first_event(request, cursor).await
         }
         request::AttemptOutcome::Head { response, link } => {
@@ -461,7 +466,10 @@
             let reader = request.body_reader(&path.target);
             let bytes = match parts.status.is_server_error() {
                 true => reader.read_failure(&parts, body).await,
-                false => reader.read(&parts, body).await.ok(),
+                false => {
+                    let read = reader.read(&parts, body).await;
+                    read.ok().map(|whole| whole.bytes)
+                }
             };
             drop(link);
             match bytes {
@@ -535,14 +543,17 @@
                 held::RunFault::reported(held::FailureResponse { parts, bytes })
             }
             false => match reader.read(&parts, body).await {
-                Ok(bytes) => return Ok(StartOutcome::Response(forward::relay(&parts, bytes))),
+                Ok(whole) => {
+                    let response = forward::relay(&parts, whole.bytes);
+                    return Ok(StartOutcome::Response(response));
+                }
                 Err(error) => error.to_fault(),
             },
         };
         drop(link);
         return Err(fault.at(path.target, false));
     }
-    let attempt = StreamAttempt::new(response, link, path);
+    let attempt = StreamAttempt::new(response, link, path, reader.judge);
     attempt.wait_silent(cursor).await
 }
 
@@ -553,10 +564,7 @@
     framing: head::BodyFraming,
 ) -> StreamRead {
     let fault = |cause: &str, sign, connection| held::RunFault {
-        end: Some(answer_end::AnswerEnd {
-            framing,
-            connection,
-        }),
+        end: Some(answer_end::AnswerEnd::cut(framing, connection)),
         ..held::RunFault::ran(cause, sign)
     };
     let crashed = Some(crash::CrashSign::Body);
@@ -591,10 +599,6 @@
                 let connection = answer_end::AnswerEnd::complete(framing).connection;
                 return StreamRead::Broken(fault(cause, crashed, connection));
             }
-            None if framing == head::BodyFraming::Connection => {
-                let orderly = answer_end::ConnectionEnd::Orderly;
-                return StreamRead::Broken(fault(answer_body::UNFRAMED, crashed, orderly));
-            }
             None => return StreamRead::Ended,
         }
     }
@@ -605,13 +609,16 @@
         response: http::Response<body::Incoming>,
         link: link::HttpLink,
         mut path: stream_path::StreamPath,
+        judge: answer_end::EndJudge,
     ) -> Self {
         path.note_head();
         let (parts, body) = response.into_parts();
         Self {
             framing: answer_body::framing(&parts, &body),
+            end: None,
             parts,
             body,
+            judge,
             _link: link,
             path,
             splitter: event_stream::EventSplitter::default(),
@@ -672,7 +679,10 @@
                     }
                     Some(event)
                 }
-                StreamRead::Ended => None,
+                StreamRead::Ended => match self.judge_end().await {
+                    Ok(()) => None,
+                    Err(fault) => break fault,
+                },
                 StreamRead::Broken(fault) => break fault,
             };
             return Ok(StartOutcome::Started(Box::new(StartedStream {
@@ -704,14 +714,14 @@
                     self.path.note_event(request, event.number);
                     return StreamStep::Event(event);
                 }
-                Err(StreamRead::Broken(fault)) => {
-                    request.note_fault(&self.path.target, &fault, self.path.has_events);
-                    return StreamStep::Broken(fault.cause);
-                }
-                Err(StreamRead::Ended) => {
-                    self.note_end(request);
-                    return StreamStep::Ended;
-                }
+                Err(StreamRead::Broken(fault)) => return self.note_broken(request, fault),
+                Err(StreamRead::Ended) => match self.judge_end().await {
+                    Ok(()) => {
+                        self.note_end(request);
+                        return StreamStep::Ended;
+                    }
+                    Err(fault) => return self.note_broken(request, fault),
+                },
                 Ok(stream_path::PathWake::Failed(failed)) => {
                     (failed, stream_path::RerouteCause::Failed)
                 }
@@ -733,9 +743,43 @@
         }
     }
 
+    /// Judges the end of a stream that is complete by its framing.
+    ///
+    /// A first runner that gives up on a later one may end the stream like a whole one.
+    async fn judge_end(&mut self) -> Result<(), held::RunFault> {
+        let end = self.judge.judge(self.framing).await;
+        self.end = Some(end);
+        let broken = |cause: &str, sign| held::RunFault {
+            end: Some(end),
+            ..held::RunFault::ran(cause, sign)
+        };
+        if end.is_runner_lost() {
+            let sign = Some(crash::CrashSign::Body);
+            return Err(broken(answer_body::RUNNER_LOST, sign));
+        }
+        if !end.is_stated() && self.path.has_failed_stage(&self.judge).await {
+            return Err(held::RunFault {
+                is_blamed: false,
+                ..broken("a later runner failed before the stream ended", None)
+            });
+        }
+        Ok(())
+    }
+
+    fn note_broken(
+        &self,
+        request: &mut request::CallerRequest,
+        fault: held::RunFault,
+    ) -> StreamStep {
+        request.note_fault(&self.path.target, &fault, self.path.has_events);
+        StreamStep::Broken(fault.cause)
+    }
+
     fn note_end(&self, request: &mut request::CallerRequest) {
         request.note_answered();
-        request.note_answer_end(answer_end::AnswerEnd::complete(self.framing));
+        if let Some(end) = self.end {
+            request.note_answer_end(end);
+        }
         request.note_length();
         let mut fleet = lock(&request.core.fleet);
         self.path
@@ -748,7 +792,7 @@
     /// Returns the indices of the runners at fault if the stream has stalled and
     /// should switch to other runners.
     async fn find_silent(&mut self, request: &request::CallerRequest) -> Option<Vec<usize>> {
-        let policy = self.path.policy(request);
+        let policy = self.path.policy();
         let silence = self.path.last_event.elapsed();
         if !stall::is_overdue(silence, policy) {
             return None;
--- a/arbutusfold/src/gateway/stream_path.rs
+++ b/arbutusfold/src/gateway/stream_path.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 
 use crate::event;
+use crate::gateway::answer_end;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
 use crate::gateway::metrics;
@@ -92,6 +93,12 @@
     guard: request::LoadGuard,
     /// Time of the latest event, of the latest reroute or of the start.
     pub last_event: time::Instant,
+    /// Objective for the first event.
+    objective: std_time::Duration,
+    /// Objective for pauses between events.
+    gap: std_time::Duration,
+    /// How long its caller is assumed to wait for an event.
+    patience: std_time::Duration,
     /// Whether the stream has had an event on this path.
     pub has_events: bool,
     /// Events so far, and when the first of them came.
@@ -121,6 +128,9 @@
             guard: request::LoadGuard::new(&request.core, &target),
             target,
             last_event: now,
+            objective: request.rule.objective.unwrap_or(DEFAULT_OBJECTIVE),
+            gap: request.rule.gap_objective.unwrap_or(DEFAULT_GAP),
+            patience: caller_patience(&request.rule),
             has_events: false,
             events: 0,
             first_event_at: None,
@@ -132,7 +142,7 @@
             check_at: now,
             failures: request.core.prober.failures(),
         };
-        path.check_at += stage_check::patience(path.policy(request).expected);
+        path.check_at += stage_check::patience(path.policy().expected);
         path
     }
 
@@ -151,7 +161,7 @@
         self.check = None;
         self.events += 1;
         self.first_event_at.get_or_insert(now);
-        let expected = self.policy(request).expected;
+        let expected = self.policy().expected;
         let pace = self.pace().min(expected);
         self.check_at = now + stage_check::patience(expected).max(pace * SLOW_FACTOR);
         self.note_leaving(request);
@@ -229,6 +239,18 @@
         self.reroute(request, failed, cause).await
     }
 
+    /// Returns whether a stage is found to have failed after a silence that it may have
+    /// caused.
+    pub async fn has_failed_stage(&mut self, judge: &answer_end::EndJudge) -> bool {
+        if !stall::is_overdue(self.last_event.elapsed(), self.policy()) {
+            return false;
+        }
+        let stream = self.checked_stream(&judge.request);
+        let check = stage_probe::check(std::sync::Arc::clone(&judge.core), stream);
+        let failed = time::timeout_at(judge.deadline, check).await;
+        failed.is_ok_and(|failed| !failed.is_empty())
+    }
+
     /// Returns the processes of the runners on the path.
     fn stages(&self) -> Vec<crash::RunnerInstance> {
         let stages = 0..self.target.runners.len();
@@ -237,6 +259,16 @@
             .collect()
     }
 
+    /// Returns what a check of the stages needs to know.
+    fn checked_stream(&self, request: &str) -> stage_probe::CheckedStream {
+        stage_probe::CheckedStream {
+            request: request.to_owned(),
+            stages: self.stages(),
+            objective: self.policy().expected,
+            last_event: self.last_event,
+        }
+    }
+
     /// Begins a check of the stages if one is due.
     fn begin_check(
         &mut self,
@@ -246,12 +278,7 @@
         if !request.core.settings.probe_stages || now < self.check_at {
             return None;
         }
-        let stream = stage_probe::CheckedStream {
-            request: request.head.request.clone(),
-            stages: self.stages(),
-            objective: self.policy(request).expected,
-            last_event: self.last_event,
-        };
+        let stream = self.checked_stream(&request.head.request);
         self.check_at = stage_probe::due_at(&request.core, &stream, self.checked_at);
         if now < self.check_at {
             return None;
@@ -314,12 +341,13 @@
     }
 
     /// Returns how long the stream may be silent.
-    pub fn policy(&self, request: &request::CallerRequest) -> stall::SilencePolicy {
-        let objective = request.rule.objective.unwrap_or(DEFAULT_OBJECTIVE);
-        let gap = request.rule.gap_objective.unwrap_or(DEFAULT_GAP);
+    pub fn policy(&self) -> stall::SilencePolicy {
         stall::SilencePolicy {
-            expected: if self.has_events { gap } else { objective },
-            patience: caller_patience(&request.rule),
+            expected: match self.has_events {
+                true => self.gap,
+                false => self.objective,
+            },
+            patience: self.patience,
         }
     }
 
@@ -416,7 +444,7 @@
         // The new stages process all tokens so far before the next event.
         let now = time::Instant::now();
         self.last_event = now;
-        self.check_at = now + stage_check::patience(self.policy(request).expected);
+        self.check_at = now + stage_check::patience(self.policy().expected);
         self.leave_at = None;
     }
 
--- a/arbutusfold/tests/gateway_unframed.rs
+++ b/arbutusfold/tests/gateway_unframed.rs
@@ -184,6 +184,66 @@
     }
 }
 
+/// Starts a runner whose process ends with its first answer, `bytes`: nothing listens at
+/// its address any more when its connection is closed.
+async fn start_dying(bytes: String) -> (net::SocketAddr, sync::Arc<atomic::AtomicUsize>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let runs = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counted = sync::Arc::clone(&runs);
+    tokio::spawn(async move {
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            // Connections that only show that the runner exists are closed unused.
+            if read_head(&mut socket).await.is_none() {
+                continue;
+            }
+            counted.fetch_add(1, atomic::Ordering::SeqCst);
+            socket.write_all(bytes.as_bytes()).await.unwrap();
+            drop(listener);
+            return;
+        }
+    });
+    (address, runs)
+}
+
+/// Guards against an answer or a stream that looks whole though the process of its runner
+/// ended in the middle of it, which closes its connections in order as well. Requests that
+/// may be repeated go on elsewhere.
+#[tokio::test]
+async fn answer_of_a_runner_that_ended_with_it_does_not_look_whole() {
+    for (path, is_stream) in ROUTES {
+        let whole = body_of(is_stream);
+        let part = match is_stream {
+            true => events(1..=2),
+            false => "sou".to_owned(),
+        };
+        let (head, part) = framed(200, head::BodyFraming::Connection, &part);
+        for has_other in [false, true] {
+            let (address, runs) = start_dying(format!("{head}{part}")).await;
+            let (other_head, other) = framed(200, head::BodyFraming::Connection, &whole);
+            let others = usize::from(has_other);
+            let other = format!("{other_head}{other}");
+            let mut runners = start_ending(others, other, RunnerEnd::Closed).await;
+            runners.addresses.insert(0, address);
+            let (core, node) = start_node(&runners).await;
+            gateway_script::grant_retries(&core);
+            // The first request may go to either runner.
+            let mut answers = Vec::new();
+            while runs.load(atomic::Ordering::SeqCst) == 0 {
+                answers.push(call(node, path).await);
+            }
+            let name = format!("{path} other={has_other}");
+            let last = answers.pop().unwrap();
+            let found = whole_body(&last).filter(|_| last.starts_with("HTTP/1.1 200"));
+            let is_repeated = has_other && path != "/once/x";
+            let expected = is_repeated.then_some(whole.as_str());
+            assert_eq!(found.as_deref(), expected, "{name}: {last}");
+            assert!(answers.iter().all(|answer| whole_body(answer).is_some()));
+        }
+    }
+}
+
 /// Guards against an answer without a length that is changed, lost or cut on its way, at
 /// any byte: its connection ends in order, so its caller gets what came. A stream that
 /// stops in the middle of an event is no whole one.
