Take no missing comparison for the sign of a whole answer

What callers would see: a cut answer that looks whole where its runner died and no other runner answered to compare with; a whole stream without its last chunk where its runner leaves as planned and pauses before the end; a cut stream that looks whole where a later runner of its path died and the first one gave up after 300 ms; a whole answer refused because the entry of its runner, or a connection refused before, said that the process is gone.

Now a refused connection is asked again over all ways. A neighbour that reaches the runner shows that it lives; a refusal that nothing confirms breaks the answer off but blames nobody. What was believed before the end does not count, nor a connection that was accepted before it. Only later runners that do not leave are checked, after a pause over the objective, measured in the wait for the end, so that a slow caller is no silence of a runner.

--- a/arbutusfold/src/gateway/answer_body.rs
+++ b/arbutusfold/src/gateway/answer_body.rs
@@ -27,74 +27,49 @@
 /// Longest time for the body of a failure. Its head is enough to try another runner.
 const FAILURE_TIME: std_time::Duration = std_time::Duration::from_millis(250);
 
-/// Why an answer is of no use that ended with its connection and its runner.
-pub const RUNNER_LOST: &str = "the runner ended with its answer";
-
-/// Why a body was not read as a whole.
-#[derive(Debug)]
-pub enum BodyFault {
-    /// Its runner's process ended, and nothing states that the body is whole.
-    RunnerLost,
-    /// It was not received.
-    NotReceived(receive::ReceiveError),
-}
-
 /// A body that was not read as a whole.
 #[derive(Debug)]
-pub struct BodyError {
-    fault: BodyFault,
-    end: answer_end::AnswerEnd,
+pub enum BodyError {
+    /// Its runner may have died, and nothing states that the body is whole.
+    RunnerLost(Box<held::RunFault>),
+    /// It was not received.
+    NotReceived(head::BodyFraming, receive::ReceiveError),
 }
 
 impl BodyError {
-    fn not_received(framing: head::BodyFraming, error: receive::ReceiveError) -> Self {
-        let connection = match &error {
-            receive::ReceiveError::Broken(error) => answer_end::ConnectionEnd::of_error(error),
-            _ => answer_end::ConnectionEnd::Open,
-        };
-        Self {
-            fault: BodyFault::NotReceived(error),
-            end: answer_end::AnswerEnd::cut(framing, connection),
-        }
-    }
-
     /// Returns whether the deadline of the request has passed.
     pub fn is_late(&self) -> bool {
-        matches!(
-            self.fault,
-            BodyFault::NotReceived(receive::ReceiveError::TimedOut)
-        )
-    }
-
-    /// Returns the fault of the run.
-    pub fn to_fault(&self) -> held::RunFault {
-        held::RunFault {
-            end: Some(self.end),
-            ..self.run_fault()
-        }
+        matches!(self, Self::NotReceived(_, receive::ReceiveError::TimedOut))
     }
 
-    fn run_fault(&self) -> held::RunFault {
-        let error = match &self.fault {
-            BodyFault::RunnerLost => {
-                return held::RunFault::ran(RUNNER_LOST, Some(crash::CrashSign::Body));
-            }
-            BodyFault::NotReceived(error) => error,
+    /// Converts the error to the fault of the run.
+    pub fn into_fault(self) -> held::RunFault {
+        let (framing, error) = match self {
+            Self::RunnerLost(fault) => return *fault,
+            Self::NotReceived(framing, error) => (framing, error),
         };
-        match error {
+        let connection = match &error {
+            receive::ReceiveError::Broken(error) => answer_end::ConnectionEnd::of_error(error),
+            _ => answer_end::ConnectionEnd::Open,
+        };
+        let fault = match error {
             receive::ReceiveError::TooLong => held::RunFault::ran("the answer is too long", None),
             receive::ReceiveError::NoMemory => {
                 held::RunFault::ran("no memory for the answer", None)
             }
             receive::ReceiveError::TimedOut => held::RunFault::ran("no whole answer in time", None),
             receive::ReceiveError::Broken(error) => {
-                let is_blamed = !link::is_way_lost(error);
+                let is_blamed = !link::is_way_lost(&error);
                 let sign = Some(crash::CrashSign::Body).filter(|_| is_blamed);
                 held::RunFault {
                     is_blamed,
                     ..held::RunFault::ran(format!("answer lost: {error}"), sign)
                 }
             }
+        };
+        held::RunFault {
+            end: Some(answer_end::AnswerEnd::new(framing, connection)),
+            ..fault
         }
     }
 }
@@ -172,14 +147,11 @@
                 receive::read_body(body, limit_bytes, deadline, account, hold, None).await
             }
         };
-        let bytes = read.map_err(|error| BodyError::not_received(framing, error))?;
-        let end = self.judge.judge(framing).await;
-        match end.is_runner_lost() {
-            true => Err(BodyError {
-                fault: BodyFault::RunnerLost,
-                end,
-            }),
-            false => Ok(WholeBody { bytes, end }),
+        let bytes = read.map_err(|error| BodyError::NotReceived(framing, error))?;
+        let end = self.judge.judge(framing, deadline).await;
+        match end.lost_fault() {
+            Some(fault) => Err(BodyError::RunnerLost(Box::new(fault))),
+            None => Ok(WholeBody { bytes, end }),
         }
     }
 }
--- a/arbutusfold/src/gateway/answer_end.rs
+++ b/arbutusfold/src/gateway/answer_end.rs
@@ -9,9 +9,13 @@
 
 use crate::gateway::core;
 use crate::gateway::crash;
+use crate::gateway::held;
 use crate::gateway::stage_probe;
 use crate::id;
 
+/// Why an answer is of no use that ended with its connection and its runner.
+const RUNNER_LOST: &str = "the runner ended with its answer";
+
 /// What has become of the connection of an answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum ConnectionEnd {
@@ -63,7 +67,10 @@
     /// No process listens at its address any more.
     #[display("ended")]
     Ended,
-    /// It does not answer, or this node may be cut off from it.
+    /// It refuses connections; nothing shows whether that is due to this node's way.
+    #[display("refused")]
+    Refused,
+    /// It does not answer.
     #[display("silent")]
     Silent,
     /// It leaves, so the end of its process says nothing about its answers.
@@ -84,8 +91,8 @@
 }
 
 impl AnswerEnd {
-    /// Returns the end of a body that was cut, or not read to its end.
-    pub fn cut(framing: head::BodyFraming, connection: ConnectionEnd) -> Self {
+    /// Creates the end of a body whose runner was not asked.
+    pub fn new(framing: head::BodyFraming, connection: ConnectionEnd) -> Self {
         Self {
             framing,
             connection,
@@ -99,7 +106,7 @@
             head::BodyFraming::Length | head::BodyFraming::Chunks => ConnectionEnd::Open,
             head::BodyFraming::Connection => ConnectionEnd::Orderly,
         };
-        Self::cut(framing, connection)
+        Self::new(framing, connection)
     }
 
     /// Returns whether the body itself states its end.
@@ -107,9 +114,20 @@
         self.framing != head::BodyFraming::Connection
     }
 
-    /// Returns whether the runner died with its answer.
+    /// Returns whether the runner may have died with its answer.
     pub fn is_runner_lost(&self) -> bool {
-        self.sign == RunnerSign::Ended
+        matches!(self.sign, RunnerSign::Ended | RunnerSign::Refused)
+    }
+
+    /// Returns the fault of the run if the runner may have died with its answer.
+    pub fn lost_fault(self) -> Option<held::RunFault> {
+        let is_blamed = self.sign == RunnerSign::Ended;
+        let sign = Some(crash::CrashSign::Body).filter(|_| is_blamed);
+        self.is_runner_lost().then(|| held::RunFault {
+            is_blamed,
+            end: Some(self),
+            ..held::RunFault::ran(RUNNER_LOST, sign)
+        })
     }
 }
 
@@ -131,14 +149,15 @@
 }
 
 impl EndJudge {
-    /// Judges the end of a body that is complete by its framing and came just now.
-    pub async fn judge(&self, framing: head::BodyFraming) -> AnswerEnd {
+    /// Judges the end of a body that is complete by its framing. Without an answer of the
+    /// runner by `deadline`, it counts as silent.
+    pub async fn judge(&self, framing: head::BodyFraming, deadline: time::Instant) -> AnswerEnd {
         let end = AnswerEnd::complete(framing);
         let Some(runner) = self.runner.as_ref().filter(|_| !end.is_stated()) else {
             return end;
         };
         let asked = stage_probe::ask_closed(&self.core, runner, &self.request);
-        let sign = time::timeout_at(self.deadline, asked).await;
+        let sign = time::timeout_at(deadline, asked).await;
         AnswerEnd {
             sign: sign.unwrap_or(RunnerSign::Silent),
             ..end
--- a/arbutusfold/src/gateway/forward.rs
+++ b/arbutusfold/src/gateway/forward.rs
@@ -537,7 +537,7 @@
             PlainEnd::TimedOut
         }
         Err(error) => {
-            let fault = error.to_fault();
+            let fault = error.into_fault();
             request.note_fault(&target, &fault, false);
             PlainEnd::Failed(request::AttemptReach::Ran, fault.cause)
         }
@@ -571,7 +571,7 @@
             parts,
             body,
         })),
-        Err(error) => Err(error.to_fault().at(target, false)),
+        Err(error) => Err(error.into_fault().at(target, false)),
     }
 }
 
--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -1,4 +1,5 @@
-//! Checks the stages of silent streams by opening connections to their runners.
+//! Checks runners by opening connections to them: the stages of silent streams, and
+//! runners that closed the connections of their answers.
 //!
 //! All streams of the host share the checks, and each stream on a runner that is found
 //! to have failed is woken at once.
@@ -31,6 +32,9 @@
 /// Time limit for reaching some other runner to compare with.
 const CONTRAST_LIMIT: std_time::Duration = std_time::Duration::from_millis(60);
 
+/// Time limit for reaching a runner that does not answer this node directly, by any way.
+const CONFIRM_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
+
 /// Time for which the result of a check holds for other streams.
 const PROBE_TTL: std_time::Duration = std_time::Duration::from_millis(250);
 
@@ -95,8 +99,7 @@
     }
 
     /// Opens a connection to a runner and closes it at once, or joins a check that is
-    /// under way or recent; `opened` counts the
-    /// connections that are opened. A connection
+    /// under way or recent; `opened` counts the connections that are opened. A connection
     /// that was accepted before `since` is not recent.
     pub async fn probe(
         &self,
@@ -253,6 +256,14 @@
         .collect()
 }
 
+/// Returns whether the process of a runner may end at any time after its answers, since
+/// it leaves or its entry is gone.
+pub fn may_end(core: &core::GatewayCore, instance: &crash::RunnerInstance) -> bool {
+    let (id, started_ms) = (&instance.crash.upstream, instance.crash.incarnation);
+    let fleet = lock(&core.fleet);
+    fleet.get(id).is_none() || fleet.leaving_since(id, started_ms).is_some()
+}
+
 /// Finds out whether the process of a runner still exists that has just closed the
 /// connection of an answer in order.
 pub async fn ask_closed(
@@ -260,32 +271,34 @@
     instance: &crash::RunnerInstance,
     request: &str,
 ) -> answer_end::RunnerSign {
-    let now = time::Instant::now();
-    let (id, started_ms) = (&instance.crash.upstream, instance.crash.incarnation);
-    {
-        let fleet = lock(&core.fleet);
-        if fleet.is_gone(id, started_ms, now) {
-            return answer_end::RunnerSign::Ended;
-        }
-        if fleet.get(id).is_none() || fleet.leaving_since(id, started_ms).is_some() {
-            return answer_end::RunnerSign::Leaving;
-        }
+    if may_end(core, instance) {
+        return answer_end::RunnerSign::Leaving;
     }
+    let (address, closed_at) = (instance.address, time::Instant::now());
     let metric = &core.metrics.end_connections;
-    let probe = core.prober.probe(instance.address, now, metric).await;
+    let mut probe = core.prober.probe(address, closed_at, metric).await;
+    if probe.answer == stage_check::StageAnswer::Accepted && probe.began_at < closed_at {
+        // The process may have ended since it accepted the connection of another check.
+        let now = time::Instant::now();
+        probe = core.prober.probe(address, now, metric).await;
+    }
     match probe.answer {
         stage_check::StageAnswer::Accepted => return answer_end::RunnerSign::Accepted,
-        stage_check::StageAnswer::Silent => return answer_end::RunnerSign::Silent,
-        stage_check::StageAnswer::Refused => {}
+        stage_check::StageAnswer::Silent if !core.prober.direct.is_lost(address) => {
+            return answer_end::RunnerSign::Silent;
+        }
+        _ => {}
     }
-    // A node that is cut off may be refused everywhere.
-    let direct = &core.prober.direct;
-    let reached = direct.reaches_other(instance.address, now, CONTRAST_LIMIT);
-    if !reached.await.unwrap_or(true) {
-        return answer_end::RunnerSign::Silent;
+    // This node may be cut off from the runner, which others reach.
+    match core.dialer.open(address, CONFIRM_LIMIT).await {
+        Ok(_) => answer_end::RunnerSign::Accepted,
+        Err(error) if error.is_closed() => {
+            request::note_unreachable(core, &instance.crash, request);
+            answer_end::RunnerSign::Ended
+        }
+        Err(error) if error.is_refused => answer_end::RunnerSign::Refused,
+        Err(_) => answer_end::RunnerSign::Silent,
     }
-    request::note_unreachable(core, &instance.crash, request);
-    answer_end::RunnerSign::Ended
 }
 
 /// Checks the stages of a silent stream and records those that have failed; returns
--- a/arbutusfold/src/gateway/stream.rs
+++ b/arbutusfold/src/gateway/stream.rs
@@ -467,8 +467,11 @@
             let bytes = match parts.status.is_server_error() {
                 true => reader.read_failure(&parts, body).await,
                 false => {
-                    let read = reader.read(&parts, body).await;
-                    read.ok().map(|whole| whole.bytes)
+                    let whole = reader.read(&parts, body).await.ok();
+                    whole.map(|whole| {
+                        request.note_answer_end(whole.end);
+                        whole.bytes
+                    })
                 }
             };
             drop(link);
@@ -547,7 +550,7 @@
                     let response = forward::relay(&parts, whole.bytes);
                     return Ok(StartOutcome::Response(response));
                 }
-                Err(error) => error.to_fault(),
+                Err(error) => error.into_fault(),
             },
         };
         drop(link);
@@ -564,7 +567,7 @@
     framing: head::BodyFraming,
 ) -> StreamRead {
     let fault = |cause: &str, sign, connection| held::RunFault {
-        end: Some(answer_end::AnswerEnd::cut(framing, connection)),
+        end: Some(answer_end::AnswerEnd::new(framing, connection)),
         ..held::RunFault::ran(cause, sign)
     };
     let crashed = Some(crash::CrashSign::Body);
@@ -679,7 +682,7 @@
                     }
                     Some(event)
                 }
-                StreamRead::Ended => match self.judge_end().await {
+                StreamRead::Ended => match self.judge_end(self.path.last_event).await {
                     Ok(()) => None,
                     Err(fault) => break fault,
                 },
@@ -702,6 +705,7 @@
     /// Waits for the next event; reroutes the stream if it stalls or if a runner of its
     /// path has failed or leaves.
     async fn step(&mut self, request: &mut request::CallerRequest) -> StreamStep {
+        let waited_since = time::Instant::now();
         loop {
             let woken = tokio::select! {
                 biased;
@@ -715,7 +719,7 @@
                     return StreamStep::Event(event);
                 }
                 Err(StreamRead::Broken(fault)) => return self.note_broken(request, fault),
-                Err(StreamRead::Ended) => match self.judge_end().await {
+                Err(StreamRead::Ended) => match self.judge_end(waited_since).await {
                     Ok(()) => {
                         self.note_end(request);
                         return StreamStep::Ended;
@@ -743,24 +747,23 @@
         }
     }
 
-    /// Judges the end of a stream that is complete by its framing.
+    /// Judges the end of a stream that is complete by its framing and was waited for since
+    /// `waited_since`.
     ///
     /// A first runner that gives up on a later one may end the stream like a whole one.
-    async fn judge_end(&mut self) -> Result<(), held::RunFault> {
-        let end = self.judge.judge(self.framing).await;
+    async fn judge_end(&mut self, waited_since: time::Instant) -> Result<(), held::RunFault> {
+        let silence = waited_since.elapsed();
+        let end = self.judge.judge(self.framing, self.judge.deadline).await;
         self.end = Some(end);
-        let broken = |cause: &str, sign| held::RunFault {
-            end: Some(end),
-            ..held::RunFault::ran(cause, sign)
-        };
-        if end.is_runner_lost() {
-            let sign = Some(crash::CrashSign::Body);
-            return Err(broken(answer_body::RUNNER_LOST, sign));
+        if let Some(fault) = end.lost_fault() {
+            return Err(fault);
         }
-        if !end.is_stated() && self.path.has_failed_stage(&self.judge).await {
+        if !end.is_stated() && self.path.has_failed_stage(silence, &self.judge).await {
+            let cause = "a later runner failed before the stream ended";
             return Err(held::RunFault {
                 is_blamed: false,
-                ..broken("a later runner failed before the stream ended", None)
+                end: Some(end),
+                ..held::RunFault::ran(cause, None)
             });
         }
         Ok(())
--- a/arbutusfold/src/gateway/stream_path.rs
+++ b/arbutusfold/src/gateway/stream_path.rs
@@ -239,14 +239,24 @@
         self.reroute(request, failed, cause).await
     }
 
-    /// Returns whether a stage is found to have failed after a silence that it may have
-    /// caused.
-    pub async fn has_failed_stage(&mut self, judge: &answer_end::EndJudge) -> bool {
-        if !stall::is_overdue(self.last_event.elapsed(), self.policy()) {
+    /// Returns whether a later runner is found to have failed after a silence that is
+    /// longer than expected. This protects answers, so it does not depend on the settings.
+    pub async fn has_failed_stage(
+        &mut self,
+        silence: std_time::Duration,
+        judge: &answer_end::EndJudge,
+    ) -> bool {
+        let core = &judge.core;
+        let is_checked = silence > self.policy().expected;
+        let stages = self.stages().into_iter().skip(1);
+        let stages: Vec<_> = stages
+            .filter(|stage| is_checked && !stage_probe::may_end(core, stage))
+            .collect();
+        if stages.is_empty() {
             return false;
         }
-        let stream = self.checked_stream(&judge.request);
-        let check = stage_probe::check(std::sync::Arc::clone(&judge.core), stream);
+        let stream = self.checked_stream(&judge.request, stages);
+        let check = stage_probe::check(std::sync::Arc::clone(core), stream);
         let failed = time::timeout_at(judge.deadline, check).await;
         failed.is_ok_and(|failed| !failed.is_empty())
     }
@@ -259,11 +269,15 @@
             .collect()
     }
 
-    /// Returns what a check of the stages needs to know.
-    fn checked_stream(&self, request: &str) -> stage_probe::CheckedStream {
+    /// Returns what a check of these stages needs to know.
+    fn checked_stream(
+        &self,
+        request: &str,
+        stages: Vec<crash::RunnerInstance>,
+    ) -> stage_probe::CheckedStream {
         stage_probe::CheckedStream {
             request: request.to_owned(),
-            stages: self.stages(),
+            stages,
             objective: self.policy().expected,
             last_event: self.last_event,
         }
@@ -278,7 +292,7 @@
         if !request.core.settings.probe_stages || now < self.check_at {
             return None;
         }
-        let stream = self.checked_stream(&request.head.request);
+        let stream = self.checked_stream(&request.head.request, self.stages());
         self.check_at = stage_probe::due_at(&request.core, &stream, self.checked_at);
         if now < self.check_at {
             return None;
