Pass on resets of runners in the soak's proxy

The proxy closed a caller's connection in order when the runner behind it reset its own, which no network does. With runners that state no length it made broken answers look whole to any node.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -251,8 +251,8 @@
         let _ = path.state.wait_for(|state| state.resets(source)).await;
     };
     let was_reset = tokio::select! {
-        () = forward(&mut client_read, &mut server_write, up, Some(arrivals)) => false,
-        () = forward(&mut server_read, &mut client_write, down, None) => false,
+        _ = forward(&mut client_read, &mut server_write, up, Some(arrivals)) => false,
+        end = forward(&mut server_read, &mut client_write, down, None) => end == SideEnd::Reset,
         () = reset_fault => true,
     };
     if was_reset && let Ok(client) = client_read.reunite(client_write) {
@@ -260,19 +260,33 @@
     }
 }
 
-/// Forwards bytes in one direction until either side closes. The direction of
-/// requests has a list of `arrivals`.
+/// How a side of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SideEnd {
+    /// One of them closed it.
+    Closed,
+    /// The side that is read reset it.
+    Reset,
+}
+
+/// Forwards bytes in one direction until either side closes; returns how. The direction
+/// of requests has a list of `arrivals`.
 async fn forward(
     from: &mut tokio_net::tcp::OwnedReadHalf,
     to: &mut tokio_net::tcp::OwnedWriteHalf,
     mut path: ProxyPath,
     mut arrivals: Option<ArrivalList>,
-) {
+) -> SideEnd {
     let is_response = arrivals.is_none();
     let source = path.source;
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let count = from.read(&mut buffer).await.unwrap_or(0);
+        let read = from.read(&mut buffer).await;
+        let end = match read {
+            Ok(_) => SideEnd::Closed,
+            Err(_) => SideEnd::Reset,
+        };
+        let count = read.unwrap_or(0);
         let fault = path.state.borrow().fault;
         if let ProxyFault::Delay(delay) = fault
             && count > 0
@@ -285,7 +299,7 @@
         });
         // The bytes that were read are forwarded once the fault is cleared.
         if passes.await.is_err() || count == 0 {
-            return;
+            return end;
         }
         if let Some(arrivals) = arrivals.take() {
             lock(&arrivals).push(ProxyArrival {
@@ -295,7 +309,7 @@
             });
         }
         if to.write_all(&buffer[..count]).await.is_err() {
-            return;
+            return SideEnd::Closed;
         }
     }
 }
