Take only an answer for the sign that a runner outlived its answer

What callers would see: a stream without its last events that looks whole, where the process of its runner was killed, behind a proxy or while the system still accepted connections for it.

Cause: after an answer that ends with its connection, an accepted connection counted as the sign that the runner lives, and no answer as no sign. A proxy accepts connections for a process that has ended, and so does the system for a moment.

The runner is asked for its report, over all ways, as after a run that broke. An answer shows that it lives. Connections that are refused or closed unused break the answer off. Answers that end at one moment share what one call finds, if the process is gone.

--- a/arbutusfold/src/gateway/core.rs
+++ b/arbutusfold/src/gateway/core.rs
@@ -10,6 +10,7 @@
 
 use crate::event;
 use crate::gateway::admission;
+use crate::gateway::answer_end;
 use crate::gateway::bounds;
 use crate::gateway::budget;
 use crate::gateway::crash;
@@ -105,6 +106,8 @@
     pub loans: sync::Mutex<retry_loan::PendingLoans>,
     /// Recent checks of runners that may have died during a run.
     pub crash_checks: sync::Mutex<crash::CrashChecks>,
+    /// Recent calls to runners that closed connections of answers.
+    pub end_calls: sync::Mutex<answer_end::EndCalls>,
     /// Requests under which runners died.
     pub suspects: sync::Mutex<ledger::CrashLedger>,
     /// Whether a document is in force.
@@ -218,6 +221,7 @@
             budget: sync::Mutex::new(budget::RetryBudget::new(policy, time::Instant::now())),
             loans: sync::Mutex::default(),
             crash_checks: sync::Mutex::default(),
+            end_calls: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
             document_known: watch::Sender::new(false),
             document_waits: tokio::sync::Semaphore::new(settings.wait_limit),
--- a/arbutusfold/src/gateway/metrics.rs
+++ b/arbutusfold/src/gateway/metrics.rs
@@ -141,8 +141,8 @@
     pub stage_checks: counter::Counter,
     /// Connections that these checks opened to the runners of the stream.
     pub stage_connections: counter::Counter,
-    /// Connections opened to runners after answers that ended with their connection.
-    pub end_connections: counter::Counter,
+    /// Calls to runners after answers that ended with their connection.
+    pub end_calls: counter::Counter,
     /// Callers that disconnected before the end of their response.
     pub abandoned: counter::Counter,
     /// Orders sent to runners.
@@ -213,7 +213,7 @@
             rerouted: family::Family::default(),
             stage_checks: counter::Counter::default(),
             stage_connections: counter::Counter::default(),
-            end_connections: counter::Counter::default(),
+            end_calls: counter::Counter::default(),
             abandoned: counter::Counter::default(),
             orders: counter::Counter::default(),
             store_calls: counter::Counter::default(),
@@ -291,9 +291,9 @@
             set.stage_connections.clone(),
         );
         registry.register(
-            "end_connections",
-            "Connections opened after answers that ended with their connection",
-            set.end_connections.clone(),
+            "end_calls",
+            "Calls to runners after answers that ended with their connection",
+            set.end_calls.clone(),
         );
         registry.register(
             "abandoned",
--- a/arbutusfold/src/gateway/runner_call.rs
+++ b/arbutusfold/src/gateway/runner_call.rs
@@ -53,34 +53,55 @@
     link::read_body(response.into_body(), REPORT_LIMIT_BYTES).await
 }
 
-/// Returns whether the process of a runner that started at `started_ms` no
-/// longer exists: nothing accepts connections at its address, each one is closed
-/// without an answer, or the answer states a later start.
+/// What a call to a runner shows of its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessSign {
+    /// It answers.
+    Exists,
+    /// It no longer exists: nothing accepts connections at its address, each one is closed
+    /// without an answer, or the answer states a later start.
+    Gone,
+    /// The same, but this node may be cut off from all runners.
+    Doubtful,
+    /// It does not answer, which shows nothing.
+    Silent,
+}
+
+/// Calls a runner whose process started at `started_ms` and may have ended.
 ///
 /// A runner that is silent after it accepted a connection exists. What only this
 /// node finds, while it may be cut off from all runners, shows nothing.
-pub async fn is_gone(
+pub async fn find_process(
     dialer: &dyn dial::RunnerDialer,
     address: std::net::SocketAddr,
     started_ms: u64,
     timeout: std_time::Duration,
-) -> bool {
+) -> ProcessSign {
     let mut is_confirmed = false;
     for _ in 0..CHECK_ATTEMPTS {
         let Ok(request) = order::encode_report_call(address) else {
-            return false;
+            return ProcessSign::Silent;
         };
+        let began_at = time::Instant::now();
         let mut dialed = match dial::open_link(dialer, address, timeout).await {
             Ok(dialed) => dialed,
-            Err(error) => return error.is_confirmed,
+            Err(error) if error.is_confirmed => return ProcessSign::Gone,
+            // It was refused, or reset as soon as it was accepted.
+            Err(_) if began_at.elapsed() < timeout => return ProcessSign::Doubtful,
+            Err(_) => return ProcessSign::Silent,
         };
         let answer = read_report(&mut dialed.link, request);
         match time::timeout(timeout, answer).await {
-            Err(_) => return false,
+            Err(_) => return ProcessSign::Silent,
             Ok(Ok(body)) => {
                 let report = runner::decode_report(&body).ok();
                 let reported = report.and_then(|report| report.started_ms);
-                return started_ms != 0 && reported.is_some_and(|reported| reported != started_ms);
+                let is_later =
+                    started_ms != 0 && reported.is_some_and(|reported| reported != started_ms);
+                return match is_later {
+                    true => ProcessSign::Gone,
+                    false => ProcessSign::Exists,
+                };
             }
             // A runner with too many connections closes new ones, too.
             Ok(Err(error)) => {
@@ -89,7 +110,22 @@
             }
         }
     }
-    is_confirmed || dialer.reaches_other(address, timeout).await
+    match is_confirmed || dialer.reaches_other(address, timeout).await {
+        true => ProcessSign::Gone,
+        false => ProcessSign::Doubtful,
+    }
+}
+
+/// Returns whether the process of a runner that started at `started_ms` is shown to exist
+/// no longer; see [`find_process`].
+pub async fn is_gone(
+    dialer: &dyn dial::RunnerDialer,
+    address: std::net::SocketAddr,
+    started_ms: u64,
+    timeout: std_time::Duration,
+) -> bool {
+    let sign = find_process(dialer, address, started_ms, timeout).await;
+    sign == ProcessSign::Gone
 }
 
 /// Sends an order to the runner with this id.
--- a/arbutusfold/src/gateway/stage_probe.rs
+++ b/arbutusfold/src/gateway/stage_probe.rs
@@ -1,5 +1,4 @@
-//! Checks runners by opening connections to them: the stages of silent streams, and
-//! runners that closed the connections of their answers.
+//! Checks the stages of silent streams by opening connections to their runners.
 //!
 //! All streams of the host share the checks, and each stream on a runner that is found
 //! to have failed is woken at once.
@@ -14,7 +13,6 @@
 use tokio::time;
 
 use crate::event;
-use crate::gateway::answer_end;
 use crate::gateway::core;
 use crate::gateway::core::lock;
 use crate::gateway::crash;
@@ -32,9 +30,6 @@
 /// Time limit for reaching some other runner to compare with.
 const CONTRAST_LIMIT: std_time::Duration = std_time::Duration::from_millis(60);
 
-/// Time limit for reaching a runner that does not answer this node directly, by any way.
-const CONFIRM_LIMIT: std_time::Duration = std_time::Duration::from_millis(300);
-
 /// Time for which the result of a check holds for other streams.
 const PROBE_TTL: std_time::Duration = std_time::Duration::from_millis(250);
 
@@ -256,51 +251,6 @@
         .collect()
 }
 
-/// Returns whether the process of a runner may end at any time after its answers, since
-/// it leaves or its entry is gone.
-pub fn may_end(core: &core::GatewayCore, instance: &crash::RunnerInstance) -> bool {
-    let (id, started_ms) = (&instance.crash.upstream, instance.crash.incarnation);
-    let fleet = lock(&core.fleet);
-    fleet.get(id).is_none() || fleet.leaving_since(id, started_ms).is_some()
-}
-
-/// Finds out whether the process of a runner still exists that has just closed the
-/// connection of an answer in order.
-pub async fn ask_closed(
-    core: &core::GatewayCore,
-    instance: &crash::RunnerInstance,
-    request: &str,
-) -> answer_end::RunnerSign {
-    if may_end(core, instance) {
-        return answer_end::RunnerSign::Leaving;
-    }
-    let (address, closed_at) = (instance.address, time::Instant::now());
-    let metric = &core.metrics.end_connections;
-    let mut probe = core.prober.probe(address, closed_at, metric).await;
-    if probe.answer == stage_check::StageAnswer::Accepted && probe.began_at < closed_at {
-        // The process may have ended since it accepted the connection of another check.
-        let now = time::Instant::now();
-        probe = core.prober.probe(address, now, metric).await;
-    }
-    match probe.answer {
-        stage_check::StageAnswer::Accepted => return answer_end::RunnerSign::Accepted,
-        stage_check::StageAnswer::Silent if !core.prober.direct.is_lost(address) => {
-            return answer_end::RunnerSign::Silent;
-        }
-        _ => {}
-    }
-    // This node may be cut off from the runner, which others reach.
-    match core.dialer.open(address, CONFIRM_LIMIT).await {
-        Ok(_) => answer_end::RunnerSign::Accepted,
-        Err(error) if error.is_closed() => {
-            request::note_unreachable(core, &instance.crash, request);
-            answer_end::RunnerSign::Ended
-        }
-        Err(error) if error.is_refused => answer_end::RunnerSign::Refused,
-        Err(_) => answer_end::RunnerSign::Silent,
-    }
-}
-
 /// Checks the stages of a silent stream and records those that have failed; returns
 /// their indices.
 pub async fn check(core: sync::Arc<core::GatewayCore>, stream: CheckedStream) -> Vec<usize> {
--- a/arbutusfold/src/gateway/stream_path.rs
+++ b/arbutusfold/src/gateway/stream_path.rs
@@ -250,7 +250,7 @@
         let is_checked = silence > self.policy().expected;
         let stages = self.stages().into_iter().skip(1);
         let stages: Vec<_> = stages
-            .filter(|stage| is_checked && !stage_probe::may_end(core, stage))
+            .filter(|stage| is_checked && !answer_end::may_end(core, stage))
             .collect();
         if stages.is_empty() {
             return false;
