--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -61,6 +61,8 @@
         self.version = 0
         self.changed = None
         self.fault = None
+        self.era = 0
+        self.connections = set()
         self.server = None
         self.address = None
 
@@ -89,7 +91,25 @@
         now = int(time.monotonic() * 1000)
         return 200, {"rows": rows, "hasMore": more, "ver": self.version, "nowMs": now}
 
+    def copy(self):
+        return dict(self.rows), self.version
+
+    async def go_away(self):
+        """Ends all channels and answers nothing until `come_back`."""
+        self.fault = "busy"
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def come_back(self, copy):
+        """Goes on from an earlier copy: its era rises by one."""
+        async with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.era += 1
+            self.fault = None
+            self.changed.notify_all()
+
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -103,13 +123,15 @@
                     await asyncio.sleep(3600)
                 status, answer = (503, {}) if fault == "busy" else await self.call(target, body)
                 text = json.dumps(answer).encode()
+                era = b"Store-Era: %d\r\n" % self.era if self.era else b""
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                    % (status, len(text)) + text)
+                    b"HTTP/1.1 %d X\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                    % (status, era, len(text)) + text)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, OSError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def call(self, target, body):
